--- /dev/null
+++ b/cmd/laburnumlab/demo.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/demo"
+	"laburnumstack.org/laburnum/internal/lab/fleet"
+)
+
+const (
+	// demoDrain is the drain delay of the demo's nodes.
+	demoDrain = 500 * time.Millisecond
+	maxDemo   = 40 * time.Second
+)
+
+// Demo runs a fleet under load with failures.
+type Demo struct {
+	Fleet string        `long:"fleet" default:"duct" choice:"duct" choice:"grozs" description:"example fleet"`
+	Seed  uint64        `long:"seed" default:"1" description:"seed of all random choices of the load"`
+	For   time.Duration `long:"for" default:"10s" description:"time of the load, at most 40s"`
+	JSON  bool          `long:"json" description:"print the report as JSON"`
+}
+
+func init() {
+	commands.Add("demo", "run a fleet under load with failures and check the invariants", &Demo{})
+}
+
+// Execute runs the demo.
+func (d *Demo) Execute(_ []string) error {
+	if d.For < time.Second || d.For > maxDemo {
+		return &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf("--for must be from 1s to %s", maxDemo)}
+	}
+	plan, err := fleet.PlanOf(d.Fleet)
+	if err != nil {
+		return err
+	}
+	f := &fleet.Fleet{Plan: plan, Seed: d.Seed, Logger: zerolog.Nop(), DrainDelay: demoDrain}
+	if err := f.Start(context.Background()); err != nil {
+		return err
+	}
+	defer f.Stop()
+	run := &demo.Demo{Fleet: f, Seed: d.Seed, For: d.For, Progress: progress()}
+	o, err := run.Run(context.Background())
+	if err != nil {
+		return err
+	}
+	return d.print(o)
+}
+
+func (d *Demo) print(o *demo.Outcome) error {
+	if d.JSON {
+		if err := json.NewEncoder(os.Stdout).Encode(o); err != nil {
+			return err
+		}
+	} else {
+		o.WriteText(os.Stdout)
+	}
+	if !o.Held {
+		return &cli.Exit{Code: cli.ExitFailed, Text: "an invariant was broken"}
+	}
+	return nil
+}
+
+// progress returns a function that writes to a terminal, or nil where there
+// is none.
+func progress() func(string, int64, int64) {
+	st, err := os.Stderr.Stat()
+	if err != nil || st.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(phase string, sent, ended int64) {
+		fmt.Fprintf(os.Stderr, "\r%-28s %6d sent %6d ended", phase, sent, ended)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/plan.go
@@ -0,0 +1,134 @@
+// Package fleet runs one of the example fleets in this process: stand-ins of
+// the platform, engines, plain services and nodes, over loopback TCP.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// ErrUnknown means that there is no fleet of a name.
+const ErrUnknown = errors.ConstError("unknown fleet, known are duct and grozs")
+
+// Plan describes an example fleet, scaled to one machine.
+type Plan struct {
+	Name        string
+	DataCentres []ident.DataCentre
+	Model       ident.ModelName
+	Service     string
+	Host        string
+	Workspaces  []Workspace
+	Engines     int
+	Services    int
+	Nodes       int
+}
+
+// Workspace is a customer of an example fleet.
+type Workspace struct {
+	Name   ident.WorkspaceName
+	Weight int
+	// Share is the workspace's part of the load in percent.
+	Share int
+}
+
+// Key returns the workspace's key.
+func (w Workspace) Key() string { return "key-of-" + string(w.Name) + "-7f3a" }
+
+// Digest returns the digest of the workspace's key.
+func (w Workspace) Digest() string {
+	sum := sha256.Sum256([]byte(w.Key()))
+	return hex.EncodeToString(sum[:])
+}
+
+const (
+	engines  = 8
+	services = 3
+	nodes    = 3
+)
+
+// PlanOf returns the plan of a fleet.
+func PlanOf(name string) (Plan, error) {
+	switch name {
+	case "duct":
+		return Plan{
+			Name:        name,
+			DataCentres: []ident.DataCentre{"poa-a", "poa-b", "canoas-c"},
+			Model:       "assistente-dutos",
+			Service:     "portal-locacao",
+			Host:        "portal.dutos.example",
+			Workspaces: []Workspace{
+				{"telesul", 4, 30}, {"fibra-norte", 4, 25}, {"vale-net", 2, 15}, {"serra-link", 1, 10},
+				{"litoral", 1, 5}, {"pampa", 1, 5}, {"planejamento", 1, 5}, {"obras", 1, 5},
+			},
+			Engines: engines, Services: services, Nodes: nodes,
+		}, nil
+	case "grozs":
+		return Plan{
+			Name:        name,
+			DataCentres: []ident.DataCentre{"riga-a", "riga-b", "riga-c"},
+			Model:       "grozs-llm",
+			Service:     "grozs-app",
+			Host:        "app.grozs.example",
+			Workspaces: []Workspace{
+				{"office-chat", 4, 35}, {"buyers", 4, 20}, {"planning", 2, 15}, {"drivers", 1, 10},
+				{"bank", 1, 5}, {"port", 1, 5}, {"school", 1, 5}, {"museum", 1, 5},
+			},
+			Engines: engines, Services: services, Nodes: nodes,
+		}, nil
+	}
+	return Plan{}, ErrUnknown
+}
+
+// EngineName names an engine of the plan.
+func (p Plan) EngineName(i int) ident.EndpointName {
+	return ident.EndpointName(fmt.Sprintf("%s-%02d", p.Model, i+1))
+}
+
+// ServiceName names a service of the plan.
+func (p Plan) ServiceName(i int) ident.EndpointName {
+	return ident.EndpointName(fmt.Sprintf("%s-%d", p.Service, i+1))
+}
+
+// Centre returns the data centre of the i-th VM of a kind.
+func (p Plan) Centre(i int) ident.DataCentre { return p.DataCentres[i%len(p.DataCentres)] }
+
+// Document returns the fleet's configuration for endpoints at the given
+// addresses.
+func (p Plan) Document(engines, services []string, memory ident.Tokens) confg.Document {
+	d := confg.Document{
+		Workspaces: map[ident.WorkspaceName]confg.Workspace{},
+		Endpoints:  map[ident.EndpointName]confg.Endpoint{},
+		Routes:     map[ident.RouteName]confg.Route{},
+		Limits: confg.Limits{
+			KeyAge:         confg.Duration(10 * time.Minute),
+			SilenceTimeout: confg.Duration(time.Second),
+		},
+	}
+	for _, w := range p.Workspaces {
+		d.Workspaces[w.Name] = confg.Workspace{Keys: []string{w.Digest()}, Weight: w.Weight}
+	}
+	for i, a := range engines {
+		d.Endpoints[p.EngineName(i)] = confg.Endpoint{
+			Address: a, DataCentre: p.Centre(i), Kind: confg.Engine,
+			Models: []ident.ModelName{p.Model}, MemoryTokens: memory, PrefillRate: 200_000,
+			ChecksOrders: i%2 == 0,
+		}
+	}
+	var names []ident.EndpointName
+	for i, a := range services {
+		n := p.ServiceName(i)
+		names = append(names, n)
+		d.Endpoints[n] = confg.Endpoint{Address: a, DataCentre: p.Centre(i), Kind: confg.Service}
+	}
+	d.Routes["prompts"] = confg.Route{PathPrefix: "/v1/", Class: confg.Prompt, Models: []ident.ModelName{p.Model}, TimeLimit: confg.Duration(30 * time.Second)}
+	d.Routes["bookings"] = confg.Route{Host: p.Host, PathPrefix: "/bookings", Methods: []string{"POST", "DELETE"}, Class: confg.Plain, Endpoints: names, TimeLimit: confg.Duration(5 * time.Second)}
+	d.Routes["status"] = confg.Route{Host: p.Host, PathPrefix: "/bookings", Methods: []string{"GET", "HEAD"}, Class: confg.Plain, Endpoints: names, Idempotent: true, TimeLimit: confg.Duration(2 * time.Second)}
+	return d
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	maxMicros = int64(10 * time.Minute / time.Microsecond)
+	digits    = 3
+)
+
+// Spread summarizes times.
+type Spread struct {
+	Count         int64
+	P50, P95, P99 time.Duration
+}
+
+// Report summarizes a load.
+type Report struct {
+	// First is the time to first token by class.
+	First map[string]Spread
+	// Took is the time to the whole answer by kind.
+	Took map[Kind]Spread
+	// Outcomes counts requests by kind and outcome.
+	Outcomes map[Kind]map[ident.Outcome]int
+	// Codes counts refusals and failures by code.
+	Codes map[string]int
+	// Classes lists the classes in the order of their lengths.
+	Classes []string
+}
+
+// Summarize makes a report of results.
+func Summarize(ls []Length, rs []Result) Report {
+	rep := Report{First: map[string]Spread{}, Took: map[Kind]Spread{}, Outcomes: map[Kind]map[ident.Outcome]int{}, Codes: map[string]int{}}
+	for _, l := range ls {
+		rep.Classes = append(rep.Classes, l.Name)
+		rep.First[l.Name] = spreadOf(rs, func(r Result) (time.Duration, bool) { return r.First, r.Class == l.Name && r.First > 0 })
+	}
+	for _, k := range []Kind{Prompt, Booking, Status} {
+		rep.Took[k] = spreadOf(rs, func(r Result) (time.Duration, bool) { return r.Took, r.Kind == k && r.Whole })
+		rep.Outcomes[k] = map[ident.Outcome]int{}
+	}
+	for _, r := range rs {
+		rep.Outcomes[r.Kind][r.outcome()]++
+		if r.Code != "" {
+			rep.Codes[r.Code]++
+		}
+	}
+	return rep
+}
+
+// outcome is what the caller knows of the request.
+func (r Result) outcome() ident.Outcome {
+	if r.Outcome == "" {
+		return ident.Unknown
+	}
+	return r.Outcome
+}
+
+func spreadOf(rs []Result, pick func(Result) (time.Duration, bool)) Spread {
+	h := hdrhistogram.New(1, maxMicros, digits)
+	for _, r := range rs {
+		if d, ok := pick(r); ok {
+			h.RecordValue(max(1, d.Microseconds()))
+		}
+	}
+	at := func(q float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+	}
+	return Spread{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// Ratio compares two spreads at the median and the 95th percentile.
+type Ratio struct {
+	P50, P95 float64
+}
+
+// RatioOf returns the first spread relative to the second.
+func RatioOf(a, b Spread) Ratio {
+	return Ratio{quotient(a.P50, b.P50), quotient(a.P95, b.P95)}
+}
+
+func quotient(a, b time.Duration) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "time to first token\tcount\tp50\tp95\tp99")
+	for _, c := range r.Classes {
+		writeSpread(t, c, r.First[c])
+	}
+	fmt.Fprintln(t, "\nwhole answer\tcount\tp50\tp95\tp99")
+	for _, k := range []Kind{Prompt, Booking, Status} {
+		writeSpread(t, string(k), r.Took[k])
+	}
+	fmt.Fprintln(t, "\noutcome\tanswered\tnot-run\tunknown")
+	for _, k := range []Kind{Prompt, Booking, Status} {
+		o := r.Outcomes[k]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", k, o[ident.Answered], o[ident.NotRun], o[ident.Unknown])
+	}
+	t.Flush()
+	if len(r.Codes) > 0 {
+		fmt.Fprintln(w, "\nrefusals and failures by code:")
+		for _, c := range ident.SortedKeys(r.Codes) {
+			fmt.Fprintf(w, "  %s %d\n", c, r.Codes[c])
+		}
+	}
+}
+
+func writeSpread(w io.Writer, name string, s Spread) {
+	if s.Count == 0 {
+		fmt.Fprintf(w, "%s\t0\t-\t-\t-\n", name)
+		return
+	}
+	fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", name, s.Count, short(s.P50), short(s.P95), short(s.P99))
+}
+
+func short(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,249 @@
+// Package node assembles one process of the serving layer.
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumstack.org/laburnum/internal/coord/membr"
+	"laburnumstack.org/laburnum/internal/coord/route"
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/state/ledgr"
+	"laburnumstack.org/laburnum/internal/state/table"
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/admsrv"
+	"laburnumstack.org/laburnum/internal/trans/claims"
+	"laburnumstack.org/laburnum/internal/trans/config"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/engin"
+	"laburnumstack.org/laburnum/internal/trans/front"
+	"laburnumstack.org/laburnum/internal/trans/peer"
+	"laburnumstack.org/laburnum/internal/trans/platf"
+	"laburnumstack.org/laburnum/internal/trans/serve"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	ringSize = 20_000
+	// claimInterval is the least time between two appends of claims.
+	claimInterval = 50 * time.Millisecond
+)
+
+// Node is one process. Settings and Logger are set before Run.
+type Node struct {
+	Settings Settings
+	Logger   zerolog.Logger
+
+	boot     int64
+	log      *platf.Log
+	vms      *platf.VMs
+	engine   *engin.Client
+	ring     *trace.Ring
+	config   *config.Follower
+	keeper   *claims.Keeper
+	holds    *serve.Holds
+	health   *serve.Health
+	strikes  *serve.Strikes
+	core     *serve.Core
+	mesh     *peer.Mesh
+	front    *front.Server
+	admin    *admsrv.Server
+	ledger   *ledgr.Ledger
+	usage    *usageWriter
+	registry *prometheus.Registry
+	drain    chan struct{}
+
+	listeners listeners
+}
+
+// listeners are the open ports of a node.
+type listeners struct {
+	callers, admins, peers net.Listener
+}
+
+// Listen opens the ports, so that the addresses are known before Run.
+func (n *Node) Listen() error {
+	lc := net.ListenConfig{Control: conns.Harden}
+	for _, p := range []struct {
+		addr string
+		l    *net.Listener
+	}{
+		{n.Settings.Listen, &n.listeners.callers},
+		{n.Settings.Admin, &n.listeners.admins},
+		{n.Settings.Peer, &n.listeners.peers},
+	} {
+		l, err := lc.Listen(context.Background(), "tcp", p.addr)
+		if err != nil {
+			n.closeAll()
+			return errors.Annotatef(err, "listen on %s", p.addr)
+		}
+		*p.l = l
+	}
+	return nil
+}
+
+func (n *Node) closeAll() {
+	for _, l := range []net.Listener{n.listeners.callers, n.listeners.admins, n.listeners.peers} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// CallerAddr returns the address for callers.
+func (n *Node) CallerAddr() string { return n.listeners.callers.Addr().String() }
+
+// AdminAddr returns the address for operators.
+func (n *Node) AdminAddr() string { return n.listeners.admins.Addr().String() }
+
+// PeerAddr returns the address for other nodes.
+func (n *Node) PeerAddr() string { return n.listeners.peers.Addr().String() }
+
+// Run serves until the context ends, then stops as planned: it finishes every
+// request that it admitted.
+func (n *Node) Run(ctx context.Context) error {
+	n.build()
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	g, life := errgroup.WithContext(life)
+	g.Go(func() error { return n.config.Run(life) })
+	g.Go(func() error { return n.keeper.Run(life) })
+	g.Go(func() error { n.holds.Follow(life); return nil })
+	g.Go(func() error { n.holds.Reap(life); return nil })
+	g.Go(func() error { return n.mesh.Run(life, n.listeners.peers) })
+	g.Go(func() error { n.pollEndpoints(life); return nil })
+	g.Go(func() error { n.pollList(life); return nil })
+	g.Go(func() error { n.usage.run(life); return nil })
+	g.Go(func() error { return n.front.Run(life, n.listeners.callers) })
+	g.Go(func() error { return n.admin.Run(n.listeners.admins) })
+	n.Logger.Info().Str("callers", n.CallerAddr()).Str("admins", n.AdminAddr()).
+		Str("peers", n.PeerAddr()).Msg("node: serving")
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-n.drain:
+		case <-life.Done():
+			return nil
+		}
+		n.stop(end)
+		return nil
+	})
+	return g.Wait()
+}
+
+// build connects the parts.
+func (n *Node) build() {
+	s := n.Settings
+	n.boot = time.Now().UnixNano()
+	n.drain = make(chan struct{}, 1)
+	pools := &conns.Pools{}
+	n.log = &platf.Log{Address: s.Log, Pools: pools}
+	n.vms = &platf.VMs{Address: s.VMs, Pools: pools}
+	n.engine = &engin.Client{Pools: pools}
+	clock := &trace.Clock{}
+	n.ring = trace.NewRing(s.Name, clock, ringSize)
+	n.ledger = ledgr.New()
+	n.registry = prometheus.NewRegistry()
+	holder := claim.Holder{Node: s.Name, Boot: n.boot}
+	n.buildMesh(clock)
+	n.config = &config.Follower{Log: n.log, Ring: n.ring, Logger: n.Logger, SnapshotEvery: s.SnapshotEvery, InForce: n.inForce}
+	n.config.Init()
+	n.keeper = &claims.Keeper{Log: n.log, Holder: holder, Interval: claimInterval, Logger: n.Logger}
+	n.keeper.Init()
+	n.health = &serve.Health{Engine: n.engine, Ring: n.ring}
+	n.strikes = serve.NewStrikes(n.mesh.Share)
+	n.holds = &serve.Holds{Log: n.log, Engine: n.engine, Holder: holder, Ring: n.ring, Logger: n.Logger, Alive: n.mesh.Alive}
+	n.holds.Init()
+	n.usage = &usageWriter{log: n.log, ledger: n.ledger, node: s.Name, boot: ident.New(), logger: n.Logger}
+	n.core = &serve.Core{
+		Engine: n.engine, Pools: pools, Policy: route.Estimated{}, Keeper: n.keeper,
+		Strikes: n.strikes, Health: n.health, Holds: n.holds, Ring: n.ring,
+		Ledger: n.ledger, Logger: n.Logger, Metrics: serve.NewMetrics(n.registry),
+		Alive: n.mesh.Alive, LogRetention: s.LogRetention,
+	}
+	n.core.Seed(uint64(n.boot))
+	n.holds.Table = n.core.Table
+	n.front = &front.Server{Core: n.core, Node: s.Name, Logger: n.Logger, Ready: n.config.Ready}
+	n.admin = &admsrv.Server{
+		Token: s.AdminToken, Config: n.config, Ring: n.ring, Logger: n.Logger,
+		Table: n.core.Table, Members: n.members, Usage: n.usage.bill,
+		Drain: n.beginDrain, IsReady: n.front.IsReady, Gather: n.registry,
+	}
+}
+
+func (n *Node) buildMesh(clock *trace.Clock) {
+	n.mesh = &peer.Mesh{
+		Self: n.self, Seeds: n.Settings.Peers, Clock: clock, Ring: n.ring, Logger: n.Logger,
+		Fill: n.fillBeat, Take: n.takeBeat,
+		Snapshot: func() messg.ConfigReply { return n.config.Snapshot() },
+		Behind:   func(s messg.ConfigReply) { n.config.Behind(s.Snapshot) },
+		Struck:   func(ss []strik.Strike) { n.strikes.Merge(ss) },
+	}
+	n.mesh.Init()
+}
+
+func (n *Node) beginDrain() {
+	select {
+	case n.drain <- struct{}{}:
+	default:
+	}
+}
+
+// inForce compiles a new configuration version and puts it in force.
+func (n *Node) inForce(v ident.Version, d *confg.Document) {
+	n.core.SetTable(table.New(v, d, n.core.Table()))
+	n.core.Metrics.Version.Set(float64(v))
+}
+
+// self describes this node to others.
+func (n *Node) self() membr.Member {
+	v, _ := n.config.Current()
+	return membr.Member{
+		Name: n.Settings.Name, Boot: n.boot,
+		Peer: n.PeerAddr(), Admin: n.AdminAddr(), Caller: n.CallerAddr(),
+		DataCentre: n.Settings.DataCentre, Version: v, Leaving: n.front.Draining(),
+	}
+}
+
+// members lists the nodes that this one knows, itself first.
+func (n *Node) members() []admin.Member {
+	s := n.self()
+	state := membr.Alive
+	if s.Leaving {
+		state = membr.Leaving
+	}
+	own := admin.Member{Member: s, State: state, Heard: time.Now()}
+	return append([]admin.Member{own}, n.mesh.Members()...)
+}
+
+func (n *Node) fillBeat(b *messg.Beat) {
+	b.Uses = n.core.Tally.Own()
+	b.Strikes = n.strikes.Recent(time.Now().Add(-strikeWindow))
+	b.Suspects = map[ident.EndpointName]int64{}
+	if t := n.core.Table(); t != nil {
+		for name, e := range t.Endpoints {
+			if c := e.Suspects.Load(); c > 0 {
+				b.Suspects[name] = c
+			}
+		}
+	}
+}
+
+// strikeWindow is how far back heartbeats repeat strikes.
+const strikeWindow = 10 * time.Second
+
+func (n *Node) takeBeat(b messg.Beat) {
+	n.core.Tally.SetPeer(b.From.Name, b.Uses)
+	n.strikes.Merge(b.Strikes)
+	n.strikes.SetSuspects(b.From.Name, b.Suspects)
+}
--- /dev/null
+++ b/internal/node/poll.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"laburnumstack.org/laburnum/internal/state/table"
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// loadEvery is the time between two reads of an endpoint's load.
+	loadEvery = 200 * time.Millisecond
+	// eventsEvery is the number of load reads to one read of cache events.
+	eventsEvery = 5
+	listEvery   = time.Second
+	// maxPolls bounds the polls under way.
+	maxPolls = 64
+)
+
+// poller reads the load of one endpoint.
+type poller struct {
+	busy   sync.Mutex
+	count  int
+	events uint64
+}
+
+// pollEndpoints reads the load of all endpoints until the context ends. A slow
+// endpoint delays no other.
+func (n *Node) pollEndpoints(ctx context.Context) {
+	pollers := map[ident.EndpointName]*poller{}
+	var g errgroup.Group
+	g.SetLimit(maxPolls)
+	t := time.NewTicker(loadEvery)
+	defer t.Stop()
+	for {
+		n.pollRound(ctx, &g, pollers)
+		select {
+		case <-ctx.Done():
+			g.Wait()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Node) pollRound(ctx context.Context, g *errgroup.Group, ps map[ident.EndpointName]*poller) {
+	t := n.core.Table()
+	if t == nil {
+		return
+	}
+	for name, e := range t.Endpoints {
+		p, ok := ps[name]
+		if !ok {
+			p = &poller{}
+			ps[name] = p
+		}
+		if !p.busy.TryLock() {
+			continue
+		}
+		if !g.TryGo(func() error { defer p.busy.Unlock(); n.poll(ctx, e, p); return nil }) {
+			p.busy.Unlock()
+		}
+	}
+}
+
+func (n *Node) poll(ctx context.Context, e *table.Endpoint, p *poller) {
+	if !pauseRandom(ctx, loadEvery/4) {
+		return
+	}
+	if n.health.Poll(ctx, e) != nil || e.Config().Kind != confg.Engine {
+		return
+	}
+	p.count++
+	if p.count%eventsEvery == 0 {
+		n.pollEvents(ctx, e, p)
+	}
+}
+
+// pollEvents takes an engine's cache events as hints. A sequence that starts
+// over means that the engine did.
+func (n *Node) pollEvents(ctx context.Context, e *table.Endpoint, p *poller) {
+	ctx, cancel := context.WithTimeout(ctx, listEvery)
+	defer cancel()
+	es, err := n.engine.Events(ctx, e.Config().Address, p.events)
+	if err != nil {
+		return
+	}
+	for _, v := range es {
+		p.events = max(p.events, v.Seq)
+		if v.Removed {
+			n.core.Hints.Remove(v.Block, e.Name)
+		}
+	}
+}
+
+// pollList reads the VM list until the context ends.
+func (n *Node) pollList(ctx context.Context) {
+	t := time.NewTicker(listEvery)
+	defer t.Stop()
+	for {
+		n.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Node) readList(ctx context.Context) {
+	vs, err := n.vms.List(ctx)
+	if err != nil {
+		return
+	}
+	byAddr := map[string]*table.Endpoint{}
+	if t := n.core.Table(); t != nil {
+		for _, e := range t.Endpoints {
+			byAddr[e.Config().Address] = e
+		}
+	}
+	var peers []string
+	for _, v := range vs {
+		if v.Role == "Node" {
+			peers = append(peers, v.Address)
+		}
+		if e, ok := byAddr[v.Address]; ok {
+			n.health.Listed(e, v.Leaving)
+		}
+	}
+	n.mesh.SetListed(peers)
+}
+
+// pauseRandom waits for a random time up to most, so that nodes don't poll in
+// step.
+func pauseRandom(ctx context.Context, most time.Duration) bool {
+	t := time.NewTimer(rand.N(most))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/proto/chat/reply.go
@@ -0,0 +1,141 @@
+package chat
+
+import (
+	"encoding/json"
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Done is the last event of a stream.
+const Done = "data: [DONE]\n\n"
+
+// Usage counts the tokens of a completion.
+type Usage struct {
+	PromptTokens     ident.Tokens   `json:"prompt_tokens"`
+	CompletionTokens ident.Tokens   `json:"completion_tokens"`
+	TotalTokens      ident.Tokens   `json:"total_tokens"`
+	Details          *UsageDetailed `json:"prompt_tokens_details,omitempty"`
+}
+
+// UsageDetailed tells the part of a prompt that was cached.
+type UsageDetailed struct {
+	CachedTokens ident.Tokens `json:"cached_tokens"`
+}
+
+// Reply writes the completion of one prompt.
+type Reply struct {
+	Prompt  *Prompt
+	ID      ident.RequestID
+	Created time.Time
+}
+
+type completion struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   ident.ModelName `json:"model"`
+	Choices []choice        `json:"choices"`
+	Usage   *Usage          `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *content `json:"delta,omitempty"`
+	Message      *content `json:"message,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Usage returns the token counts of an answer.
+func (r Reply) Usage(generated, cached ident.Tokens) *Usage {
+	p := r.Prompt.Tokens
+	return &Usage{p, generated, p + generated, &UsageDetailed{cached}}
+}
+
+// Event returns the event that carries a piece of text.
+func (r Reply) Event(text string, first bool) []byte {
+	c := choice{}
+	if r.Prompt.Form == Chat {
+		c.Delta = &content{Content: text}
+		if first {
+			c.Delta.Role = "assistant"
+		}
+	} else {
+		c.Text = &text
+	}
+	return event(r.shape(".chunk", c, nil))
+}
+
+// End returns the last events of a whole answer.
+func (r Reply) End(u *Usage) []byte {
+	stop := "stop"
+	c := choice{FinishReason: &stop}
+	if r.Prompt.Form == Chat {
+		c.Delta = &content{}
+	} else {
+		c.Text = new(string)
+	}
+	return append(event(r.shape(".chunk", c, u)), Done...)
+}
+
+// Whole returns the body of an answer that isn't streamed.
+func (r Reply) Whole(text string, u *Usage) []byte {
+	stop := "stop"
+	c := choice{FinishReason: &stop}
+	if r.Prompt.Form == Chat {
+		c.Message = &content{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	raw, _ := json.Marshal(r.shape("", c, u))
+	return raw
+}
+
+func (r Reply) shape(suffix string, c choice, u *Usage) completion {
+	s := completion{ID: "cmpl-" + string(r.ID), Object: "text_completion", Created: r.Created.Unix(), Model: r.Prompt.Model, Choices: []choice{c}, Usage: u}
+	if r.Prompt.Form == Chat {
+		s.ID = "chatcmpl-" + string(r.ID)
+		s.Object = "chat.completion" + suffix
+	}
+	return s
+}
+
+func event(v any) []byte {
+	raw, _ := json.Marshal(v)
+	b := make([]byte, 0, len(raw)+8)
+	b = append(b, "data: "...)
+	b = append(b, raw...)
+	return append(b, "\n\n"...)
+}
+
+// ErrorEvent returns an event that tells why a stream ends early.
+func ErrorEvent(v any) []byte {
+	return event(map[string]any{"error": v})
+}
+
+type models struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      ident.ModelName `json:"id"`
+	Object  string          `json:"object"`
+	OwnedBy string          `json:"owned_by"`
+}
+
+// Models returns the body of a list of models.
+func Models(ms []ident.ModelName) []byte {
+	l := models{Object: "list", Data: []model{}}
+	for _, m := range ms {
+		l.Data = append(l.Data, model{m, "model", "laburnum"})
+	}
+	raw, _ := json.Marshal(l)
+	return raw
+}
--- /dev/null
+++ b/internal/state/claim/table.go
@@ -0,0 +1,124 @@
+package claim
+
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Table is the state of all keys, folded in offset order. It is not safe for
+// concurrent use.
+type Table struct {
+	entries map[Key]*Entry
+	// order lists keys by the time of their first claim.
+	order []slot
+	next  ident.Offset
+	// now is the newest log time seen.
+	now time.Time
+}
+
+type slot struct {
+	key   Key
+	entry *Entry
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: map[Key]*Entry{}}
+}
+
+// Ruling is the result of one claim.
+type Ruling struct {
+	Attempt ident.AttemptID
+	// Won tells that the attempt holds the key.
+	Won bool
+	// Entry is the key's state after the claim.
+	Entry Entry
+}
+
+// Apply folds the record at an offset and returns the rulings on its claims.
+// Records before the next offset are ignored.
+func (t *Table) Apply(at ident.Offset, when time.Time, rec Record) []Ruling {
+	if at < t.next {
+		return nil
+	}
+	t.next = at + 1
+	if when.After(t.now) {
+		t.now = when
+	}
+	t.dropOld()
+	var rs []Ruling
+	for _, it := range rec.Items {
+		if it.Op == Claim {
+			rs = append(rs, t.claim(rec.Holder, it))
+			continue
+		}
+		t.settle(it)
+	}
+	return rs
+}
+
+// claim gives the key to the first attempt in offset order.
+func (t *Table) claim(h Holder, it Item) Ruling {
+	e, ok := t.entries[it.Key]
+	if ok && e.Attempt == it.Attempt {
+		return Ruling{it.Attempt, e.State == Held, *e}
+	}
+	if ok && (e.State != Free || e.Expired(t.now)) {
+		return Ruling{it.Attempt, false, *e}
+	}
+	fresh := &Entry{State: Held, Holder: h, Attempt: it.Attempt, Request: it.Request, Digest: it.Digest, At: t.now, Age: it.Age}
+	if ok {
+		fresh.At = e.At
+		fresh.Age = e.Age
+	}
+	t.entries[it.Key] = fresh
+	t.order = append(t.order, slot{it.Key, fresh})
+	return Ruling{it.Attempt, true, *fresh}
+}
+
+// settle ends the attempt that holds a key. Only the holding attempt counts.
+func (t *Table) settle(it Item) {
+	e, ok := t.entries[it.Key]
+	if !ok || e.Attempt != it.Attempt || e.State != Held {
+		return
+	}
+	switch it.Op {
+	case Done:
+		e.State = Finished
+		e.Answer = it.Answer
+	case Lost:
+		e.State = Uncertain
+	case Release:
+		e.State = Free
+	}
+}
+
+// Lookup returns the state of a key.
+func (t *Table) Lookup(k Key) (Entry, bool) {
+	e, ok := t.entries[k]
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Next returns the offset of the first record not yet folded.
+func (t *Table) Next() ident.Offset { return t.next }
+
+// Len returns the number of keys.
+func (t *Table) Len() int { return len(t.entries) }
+
+// dropOld removes keys that are past twice their age in the log's time, so
+// that every reader removes them at the same record.
+func (t *Table) dropOld() {
+	n := 0
+	for n < len(t.order) && t.order[n].entry.dropped(t.now) {
+		s := t.order[n]
+		if t.entries[s.key] == s.entry {
+			delete(t.entries, s.key)
+		}
+		n++
+	}
+	t.order = t.order[n:]
+}
--- /dev/null
+++ b/internal/state/ledgr/ledgr.go
@@ -0,0 +1,146 @@
+// Package ledgr sums what was served, for the bill.
+package ledgr
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Account is what sums are kept by.
+type Account struct {
+	Workspace ident.WorkspaceName
+	Route     ident.RouteName
+	Model     ident.ModelName `json:",omitempty"`
+	// Hour is the start of the hour in UTC.
+	Hour time.Time
+}
+
+// Sum is what one account used.
+type Sum struct {
+	Requests        int64
+	PromptTokens    ident.Tokens
+	GeneratedTokens ident.Tokens
+	// EndpointSeconds is the time that endpoints were at work.
+	EndpointSeconds float64
+	Refusals        int64
+}
+
+func (s *Sum) add(o Sum) {
+	s.Requests += o.Requests
+	s.PromptTokens += o.PromptTokens
+	s.GeneratedTokens += o.GeneratedTokens
+	s.EndpointSeconds += o.EndpointSeconds
+	s.Refusals += o.Refusals
+}
+
+// Row is an account with its sum.
+type Row struct {
+	Account
+	Sum
+}
+
+// Batch is one record of the usage stream. Records with the same node, boot
+// and sequence number hold the same rows and count once.
+type Batch struct {
+	Node ident.NodeName
+	// Boot tells the runs of a node apart.
+	Boot string
+	Seq  uint64
+	Rows []Row
+}
+
+// Ledger collects sums until they are taken as a batch. It is safe for
+// concurrent use.
+type Ledger struct {
+	mu   sync.Mutex
+	sums map[Account]*Sum
+}
+
+// New returns an empty ledger.
+func New() *Ledger { return &Ledger{sums: map[Account]*Sum{}} }
+
+// Add adds to an account at the given time.
+func (l *Ledger) Add(a Account, at time.Time, s Sum) {
+	a.Hour = at.UTC().Truncate(time.Hour)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	addTo(l.sums, a, s)
+}
+
+// Take returns the rows collected so far and empties the ledger.
+func (l *Ledger) Take() []Row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rs := rowsOf(l.sums)
+	clear(l.sums)
+	return rs
+}
+
+// Peek returns the rows collected so far.
+func (l *Ledger) Peek() []Row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return rowsOf(l.sums)
+}
+
+// Bill sums the batches of the usage stream.
+type Bill struct {
+	sums map[Account]*Sum
+	seen map[batchID]struct{}
+}
+
+type batchID struct {
+	node ident.NodeName
+	boot string
+	seq  uint64
+}
+
+// NewBill returns an empty bill.
+func NewBill() *Bill {
+	return &Bill{sums: map[Account]*Sum{}, seen: map[batchID]struct{}{}}
+}
+
+// Apply adds a batch unless it was added before.
+func (b *Bill) Apply(r Batch) {
+	id := batchID{r.Node, r.Boot, r.Seq}
+	if _, ok := b.seen[id]; ok {
+		return
+	}
+	b.seen[id] = struct{}{}
+	for _, w := range r.Rows {
+		addTo(b.sums, w.Account, w.Sum)
+	}
+}
+
+// Rows returns the sums by hour, workspace, route and model.
+func (b *Bill) Rows() []Row { return rowsOf(b.sums) }
+
+func addTo(m map[Account]*Sum, a Account, s Sum) {
+	if t, ok := m[a]; ok {
+		t.add(s)
+		return
+	}
+	m[a] = &s
+}
+
+func rowsOf(m map[Account]*Sum) []Row {
+	rs := make([]Row, 0, len(m))
+	for a, s := range m {
+		rs = append(rs, Row{a, *s})
+	}
+	slices.SortFunc(rs, compareRows)
+	return rs
+}
+
+func compareRows(a, b Row) int {
+	return cmp.Or(
+		a.Hour.Compare(b.Hour),
+		cmp.Compare(a.Workspace, b.Workspace),
+		cmp.Compare(a.Route, b.Route),
+		cmp.Compare(a.Model, b.Model),
+	)
+}
--- /dev/null
+++ b/internal/state/table/table.go
@@ -0,0 +1,167 @@
+// Package table is the immutable view of one configuration version that the
+// path of a request reads, and what a node knows of each endpoint.
+package table
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Table is one configuration version, compiled. It is never changed.
+type Table struct {
+	Version   ident.Version
+	Document  *confg.Document
+	Endpoints map[ident.EndpointName]*Endpoint
+
+	keys   map[[sha256.Size]byte]keyOwner
+	routes []*Route
+	models map[ident.ModelName][]*Endpoint
+}
+
+type keyOwner struct {
+	digest    [sha256.Size]byte
+	workspace ident.WorkspaceName
+}
+
+// Route is a compiled route.
+type Route struct {
+	Name ident.RouteName
+	confg.Route
+	// Targets are the endpoints of a Plain route.
+	Targets []*Endpoint
+}
+
+// New compiles a document. What is known of endpoints is kept from the table
+// before it, which may be nil.
+func New(v ident.Version, d *confg.Document, old *Table) *Table {
+	t := &Table{
+		Version:   v,
+		Document:  d,
+		Endpoints: map[ident.EndpointName]*Endpoint{},
+		keys:      map[[sha256.Size]byte]keyOwner{},
+		models:    map[ident.ModelName][]*Endpoint{},
+	}
+	t.compileEndpoints(old)
+	t.compileKeys()
+	t.compileRoutes()
+	return t
+}
+
+func (t *Table) compileEndpoints(old *Table) {
+	for _, n := range ident.SortedKeys(t.Document.Endpoints) {
+		c := t.Document.Endpoints[n]
+		e := known(old, n, c.Address)
+		e.config.Store(&c)
+		t.Endpoints[n] = e
+		for _, m := range c.Models {
+			t.models[m] = append(t.models[m], e)
+		}
+	}
+}
+
+// known returns the old record of an endpoint, unless its address changed.
+func known(old *Table, n ident.EndpointName, addr string) *Endpoint {
+	if old != nil {
+		if e, ok := old.Endpoints[n]; ok && e.Config().Address == addr {
+			return e
+		}
+	}
+	return &Endpoint{Name: n}
+}
+
+func (t *Table) compileKeys() {
+	for n, w := range t.Document.Workspaces {
+		for _, k := range w.Keys {
+			var d [sha256.Size]byte
+			hex.Decode(d[:], []byte(k))
+			t.keys[d] = keyOwner{d, n}
+		}
+	}
+}
+
+func (t *Table) compileRoutes() {
+	for _, n := range ident.SortedKeys(t.Document.Routes) {
+		r := &Route{Name: n, Route: t.Document.Routes[n]}
+		for _, e := range r.Endpoints {
+			r.Targets = append(r.Targets, t.Endpoints[e])
+		}
+		t.routes = append(t.routes, r)
+	}
+	slices.SortStableFunc(t.routes, moreSpecific)
+}
+
+// moreSpecific orders routes with a host before those for any, longer path
+// prefixes before shorter ones, and those with methods before the others.
+func moreSpecific(a, b *Route) int {
+	if (a.Host == "") != (b.Host == "") {
+		return boolOrder(b.Host == "", a.Host == "")
+	}
+	if len(a.PathPrefix) != len(b.PathPrefix) {
+		return len(b.PathPrefix) - len(a.PathPrefix)
+	}
+	return boolOrder(len(b.Methods) == 0, len(a.Methods) == 0)
+}
+
+// boolOrder puts the first of two before the second if only a is true.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Workspace returns the workspace that a caller's key names.
+func (t *Table) Workspace(key string) (ident.WorkspaceName, bool) {
+	d := sha256.Sum256([]byte(key))
+	o, ok := t.keys[d]
+	same := subtle.ConstantTimeCompare(d[:], o.digest[:]) == 1
+	return o.workspace, ok && same
+}
+
+// Match returns the routes that fit a request, all of one host, path prefix
+// and set of methods. Several fit only if they offer different models.
+func (t *Table) Match(host, method, path string) []*Route {
+	var rs []*Route
+	for _, r := range t.routes {
+		if !r.fits(host, method, path) {
+			continue
+		}
+		if len(rs) > 0 && moreSpecific(rs[0], r) != 0 {
+			break
+		}
+		rs = append(rs, r)
+	}
+	return rs
+}
+
+func (r *Route) fits(host, method, path string) bool {
+	if r.Host != "" && r.Host != host {
+		return false
+	}
+	if !underPrefix(path, r.PathPrefix) {
+		return false
+	}
+	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+}
+
+// underPrefix reports whether a path begins with the whole steps of a prefix.
+func underPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		return false
+	}
+	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
+}
+
+// Engines returns the engines configured for a model.
+func (t *Table) Engines(m ident.ModelName) []*Endpoint { return t.models[m] }
--- /dev/null
+++ b/internal/state/trace/clock.go
@@ -0,0 +1,96 @@
+// Package trace keeps the events of one node in bounded memory and orders the
+// events of many nodes.
+package trace
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Stamp is a hybrid logical time: a stamp given after another was observed is
+// greater, however far the clocks of the VMs differ.
+type Stamp struct {
+	// Wall is in milliseconds of Unix time.
+	Wall int64
+	// Tick tells stamps with the same Wall apart.
+	Tick uint32
+}
+
+// Compare orders stamps.
+func (s Stamp) Compare(o Stamp) int {
+	if c := cmp.Compare(s.Wall, o.Wall); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.Tick, o.Tick)
+}
+
+// Time returns the stamp's wall time.
+func (s Stamp) Time() time.Time { return time.UnixMilli(s.Wall) }
+
+// Clock gives stamps. It is safe for concurrent use.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns a stamp greater than all given or observed before.
+func (c *Clock) Now() Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = next(c.last, time.Now().UnixMilli())
+	return c.last
+}
+
+// Observe moves the clock past a stamp that came from another node.
+func (c *Clock) Observe(s Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Compare(c.last) > 0 {
+		c.last = s
+	}
+}
+
+func next(last Stamp, wall int64) Stamp {
+	if wall > last.Wall {
+		return Stamp{Wall: wall}
+	}
+	return Stamp{Wall: last.Wall, Tick: last.Tick + 1}
+}
+
+// Kind names what happened.
+type Kind string
+
+// Kinds of events.
+const (
+	Arrived    Kind = "arrived"
+	Refused    Kind = "refused"
+	Admitted   Kind = "admitted"
+	Chosen     Kind = "chosen"
+	FirstToken Kind = "first-token"
+	Retried    Kind = "retried"
+	Resumed    Kind = "resumed"
+	Reserved   Kind = "reserved"
+	Released   Kind = "released"
+	Claimed    Kind = "claimed"
+	Struck     Kind = "struck"
+	Ended      Kind = "ended"
+	CallerGone Kind = "caller-gone"
+	Config     Kind = "config"
+	Member     Kind = "member"
+	Endpoint   Kind = "endpoint"
+	Platform   Kind = "platform"
+	Stopping   Kind = "stopping"
+)
+
+// Event is one decision or observation.
+type Event struct {
+	Stamp   Stamp
+	Node    ident.NodeName
+	Kind    Kind
+	Request ident.RequestID `json:",omitempty"`
+	// Text gives the reason and the figures in plain words.
+	Text string
+}
--- /dev/null
+++ b/internal/state/trace/ring.go
@@ -0,0 +1,69 @@
+package trace
+
+import (
+	"slices"
+	"sync"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Ring keeps the newest events of one node. It is safe for concurrent use.
+type Ring struct {
+	Node  ident.NodeName
+	Clock *Clock
+
+	mu     sync.Mutex
+	events []Event
+	// head is the place of the oldest event once the ring is full.
+	head int
+	size int
+}
+
+// NewRing returns a ring that keeps size events.
+func NewRing(n ident.NodeName, c *Clock, size int) *Ring {
+	return &Ring{Node: n, Clock: c, size: size}
+}
+
+// Add stamps and keeps an event about a request, or about none if r is empty.
+func (g *Ring) Add(k Kind, r ident.RequestID, text string) {
+	e := Event{Stamp: g.Clock.Now(), Node: g.Node, Kind: k, Request: r, Text: text}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.events) < g.size {
+		g.events = append(g.events, e)
+		return
+	}
+	g.events[g.head] = e
+	g.head = (g.head + 1) % g.size
+}
+
+// Filter selects events; zero fields select all.
+type Filter struct {
+	Request ident.RequestID
+	// Most bounds the number of events, the newest being kept.
+	Most int
+}
+
+// Select returns the events that match, oldest first.
+func (g *Ring) Select(f Filter) []Event {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var es []Event
+	for i := range g.events {
+		e := g.events[(g.head+i)%len(g.events)]
+		if f.Request == "" || e.Request == f.Request {
+			es = append(es, e)
+		}
+	}
+	if f.Most > 0 && len(es) > f.Most {
+		es = es[len(es)-f.Most:]
+	}
+	return es
+}
+
+// Merge orders events of several nodes so that causes precede effects.
+func Merge(lists ...[]Event) []Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b Event) int { return a.Stamp.Compare(b.Stamp) })
+	return all
+}
--- /dev/null
+++ b/internal/trans/conns/pool.go
@@ -0,0 +1,137 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout bounds how long an idle connection counts as usable.
+	idleTimeout = 5 * time.Second
+	// maxAge bounds how long a connection is used at all.
+	maxAge       = 2 * time.Minute
+	maxIdle      = 64
+	readBuffer   = 8 << 10
+	writeBuffer  = 16 << 10
+	keepAlive    = 5 * time.Second
+	userTimeout  = 10 * time.Second
+	tcpUserOpt   = 0x12
+	maxErrorBody = 64 << 10
+)
+
+// Pool holds idle connections to one address. It is safe for concurrent use.
+type Pool struct {
+	Address string
+
+	mu   sync.Mutex
+	idle []*conn
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	born   time.Time
+	used   time.Time
+	reused bool
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+	if !fresh {
+		if c := p.take(time.Now()); c != nil {
+			return c, nil
+		}
+	}
+	return p.dial(ctx)
+}
+
+func (p *Pool) take(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Sub(c.used) < idleTimeout && now.Sub(c.born) < maxAge && quiet(c.Conn) {
+			c.reused = true
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive, Control: Harden}
+	nc, err := d.DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &conn{
+		Conn:   nc,
+		reader: bufio.NewReaderSize(nc, readBuffer),
+		writer: bufio.NewWriterSize(nc, writeBuffer),
+		born:   now,
+		used:   now,
+	}, nil
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *Pool) put(c *conn) {
+	c.used = time.Now()
+	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// DropIdle closes all idle connections, after one of them proved dead.
+func (p *Pool) DropIdle() {
+	p.mu.Lock()
+	cs := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range cs {
+		c.Close()
+	}
+}
+
+// Harden bounds how long sent bytes may stay without acknowledgement. It is
+// a control function for dialers and listeners.
+func Harden(_, _ string, rc syscall.RawConn) error {
+	var err error
+	cerr := rc.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserOpt, int(userTimeout.Milliseconds()))
+	})
+	if cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+// Pools holds one pool per address. It is safe for concurrent use.
+type Pools struct {
+	m sync.Map
+}
+
+// Get returns the pool of an address.
+func (ps *Pools) Get(addr string) *Pool {
+	if p, ok := ps.m.Load(addr); ok {
+		return p.(*Pool)
+	}
+	p, _ := ps.m.LoadOrStore(addr, &Pool{Address: addr})
+	return p.(*Pool)
+}
--- /dev/null
+++ b/internal/trans/engin/engin.go
@@ -0,0 +1,239 @@
+// Package engin calls model engines over HTTP.
+package engin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/table"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	maxAnswer  = 1 << 20
+	lineBuffer = 4 << 10
+	// headerTimeout bounds the wait for the header of a stream, which an
+	// engine sends before it begins to work.
+	headerTimeout = 2 * time.Second
+)
+
+// Client calls engines.
+type Client struct {
+	Pools *conns.Pools
+}
+
+var _ messg.Engine = (*Client)(nil)
+
+// Generate begins an answer.
+func (c *Client) Generate(ctx context.Context, addr string, g messg.Generate) (messg.Stream, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	prepare(req, addr, fasthttp.MethodPost, "/generate")
+	h := &req.Header
+	h.Set("Request-Id", string(g.Request))
+	h.Set("Priority", strconv.Itoa(g.Priority))
+	h.Set("Resume-At", strconv.FormatInt(int64(g.ResumeAt), 10))
+	h.Set("Max-Tokens", strconv.FormatInt(int64(g.MaxTokens), 10))
+	if g.Reservation != "" {
+		h.Set("Reservation", g.Reservation)
+	}
+	req.SetBodyRaw(g.Body)
+	r, err := c.Pools.Get(addr).Do(ctx, conns.Call{Request: req, HeaderTimeout: headerTimeout})
+	if err != nil {
+		return nil, err
+	}
+	if err := statusError(r); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return &stream{reply: r, lines: bufio.NewReaderSize(r, lineBuffer), next: g.ResumeAt}, nil
+}
+
+// stream reads an answer line by line.
+type stream struct {
+	reply *conns.Reply
+	lines *bufio.Reader
+	next  ident.Tokens
+	last  bool
+}
+
+type line struct {
+	Index  ident.Tokens
+	Text   string
+	Finish string
+	Cached ident.Tokens
+}
+
+// Next waits for the next token. Tokens out of order are an error.
+func (s *stream) Next() (messg.Token, error) {
+	raw, err := s.lines.ReadSlice('\n')
+	if err != nil {
+		return messg.Token{}, errors.WithType(err, conns.ErrCut)
+	}
+	var l line
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return messg.Token{}, errors.WithType(err, messg.ErrBadAnswer)
+	}
+	if l.Index != s.next {
+		return messg.Token{}, errors.WithType(errors.Errorf("token %d where %d was due", l.Index, s.next), messg.ErrBadAnswer)
+	}
+	s.next++
+	s.last = l.Finish != ""
+	return messg.Token{Index: l.Index, Text: l.Text, Last: s.last, Cached: l.Cached}, nil
+}
+
+// Cut ends a Next that waits.
+func (s *stream) Cut() { s.reply.Cut() }
+
+// Close ends the stream.
+func (s *stream) Close() {
+	if s.last {
+		io.Copy(io.Discard, s.lines)
+	}
+	s.reply.Close()
+}
+
+// statusError turns an error status into an error, reading its body.
+func statusError(r *conns.Reply) error {
+	if r.Status < 300 {
+		return nil
+	}
+	var f struct{ Code, Message string }
+	json.Unmarshal(r.ReadError(), &f)
+	cause := errors.Errorf("status %d: %s %s", r.Status, f.Code, f.Message)
+	switch f.Code {
+	case "leaving":
+		return errors.WithType(cause, messg.ErrLeaving)
+	case "no-memory":
+		return errors.WithType(cause, messg.ErrNoMemory)
+	case "old-number":
+		return errors.WithType(cause, messg.ErrOldNumber)
+	case "refused", "too-large":
+		return errors.WithType(cause, messg.ErrRefused)
+	default:
+		return errors.WithType(cause, messg.ErrStatus)
+	}
+}
+
+func prepare(req *fasthttp.Request, addr, method, path string) {
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost(addr)
+}
+
+// call makes a short call and decodes its answer into out, unless out is nil.
+func (c *Client) call(ctx context.Context, addr, method, path string, in, out any, fresh bool) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	prepare(req, addr, method, path)
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		req.SetBodyRaw(raw)
+	}
+	r, err := c.Pools.Get(addr).Do(ctx, conns.Call{Request: req, Fresh: fresh})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	if err := statusError(r); err != nil {
+		return err
+	}
+	raw, err := r.ReadAll(maxAnswer)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return errors.WithType(err, messg.ErrBadAnswer)
+	}
+	return nil
+}
+
+// Progress asks how far the engine is with a request, on a new connection.
+func (c *Client) Progress(ctx context.Context, addr string, id ident.RequestID) (messg.Progress, error) {
+	var p messg.Progress
+	err := c.call(ctx, addr, fasthttp.MethodGet, "/progress?request="+url.QueryEscape(string(id)), nil, &p, true)
+	return p, err
+}
+
+// Cancel stops a request and frees its memory.
+func (c *Client) Cancel(ctx context.Context, addr string, id ident.RequestID) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/cancel?request="+url.QueryEscape(string(id)), nil, nil, false)
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context, addr string, fresh bool) (table.Load, error) {
+	var r struct {
+		Running, Waiting      int
+		ShortQueue, LongQueue ident.Tokens
+		Held, Memory          ident.Tokens
+		PrefillRate           ident.Tokens
+		StepMicros            int64
+		Models                []ident.ModelName
+		Leaving               bool
+	}
+	if err := c.call(ctx, addr, fasthttp.MethodGet, "/load", nil, &r, fresh); err != nil {
+		return table.Load{}, err
+	}
+	return table.Load{
+		At: time.Now(), Running: r.Running, Waiting: r.Waiting,
+		ShortQueue: r.ShortQueue, LongQueue: r.LongQueue,
+		Held: r.Held, Memory: r.Memory, PrefillRate: r.PrefillRate,
+		Step:   time.Duration(r.StepMicros) * time.Microsecond,
+		Models: r.Models, Leaving: r.Leaving,
+	}, nil
+}
+
+// Events reads the cache events after a sequence number.
+func (c *Client) Events(ctx context.Context, addr string, after uint64) ([]messg.CacheEvent, error) {
+	var es []messg.CacheEvent
+	err := c.call(ctx, addr, fasthttp.MethodGet, "/events?after="+strconv.FormatUint(after, 10), nil, &es, false)
+	return es, err
+}
+
+type reservation struct {
+	Owner  string
+	Tokens ident.Tokens
+}
+
+// Reserve holds memory for an owner.
+func (c *Client) Reserve(ctx context.Context, addr, owner string, n ident.Tokens) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/reserve", reservation{owner, n}, nil, false)
+}
+
+// Release frees an owner's memory.
+func (c *Client) Release(ctx context.Context, addr, owner string) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/release", reservation{Owner: owner}, nil, true)
+}
+
+// Prefill computes the KV cache of a part in reserved memory.
+func (c *Client) Prefill(ctx context.Context, addr, owner string, n ident.Tokens) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/prefill", reservation{owner, n}, nil, false)
+}
+
+// Export offers a part's KV cache to other engines.
+func (c *Client) Export(ctx context.Context, addr, owner string, n ident.Tokens) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/export", reservation{owner, n}, nil, false)
+}
+
+// Import takes the KV cache of an exported part.
+func (c *Client) Import(ctx context.Context, addr, owner string, n ident.Tokens) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/import", reservation{owner, n}, nil, false)
+}
+
+// Order tells the engine to change what it serves.
+func (c *Client) Order(ctx context.Context, addr string, o messg.Order) error {
+	return c.call(ctx, addr, fasthttp.MethodPost, "/orders", o, nil, true)
+}
--- /dev/null
+++ b/internal/trans/front/answer.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/serve"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+var errLimit = errors.New("bad time limit")
+
+// parseLimit reads a time limit in milliseconds or as a duration.
+func parseLimit(h string) (time.Duration, error) {
+	if ms, err := strconv.ParseInt(h, 10, 32); err == nil {
+		if ms < 1 {
+			return 0, errLimit
+		}
+		return time.Duration(ms) * time.Millisecond, nil
+	}
+	d, err := time.ParseDuration(h)
+	if err != nil || d <= 0 {
+		return 0, errLimit
+	}
+	return d, nil
+}
+
+func (q *exchange) notRun(status int, code, msg string) *serve.Failure {
+	return &serve.Failure{Status: status, Code: code, Message: msg, Outcome: ident.NotRun}
+}
+
+func (q *exchange) event(k trace.Kind, format string, args ...any) {
+	q.server.Core.Ring.Add(k, q.id, fmt.Sprintf(format, args...))
+}
+
+// fail sends the final answer to a request that was not answered.
+func (q *exchange) fail(f *serve.Failure) {
+	q.free()
+	h := &q.ctx.Response.Header
+	h.Set(OutcomeHeader, string(f.Outcome))
+	q.ctx.SetStatusCode(f.Status)
+	q.ctx.SetContentType("application/json")
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	if f.Status == fasthttp.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	raw, _ := json.Marshal(q.errorBody(f))
+	q.ctx.SetBody(raw)
+	if q.ctx.Request.IsBodyStream() {
+		q.ctx.SetConnectionClose()
+	}
+	q.ended(f.Outcome, f.Code, f.Message)
+}
+
+func (q *exchange) errorBody(f *serve.Failure) admin.Error {
+	return admin.Error{
+		Code: f.Code, Message: f.Message, Outcome: f.Outcome,
+		RequestID: q.id, RetryAfterMs: f.RetryAfter.Milliseconds(),
+	}
+}
+
+// ended notes the end of a request.
+func (q *exchange) ended(out ident.Outcome, code, msg string) {
+	q.server.Core.Metrics.Requests.WithLabelValues(string(q.route), string(out), code).Inc()
+	took := time.Since(q.arrived).Round(time.Millisecond)
+	text := fmt.Sprintf("%s after %s", out, took)
+	if code != "" {
+		text += fmt.Sprintf(": %s, %s", code, msg)
+	}
+	q.server.Core.Ring.Add(trace.Ended, q.id, text)
+	q.server.Logger.Debug().Str("request", string(q.id)).Str("route", string(q.route)).
+		Str("outcome", string(out)).Str("code", code).Dur("took", took).Msg("front: request ended")
+}
--- /dev/null
+++ b/internal/trans/serve/plain.go
@@ -0,0 +1,185 @@
+package serve
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/internal/coord/admit"
+	"laburnumstack.org/laburnum/internal/coord/retry"
+	"laburnumstack.org/laburnum/internal/coord/route"
+	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/ledgr"
+	"laburnumstack.org/laburnum/internal/state/table"
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// NotRunHeader is set by a service that refused a request before running it.
+const NotRunHeader = "Not-Run"
+
+// Plain is a service's answer.
+type Plain struct {
+	Status int
+	Header fasthttp.ResponseHeader
+	Body   []byte
+}
+
+// Do carries an idempotent request to a service. The error is a *Failure.
+func (c *Core) Do(ctx context.Context, r *Request, q *fasthttp.Request) (*Plain, error) {
+	if f := c.admitPlain(r); f != nil {
+		return nil, f
+	}
+	defer c.Tally.Begin(r.Workspace, 0)()
+	c.Budget.First(r.Table.Document.Limits.RetryPercent)
+	t := &plainTry{core: c, ctx: ctx, req: r, out: q, idempotent: true, excluded: ident.Set[ident.EndpointName]{}}
+	return t.run()
+}
+
+// admitPlain applies the workspace's limit on requests.
+func (c *Core) admitPlain(r *Request) *Failure {
+	w := r.Table.Document.Workspaces[r.Workspace]
+	d := admit.Decide(admit.Input{
+		Remaining:   r.Remaining(),
+		Mine:        admit.Use(c.Tally.Fleet()[r.Workspace]),
+		MaxRequests: int64(w.MaxRequests),
+		MaxTokens:   w.MaxTokens,
+	})
+	if d.Admit {
+		return nil
+	}
+	c.event(trace.Refused, r, "%s: %s", d.Code, d.Reason)
+	c.Ledger.Add(plainAccount(r), r.Arrived, ledgr.Sum{Refusals: 1})
+	return failRefused(d)
+}
+
+func plainAccount(r *Request) ledgr.Account {
+	return ledgr.Account{Workspace: r.Workspace, Route: r.Route.Name}
+}
+
+// plainTry is a plain request under way.
+type plainTry struct {
+	core       *Core
+	ctx        context.Context
+	req        *Request
+	out        *fasthttp.Request
+	idempotent bool
+	attempts   int
+	excluded   ident.Set[ident.EndpointName]
+	sent       bool
+	busy       time.Duration
+}
+
+// run tries endpoints until one answers or the retry decision gives up.
+func (t *plainTry) run() (*Plain, error) {
+	defer t.book()
+	for {
+		e, err := t.pick()
+		if err != nil {
+			return nil, failEndpoint(err, t.outcome(), t.attempts)
+		}
+		t.attempts++
+		t.core.event(trace.Chosen, t.req, "attempt %d at %s", t.attempts, e.Name)
+		p, err := t.try(e)
+		if err == nil {
+			return p, nil
+		}
+		if f := t.recover(e, err); f != nil {
+			return nil, f
+		}
+	}
+}
+
+// pick chooses the less busy of two random endpoints.
+func (t *plainTry) pick() (*table.Endpoint, error) {
+	var es []*table.Endpoint
+	for _, e := range t.req.Route.Targets {
+		if e.State() == table.Up && !t.excluded.Has(e.Name) {
+			es = append(es, e)
+		}
+	}
+	if len(es) == 0 {
+		return nil, route.ErrNoEndpoint
+	}
+	var e *table.Endpoint
+	t.core.withRandom(func(r *rand.Rand) {
+		a, b := es[r.IntN(len(es))], es[r.IntN(len(es))]
+		e = a
+		if b.Calls.Load() < a.Calls.Load() {
+			e = b
+		}
+	})
+	return e, nil
+}
+
+// try makes one attempt. One that isn't idempotent uses a new connection, so
+// that a failure to connect is known to have sent nothing.
+func (t *plainTry) try(e *table.Endpoint) (*Plain, error) {
+	e.Calls.Add(1)
+	defer e.Calls.Add(-1)
+	began := time.Now()
+	defer func() { t.busy += time.Since(began) }()
+	call := conns.Call{Request: t.out, Fresh: !t.idempotent || t.attempts > 1}
+	if t.idempotent {
+		call.HeaderTimeout = max(time.Millisecond, t.req.Remaining()/2)
+	}
+	r, err := t.core.Pools.Get(e.Config().Address).Do(t.ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	body, err := r.ReadAll(int64(t.req.Table.Document.Limits.BodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	if r.Status == fasthttp.StatusServiceUnavailable && len(r.Header.Peek(NotRunHeader)) > 0 {
+		return nil, errors.WithType(errors.New("service refused the request"), messg.ErrRefused)
+	}
+	p := &Plain{Status: r.Status, Body: body}
+	r.Header.CopyTo(&p.Header)
+	return p, nil
+}
+
+// recover decides what follows a failed attempt. It returns nil if another
+// one may begin.
+func (t *plainTry) recover(e *table.Endpoint, err error) *Failure {
+	kind := classify(err, false)
+	if kind == retry.Lost {
+		t.sent = true
+	}
+	if t.ctx.Err() != nil {
+		return failEnded(t.ctx, t.outcome())
+	}
+	t.excluded.Add(e.Name)
+	if kind == retry.NotSent {
+		t.core.Health.Check(t.ctx, e)
+	}
+	d := retry.Decide(retry.Input{
+		Failure: kind, Idempotent: t.idempotent, Attempts: t.attempts,
+		Remaining: t.req.Remaining(), Budget: t.core.Budget.Take(),
+	}, t.core.jitter())
+	if d.Action == retry.GiveUp {
+		return failEndpoint(err, t.outcome(), t.attempts)
+	}
+	t.core.Metrics.Retries.Inc()
+	t.core.event(trace.Retried, t.req, "tries again after: %v", err)
+	if !pause(t.ctx, d.Delay) {
+		return failEnded(t.ctx, t.outcome())
+	}
+	return nil
+}
+
+func (t *plainTry) outcome() ident.Outcome {
+	if t.sent {
+		return ident.Unknown
+	}
+	return ident.NotRun
+}
+
+func (t *plainTry) book() {
+	t.core.Ledger.Add(plainAccount(t.req), t.req.Arrived, ledgr.Sum{Requests: 1, EndpointSeconds: t.busy.Seconds()})
+}
--- /dev/null
+++ b/internal/trans/serve/strikes.go
@@ -0,0 +1,82 @@
+package serve
+
+import (
+	"sync"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Strikes shares the strike table with the other nodes. It is safe for
+// concurrent use.
+type Strikes struct {
+	// Share tells the other nodes of new strikes.
+	Share func([]strik.Strike)
+
+	mu    sync.Mutex
+	table *strik.Table
+	// suspects counts the suspect requests of other nodes by endpoint.
+	suspects map[ident.NodeName]map[ident.EndpointName]int64
+}
+
+// NewStrikes returns an empty table.
+func NewStrikes(share func([]strik.Strike)) *Strikes {
+	return &Strikes{Share: share, table: strik.New(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
+}
+
+// Strike counts a request that was in flight at an endpoint that died, and
+// returns its strikes.
+func (s *Strikes) Strike(d strik.Digest, e ident.EndpointName) int {
+	k := strik.Strike{Digest: d, Endpoint: e, At: time.Now()}
+	s.mu.Lock()
+	fresh := s.table.Add(k)
+	n := s.table.Count(d, k.At)
+	s.mu.Unlock()
+	if fresh {
+		s.Share([]strik.Strike{k})
+	}
+	return n
+}
+
+// Merge takes strikes from another node.
+func (s *Strikes) Merge(ks []strik.Strike) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range ks {
+		s.table.Add(k)
+	}
+}
+
+// Count returns the strikes of a request.
+func (s *Strikes) Count(d strik.Digest) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Count(d, time.Now())
+}
+
+// Recent returns the strikes of the last moments.
+func (s *Strikes) Recent(since time.Time) []strik.Strike {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Expire(time.Now())
+	return s.table.Recent(since)
+}
+
+// SetSuspects replaces the suspect requests of another node.
+func (s *Strikes) SetSuspects(n ident.NodeName, m map[ident.EndpointName]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects[n] = m
+}
+
+// Suspects returns the suspect requests of other nodes at an endpoint.
+func (s *Strikes) Suspects(e ident.EndpointName) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n int64
+	for _, m := range s.suspects {
+		n += m[e]
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/admin/client.go
@@ -0,0 +1,154 @@
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Errors of the client.
+const (
+	// ErrUnreachable means that no node answered.
+	ErrUnreachable = errors.ConstError("no node answered")
+	// ErrDenied means that the token is missing or wrong.
+	ErrDenied = errors.ConstError("token is missing or wrong")
+	// ErrNoVerdict means that the outcome of a patch isn't known.
+	ErrNoVerdict = errors.ConstError("no verdict, the patch may or may not be accepted")
+	// ErrNotFound means that the node doesn't know what was asked for.
+	ErrNotFound = errors.ConstError("not found")
+)
+
+// Client calls the administration interface of one node.
+type Client struct {
+	Address string
+	Token   string
+	// Timeout bounds each call.
+	Timeout time.Duration
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config() (Config, error) {
+	var out Config
+	return out, c.call(fasthttp.MethodGet, "/v1/config", nil, &out)
+}
+
+// Patch submits a patch and returns its verdict.
+func (c *Client) Patch(p PatchRequest) (Verdict, error) {
+	var out Verdict
+	return out, c.call(fasthttp.MethodPost, "/v1/config/patch", p, &out)
+}
+
+// Check returns what is wrong with a patch.
+func (c *Client) Check(merge json.RawMessage) (CheckReply, error) {
+	var out CheckReply
+	return out, c.call(fasthttp.MethodPost, "/v1/config/check", CheckRequest{merge}, &out)
+}
+
+// Verdict asks for the verdict on a patch submitted before.
+func (c *Client) Verdict(id ident.PatchID) (Verdict, error) {
+	var out Verdict
+	return out, c.call(fasthttp.MethodGet, "/v1/config/patches/"+url.PathEscape(string(id)), nil, &out)
+}
+
+// History returns the verdicts on patches, oldest first.
+func (c *Client) History() ([]Verdict, error) {
+	var out []Verdict
+	return out, c.call(fasthttp.MethodGet, "/v1/config/history", nil, &out)
+}
+
+// Nodes returns the nodes that the node knows, itself first.
+func (c *Client) Nodes() ([]Member, error) {
+	var out []Member
+	return out, c.call(fasthttp.MethodGet, "/v1/nodes", nil, &out)
+}
+
+// Endpoints returns what the node knows of the endpoints.
+func (c *Client) Endpoints() ([]Endpoint, error) {
+	var out []Endpoint
+	return out, c.call(fasthttp.MethodGet, "/v1/endpoints", nil, &out)
+}
+
+// Timeline returns the node's events, all of them or those of one request.
+func (c *Client) Timeline(r ident.RequestID, most int) ([]Event, error) {
+	var out []Event
+	path := fmt.Sprintf("/v1/timeline?request=%s&most=%d", url.QueryEscape(string(r)), most)
+	return out, c.call(fasthttp.MethodGet, path, nil, &out)
+}
+
+// Usage returns the sums of the bill over all nodes.
+func (c *Client) Usage() ([]UsageRow, error) {
+	var out []UsageRow
+	return out, c.call(fasthttp.MethodGet, "/v1/usage", nil, &out)
+}
+
+// Drain begins a planned stop of the node.
+func (c *Client) Drain() error {
+	return c.call(fasthttp.MethodPost, "/v1/drain", nil, nil)
+}
+
+func (c *Client) call(method, path string, in, out any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + hostOf(c.Address) + path)
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		req.SetBodyRaw(raw)
+	}
+	h := &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: never}
+	if err := h.DoTimeout(req, resp, c.Timeout); err != nil {
+		return errors.WithType(errors.Annotatef(err, "node at %s", c.Address), ErrUnreachable)
+	}
+	if err := statusError(resp); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Annotate(json.Unmarshal(resp.Body(), out), "answer")
+}
+
+func never(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
+// hostOf takes an address with or without a scheme.
+func hostOf(addr string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(addr, "http://"), "/")
+}
+
+// statusError turns an error answer into an error. Verdicts on patches come
+// with error statuses too, but are answers.
+func statusError(r *fasthttp.Response) error {
+	if r.StatusCode() < 300 || len(r.Header.Peek(VerdictHeader)) > 0 {
+		return nil
+	}
+	var e Error
+	if err := json.Unmarshal(r.Body(), &e); err != nil {
+		return errors.Errorf("status %d", r.StatusCode())
+	}
+	cause := errors.Errorf("%s: %s", e.Code, e.Message)
+	switch r.StatusCode() {
+	case fasthttp.StatusUnauthorized:
+		return errors.WithType(cause, ErrDenied)
+	case fasthttp.StatusNotFound:
+		return errors.WithType(cause, ErrNotFound)
+	case fasthttp.StatusGatewayTimeout:
+		return errors.WithType(cause, ErrNoVerdict)
+	}
+	return cause
+}
+
+// VerdictHeader marks an answer that holds a verdict.
+const VerdictHeader = "Verdict"
--- /dev/null
+++ b/pkg/confg/workspace.go
@@ -0,0 +1,68 @@
+package confg
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const digestBytes = 32
+
+// Workspace is one customer of the serving layer.
+type Workspace struct {
+	// Keys are SHA-256 digests of the workspace's keys, in hexadecimal.
+	Keys []string `json:",omitempty"`
+	// Weight is the workspace's part of a busy fleet, relative to the others.
+	Weight int `json:",omitempty"`
+	// MaxRequests bounds the requests in flight over the whole fleet.
+	MaxRequests int `json:",omitempty"`
+	// MaxTokens bounds the prompt tokens in flight over the whole fleet.
+	MaxTokens ident.Tokens `json:",omitempty"`
+}
+
+func (w *Workspace) fillDefaults() {
+	if w.Weight == 0 {
+		w.Weight = 1
+	}
+	if w.MaxRequests == 0 {
+		w.MaxRequests = 2000
+	}
+	if w.MaxTokens == 0 {
+		w.MaxTokens = 20_000_000
+	}
+}
+
+func (w Workspace) validate(path string) Problems {
+	var ps Problems
+	for i, k := range w.Keys {
+		if b, err := hex.DecodeString(k); err != nil || len(b) != digestBytes {
+			ps = append(ps, Problem{fmt.Sprintf("%s.Keys[%d]", path, i), "must be a SHA-256 digest of 64 hexadecimal digits"})
+		}
+	}
+	if w.Weight < 1 || w.Weight > 1000 {
+		ps = append(ps, Problem{path + ".Weight", "must be from 1 to 1000"})
+	}
+	if w.MaxRequests < 1 {
+		ps = append(ps, Problem{path + ".MaxRequests", "must be at least 1"})
+	}
+	if w.MaxTokens < 1 {
+		ps = append(ps, Problem{path + ".MaxTokens", "must be at least 1"})
+	}
+	return ps
+}
+
+// checkKeys refuses a key that names two workspaces.
+func (d *Document) checkKeys() Problems {
+	var ps Problems
+	owner := map[string]ident.WorkspaceName{}
+	for _, n := range ident.SortedKeys(d.Workspaces) {
+		for i, k := range d.Workspaces[n].Keys {
+			if o, ok := owner[k]; ok {
+				ps = append(ps, Problem{fmt.Sprintf("Workspaces.%s.Keys[%d]", n, i), "same key as workspace " + string(o)})
+			}
+			owner[k] = n
+		}
+	}
+	return ps
+}
