--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+.PHONY: build test race lint demo model fuzz
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint:
+	gofmt -s -l cmd internal pkg
+	go vet ./...
+
+demo:
+	go run ./cmd/laburnumlab demo
+
+model:
+	./spec/check
--- /dev/null
+++ b/cmd/laburnumctl/config_check.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/confg"
+)
+
+// ConfigCheck tells what is wrong with a patch or a document.
+type ConfigCheck struct {
+	Whole bool `long:"whole" description:"check the file as a whole document, without a node"`
+	Args  struct {
+		File string `positional-arg-name:"FILE" description:"JSON merge patch, - is standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	commands.Add("config check", "tell what is wrong with a patch, without submitting it", &ConfigCheck{})
+}
+
+// Execute checks the file and fails if there are problems.
+func (c *ConfigCheck) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	raw, err := readInput(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.Whole {
+		_, ps := confg.Parse(raw)
+		return reportProblems(ps)
+	}
+	if err := confg.CheckPatch(raw); err != nil {
+		return reportProblems(confg.Problems{{Path: "(patch)", Why: err.Error()}})
+	}
+	return nodes.first(func(cl *admin.Client) error {
+		r, err := cl.Check(raw)
+		if err != nil {
+			return err
+		}
+		return reportProblems(r.Problems)
+	})
+}
+
+// readInput reads a file, or standard input for "-".
+func readInput(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	return raw, nil
+}
+
+// reportProblems prints problems and fails if there are any.
+func reportProblems(ps confg.Problems) error {
+	err := nodes.print(admin.CheckReply{Problems: ps}, func(w *tabwriter.Writer) {
+		if len(ps) == 0 {
+			fmt.Fprintln(w, "no problems")
+			return
+		}
+		fmt.Fprintln(w, ps)
+	})
+	if err != nil || len(ps) == 0 {
+		return err
+	}
+	return &cli.Exit{Code: exitRefused}
+}
--- /dev/null
+++ b/cmd/laburnumctl/config_history.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/admin"
+)
+
+// ConfigHistory lists the patches with their verdicts.
+type ConfigHistory struct{}
+
+func init() {
+	commands.Add("config history", "list the patches with their verdicts", &ConfigHistory{})
+}
+
+// Execute prints who patched what when, and what became of it.
+func (c *ConfigHistory) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	return nodes.first(func(cl *admin.Client) error {
+		vs, err := cl.History()
+		if err != nil {
+			return err
+		}
+		return nodes.print(vs, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "OFFSET\tTIME\tAUTHOR\tBASE\tVERDICT\tVERSION\tPATCH")
+			for _, v := range vs {
+				fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", v.Offset, v.At.Format(time.RFC3339), v.Author, v.Base, v.Result, v.Version, v.PatchID)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/cmd/laburnumctl/config_patch.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	askEvery = 250 * time.Millisecond
+	// askFor is how long a lost verdict is asked for.
+	askFor = 5 * time.Second
+)
+
+// ConfigPatch submits a patch and waits for the verdict.
+type ConfigPatch struct {
+	Base   *uint64 `long:"base" description:"version that the patch was written against" required:"true"`
+	Author string  `long:"author" env:"LABURNUM_AUTHOR" description:"name in the history; default is the user's"`
+	Args   struct {
+		File string `positional-arg-name:"FILE" description:"JSON merge patch, - is standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	commands.Add("config patch", "submit a patch and wait for the verdict", &ConfigPatch{})
+}
+
+// Execute submits the patch once and reports its verdict.
+func (c *ConfigPatch) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	raw, err := readInput(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if err := confg.CheckPatch(raw); err != nil {
+		return reportProblems(confg.Problems{{Path: "(patch)", Why: err.Error()}})
+	}
+	p := admin.PatchRequest{ID: ident.PatchID(ident.New()), Base: ident.Version(*c.Base), Author: c.author(), Merge: raw}
+	v, err := submit(p)
+	if errors.Is(err, admin.ErrNoVerdict) {
+		return noVerdict(p.ID)
+	}
+	if err != nil {
+		return err
+	}
+	return reportVerdict(v)
+}
+
+func (c *ConfigPatch) author() string {
+	if c.Author != "" {
+		return c.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// submit sends a patch to the first node that answers. It is sent once; if
+// its verdict is lost, the nodes are asked for it.
+func submit(p admin.PatchRequest) (admin.Verdict, error) {
+	var v admin.Verdict
+	sent := false
+	err := nodes.first(func(cl *admin.Client) error {
+		if _, err := cl.Config(); err != nil {
+			return err
+		}
+		sent = true
+		var err error
+		v, err = cl.Patch(p)
+		if errors.Is(err, admin.ErrUnreachable) {
+			return admin.ErrNoVerdict
+		}
+		return err
+	})
+	if sent && errors.Is(err, admin.ErrNoVerdict) {
+		return askAgain(p.ID)
+	}
+	return v, err
+}
+
+// askAgain asks all nodes for a verdict for a while.
+func askAgain(id ident.PatchID) (admin.Verdict, error) {
+	for end := time.Now().Add(askFor); time.Now().Before(end); time.Sleep(askEvery) {
+		for _, a := range nodes.Admins {
+			if v, err := nodes.client(a).Verdict(id); err == nil {
+				return v, nil
+			}
+		}
+	}
+	return admin.Verdict{}, admin.ErrNoVerdict
+}
+
+func noVerdict(id ident.PatchID) error {
+	fmt.Fprintf(os.Stderr, "no verdict in time, the patch may or may not be accepted; ask again with: laburnumctl config verdict %s\n", id)
+	if err := nodes.print(admin.Verdict{PatchID: id}, func(w *tabwriter.Writer) { fmt.Fprintln(w, id) }); err != nil {
+		return err
+	}
+	return &cli.Exit{Code: exitNoVerdict}
+}
+
+// reportVerdict prints a verdict and fails unless it is acceptance.
+func reportVerdict(v admin.Verdict) error {
+	err := nodes.print(v, func(w *tabwriter.Writer) {
+		switch v.Result {
+		case admin.Accepted:
+			fmt.Fprintf(w, "accepted, version %d\n", v.Version)
+		case admin.Stale:
+			fmt.Fprintf(w, "stale, the patch was written against version %d, current is version %d\n", v.Base, v.Version)
+		default:
+			fmt.Fprintf(w, "refused, version %d stays:\n%s\n", v.Version, v.Problems)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	switch v.Result {
+	case admin.Accepted:
+		return nil
+	case admin.Stale:
+		return &cli.Exit{Code: exitStale}
+	default:
+		return &cli.Exit{Code: exitRefused}
+	}
+}
--- /dev/null
+++ b/cmd/laburnumctl/config_show.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+
+	"laburnumstack.org/laburnum/pkg/admin"
+)
+
+// ConfigShow prints the configuration in force.
+type ConfigShow struct{}
+
+func init() {
+	commands.Add("config show", "print the configuration in force", &ConfigShow{})
+}
+
+// Execute prints the version and the document.
+func (c *ConfigShow) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	return nodes.first(func(cl *admin.Client) error {
+		v, err := cl.Config()
+		if err != nil {
+			return err
+		}
+		return nodes.print(v, func(w *tabwriter.Writer) {
+			var b bytes.Buffer
+			json.Indent(&b, v.Document, "", "  ")
+			fmt.Fprintf(w, "version %d\n%s\n", v.Version, b.String())
+		})
+	})
+}
--- /dev/null
+++ b/cmd/laburnumctl/config_verdict.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// ConfigVerdict asks what became of a patch.
+type ConfigVerdict struct {
+	Args struct {
+		ID ident.PatchID `positional-arg-name:"ID" description:"id of the patch"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	commands.Add("config verdict", "ask what became of a patch", &ConfigVerdict{})
+}
+
+// Execute prints the verdict with the exit codes of config patch.
+func (c *ConfigVerdict) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	var v admin.Verdict
+	err := nodes.first(func(cl *admin.Client) (err error) {
+		v, err = cl.Verdict(c.Args.ID)
+		return err
+	})
+	if errors.Is(err, admin.ErrNotFound) {
+		return noVerdict(c.Args.ID)
+	}
+	if err != nil {
+		return err
+	}
+	return reportVerdict(v)
+}
--- /dev/null
+++ b/cmd/laburnumctl/endpoints.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/admin"
+)
+
+// Endpoints lists the endpoints.
+type Endpoints struct{}
+
+func init() {
+	commands.Add("endpoints", "list the endpoints as one node sees them", &Endpoints{})
+}
+
+// Execute prints the endpoints.
+func (c *Endpoints) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	return nodes.first(func(cl *admin.Client) error {
+		es, err := cl.Endpoints()
+		if err != nil {
+			return err
+		}
+		return nodes.print(es, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "ENDPOINT\tKIND\tSTATE\tDATA CENTRE\tADDRESS\tCALLS\tRUNNING\tWAITING\tQUEUE TOKENS\tHELD TOKENS\tREPORT")
+			for _, e := range es {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", e.Name, e.Kind, e.State, e.DataCentre, e.Address, e.Calls, e.Running, e.Waiting, e.QueueTokens, e.HeldTokens, age(e.ReportAge))
+			}
+		})
+	})
+}
+
+func age(d time.Duration) string {
+	if d < 0 {
+		return "none yet"
+	}
+	return d.Round(time.Millisecond).String() + " ago"
+}
--- /dev/null
+++ b/cmd/laburnumctl/main.go
@@ -0,0 +1,16 @@
+// Command laburnumctl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"laburnumstack.org/laburnum/internal/cli"
+)
+
+// commands is filled by the files of the commands.
+var commands = cli.New("laburnumctl")
+
+func main() {
+	commands.Options("Node options", &nodes)
+	os.Exit(commands.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/laburnumctl/nodes.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Exit codes beside the common ones.
+const (
+	exitStale     = 3
+	exitRefused   = 4
+	exitNoVerdict = 5
+)
+
+const callTimeout = 10 * time.Second
+
+// nodes are the options that say which node to ask and how.
+var nodes nodeOptions
+
+type nodeOptions struct {
+	Admins []string `long:"admin" env:"LABURNUM_ADMIN" env-delim:"," default:"127.0.0.1:8081" description:"administration address of a node, repeatable; the next is tried if one does not answer"`
+	Token  string   `long:"token" env:"LABURNUM_ADMIN_TOKEN" description:"operators' token"`
+	JSON   bool     `long:"json" description:"print JSON"`
+}
+
+func (o *nodeOptions) client(addr string) *admin.Client {
+	return &admin.Client{Address: addr, Token: o.Token, Timeout: callTimeout}
+}
+
+// first calls f for one node after the other until one answers.
+func (o *nodeOptions) first(f func(*admin.Client) error) error {
+	var err error
+	for _, a := range o.Admins {
+		err = f(o.client(a))
+		if !errors.Is(err, admin.ErrUnreachable) {
+			return err
+		}
+	}
+	return err
+}
+
+// all returns a client for each node of the fleet that is known.
+func (o *nodeOptions) all() ([]*admin.Client, error) {
+	var ms []admin.Member
+	err := o.first(func(c *admin.Client) (err error) {
+		ms, err = c.Nodes()
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	set := ident.SetOf[string]()
+	for _, m := range ms {
+		if m.State != "dead" && m.Admin != "" {
+			set.Add(m.Admin)
+		}
+	}
+	var cs []*admin.Client
+	for _, a := range set.Sorted() {
+		cs = append(cs, o.client(a))
+	}
+	return cs, nil
+}
+
+// print writes v as JSON if that is asked for, otherwise calls text.
+func (o *nodeOptions) print(v any, text func(*tabwriter.Writer)) error {
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(v)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+// Nodes lists the nodes of the fleet.
+type Nodes struct{}
+
+func init() {
+	commands.Add("nodes", "list the nodes of the fleet", &Nodes{})
+}
+
+// Execute prints the nodes as one of them sees them.
+func (c *Nodes) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	return nodes.first(func(cl *admin.Client) error {
+		ms, err := cl.Nodes()
+		if err != nil {
+			return err
+		}
+		return nodes.print(ms, func(w *tabwriter.Writer) {
+			fmt.Fprintln(w, "NODE\tSTATE\tDATA CENTRE\tVERSION\tCALLERS\tADMIN\tHEARD")
+			for _, m := range ms {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s ago\n", m.Name, m.State, m.DataCentre, m.Version, m.Caller, m.Admin, time.Since(m.Heard).Round(time.Millisecond))
+			}
+		})
+	})
+}
+
+func noArgs(args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return usagef("unexpected argument %q", args[0])
+}
+
+func usagef(format string, args ...any) error {
+	return &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/cmd/laburnumctl/timeline.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"text/tabwriter"
+
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const stampFormat = "15:04:05.000"
+
+// Timeline merges the events of all nodes.
+type Timeline struct {
+	Request ident.RequestID `long:"request" description:"only the events of one request"`
+	Most    int             `long:"most" default:"200" description:"bound on the events of each node"`
+}
+
+func init() {
+	commands.Add("timeline", "merge the events of all nodes, causes before effects", &Timeline{})
+}
+
+// Execute prints the events.
+func (c *Timeline) Execute(args []string) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	es, err := gather(c.Request, c.Most)
+	if err != nil {
+		return err
+	}
+	return nodes.print(es, func(w *tabwriter.Writer) {
+		for _, e := range es {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", e.Stamp.Time().UTC().Format(stampFormat), e.Node, e.Kind, e.Request, e.Text)
+		}
+	})
+}
+
+// gather reads the events of all nodes and merges them. A node that doesn't
+// answer is named on standard error.
+func gather(r ident.RequestID, most int) ([]admin.Event, error) {
+	cs, err := nodes.all()
+	if err != nil {
+		return nil, err
+	}
+	lists := make([][]admin.Event, len(cs))
+	var wg sync.WaitGroup
+	for i, c := range cs {
+		wg.Go(func() {
+			es, err := c.Timeline(r, most)
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "events of %s are missing: %v\n", c.Address, err)
+			}
+			lists[i] = es
+		})
+	}
+	wg.Wait()
+	return trace.Merge(lists...), nil
+}
--- a/cmd/laburnumlab/demo.go
+++ b/cmd/laburnumlab/demo.go
@@ -22,7 +22,7 @@
 
 // Demo runs a fleet under load with failures.
 type Demo struct {
-	Fleet string        `long:"fleet" default:"duct" choice:"duct" choice:"grozs" description:"example fleet"`
+	Fleet string        `long:"fleet" default:"duct" description:"example fleet: duct or grozs"`
 	Seed  uint64        `long:"seed" default:"1" description:"seed of all random choices of the load"`
 	For   time.Duration `long:"for" default:"10s" description:"time of the load, at most 40s"`
 	JSON  bool          `long:"json" description:"print the report as JSON"`
@@ -37,7 +37,7 @@
 	if d.For < time.Second || d.For > maxDemo {
 		return &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf("--for must be from 1s to %s", maxDemo)}
 	}
-	plan, err := fleet.PlanOf(d.Fleet)
+	plan, err := planOf(d.Fleet)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/laburnumlab/load.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/load"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const maxLoad = 10 * time.Minute
+
+// Load drives a mixed load against caller addresses.
+type Load struct {
+	Callers  []string        `long:"caller" required:"true" description:"address of a node for callers, repeatable"`
+	Keys     []string        `long:"key" required:"true" description:"workspace's key, as NAME=KEY or NAME=KEY=SHARE, repeatable"`
+	Model    ident.ModelName `long:"model" required:"true" description:"model of the prompts"`
+	Host     string          `long:"host" description:"host of bookings and status checks"`
+	Prompts  float64         `long:"prompts" default:"20" description:"prompts a second"`
+	Bookings float64         `long:"bookings" default:"0" description:"bookings a second"`
+	Status   float64         `long:"status" default:"0" description:"status checks a second"`
+	Mix      string          `long:"mix" default:"1k:700,8k:200,32k:80,128k:17,1M:3" description:"prompt lengths with their shares"`
+	Output   ident.Tokens    `long:"output" default:"32" description:"tokens to generate for each prompt"`
+	Limit    time.Duration   `long:"limit" description:"time limit of prompts, 0 leaves the route's"`
+	For      time.Duration   `long:"for" default:"10s" description:"time of the load, at most 10m"`
+	Seed     uint64          `long:"seed" default:"1" description:"seed of all random choices"`
+	JSON     bool            `long:"json" description:"print the report as JSON"`
+	Out      string          `long:"out" description:"folder for report.json and the plots"`
+}
+
+func init() {
+	commands.Add("load", "drive a mixed load against caller addresses", &Load{})
+}
+
+// Execute drives the load.
+func (l *Load) Execute(_ []string) error {
+	p, err := l.plan()
+	if err != nil {
+		return &cli.Exit{Code: cli.ExitUsage, Text: err.Error()}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := &load.Balancer{Pools: &conns.Pools{}}
+	b.Set(l.Callers)
+	b.Probe(ctx)
+	if _, err := b.Pick(); err != nil {
+		return err
+	}
+	go b.Run(ctx)
+	r := &load.Runner{Plan: p, Balancer: b}
+	if show := progress(); show != nil {
+		r.Progress = func(sent, ended int64) { show("load", sent, ended) }
+	}
+	rs := r.Run(ctx)
+	rep := load.Summarize(p.Lengths, rs)
+	if l.Out != "" {
+		if err := l.save(rep, rs); err != nil {
+			return err
+		}
+	}
+	if l.JSON {
+		return json.NewEncoder(os.Stdout).Encode(rep)
+	}
+	rep.WriteText(os.Stdout)
+	return nil
+}
+
+func (l *Load) plan() (load.Plan, error) {
+	p := load.Plan{
+		Host: l.Host, Model: l.Model, PromptRate: l.Prompts, BookingRate: l.Bookings,
+		StatusRate: l.Status, Output: l.Output, Limit: l.Limit, For: l.For, Seed: l.Seed,
+	}
+	if l.For <= 0 || l.For > maxLoad {
+		return p, fmt.Errorf("--for must be above 0 and at most %s", maxLoad)
+	}
+	if l.Output < 1 {
+		return p, fmt.Errorf("--output must be at least 1")
+	}
+	if (l.Bookings > 0 || l.Status > 0) && l.Host == "" {
+		return p, fmt.Errorf("--host is needed for bookings and status checks")
+	}
+	for _, k := range l.Keys {
+		key, err := parseKey(k)
+		if err != nil {
+			return p, err
+		}
+		p.Keys = append(p.Keys, key)
+	}
+	var err error
+	p.Lengths, err = parseMix(l.Mix)
+	return p, err
+}
+
+func parseKey(s string) (load.Key, error) {
+	parts := strings.SplitN(s, "=", 3)
+	k := load.Key{Share: 1}
+	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
+		return k, fmt.Errorf("--key %q must be NAME=KEY or NAME=KEY=SHARE", s)
+	}
+	k.Workspace, k.Key = ident.WorkspaceName(parts[0]), parts[1]
+	if len(parts) == 3 {
+		if _, err := fmt.Sscanf(parts[2], "%d", &k.Share); err != nil || k.Share < 1 {
+			return k, fmt.Errorf("--key %q must have a share of at least 1", s)
+		}
+	}
+	return k, nil
+}
+
+// parseMix reads lengths such as "1k:700,1M:3".
+func parseMix(s string) ([]load.Length, error) {
+	var ls []load.Length
+	for part := range strings.SplitSeq(s, ",") {
+		name, share, ok := strings.Cut(part, ":")
+		var l load.Length
+		n, err := parseTokens(name)
+		if !ok || err != nil {
+			return nil, fmt.Errorf("--mix: %q must be LENGTH:SHARE, such as 8k:200", part)
+		}
+		l.Name, l.Tokens = name, n
+		if _, err := fmt.Sscanf(share, "%d", &l.PerMille); err != nil || l.PerMille < 1 {
+			return nil, fmt.Errorf("--mix: %q must have a share of at least 1", part)
+		}
+		ls = append(ls, l)
+	}
+	return ls, nil
+}
+
+func parseTokens(s string) (ident.Tokens, error) {
+	var n ident.Tokens
+	var unit string
+	if _, err := fmt.Sscanf(s, "%d%s", &n, &unit); err != nil && unit != "" {
+		return 0, err
+	}
+	switch unit {
+	case "":
+	case "k":
+		n *= 1000
+	case "M":
+		n *= 1_000_000
+	default:
+		return 0, fmt.Errorf("unknown unit %q", unit)
+	}
+	if n < 1 || n > 1_000_000 {
+		return 0, fmt.Errorf("length must be from 1 to 1M")
+	}
+	return n, nil
+}
+
+// save writes the report and its plots into the folder.
+func (l *Load) save(rep load.Report, rs []load.Result) error {
+	if err := os.MkdirAll(l.Out, 0o755); err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(rep, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(l.Out, "report.json"), raw, 0o644); err != nil {
+		return err
+	}
+	return load.Plots(l.Out, rep, rs)
+}
--- /dev/null
+++ b/cmd/laburnumlab/up.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/fleet"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const upDrain = time.Second
+
+// Up runs a fleet until a signal.
+type Up struct {
+	Fleet string `long:"fleet" default:"duct" description:"example fleet: duct or grozs"`
+	Seed  uint64 `long:"seed" default:"1" description:"seed of the stand-ins"`
+	JSON  bool   `long:"json" description:"print one JSON object first"`
+	Logs  bool   `long:"logs" description:"write the nodes' logs to standard error"`
+}
+
+// upInfo tells how to reach the fleet.
+type upInfo struct {
+	Callers []string
+	Admins  []string
+	Log     string
+	VMs     string
+	Token   string
+	Keys    map[ident.WorkspaceName]string
+	Booking example
+	Status  example
+	Model   ident.ModelName
+	Runs    string
+	Engines []string
+}
+
+// example is an example call.
+type example struct {
+	Method string
+	Host   string
+	Path   string
+	Body   string
+}
+
+func init() {
+	commands.Add("up", "run a fleet until a signal", &Up{})
+}
+
+// Execute runs the fleet.
+func (u *Up) Execute(_ []string) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	plan, err := planOf(u.Fleet)
+	if err != nil {
+		return err
+	}
+	logger := zerolog.Nop()
+	if u.Logs {
+		logger = zerolog.New(os.Stderr).With().Timestamp().Logger()
+	}
+	f := &fleet.Fleet{Plan: plan, Seed: u.Seed, Logger: logger, DrainDelay: upDrain}
+	if err := f.Start(context.Background()); err != nil {
+		return err
+	}
+	if err := u.print(infoOf(f)); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return f.Stop()
+}
+
+// planOf returns the plan of a fleet that an option names.
+func planOf(name string) (fleet.Plan, error) {
+	p, err := fleet.PlanOf(name)
+	if err != nil {
+		return p, &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf("--fleet %q: %v", name, err)}
+	}
+	return p, nil
+}
+
+func infoOf(f *fleet.Fleet) upInfo {
+	i := upInfo{
+		Callers: f.Callers(), Admins: f.Admins(), Log: f.Log.Address, VMs: f.VMs.Address,
+		Token: f.Token, Keys: map[ident.WorkspaceName]string{},
+		Booking: example{"POST", f.Plan.Host, "/bookings", `{"Segment":17}`},
+		Status:  example{"GET", f.Plan.Host, "/bookings/17", ""},
+		Model:   f.Plan.Model, Runs: f.RunsPage.Address,
+	}
+	for _, w := range f.Plan.Workspaces {
+		i.Keys[w.Name] = w.Key()
+	}
+	for _, e := range f.Engines {
+		i.Engines = append(i.Engines, e.Address)
+	}
+	return i
+}
+
+func (u *Up) print(i upInfo) error {
+	if u.JSON {
+		return json.NewEncoder(os.Stdout).Encode(i)
+	}
+	w := firstKey(i)
+	fmt.Printf("callers   %v\nadmins    %v\nlog       %s\nruns      %s\nmodel     %s\n", i.Callers, i.Admins, i.Log, i.Runs, i.Model)
+	fmt.Printf("\ncurl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n  -d '{\"model\":%q,\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n", i.Callers[0], w, i.Model)
+	fmt.Printf("\ncurl http://%s%s -H 'Host: %s' -H 'Authorization: Bearer %s' -H 'Idempotency-Key: first' -d '%s'\n", i.Callers[0], i.Booking.Path, i.Booking.Host, w, i.Booking.Body)
+	fmt.Printf("\nlaburnumctl --admin %s --token %s config show\n", i.Admins[0], i.Token)
+	return nil
+}
+
+// firstKey returns the key of the first workspace by name.
+func firstKey(i upInfo) string {
+	return i.Keys[ident.SortedKeys(i.Keys)[0]]
+}
--- /dev/null
+++ b/internal/lab/load/plot.go
@@ -0,0 +1,126 @@
+package load
+
+import (
+	"image/color"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 4 * vg.Inch
+	// window is the span over which the slowdown is averaged.
+	window = time.Second
+)
+
+var palette = []color.RGBA{
+	{0x1f, 0x77, 0xb4, 0xff}, {0x2c, 0xa0, 0x2c, 0xff}, {0xff, 0x7f, 0x0e, 0xff},
+	{0xd6, 0x27, 0x28, 0xff}, {0x94, 0x67, 0xbd, 0xff},
+}
+
+// Plots writes the plots of a load into a folder: first.svg with the
+// distribution of the time to first token by class, and slowdown.svg with the
+// slowdown of the shortest class over time, relative to its fastest tenth.
+func Plots(dir string, rep Report, rs []Result) error {
+	if err := plotFirst(filepath.Join(dir, "first.svg"), rep, rs); err != nil {
+		return errors.Annotate(err, "plot of time to first token")
+	}
+	return errors.Annotate(plotSlowdown(filepath.Join(dir, "slowdown.svg"), rep, rs), "plot of slowdown")
+}
+
+func plotFirst(path string, rep Report, rs []Result) error {
+	p := plot.New()
+	p.Title.Text = "Time to first token by prompt length"
+	p.X.Label.Text = "time to first token, ms"
+	p.Y.Label.Text = "share of prompts"
+	p.X.Scale = plot.LogScale{}
+	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	for i, c := range rep.Classes {
+		xys := distribution(firsts(rs, c))
+		if len(xys) == 0 {
+			continue
+		}
+		if err := addLine(p, c, xys, i); err != nil {
+			return err
+		}
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+func addLine(p *plot.Plot, name string, xys plotter.XYs, i int) error {
+	l, err := plotter.NewLine(xys)
+	if err != nil {
+		return err
+	}
+	l.Color = palette[i%len(palette)]
+	l.Width = vg.Points(1.5)
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
+
+func firsts(rs []Result, class string) []float64 {
+	var ms []float64
+	for _, r := range rs {
+		if r.Class == class && r.First > 0 {
+			ms = append(ms, float64(r.First)/float64(time.Millisecond))
+		}
+	}
+	slices.Sort(ms)
+	return ms
+}
+
+// distribution returns the share of values up to each value.
+func distribution(sorted []float64) plotter.XYs {
+	xys := make(plotter.XYs, len(sorted))
+	for i, v := range sorted {
+		xys[i].X = v
+		xys[i].Y = float64(i+1) / float64(len(sorted))
+	}
+	return xys
+}
+
+func plotSlowdown(path string, rep Report, rs []Result) error {
+	p := plot.New()
+	p.Title.Text = "Slowdown of the shortest prompts over time"
+	p.X.Label.Text = "time, s"
+	p.Y.Label.Text = "times the fastest tenth"
+	if len(rep.Classes) == 0 {
+		return p.Save(plotWidth, plotHeight, path)
+	}
+	class := rep.Classes[0]
+	all := firsts(rs, class)
+	if len(all) > 0 {
+		if err := addLine(p, class, slowdown(rs, class, all[len(all)/10]), 0); err != nil {
+			return err
+		}
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+// slowdown averages the time to first token over windows, relative to a base
+// in milliseconds.
+func slowdown(rs []Result, class string, base float64) plotter.XYs {
+	sums, counts := map[int]float64{}, map[int]int{}
+	for _, r := range rs {
+		if r.Class == class && r.First > 0 {
+			w := int(r.At / window)
+			sums[w] += float64(r.First) / float64(time.Millisecond)
+			counts[w]++
+		}
+	}
+	var xys plotter.XYs
+	for w, n := range counts {
+		xys = append(xys, plotter.XY{X: float64(w), Y: sums[w] / float64(n) / base})
+	}
+	slices.SortFunc(xys, func(a, b plotter.XY) int { return int(a.X - b.X) })
+	return xys
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,11 +25,13 @@
 	LogRetention  time.Duration `long:"log-retention" env:"LABURNUM_LOG_RETENTION" default:"72h" description:"how long the log keeps records"`
 	SnapshotEvery time.Duration `long:"snapshot-every" env:"LABURNUM_SNAPSHOT_EVERY" default:"10m" description:"time between configuration snapshots"`
 	DrainDelay    time.Duration `long:"drain-delay" env:"LABURNUM_DRAIN_DELAY" default:"5s" description:"time for the balancer to notice a planned stop"`
-	LogLevel      string        `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of log lines"`
+	LogLevel      string        `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
 }
 
 const minToken = 8
 
+var levels = []string{"debug", "info", "warn", "error"}
+
 // Validate returns one line for each bad setting.
 func (s *Settings) Validate() []string {
 	var bad []string
@@ -50,6 +53,7 @@
 	check(len(s.AdminToken) >= minToken, "admin-token", fmt.Sprintf("must have at least %d characters", minToken))
 	check(s.SnapshotEvery > 0, "snapshot-every", "must be above zero")
 	check(s.LogRetention > 3*s.SnapshotEvery, "log-retention", "must be more than three times --snapshot-every")
+	check(slices.Contains(levels, s.LogLevel), "log-level", "must be one of "+strings.Join(levels, ", "))
 	check(s.DrainDelay >= 0, "drain-delay", "must not be negative")
 	return bad
 }
--- a/internal/state/claim/table.go
+++ b/internal/state/claim/table.go
@@ -79,8 +79,14 @@
 
 // settle ends the attempt that holds a key. Only the holding attempt counts.
 func (t *Table) settle(it Item) {
-	e, ok := t.entries[it.Key]
-	if !ok || e.Attempt != it.Attempt || e.State != Held {
+	if e, ok := t.entries[it.Key]; ok && e.Attempt == it.Attempt {
+		e.Settle(it)
+	}
+}
+
+// Settle applies the end of the attempt that holds the key.
+func (e *Entry) Settle(it Item) {
+	if e.State != Held {
 		return
 	}
 	switch it.Op {
--- a/internal/trans/claims/keeper.go
+++ b/internal/trans/claims/keeper.go
@@ -45,6 +45,8 @@
 	waiters map[ident.AttemptID]chan claim.Ruling
 	// running are the attempts that hold a key and may still send.
 	running map[ident.AttemptID]struct{}
+	// settled are the ends of attempts that are not yet in the stream.
+	settled map[ident.AttemptID]claim.Item
 	// abandoned are attempts whose claim may still appear in the stream.
 	abandoned map[ident.AttemptID]claim.Key
 	// changed is closed at the next record.
@@ -60,6 +62,7 @@
 	k.kick = make(chan struct{}, 1)
 	k.waiters = map[ident.AttemptID]chan claim.Ruling{}
 	k.running = map[ident.AttemptID]struct{}{}
+	k.settled = map[ident.AttemptID]claim.Item{}
 	k.abandoned = map[ident.AttemptID]claim.Key{}
 	k.changed = make(chan struct{})
 }
@@ -123,8 +126,11 @@
 func (k *Keeper) Settle(op claim.Op, r claim.Ruling, key claim.Key, a *claim.Answer) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	it := claim.Item{Op: op, Key: key, Attempt: r.Attempt, Request: r.Entry.Request, Answer: a}
 	delete(k.running, r.Attempt)
-	k.push(claim.Item{Op: op, Key: key, Attempt: r.Attempt, Request: r.Entry.Request, Answer: a})
+	k.settled[r.Attempt] = it
+	k.push(it)
+	k.wake()
 }
 
 func (k *Keeper) push(it claim.Item) {
@@ -135,11 +141,25 @@
 	}
 }
 
-// Lookup returns what is known of a key.
+// Lookup returns what is known of a key. The end of an attempt of this node
+// counts before it is in the stream.
 func (k *Keeper) Lookup(key claim.Key) (claim.Entry, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Lookup(key)
+	e, ok := k.table.Lookup(key)
+	if !ok {
+		return e, false
+	}
+	if it, ended := k.settled[e.Attempt]; ended {
+		e.Settle(it)
+	}
+	return e, true
+}
+
+// wake tells those who wait for a change.
+func (k *Keeper) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
 }
 
 // Running reports whether this node still runs an attempt.
@@ -224,9 +244,13 @@
 		for _, u := range k.table.Apply(r.Offset, r.At, rec) {
 			k.hand(u)
 		}
+		for _, it := range rec.Items {
+			if it.Op != claim.Claim {
+				delete(k.settled, it.Attempt)
+			}
+		}
 	}
-	close(k.changed)
-	k.changed = make(chan struct{})
+	k.wake()
 }
 
 // hand gives a ruling to the attempt that waits for it.
