spec, tests: cover folds, claims, decisions and the whole path

The property test of claims found that a reader which lost old records to retention could let an attempt win that had lost for the others: entries were dropped by the time of the winning claim.

--- /dev/null
+++ b/internal/coord/admit/admit_test.go
@@ -0,0 +1,56 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"laburnumstack.org/laburnum/internal/coord/admit"
+)
+
+func TestDecide(t *testing.T) {
+	idle := admit.Input{
+		Prompt: 1000, Output: 100, Remaining: time.Second,
+		First: 20 * time.Millisecond, Whole: 500 * time.Millisecond,
+		Weight: 1, Weights: 4, MaxRequests: 10, MaxTokens: 100_000,
+	}
+	cases := []struct {
+		name   string
+		change func(*admit.Input)
+		code   admit.Code
+	}{
+		{"idle", func(*admit.Input) {}, ""},
+		{"ends too late", func(in *admit.Input) { in.Whole = 2 * time.Second }, admit.TooLate},
+		{"limit of requests", func(in *admit.Input) { in.Mine.Requests = 10 }, admit.TooManyRequests},
+		{"limit of tokens", func(in *admit.Input) { in.Mine.Tokens = 99_500 }, admit.TooManyTokens},
+		{"one prompt above the limit of tokens runs alone", func(in *admit.Input) { in.Prompt = 200_000 }, ""},
+		{"over share while idle", func(in *admit.Input) { in.Mine.Tokens, in.All.Tokens = 90_000, 100_000 }, ""},
+		{"over share while busy", func(in *admit.Input) {
+			in.Wait = 600 * time.Millisecond
+			in.Mine.Tokens, in.All.Tokens = 90_000, 100_000
+		}, admit.OverShare},
+		{"within share while busy", func(in *admit.Input) {
+			in.Wait = 600 * time.Millisecond
+			in.Mine.Tokens, in.All.Tokens = 20_000, 100_000
+		}, ""},
+		{"alone while busy", func(in *admit.Input) {
+			in.Wait = 600 * time.Millisecond
+			in.Mine.Tokens, in.All.Tokens = 90_000, 90_000
+			in.Weights = 1
+		}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			in := idle
+			c.change(&in)
+			d := admit.Decide(in)
+			test.Eq(t, c.code, d.Code)
+			test.Eq(t, c.code == "", d.Admit)
+			if !d.Admit {
+				test.Positive(t, d.RetryAfter)
+				test.NotEq(t, "", d.Reason)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coord/health/health_test.go
@@ -0,0 +1,49 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"laburnumstack.org/laburnum/internal/coord/health"
+	"laburnumstack.org/laburnum/internal/state/table"
+)
+
+func TestTracker(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	listed := func(v bool) func(*health.Tracker) { return func(k *health.Tracker) { k.Listed(v) } }
+	reported := func(v bool, after time.Duration) func(*health.Tracker) {
+		return func(k *health.Tracker) { k.Reported(v, now.Add(after)) }
+	}
+	refused := func(k *health.Tracker) { k.Refused(now) }
+	failed := func(v bool) func(*health.Tracker) { return func(k *health.Tracker) { k.Failed(v) } }
+	cases := []struct {
+		name   string
+		events []func(*health.Tracker)
+		state  table.State
+	}{
+		{"up at first", nil, table.Up},
+		{"the list says leaving", []func(*health.Tracker){listed(true)}, table.Leaving},
+		{"a report does not overrule the list", []func(*health.Tracker){listed(true), reported(false, time.Hour)}, table.Leaving},
+		{"the endpoint says leaving, a stale list does not put it back", []func(*health.Tracker){reported(true, 0), listed(false)}, table.Leaving},
+		{"the list alone does not put it back", []func(*health.Tracker){listed(true), listed(false)}, table.Leaving},
+		{"the endpoint itself does", []func(*health.Tracker){listed(true), listed(false), reported(false, time.Hour)}, table.Up},
+		{"a refusal counts", []func(*health.Tracker){refused}, table.Leaving},
+		{"a report older than the refusal does not put it back", []func(*health.Tracker){refused, reported(false, time.Second)}, table.Leaving},
+		{"a later one does", []func(*health.Tracker){refused, reported(false, 3 * time.Second)}, table.Up},
+		{"one probe that timed out is not enough", []func(*health.Tracker){failed(false)}, table.Up},
+		{"two are", []func(*health.Tracker){failed(false), failed(false)}, table.Down},
+		{"nothing listens", []func(*health.Tracker){failed(true)}, table.Down},
+		{"a report brings it back", []func(*health.Tracker){failed(true), reported(false, 0)}, table.Up},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var k health.Tracker
+			for _, e := range c.events {
+				e(&k)
+			}
+			test.Eq(t, c.state, k.State())
+		})
+	}
+}
--- /dev/null
+++ b/internal/coord/route/route_test.go
@@ -0,0 +1,123 @@
+package route_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/route"
+	"laburnumstack.org/laburnum/internal/state/table"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const rate = 100_000
+
+func idle(names ...ident.EndpointName) []route.Candidate {
+	var cs []route.Candidate
+	for _, n := range names {
+		cs = append(cs, route.Candidate{Name: n, View: table.View{Rate: rate, Memory: 400_000, Free: 400_000}})
+	}
+	return cs
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// chosen returns how often each candidate is chosen in many tries.
+func chosen(t *testing.T, cs []route.Candidate, r route.Request) []int {
+	rnd := random()
+	n := make([]int, len(cs))
+	for range 300 {
+		c, err := route.Estimated{}.Choose(cs, r, rnd)
+		must.NoError(t, err)
+		n[c.Index]++
+	}
+	return n
+}
+
+func TestEstimatedPrefers(t *testing.T) {
+	short := route.Request{Prompt: 1000, Output: 100, Short: true, ReservedPercent: 20}
+	long := route.Request{Prompt: 100_000, Output: 100, ReservedPercent: 20}
+	cases := []struct {
+		name   string
+		change func(cs []route.Candidate)
+		req    route.Request
+		never  int
+	}{
+		{"a short queue", func(cs []route.Candidate) { cs[0].View.ShortQueue = 50_000 }, short, 0},
+		{"no long prompt beside short ones", func(cs []route.Candidate) { cs[0].View.LongQueue = 50_000 }, short, 0},
+		{"a cached prefix", func(cs []route.Candidate) { cs[1].Cached, cs[2].Cached = 90_000, 90_000 }, long, 0},
+		{"free memory", func(cs []route.Candidate) { cs[0].View.Free = 50_000 }, long, 0},
+		{"memory beyond the reserve", func(cs []route.Candidate) { cs[0].View.Free = 150_000 }, long, 0},
+		{"long prompts together", func(cs []route.Candidate) { cs[1].View.LongQueue, cs[2].View.LongQueue = 1000, 1000 }, long, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cs := idle("a", "b", "c")
+			c.change(cs)
+			n := chosen(t, cs, c.req)
+			test.Eq(t, 0, n[c.never])
+			test.Positive(t, n[1])
+			test.Positive(t, n[2])
+		})
+	}
+}
+
+func TestSuspectsRunApart(t *testing.T) {
+	cs := idle("a", "b")
+	cs[0].Suspects = 1
+	r := route.Request{Prompt: 10, Output: 1, Short: true, Suspect: true}
+	test.Eq(t, 0, chosen(t, cs, r)[0])
+	cs[1].Suspects = 1
+	_, err := route.Estimated{}.Choose(cs, r, random())
+	test.ErrorIs(t, err, route.ErrNoEndpoint)
+}
+
+func TestPoliciesFailWithoutCandidates(t *testing.T) {
+	for _, p := range []route.Policy{route.Estimated{}, &route.RoundRobin{}, route.LeastCalls{}, route.TwoChoices{}} {
+		_, err := p.Choose(nil, route.Request{Prompt: 1}, random())
+		test.ErrorIs(t, err, route.ErrNoEndpoint)
+		_, err = p.Choose(idle("a"), route.Request{Prompt: 900_000, Short: true}, random())
+		test.ErrorIs(t, err, route.ErrNoEndpoint)
+	}
+}
+
+func TestSpread(t *testing.T) {
+	r := route.Request{Prompt: 900_000, Output: 1000, ReservedPercent: 20}
+	cs := idle("d", "b", "a", "c", "e")
+	p, err := route.Spread(cs, r, true)
+	must.NoError(t, err)
+	must.Len(t, 3, p.Parts)
+	var sum ident.Tokens
+	for i, x := range p.Parts {
+		sum += x.Tokens
+		if i > 0 {
+			test.Less(t, cs[x.Index].Name, cs[p.Parts[i-1].Index].Name)
+		}
+	}
+	test.GreaterEq(t, r.Prompt+r.Output, sum)
+	for i := range cs[:3] {
+		cs[i].View.Free = 100_000
+	}
+	_, err = route.Spread(cs, r, true)
+	test.ErrorIs(t, err, route.ErrNoEndpoint)
+	_, err = route.Spread(cs, r, false)
+	test.NoError(t, err)
+}
+
+func BenchmarkEstimated400(b *testing.B) {
+	var cs []route.Candidate
+	for i := range 400 {
+		c := idle("e")[0]
+		c.View.ShortQueue = ident.Tokens(i * 100)
+		cs = append(cs, c)
+	}
+	rnd := random()
+	r := route.Request{Prompt: 1000, Output: 100, Short: true}
+	for b.Loop() {
+		if _, err := (route.Estimated{}).Choose(cs, r, rnd); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/lab/engsrv/engsrv.go
+++ b/internal/lab/engsrv/engsrv.go
@@ -49,6 +49,7 @@
 	lastNum  ident.Offset
 	rnd      *rand.Rand
 	crash    chan time.Duration
+	crashes  int
 }
 
 // Listen opens the listener, so that the address is known before Run.
@@ -140,6 +141,7 @@
 func (s *Server) Crash(down time.Duration) {
 	s.mu.Lock()
 	l := s.listener
+	s.crashes++
 	s.mu.Unlock()
 	l.Crash()
 	select {
@@ -148,6 +150,13 @@
 	}
 }
 
+// Crashes returns how often the engine crashed.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
 // SetLeaving makes the engine refuse new work and say so in its reports.
 func (s *Server) SetLeaving(v bool) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,458 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/lab/engsim"
+	"laburnumstack.org/laburnum/internal/lab/engsrv"
+	"laburnumstack.org/laburnum/internal/lab/fleet"
+	"laburnumstack.org/laburnum/internal/lab/logsrv"
+	"laburnumstack.org/laburnum/internal/lab/plain"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	poison = "poisonous"
+	// hang is the time after which a test that waits has failed.
+	hang = 30 * time.Second
+)
+
+// startFleet runs a small fleet until the test ends.
+func startFleet(t *testing.T) *fleet.Fleet {
+	plan, err := fleet.PlanOf("duct")
+	must.NoError(t, err)
+	plan.Engines = 5
+	sim := engsim.DefaultSettings()
+	f := &fleet.Fleet{Plan: plan, Seed: 1, Logger: zerolog.Nop(), DrainDelay: 300 * time.Millisecond, PoisonMark: poison, Sim: &sim}
+	must.NoError(t, f.Start(context.Background()))
+	t.Cleanup(func() { test.NoError(t, f.Stop()) })
+	return f
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+func (a answer) outcome() ident.Outcome { return ident.Outcome(a.header.Get("X-Outcome")) }
+
+func (a answer) failure(t *testing.T) admin.Error {
+	var e admin.Error
+	must.NoError(t, json.Unmarshal(a.body, &e), must.Sprint(string(a.body)))
+	return e
+}
+
+// client makes each call on a connection of its own.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hang}
+
+// call sends a request to a node as the first workspace.
+func call(f *fleet.Fleet, node int, method, path, body string, header ...string) answer {
+	req, err := http.NewRequest(method, "http://"+f.Callers()[node]+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+f.Plan.Workspaces[0].Key())
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	if h := req.Header.Get("Host"); h != "" {
+		req.Host = h
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, raw, err}
+}
+
+func book(f *fleet.Fleet, node int, key string) answer {
+	return call(f, node, "POST", "/bookings", `{"Segment":1}`, "Host", f.Plan.Host, "Idempotency-Key", key)
+}
+
+func messages(text string) string { return `[{"role":"user","content":"` + text + `"}]` }
+
+func promptBody(f *fleet.Fleet, text string, output int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":%s}`, f.Plan.Model, output, messages(text))
+}
+
+func complete(f *fleet.Fleet, node int, text string, output int, header ...string) answer {
+	return call(f, node, "POST", "/v1/chat/completions", promptBody(f, text, output), header...)
+}
+
+// wantText checks a streamed answer token by token.
+func wantText(t *testing.T, a answer, text string, output int) {
+	t.Helper()
+	must.NoError(t, a.err)
+	must.Eq(t, http.StatusOK, a.status, must.Sprint(string(a.body)))
+	var got, want strings.Builder
+	for line := range strings.Lines(string(a.body)) {
+		var e struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		data, ok := strings.CutPrefix(line, "data: {")
+		if ok && json.Unmarshal([]byte("{"+data), &e) == nil && len(e.Choices) > 0 {
+			got.WriteString(e.Choices[0].Delta.Content)
+		}
+	}
+	for i := range output {
+		want.WriteString(engsrv.Text(engsrv.Digest([]byte(messages(text))), int64(i)))
+	}
+	must.Eq(t, want.String(), got.String())
+	test.True(t, bytes.HasSuffix(a.body, []byte("data: [DONE]\n\n")))
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(hang); !ok(); time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprint(what))
+	}
+}
+
+func held(f *fleet.Fleet) (n ident.Tokens) {
+	for _, e := range f.Engines {
+		n += e.Held()
+	}
+	return n
+}
+
+// busy returns the engine that holds memory, or -1.
+func busy(f *fleet.Fleet) int {
+	for i, e := range f.Engines {
+		if e.Held() > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestRefusals(t *testing.T) {
+	f := startFleet(t)
+	good := promptBody(f, "hi", 1)
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		status                   int
+		code                     string
+	}{
+		{"no key", "POST", "/v1/chat/completions", good, []string{"Authorization", ""}, 401, "unauthorized"},
+		{"wrong key", "POST", "/v1/chat/completions", good, []string{"Authorization", "Bearer x"}, 401, "unauthorized"},
+		{"unknown path", "GET", "/nowhere", "", nil, 404, "unknown-route"},
+		{"unknown call", "POST", "/v1/images", "{}", nil, 404, "unknown-route"},
+		{"unknown host", "GET", "/bookings/1", "", []string{"Host", "other.example"}, 404, "unknown-route"},
+		{"unknown model", "POST", "/v1/chat/completions", `{"model":"x","messages":[{"role":"user","content":"hi"}]}`, nil, 404, "unknown-model"},
+		{"malformed body", "POST", "/v1/chat/completions", `{"model":`, nil, 400, "bad-body"},
+		{"bad time limit", "POST", "/v1/chat/completions", good, []string{"X-Time-Limit", "soon"}, 400, "bad-header"},
+		{"body above the limit", "POST", "/v1/chat/completions", strings.Repeat("x", 17<<20), nil, 413, "body-too-large"},
+		{"more tokens than the fleet holds", "POST", "/v1/chat/completions", promptBody(f, strings.Repeat("x", 9<<20), 1), nil, 413, "prompt-too-large"},
+		{"limit that can't be met", "POST", "/v1/chat/completions", promptBody(f, "hi", 10_000), []string{"X-Time-Limit", "100"}, 503, "too-late"},
+		{"booking without key", "POST", "/bookings", "{}", []string{"Host", f.Plan.Host}, 400, "key-missing"},
+		{"booking with an endless key", "POST", "/bookings", "{}", []string{"Host", f.Plan.Host, "Idempotency-Key", strings.Repeat("k", 300)}, 400, "bad-header"},
+		{"header above the limit", "GET", "/bookings/1", "", []string{"X-Big", strings.Repeat("x", 32<<10)}, 431, "header-too-large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := call(f, 0, c.method, c.path, c.body, c.header...)
+			must.NoError(t, a.err)
+			e := a.failure(t)
+			test.Eq(t, c.status, a.status)
+			test.Eq(t, c.code, e.Code)
+			test.Eq(t, ident.NotRun, e.Outcome)
+			test.Eq(t, ident.NotRun, a.outcome())
+			test.Eq(t, a.header.Get("X-Request-Id"), string(e.RequestID))
+			test.NotEq(t, "", e.RequestID)
+		})
+	}
+	for _, e := range f.Engines {
+		test.Len(t, 0, e.Arrivals())
+	}
+	test.MapEmpty(t, f.Runs.Counts())
+}
+
+func TestWholeAnswerWithoutStream(t *testing.T) {
+	f := startFleet(t)
+	a := call(f, 0, "POST", "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":"hi","max_tokens":3}`, f.Plan.Model))
+	must.NoError(t, a.err)
+	var c struct {
+		Choices []struct{ Text string }
+		Usage   struct {
+			CompletionTokens int `json:"completion_tokens"`
+		}
+	}
+	must.NoError(t, json.Unmarshal(a.body, &c))
+	test.Eq(t, 3, c.Usage.CompletionTokens)
+	test.Eq(t, 21, len(c.Choices[0].Text))
+}
+
+func TestBookingSentToAllNodesAtOnceRunsOnce(t *testing.T) {
+	f := startFleet(t)
+	const rounds = 20
+	var wg sync.WaitGroup
+	answers := make([]answer, rounds*len(f.Nodes))
+	for i := range answers {
+		wg.Go(func() { answers[i] = book(f, i%len(f.Nodes), fmt.Sprintf("k%d", i/len(f.Nodes))) })
+	}
+	wg.Wait()
+	for i, a := range answers {
+		must.NoError(t, a.err)
+		test.Eq(t, http.StatusCreated, a.status)
+		test.StrContains(t, string(a.body), fmt.Sprintf(`"Key":"k%d","Run":1`, i/len(f.Nodes)))
+	}
+	counts := f.Runs.Counts()
+	test.MapLen(t, rounds, counts)
+	for k, n := range counts {
+		test.Eq(t, 1, n, test.Sprint(k))
+	}
+}
+
+func TestRepeatRightAfterTheAnswerIsReplayed(t *testing.T) {
+	f := startFleet(t)
+	for node := range f.Nodes {
+		a := book(f, node, "same")
+		must.Eq(t, http.StatusCreated, a.status, must.Sprint(string(a.body)))
+		test.Eq(t, node > 0, a.header.Get("Idempotent-Replay") == "true")
+	}
+	a := call(f, 0, "POST", "/bookings", `{"Segment":2}`, "Host", f.Plan.Host, "Idempotency-Key", "same")
+	test.Eq(t, "key-reused", a.failure(t).Code)
+	test.Eq(t, 1, f.Runs.Counts()["same"])
+}
+
+func TestBookingWhoseAnswerIsLostStaysUnknown(t *testing.T) {
+	f := startFleet(t)
+	for _, s := range f.Services {
+		s.Inject(plain.Faults{LoseAnswers: 1})
+	}
+	for node := range f.Nodes {
+		a := book(f, node, "lost")
+		must.NoError(t, a.err)
+		test.Eq(t, ident.Unknown, a.outcome())
+	}
+	test.Eq(t, 1, f.Runs.Counts()["lost"])
+}
+
+func TestBookingThatServicesRefuseMayComeAgain(t *testing.T) {
+	f := startFleet(t)
+	for _, s := range f.Services {
+		s.Inject(plain.Faults{RefuseMillis: int(hang.Milliseconds())})
+	}
+	a := book(f, 0, "again")
+	must.NoError(t, a.err)
+	test.Eq(t, ident.NotRun, a.outcome())
+	test.NotEq(t, "", a.header.Get("Retry-After"))
+	test.MapEmpty(t, f.Runs.Counts())
+	for _, s := range f.Services {
+		s.Inject(plain.Faults{RefuseMillis: 1})
+	}
+	await(t, "booking runs", func() bool { return book(f, 1, "again").status == http.StatusCreated })
+	test.Eq(t, 1, f.Runs.Counts()["again"])
+}
+
+func TestLogOutage(t *testing.T) {
+	f := startFleet(t)
+	f.Log.Inject(logsrv.Faults{OutageMillis: 5000})
+	a := book(f, 0, "down")
+	must.NoError(t, a.err)
+	test.Eq(t, ident.NotRun, a.outcome())
+	test.MapEmpty(t, f.Runs.Counts())
+	wantText(t, complete(f, 1, "hi", 4), "hi", 4)
+	await(t, "booking runs", func() bool { return book(f, 2, "down").status == http.StatusCreated })
+	test.Eq(t, 1, f.Runs.Counts()["down"])
+}
+
+func TestLostAppendAnswersAndSilentLog(t *testing.T) {
+	f := startFleet(t)
+	f.Log.Inject(logsrv.Faults{LoseAnswers: 3})
+	for i := range 6 {
+		await(t, "booking runs", func() bool { return book(f, i%3, fmt.Sprint(i)).status == http.StatusCreated })
+	}
+	f.Log.Inject(logsrv.Faults{Silence: true})
+	await(t, "booking runs", func() bool { return book(f, 0, "silent").status == http.StatusCreated })
+	for k, n := range f.Runs.Counts() {
+		test.Eq(t, 1, n, test.Sprint(k))
+	}
+}
+
+func TestStreamSurvivesFaultsOfItsEngine(t *testing.T) {
+	const output = 300
+	cases := []struct {
+		name  string
+		fault engsrv.Faults
+		down  bool
+	}{
+		{"crash", engsrv.Faults{CrashMillis: 60_000}, true},
+		{"silent connections", engsrv.Faults{Silence: true}, false},
+		{"stall", engsrv.Faults{StallMillis: 60_000}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := startFleet(t)
+			got := make(chan answer, 1)
+			go func() { got <- complete(f, 0, c.name, output) }()
+			await(t, "engine is busy", func() bool { return busy(f) >= 0 })
+			i := busy(f)
+			time.Sleep(200 * time.Millisecond)
+			f.Engines[i].Inject(c.fault)
+			wantText(t, <-got, c.name, output)
+			es, err := f.Client(0).Endpoints()
+			must.NoError(t, err)
+			for _, e := range es {
+				if e.Name == f.Plan.EngineName(i) {
+					test.Eq(t, c.down, e.State == "down", test.Sprint(e.State))
+				}
+			}
+		})
+	}
+}
+
+func TestPromptLargerThanAnEngine(t *testing.T) {
+	f := startFleet(t)
+	text := strings.Repeat("a", 4_000_000)
+	wantText(t, complete(f, 0, text, 5), text, 5)
+	await(t, "memory is free", func() bool { return held(f) == 0 })
+}
+
+func TestPromptsLargerThanAnEngineShareOut(t *testing.T) {
+	f := startFleet(t)
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			text := strings.Repeat(string(rune('a'+i)), 4_000_000)
+			wantText(t, complete(f, i, text, 5), text, 5)
+		})
+	}
+	wg.Wait()
+	await(t, "memory is free", func() bool { return held(f) == 0 })
+}
+
+func TestCallerGone(t *testing.T) {
+	cases := []struct {
+		name   string
+		text   string
+		stream bool
+	}{
+		{"while it waits", strings.Repeat("a", 1_200_000), true},
+		{"while several engines work", strings.Repeat("a", 4_000_000), true},
+		{"without stream", "hi", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := startFleet(t)
+			body := strings.Replace(promptBody(f, c.text, 1500), `"stream":true`, fmt.Sprintf(`"stream":%t`, c.stream), 1)
+			ctx, cancel := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, "POST", "http://"+f.Callers()[0]+"/v1/chat/completions", strings.NewReader(body))
+			must.NoError(t, err)
+			req.Header.Set("Authorization", "Bearer "+f.Plan.Workspaces[0].Key())
+			go client.Do(req)
+			await(t, "engine is busy", func() bool { return busy(f) >= 0 })
+			cancel()
+			await(t, "memory is free", func() bool { return held(f) == 0 })
+		})
+	}
+}
+
+func TestCrashingRequest(t *testing.T) {
+	f := startFleet(t)
+	innocent := make(chan answer, 20)
+	for i := range cap(innocent) {
+		go func() { innocent <- complete(f, i%3, fmt.Sprintf("innocent %d", i), 200) }()
+	}
+	await(t, "engines are busy", func() bool { return held(f) > 0 })
+	// A crash after the first token breaks the answer's stream.
+	var last answer
+	for i := range 6 {
+		last = complete(f, i%3, poison, 50)
+	}
+	must.NoError(t, last.err)
+	test.Eq(t, "crashes-endpoints", last.failure(t).Code)
+	test.Eq(t, ident.NotRun, last.outcome())
+	crashes := 0
+	for _, e := range f.Engines {
+		crashes += e.Crashes()
+	}
+	test.LessEq(t, 3, crashes)
+	for range cap(innocent) {
+		a := <-innocent
+		must.NoError(t, a.err)
+		test.Eq(t, http.StatusOK, a.status, test.Sprint(string(a.body)))
+	}
+}
+
+func TestPlannedStopsCutNothing(t *testing.T) {
+	f := startFleet(t)
+	const output = 150
+	got := make(chan answer, 60)
+	for i := range cap(got) {
+		go func() { got <- complete(f, i%3, fmt.Sprint(i), output) }()
+	}
+	await(t, "engines are busy", func() bool { return held(f) > 0 })
+	var wg sync.WaitGroup
+	for _, m := range f.Nodes {
+		wg.Go(func() { test.NoError(t, m.Stop()) })
+	}
+	for range cap(got) {
+		a := <-got
+		must.NoError(t, a.err)
+		test.Eq(t, http.StatusOK, a.status)
+		test.True(t, bytes.HasSuffix(a.body, []byte("data: [DONE]\n\n")))
+	}
+	wg.Wait()
+}
+
+func TestRacingPatches(t *testing.T) {
+	f := startFleet(t)
+	results := make(chan admin.Verdict, len(f.Nodes))
+	for i := range f.Nodes {
+		go func() {
+			v, err := f.Client(i).Patch(admin.PatchRequest{ID: ident.PatchID(ident.New()), Base: 1, Author: "t", Merge: json.RawMessage(`{}`)})
+			test.NoError(t, err)
+			results <- v
+		}()
+	}
+	accepted := 0
+	for range f.Nodes {
+		if v := <-results; v.Result == admin.Accepted {
+			accepted++
+		} else {
+			test.Eq(t, admin.Stale, v.Result)
+		}
+	}
+	test.Eq(t, 1, accepted)
+	must.NoError(t, f.AwaitVersion(2))
+}
+
+func TestTimelineExplainsARequest(t *testing.T) {
+	f := startFleet(t)
+	a := complete(f, 0, "hi", 2)
+	es, err := f.Client(0).Timeline(ident.RequestID(a.header.Get("X-Request-Id")), 100)
+	must.NoError(t, err)
+	var kinds []string
+	for _, e := range es {
+		kinds = append(kinds, string(e.Kind))
+	}
+	test.Eq(t, []string{"arrived", "admitted", "chosen", "first-token", "ended"}, kinds)
+	rows, err := f.Client(0).Usage()
+	must.NoError(t, err)
+	must.Len(t, 1, rows)
+	test.Eq(t, 2, rows[0].GeneratedTokens)
+	_, err = (&admin.Client{Address: f.Admins()[0], Token: "wrong", Timeout: hang}).Usage()
+	test.ErrorIs(t, err, admin.ErrDenied)
+}
--- a/internal/state/claim/record.go
+++ b/internal/state/claim/record.go
@@ -50,8 +50,9 @@
 	Request ident.RequestID
 	// Digest binds the key to the content of its request.
 	Digest uint64 `json:",omitempty"`
-	// Age is how long a claimed key may be repeated. Repeats up to twice the
-	// age are refused; the log must keep records for longer than that.
+	// Age is how long a claimed key may be repeated. An older key is refused
+	// until nobody has claimed it for twice the age. The log must keep records
+	// for longer than that.
 	Age time.Duration `json:",omitempty"`
 	// Answer is set when Op is Done.
 	Answer *Answer `json:",omitempty"`
@@ -93,6 +94,8 @@
 	// Age is how long the key may be repeated.
 	Age    time.Duration
 	Answer *Answer
+	// last is the log's time of the newest claim, won or lost.
+	last time.Time
 }
 
 // Expired reports whether a key is too old to be repeated.
@@ -100,7 +103,9 @@
 	return now.Sub(e.At) > e.Age
 }
 
-// dropped reports whether a key counts as never claimed.
+// dropped reports whether a key counts as never claimed. It depends only on
+// the claims of the last twice the age, so that readers which know no older
+// records agree with those that do.
 func (e *Entry) dropped(now time.Time) bool {
-	return now.Sub(e.At) > 2*e.Age
+	return now.Sub(e.last) > 2*e.Age
 }
--- a/internal/state/claim/table.go
+++ b/internal/state/claim/table.go
@@ -10,7 +10,7 @@
 // concurrent use.
 type Table struct {
 	entries map[Key]*Entry
-	// order lists keys by the time of their first claim.
+	// order lists entries by the time at which they are looked at for removal.
 	order []slot
 	next  ident.Offset
 	// now is the newest log time seen.
@@ -20,6 +20,7 @@
 type slot struct {
 	key   Key
 	entry *Entry
+	at    time.Time
 }
 
 // NewTable returns an empty table.
@@ -61,19 +62,25 @@
 // claim gives the key to the first attempt in offset order.
 func (t *Table) claim(h Holder, it Item) Ruling {
 	e, ok := t.entries[it.Key]
+	if ok && e.dropped(t.now) {
+		ok = false
+	}
+	if ok {
+		e.last = t.now
+	}
 	if ok && e.Attempt == it.Attempt {
 		return Ruling{it.Attempt, e.State == Held, *e}
 	}
 	if ok && (e.State != Free || e.Expired(t.now)) {
 		return Ruling{it.Attempt, false, *e}
 	}
-	fresh := &Entry{State: Held, Holder: h, Attempt: it.Attempt, Request: it.Request, Digest: it.Digest, At: t.now, Age: it.Age}
+	fresh := &Entry{State: Held, Holder: h, Attempt: it.Attempt, Request: it.Request, Digest: it.Digest, At: t.now, Age: it.Age, last: t.now}
 	if ok {
 		fresh.At = e.At
-		fresh.Age = e.Age
+		fresh.Age = max(e.Age, it.Age)
 	}
 	t.entries[it.Key] = fresh
-	t.order = append(t.order, slot{it.Key, fresh})
+	t.order = append(t.order, slot{it.Key, fresh, t.now})
 	return Ruling{it.Attempt, true, *fresh}
 }
 
@@ -115,16 +122,19 @@
 // Len returns the number of keys.
 func (t *Table) Len() int { return len(t.entries) }
 
-// dropOld removes keys that are past twice their age in the log's time, so
-// that every reader removes them at the same record.
+// dropOld frees the memory of keys that count as never claimed.
 func (t *Table) dropOld() {
 	n := 0
-	for n < len(t.order) && t.order[n].entry.dropped(t.now) {
+	for n < len(t.order) && t.now.Sub(t.order[n].at) > 2*t.order[n].entry.Age {
 		s := t.order[n]
-		if t.entries[s.key] == s.entry {
+		n++
+		switch {
+		case t.entries[s.key] != s.entry:
+		case s.entry.dropped(t.now):
 			delete(t.entries, s.key)
+		default:
+			t.order = append(t.order, slot{s.key, s.entry, s.entry.last})
 		}
-		n++
 	}
 	t.order = t.order[n:]
 }
--- a/internal/trans/front/answer.go
+++ b/internal/trans/front/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
 	"strconv"
 	"time"
@@ -16,6 +17,12 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+const (
+	// maxDiscard bounds the bytes read from a caller after its refusal.
+	maxDiscard     = 64 << 20
+	discardTimeout = 2 * time.Second
+)
+
 var errLimit = errors.New("bad time limit")
 
 // parseLimit reads a time limit in milliseconds or as a duration.
@@ -56,12 +63,21 @@
 	}
 	raw, _ := json.Marshal(q.errorBody(f))
 	q.ctx.SetBody(raw)
-	if q.ctx.Request.IsBodyStream() {
-		q.ctx.SetConnectionClose()
-	}
+	q.discard()
 	q.ended(f.Outcome, f.Code, f.Message)
 }
 
+// discard reads what the caller still sends, within bounds, so that it gets
+// to read the answer before the connection closes.
+func (q *exchange) discard() {
+	if !q.ctx.Request.IsBodyStream() {
+		return
+	}
+	q.ctx.SetConnectionClose()
+	q.ctx.Conn().SetReadDeadline(time.Now().Add(discardTimeout))
+	io.Copy(io.Discard, io.LimitReader(q.ctx.RequestBodyStream(), maxDiscard))
+}
+
 func (q *exchange) errorBody(f *serve.Failure) admin.Error {
 	return admin.Error{
 		Code: f.Code, Message: f.Message, Outcome: f.Outcome,
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -12,9 +12,9 @@
  *   RUN_ABANDONED   a node that gave up waiting still sends when it wins
  */
 
-#define NODES 3
+#define NODES 2
 #define ATTEMPTS 2
-#define MAXLOG 9
+#define MAXLOG 8
 
 mtype = { Claim, Done, Lost, Release }
 mtype = { Nobody, Held, Finished, Uncertain, Free }
