strik: run suspects apart and judge by crashes while apart

Cause: a crashing request took up to five endpoints and innocents with it. The time line showed three faults: suspects of different nodes met on one endpoint, as nodes learn of each other's placements only each second; a probe in the moment of a crash was accepted and counted the endpoint alive; and innocents collected strikes from suspects that came after them. Change: each node runs suspects on its own part of the engines, one at a time until their 16th token; a strike notes whether the request ran apart, and two of those convict; a probe that breaks is repeated; other requests avoid endpoints with suspects.

--- a/internal/coord/health/health_test.go
+++ b/internal/coord/health/health_test.go
@@ -31,7 +31,7 @@
 		{"the endpoint itself does", []func(*health.Tracker){listed(true), listed(false), reported(false, time.Hour)}, table.Up},
 		{"a refusal counts", []func(*health.Tracker){refused}, table.Leaving},
 		{"a report older than the refusal does not put it back", []func(*health.Tracker){refused, reported(false, time.Second)}, table.Leaving},
-		{"a later one does", []func(*health.Tracker){refused, reported(false, 3 * time.Second)}, table.Up},
+		{"a later one does", []func(*health.Tracker){refused, reported(false, 3*time.Second)}, table.Up},
 		{"one probe that timed out is not enough", []func(*health.Tracker){failed(false)}, table.Up},
 		{"two are", []func(*health.Tracker){failed(false), failed(false)}, table.Down},
 		{"nothing listens", []func(*health.Tracker){failed(true)}, table.Down},
--- a/internal/coord/route/estim.go
+++ b/internal/coord/route/estim.go
@@ -19,6 +19,9 @@
 	// openPercent of a long prompt's own prefill is what it rather waits
 	// than start on an endpoint that serves only short ones.
 	openPercent = 50
+	// suspectCost keeps other requests away from an endpoint that runs one
+	// which may crash it.
+	suspectCost = 250 * time.Millisecond
 	// memoryFactor is how much slower memory frees up than prefill goes.
 	memoryFactor = 4
 )
@@ -37,7 +40,7 @@
 		if !c.fits(r) {
 			continue
 		}
-		costs[i] = First(c, r) + opening(c, r)
+		costs[i] = First(c, r) + opening(c, r) + risk(c, r)
 		if best < 0 || costs[i] < best {
 			best = costs[i]
 		}
@@ -116,6 +119,14 @@
 	return span(r.Prompt, c.View.Rate) * openPercent / 100
 }
 
+// risk is the cost of sharing an endpoint with a suspect.
+func risk(c Candidate, r Request) time.Duration {
+	if r.Suspect || c.Suspects == 0 {
+		return 0
+	}
+	return suspectCost
+}
+
 func decode(c Candidate, r Request) time.Duration {
 	return time.Duration(r.Output) * max(c.View.Step, idleStep)
 }
--- a/internal/coord/strik/strik.go
+++ b/internal/coord/strik/strik.go
@@ -17,6 +17,9 @@
 	Digest   Digest
 	Endpoint ident.EndpointName
 	At       time.Time
+	// Apart tells that the request ran there as the only suspect, so that it
+	// is probably the cause.
+	Apart bool
 }
 
 const (
@@ -38,8 +41,9 @@
 
 // Add counts a strike and reports whether it was new.
 func (t *Table) Add(s Strike) bool {
-	for _, o := range t.strikes[s.Digest] {
+	for i, o := range t.strikes[s.Digest] {
 		if o.Endpoint == s.Endpoint && s.At.Sub(o.At).Abs() < sameCrash {
+			t.strikes[s.Digest][i].Apart = o.Apart || s.Apart
 			return false
 		}
 	}
@@ -50,15 +54,37 @@
 // Clear forgets a request that ended well.
 func (t *Table) Clear(d Digest) { delete(t.strikes, d) }
 
+// Len returns the number of requests with strikes.
+func (t *Table) Len() int { return len(t.strikes) }
+
+// Count is the number of strikes of a request.
+type Count struct {
+	// All counts the endpoints that died with the request in flight.
+	All int
+	// Apart counts those where it ran as the only suspect.
+	Apart int
+}
+
+// Convicts reports whether a request is to be refused. Most is how many
+// endpoints a request may crash that does so each time; one that was only
+// near other crashes is given twice as many.
+func (c Count) Convicts(most int) bool {
+	return c.Apart+1 >= most || c.All >= 2*most
+}
+
 // Count returns the strikes of a request that still count.
-func (t *Table) Count(d Digest, now time.Time) int {
-	n := 0
+func (t *Table) Count(d Digest, now time.Time) Count {
+	var c Count
 	for _, s := range t.strikes[d] {
-		if now.Sub(s.At) < memory {
-			n++
+		if now.Sub(s.At) >= memory {
+			continue
+		}
+		c.All++
+		if s.Apart {
+			c.Apart++
 		}
 	}
-	return n
+	return c
 }
 
 // Recent returns the strikes since a time, for peers that missed them.
--- a/internal/coord/strik/strik_test.go
+++ b/internal/coord/strik/strik_test.go
@@ -16,12 +16,30 @@
 	test.False(t, tab.Add(strik.Strike{Digest: 1, Endpoint: "a", At: now.Add(500 * time.Millisecond)}))
 	test.True(t, tab.Add(strik.Strike{Digest: 1, Endpoint: "b", At: now}))
 	test.True(t, tab.Add(strik.Strike{Digest: 1, Endpoint: "a", At: now.Add(5 * time.Second)}))
-	test.Eq(t, 3, tab.Count(1, now.Add(6*time.Second)))
-	test.Eq(t, 0, tab.Count(2, now))
+	test.Eq(t, strik.Count{All: 3}, tab.Count(1, now.Add(6*time.Second)))
+	test.Eq(t, strik.Count{}, tab.Count(2, now))
 	test.Len(t, 1, tab.Recent(now.Add(time.Second)))
 	tab.Expire(now.Add(time.Hour))
-	test.Eq(t, 0, tab.Count(1, now))
+	test.Eq(t, strik.Count{}, tab.Count(1, now))
 	tab.Add(strik.Strike{Digest: 1, Endpoint: "a", At: now})
 	tab.Clear(1)
-	test.Eq(t, 0, tab.Count(1, now))
+	test.Eq(t, strik.Count{}, tab.Count(1, now))
+}
+
+func TestConvicts(t *testing.T) {
+	cases := []struct {
+		name  string
+		count strik.Count
+		want  bool
+	}{
+		{"none", strik.Count{}, false},
+		{"once in a crowd", strik.Count{All: 1}, false},
+		{"once apart", strik.Count{All: 2, Apart: 1}, false},
+		{"twice apart", strik.Count{All: 3, Apart: 2}, true},
+		{"near many crashes", strik.Count{All: 5, Apart: 1}, false},
+		{"near too many", strik.Count{All: 6}, true},
+	}
+	for _, c := range cases {
+		test.Eq(t, c.want, c.count.Convicts(3), test.Sprint(c.name))
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,7 +169,7 @@
 		Engine: n.engine, Pools: pools, Policy: route.Estimated{}, Keeper: n.keeper,
 		Strikes: n.strikes, Health: n.health, Holds: n.holds, Ring: n.ring,
 		Ledger: n.ledger, Logger: n.Logger, Metrics: serve.NewMetrics(n.registry),
-		Alive: n.mesh.Alive, LogRetention: s.LogRetention,
+		Alive: n.mesh.Alive, Rank: n.mesh.Rank, LogRetention: s.LogRetention,
 	}
 	n.core.Seed(uint64(n.boot))
 	n.holds.Table = n.core.Table
@@ -246,4 +246,9 @@
 	n.core.Tally.SetPeer(b.From.Name, b.Uses)
 	n.strikes.Merge(b.Strikes)
 	n.strikes.SetSuspects(b.From.Name, b.Suspects)
+	if t := n.core.Table(); t != nil {
+		for name, e := range t.Endpoints {
+			e.PeerSuspects.Store(n.strikes.Suspects(name))
+		}
+	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -32,10 +32,13 @@
 )
 
 // startFleet runs a small fleet until the test ends.
-func startFleet(t *testing.T) *fleet.Fleet {
+func startFleet(t *testing.T) *fleet.Fleet { return startFleetOf(t, 5) }
+
+func startFleetOf(t *testing.T, engines int) *fleet.Fleet {
+	t.Parallel()
 	plan, err := fleet.PlanOf("duct")
 	must.NoError(t, err)
-	plan.Engines = 5
+	plan.Engines = engines
 	sim := engsim.DefaultSettings()
 	f := &fleet.Fleet{Plan: plan, Seed: 1, Logger: zerolog.Nop(), DrainDelay: 300 * time.Millisecond, PoisonMark: poison, Sim: &sim}
 	must.NoError(t, f.Start(context.Background()))
@@ -370,7 +373,7 @@
 }
 
 func TestCrashingRequest(t *testing.T) {
-	f := startFleet(t)
+	f := startFleetOf(t, 11)
 	innocent := make(chan answer, 20)
 	for i := range cap(innocent) {
 		go func() { innocent <- complete(f, i%3, fmt.Sprintf("innocent %d", i), 200) }()
--- a/internal/state/table/endpoint.go
+++ b/internal/state/table/endpoint.go
@@ -21,9 +21,11 @@
 	// Suspects counts the requests in flight that may have crashed an
 	// endpoint before.
 	Suspects atomic.Int64
-	short    recent
-	long     recent
-	held     recent
+	// PeerSuspects counts those of other nodes, as far as they told.
+	PeerSuspects atomic.Int64
+	short        recent
+	long         recent
+	held         recent
 }
 
 // recent sums what was sent since the last report but one, so that a report
--- a/internal/trans/peer/mesh.go
+++ b/internal/trans/peer/mesh.go
@@ -96,6 +96,23 @@
 	return ok && e.Boot == boot && e.State != membr.Dead
 }
 
+// Rank returns this node's place by name among the nodes alive, and their
+// number.
+func (m *Mesh) Rank() (i, n int) {
+	self := m.Self().Name
+	n = 1
+	for _, e := range m.Members() {
+		if e.State != membr.Alive || e.Name == self {
+			continue
+		}
+		n++
+		if e.Name < self {
+			i++
+		}
+	}
+	return i, n
+}
+
 // heard notes a member that spoke for itself.
 func (m *Mesh) heard(b messg.Beat) {
 	m.Clock.Observe(b.Stamp)
--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -25,6 +25,10 @@
 )
 
 const (
+	// probation is the number of tokens after which a suspect counts as
+	// harmless for those beside it.
+	probation     = 16
+	suspectPause  = 20 * time.Millisecond
 	cancelTries   = 3
 	cancelTimeout = time.Second
 )
@@ -64,6 +68,9 @@
 	began    time.Time
 	watch    *watchdog
 	hold     *hold
+	// suspect tells that the attempt counts as a suspect at its endpoint.
+	suspect bool
+	tokens  int
 }
 
 // endpoints are those that the attempt runs on.
@@ -86,8 +93,8 @@
 		digest:   digestOf(r, p),
 		excluded: ident.Set[ident.EndpointName]{},
 	}
-	if n := c.Strikes.Count(a.digest); n >= r.Table.Document.Limits.MaxStrikes {
-		c.event(trace.Refused, r, "%d endpoints died with it in flight", n)
+	if n := c.Strikes.Count(a.digest); n.Convicts(r.Table.Document.Limits.MaxStrikes) {
+		c.event(trace.Refused, r, "%d endpoints died with it in flight", n.All)
 		return nil, failStruck(n, ident.NotRun)
 	}
 	if f := a.admit(); f != nil {
@@ -119,7 +126,7 @@
 
 // admit chooses an endpoint and decides whether the prompt is taken.
 func (a *Answer) admit() *Failure {
-	a.query = routeRequest(a.req, a.prompt, a.core.Strikes.Count(a.digest) > 0)
+	a.query = routeRequest(a.req, a.prompt, a.suspected())
 	cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, nil)
 	if len(cs.views) == 0 {
 		return failBusy("no-endpoint", "no endpoint of the model is up")
@@ -137,6 +144,9 @@
 	return nil
 }
 
+// suspected reports whether an endpoint died with the prompt in flight.
+func (a *Answer) suspected() bool { return a.core.Strikes.Count(a.digest).All > 0 }
+
 // estimate chooses an endpoint, or several for a prompt that is larger than
 // each of them.
 func (a *Answer) estimate(cs candidates) (route.Choice, *Failure) {
@@ -187,10 +197,22 @@
 	t, err := a.call.stream.Next()
 	if err == nil {
 		a.call.watch.progress(t.Index + 1)
+		a.call.tokens++
+		if a.call.tokens == probation {
+			a.call.clear()
+		}
 	}
 	return t, err
 }
 
+// clear ends the attempt's time as a suspect.
+func (t *attempt) clear() {
+	if t.suspect {
+		t.suspect = false
+		t.endpoint.Suspects.Add(-1)
+	}
+}
+
 // open begins an attempt.
 func (a *Answer) open() error {
 	a.attempts++
@@ -218,13 +240,21 @@
 		a.chosen = nil
 		return e, nil
 	}
-	a.query.Suspect = a.core.Strikes.Count(a.digest) > 0
-	cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, a.excluded)
-	ch, err := a.core.choose(cs.views, a.query)
-	if err != nil {
-		return nil, err
+	a.query.Suspect = a.suspected()
+	for {
+		cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, a.excluded)
+		ch, err := a.core.choose(cs.views, a.query)
+		if err == nil {
+			return cs.endpoints[ch.Index], nil
+		}
+		if !a.query.Suspect || len(cs.views) == 0 {
+			return nil, err
+		}
+		// Other suspects run; they end or crash soon.
+		if !pause(a.ctx, suspectPause) {
+			return nil, a.ctx.Err()
+		}
 	}
-	return cs.endpoints[ch.Index], nil
 }
 
 // begin counts an attempt at its endpoint.
@@ -234,6 +264,7 @@
 	e := t.endpoint
 	e.Calls.Add(1)
 	if a.query.Suspect {
+		t.suspect = true
 		e.Suspects.Add(1)
 	}
 	e.Sent(a.prompt.Tokens, a.prompt.MaxTokens, a.query.Short)
@@ -259,6 +290,7 @@
 // one may begin.
 func (a *Answer) recover(err error) *Failure {
 	t := a.call
+	apart := t != nil && t.suspect
 	a.drop(true)
 	kind := classify(err, a.next > 0)
 	if t != nil && (kind == retry.Lost || kind == retry.Cut) {
@@ -271,7 +303,7 @@
 		return failBusy("no-memory", "engines lack memory for the prompt")
 	}
 	for _, e := range t.endpoints() {
-		if f := a.blame(e, kind, err); f != nil {
+		if f := a.blame(e, kind, err, apart); f != nil {
 			return f
 		}
 	}
@@ -300,7 +332,7 @@
 
 // blame finds out what a failure says of the endpoint. It returns a failure
 // if the prompt crashed too many.
-func (a *Answer) blame(e *table.Endpoint, kind retry.Failure, err error) *Failure {
+func (a *Answer) blame(e *table.Endpoint, kind retry.Failure, err error, apart bool) *Failure {
 	if errors.Is(err, messg.ErrLeaving) {
 		a.core.Health.Refused(e)
 	}
@@ -316,9 +348,9 @@
 	if kind == retry.NotSent {
 		return nil
 	}
-	n := a.core.Strikes.Strike(a.digest, e.Name)
-	a.core.event(trace.Struck, a.req, "%s died with it in flight, strike %d", e.Name, n)
-	if n >= a.req.Table.Document.Limits.MaxStrikes {
+	n := a.core.Strikes.Strike(a.digest, e.Name, apart)
+	a.core.event(trace.Struck, a.req, "%s died with it in flight, strike %d, %d of them apart", e.Name, n.All, n.Apart)
+	if n.Convicts(a.req.Table.Document.Limits.MaxStrikes) {
 		return failStruck(n, ident.Unknown)
 	}
 	return nil
@@ -342,9 +374,7 @@
 	a.call = nil
 	a.busy += time.Since(t.began)
 	t.endpoint.Calls.Add(-1)
-	if a.query.Suspect {
-		t.endpoint.Suspects.Add(-1)
-	}
+	t.clear()
 	if t.watch != nil {
 		t.watch.stop()
 	}
@@ -376,6 +406,9 @@
 func (a *Answer) Close() {
 	whole := a.last.Last
 	a.drop(!whole)
+	if whole {
+		a.core.Strikes.Clear(a.digest)
+	}
 	a.endUse()
 	a.core.Ledger.Add(a.account(), a.req.Arrived, ledgr.Sum{
 		Requests:        1,
--- a/internal/trans/serve/core.go
+++ b/internal/trans/serve/core.go
@@ -39,6 +39,8 @@
 	Metrics *Metrics
 	// Alive reports whether a run of another node is alive.
 	Alive func(n ident.NodeName, boot int64) bool
+	// Rank returns this node's place among the nodes alive, and their number.
+	Rank func() (i, n int)
 	// LogRetention is how long the log keeps records.
 	LogRetention time.Duration
 
--- a/internal/trans/serve/failure.go
+++ b/internal/trans/serve/failure.go
@@ -10,6 +10,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/admit"
 	"laburnumstack.org/laburnum/internal/coord/retry"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -72,11 +73,11 @@
 	return f
 }
 
-func failStruck(n int, out ident.Outcome) *Failure {
+func failStruck(n strik.Count, out ident.Outcome) *Failure {
 	return &Failure{
 		Status:  fasthttp.StatusUnprocessableEntity,
 		Code:    "crashes-endpoints",
-		Message: fmt.Sprintf("%d endpoints died with this request in flight", n),
+		Message: fmt.Sprintf("%d endpoints died with this request in flight, %d of them while it ran apart", n.All, n.Apart),
 		Outcome: out,
 	}
 }
--- a/internal/trans/serve/health.go
+++ b/internal/trans/serve/health.go
@@ -16,7 +16,11 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-const probeTimeout = time.Second
+const (
+	probeTimeout = time.Second
+	checkProbes  = 2
+	checkPause   = 10 * time.Millisecond
+)
 
 // Health keeps the state of all endpoints. It is safe for concurrent use.
 type Health struct {
@@ -77,14 +81,21 @@
 	return nil
 }
 
-// Check probes an endpoint on a new connection after a call to it failed, and
-// reports whether it is dead.
+// Check probes an endpoint on new connections after a call to it failed, and
+// reports whether it is dead. A connection may still be accepted in the moment
+// of a crash, so one that breaks is probed again.
 func (h *Health) Check(ctx context.Context, e *table.Endpoint) bool {
-	_, err := h.load(ctx, e.Config().Address, true)
-	if err == nil || ctx.Err() != nil {
-		return false
+	for range checkProbes {
+		_, err := h.load(ctx, e.Config().Address, true)
+		if err == nil || ctx.Err() != nil {
+			return false
+		}
+		if h.failed(e, err) == table.Down {
+			return true
+		}
+		pause(ctx, checkPause)
 	}
-	return h.failed(e, err) == table.Down
+	return false
 }
 
 func (h *Health) failed(e *table.Endpoint, err error) table.State {
--- a/internal/trans/serve/pick.go
+++ b/internal/trans/serve/pick.go
@@ -23,20 +23,39 @@
 	now := time.Now()
 	cached := c.cachedAt(p)
 	var cs candidates
-	for _, e := range r.Table.Engines(p.Model) {
+	for _, e := range c.engines(r, p, suspect) {
 		if e.State() != table.Up || without.Has(e.Name) {
 			continue
 		}
 		v := route.Candidate{Name: e.Name, View: e.View(now), Cached: cached[e.Name]}
-		if suspect {
-			v.Suspects = e.Suspects.Load() + c.Strikes.Suspects(e.Name)
-		}
+		v.Suspects = e.Suspects.Load() + e.PeerSuspects.Load()
 		cs.endpoints = append(cs.endpoints, e)
 		cs.views = append(cs.views, v)
 	}
 	return cs
 }
 
+// engines lists the engines of a model. Suspect requests run on a part of
+// them that this node has to itself, so that suspects of different nodes don't
+// meet, unless none of that part is up.
+func (c *Core) engines(r *Request, p *chat.Prompt, suspect bool) []*table.Endpoint {
+	all := r.Table.Engines(p.Model)
+	if !suspect {
+		return all
+	}
+	i, n := c.Rank()
+	var own []*table.Endpoint
+	up := false
+	for j := i; j < len(all); j += n {
+		own = append(own, all[j])
+		up = up || all[j].State() == table.Up
+	}
+	if !up {
+		return all
+	}
+	return own
+}
+
 // cachedAt returns how much of the prompt the endpoints probably cache.
 func (c *Core) cachedAt(p *chat.Prompt) map[ident.EndpointName]ident.Tokens {
 	var m map[ident.EndpointName]ident.Tokens
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -16,6 +17,8 @@
 
 	mu    sync.Mutex
 	table *strik.Table
+	// size is the number of requests with strikes, read without the lock.
+	size atomic.Int64
 	// suspects counts the suspect requests of other nodes by endpoint.
 	suspects map[ident.NodeName]map[ident.EndpointName]int64
 }
@@ -26,12 +29,13 @@
 }
 
 // Strike counts a request that was in flight at an endpoint that died, and
-// returns its strikes.
-func (s *Strikes) Strike(d strik.Digest, e ident.EndpointName) int {
-	k := strik.Strike{Digest: d, Endpoint: e, At: time.Now()}
+// returns its strikes. Apart tells that it was the only suspect there.
+func (s *Strikes) Strike(d strik.Digest, e ident.EndpointName, apart bool) strik.Count {
+	k := strik.Strike{Digest: d, Endpoint: e, At: time.Now(), Apart: apart}
 	s.mu.Lock()
 	fresh := s.table.Add(k)
 	n := s.table.Count(d, k.At)
+	s.size.Store(int64(s.table.Len()))
 	s.mu.Unlock()
 	if fresh {
 		s.Share([]strik.Strike{k})
@@ -46,10 +50,25 @@
 	for _, k := range ks {
 		s.table.Add(k)
 	}
+	s.size.Store(int64(s.table.Len()))
+}
+
+// Clear forgets a request that ended well.
+func (s *Strikes) Clear(d strik.Digest) {
+	if s.size.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Clear(d)
+	s.size.Store(int64(s.table.Len()))
 }
 
 // Count returns the strikes of a request.
-func (s *Strikes) Count(d strik.Digest) int {
+func (s *Strikes) Count(d strik.Digest) strik.Count {
+	if s.size.Load() == 0 {
+		return strik.Count{}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.table.Count(d, time.Now())
@@ -60,6 +79,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(time.Now())
+	s.size.Store(int64(s.table.Len()))
 	return s.table.Recent(since)
 }
 
