--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -11,6 +11,5 @@
 var commands = cli.New("laburnumctl")
 
 func main() {
-	commands.Options("Node options", &nodes)
 	os.Exit(commands.Run(os.Args[1:]))
 }
--- /dev/null
+++ b/cmd/laburnumctl/main_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/lab/fleet"
+	"laburnumstack.org/laburnum/internal/lab/logsrv"
+)
+
+func startFleet(t *testing.T) *fleet.Fleet {
+	plan, err := fleet.PlanOf("grozs")
+	must.NoError(t, err)
+	f := &fleet.Fleet{Plan: plan, Seed: 1, Logger: zerolog.Nop()}
+	must.NoError(t, f.Start(context.Background()))
+	t.Cleanup(func() { test.NoError(t, f.Stop()) })
+	return f
+}
+
+// file writes a patch and returns its path.
+func file(t *testing.T, text string) string {
+	p := filepath.Join(t.TempDir(), "patch.json")
+	must.NoError(t, os.WriteFile(p, []byte(text), 0o600))
+	return p
+}
+
+func TestExitCodes(t *testing.T) {
+	f := startFleet(t)
+	empty := file(t, `{}`)
+	node := []string{"--admin", "127.0.0.1:1", "--admin", f.Admins()[0], "--token", f.Token}
+	cases := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"accepted", []string{"config", "patch", "--base", "1", empty}, 0},
+		{"stale", []string{"config", "patch", "--base", "1", empty}, 3},
+		{"refused", []string{"config", "patch", "--base", "2", file(t, `{"Limits":{"MaxStrikes":99}}`)}, 4},
+		{"unknown field", []string{"config", "patch", "--base", "2", file(t, `{"Foo":1}`)}, 4},
+		{"not an object", []string{"config", "patch", "--base", "2", file(t, `[]`)}, 4},
+		{"no file", []string{"config", "patch", "--base", "2", "/nowhere"}, 2},
+		{"no base", []string{"config", "patch", empty}, 2},
+		{"check of a good patch", []string{"config", "check", empty}, 0},
+		{"check of a bad patch", []string{"config", "check", file(t, `{"Foo":1}`)}, 4},
+		{"check of a whole document", []string{"config", "check", "--whole", "../../examples/grozs.json"}, 0},
+		{"verdict of an unknown patch", []string{"config", "verdict", "none"}, 5},
+		{"show", []string{"config", "show", "--json"}, 0},
+		{"history", []string{"config", "history"}, 0},
+		{"nodes", []string{"nodes"}, 0},
+		{"endpoints", []string{"endpoints"}, 0},
+		{"timeline", []string{"timeline"}, 0},
+		{"explain of an unknown request", []string{"explain", "none"}, 1},
+		{"usage", []string{"usage", "--csv"}, 0},
+		{"unknown command", []string{"nods"}, 2},
+		{"unknown option", []string{"nodes", "--jason"}, 2},
+		{"unexpected argument", []string{"nodes", "more"}, 2},
+		{"wrong token", []string{"nodes", "--token", "wrong"}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			nodes = nodeOptions{}
+			test.Eq(t, c.code, commands.Run(append(node, c.args...)))
+		})
+	}
+}
+
+func TestPatchDuringAnOutageHasNoVerdict(t *testing.T) {
+	f := startFleet(t)
+	f.Log.Inject(logsrv.Faults{OutageMillis: int(time.Minute.Milliseconds())})
+	nodes = nodeOptions{}
+	code := commands.Run([]string{"--admin", f.Admins()[0], "--token", f.Token, "config", "patch", "--base", "1", file(t, `{}`)})
+	test.Eq(t, exitNoVerdict, code)
+}
+
+func TestNoNodeAnswers(t *testing.T) {
+	nodes = nodeOptions{}
+	test.Eq(t, 1, commands.Run([]string{"--admin", "127.0.0.1:1", "nodes"}))
+}
--- a/cmd/laburnumctl/nodes.go
+++ b/cmd/laburnumctl/nodes.go
@@ -85,6 +85,7 @@
 type Nodes struct{}
 
 func init() {
+	commands.Options("Node options", &nodes)
 	commands.Add("nodes", "list the nodes of the fleet", &Nodes{})
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -34,62 +35,78 @@
 
 // Set is the commands of one program.
 type Set struct {
-	parser *flags.Parser
-	// groups holds the commands that only contain others.
-	groups map[string]*flags.Command
+	program  string
+	options  []group
+	commands []entry
 }
 
-// New returns an empty set for a program.
-func New(program string) *Set {
-	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	p.SubcommandsOptional = false
-	return &Set{parser: p, groups: map[string]*flags.Command{}}
+type group struct {
+	name string
+	data any
+}
+
+type entry struct {
+	path, short string
+	kind        reflect.Type
 }
 
+// New returns an empty set for a program.
+func New(program string) *Set { return &Set{program: program} }
+
 // Options adds options that all commands share.
 func (s *Set) Options(name string, data any) {
-	if _, err := s.parser.AddGroup(name, "", data); err != nil {
-		panic(err)
-	}
+	s.options = append(s.options, group{name, data})
 }
 
-// Add registers a command under its path, such as "config show".
+// Add registers a command under its path, such as "config show". Each run
+// gets a new value of the command's type.
 func (s *Set) Add(path, short string, c Command) {
-	parent := s.parser.Command
-	steps := strings.Fields(path)
-	for _, g := range steps[:len(steps)-1] {
-		parent = s.group(parent, g)
-	}
-	if _, err := parent.AddCommand(steps[len(steps)-1], short, short, c); err != nil {
-		panic(err)
-	}
+	s.commands = append(s.commands, entry{path, short, reflect.TypeOf(c).Elem()})
 }
 
-func (s *Set) group(parent *flags.Command, name string) *flags.Command {
-	if g, ok := s.groups[name]; ok {
-		return g
+// parser builds the parser of one run.
+func (s *Set) parser() *flags.Parser {
+	p := flags.NewNamedParser(s.program, flags.HelpFlag|flags.PassDoubleDash)
+	for _, g := range s.options {
+		must(p.AddGroup(g.name, "", g.data))
+	}
+	parents := map[string]*flags.Command{}
+	for _, e := range s.commands {
+		parent := p.Command
+		steps := strings.Fields(e.path)
+		for _, g := range steps[:len(steps)-1] {
+			if parents[g] == nil {
+				parents[g] = must(parent.AddCommand(g, g+" commands", "", &struct{}{}))
+			}
+			parent = parents[g]
+		}
+		must(parent.AddCommand(steps[len(steps)-1], e.short, e.short, reflect.New(e.kind).Interface()))
 	}
-	g, err := parent.AddCommand(name, name+" commands", "", &struct{}{})
+	return p
+}
+
+// must fails on a mistake in the tags of a command.
+func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
 	}
-	s.groups[name] = g
-	return g
+	return v
 }
 
 // Run runs the command that the arguments name and returns the exit code.
 func (s *Set) Run(args []string) int {
-	_, err := s.parser.ParseArgs(args)
-	return s.code(err)
+	p := s.parser()
+	_, err := p.ParseArgs(args)
+	return s.code(p, err)
 }
 
-func (s *Set) code(err error) int {
+func (s *Set) code(p *flags.Parser, err error) int {
 	if err == nil {
 		return ExitOK
 	}
 	var fe *flags.Error
 	if errors.As(err, &fe) {
-		return s.usage(fe)
+		return s.usage(p, fe)
 	}
 	code := ExitFailed
 	var x *Exit
@@ -97,26 +114,26 @@
 		code = x.Code
 	}
 	if err.Error() != "" {
-		fmt.Fprintf(os.Stderr, "%s: %s\n", s.parser.Name, err)
+		fmt.Fprintf(os.Stderr, "%s: %s\n", s.program, err)
 	}
 	return code
 }
 
-func (s *Set) usage(fe *flags.Error) int {
+func (s *Set) usage(p *flags.Parser, fe *flags.Error) int {
 	if fe.Type == flags.ErrHelp {
 		fmt.Println(fe.Message)
 		return ExitOK
 	}
 	msg := fe.Message
 	if fe.Type == flags.ErrUnknownFlag {
-		msg += s.suggestFlag(msg)
+		msg += suggestFlag(p, msg)
 	}
-	fmt.Fprintf(os.Stderr, "%s: %s\n", s.parser.Name, msg)
+	fmt.Fprintf(os.Stderr, "%s: %s\n", s.program, msg)
 	return ExitUsage
 }
 
 // suggestFlag names the known option nearest to the unknown one in a message.
-func (s *Set) suggestFlag(msg string) string {
+func suggestFlag(p *flags.Parser, msg string) string {
 	i := strings.IndexByte(msg, '`')
 	j := strings.LastIndexByte(msg, '\'')
 	if i < 0 || j <= i {
@@ -124,7 +141,7 @@
 	}
 	name := strings.TrimLeft(msg[i+1:j], "-")
 	best, bestAt := "", len(name)/2+1
-	for _, o := range s.longNames() {
+	for _, o := range longNames(p) {
 		if d := distance(name, o); d < bestAt {
 			best, bestAt = o, d
 		}
@@ -135,7 +152,7 @@
 	return fmt.Sprintf(", did you mean --%s?", best)
 }
 
-func (s *Set) longNames() []string {
+func longNames(p *flags.Parser) []string {
 	var ns []string
 	var walk func(c *flags.Command)
 	walk = func(c *flags.Command) {
@@ -151,7 +168,7 @@
 			walk(sub)
 		}
 	}
-	walk(s.parser.Command)
+	walk(p.Command)
 	slices.Sort(ns)
 	return slices.Compact(ns)
 }
--- a/internal/lab/engsrv/engsrv.go
+++ b/internal/lab/engsrv/engsrv.go
@@ -121,13 +121,24 @@
 	case <-ctx.Done():
 		return 0, nil
 	case err := <-fail:
-		return 0, err
+		return s.crashed(), err
 	case d := <-s.crash:
 		s.dropStreams()
 		return d, nil
 	}
 }
 
+// crashed returns the down time of a crash that ended the listener.
+func (s *Server) crashed() time.Duration {
+	select {
+	case d := <-s.crash:
+		s.dropStreams()
+		return d
+	default:
+		return 0
+	}
+}
+
 func (s *Server) dropStreams() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,11 +154,11 @@
 	l := s.listener
 	s.crashes++
 	s.mu.Unlock()
-	l.Crash()
 	select {
 	case s.crash <- down:
 	default:
 	}
+	l.Crash()
 }
 
 // Crashes returns how often the engine crashed.
--- a/internal/trans/claims/keeper.go
+++ b/internal/trans/claims/keeper.go
@@ -201,12 +201,13 @@
 func (k *Keeper) note(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil && !k.failing.IsZero():
 		k.failing = time.Time{}
-		return
-	}
-	if k.failing.IsZero() {
+		k.Logger.Info().Msg("claims: log answers")
+	case err != nil && k.failing.IsZero():
 		k.failing = time.Now()
+		k.Logger.Warn().Err(err).Msg("claims: log does not answer")
 	}
 }
 
@@ -222,7 +223,6 @@
 		}
 		k.note(err)
 		if err != nil {
-			k.Logger.Warn().Err(err).Msg("claims: read failed")
 			pause(ctx, retryWait)
 			continue
 		}
@@ -305,7 +305,6 @@
 		k.mu.Unlock()
 		return true
 	}
-	k.Logger.Warn().Err(err).Int("items", len(items)).Msg("claims: append failed")
 	k.requeue(items)
 	pause(ctx, retryWait)
 	return true
