route: keep long prompts in a lane and scale what was sent by the nodes

Cause: in the experiment short prompts crowded on the few engines without long ones, since each node saw only its own sends since the last report. Ruled out: more slack among near-equal estimates (no gain), more samples alone (d = 2, 3, 5: p95 104-141 ms), no lane (p50 42 ms). Change: a node takes what it sent since the last reports as what each node sent; short prompts compare four random engines; long prompts stay in a lane whose size follows the wait in it.

--- a/internal/coord/route/estim.go
+++ b/internal/coord/route/estim.go
@@ -16,9 +16,13 @@
 	leastSlack = 3 * time.Millisecond
 	// slackPercent is the part of the best estimate that doesn't matter.
 	slackPercent = 15
-	// openPercent of a long prompt's own prefill is what it rather waits
-	// than start on an endpoint that serves only short ones.
-	openPercent = 50
+	// openCost and openPercent of a long prompt's own prefill is what it
+	// rather waits than leave the long lane.
+	openCost    = 3000 * time.Millisecond
+	openPercent = 100
+	// samples is the number of endpoints that a short request compares, one
+	// of them inside the long lane.
+	samples = 4
 	// suspectCost keeps other requests away from an endpoint that runs one
 	// which may crash it.
 	suspectCost = 250 * time.Millisecond
@@ -26,13 +30,66 @@
 	memoryFactor = 4
 )
 
-// Estimated chooses at random among the candidates whose estimated time to
-// first token is near the best. Long requests prefer endpoints that already
-// run long ones, so that others stay quick for short requests.
+// Estimated chooses by the estimated time to first token. Long requests stay
+// in the long lane unless it is much slower. Short ones take the best of a few
+// random endpoints outside of it and one inside: a random choice stays good
+// when many nodes share one stale report.
 type Estimated struct{}
 
 // Choose picks a candidate.
 func (Estimated) Choose(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
+	if r.Short {
+		return chooseShort(cs, r, rnd)
+	}
+	return chooseLong(cs, r, rnd)
+}
+
+// chooseShort takes the best of a few samples.
+func chooseShort(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
+	best, at := time.Duration(-1), -1
+	try := func(i int) {
+		if c := cost(cs[i], r); at < 0 || c < best {
+			best, at = c, i
+		}
+	}
+	var some [samples]sample
+	for i, c := range cs {
+		if !c.fits(r) {
+			continue
+		}
+		if c.Long {
+			some[0].offer(i, rnd)
+			continue
+		}
+		for j := range some[1:] {
+			some[1+j].offer(i, rnd)
+		}
+	}
+	for _, s := range some {
+		if s.n > 0 {
+			try(s.at)
+		}
+	}
+	if at < 0 {
+		return Choice{}, ErrNoEndpoint
+	}
+	return choice(cs, at, r), nil
+}
+
+// sample holds one of the values offered to it, each as likely.
+type sample struct {
+	n, at int
+}
+
+func (s *sample) offer(i int, rnd *rand.Rand) {
+	s.n++
+	if rnd.IntN(s.n) == 0 {
+		s.at = i
+	}
+}
+
+// chooseLong takes a random one of those near the best.
+func chooseLong(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
 	best := time.Duration(-1)
 	costs := make([]time.Duration, len(cs))
 	for i, c := range cs {
@@ -40,7 +97,7 @@
 		if !c.fits(r) {
 			continue
 		}
-		costs[i] = First(c, r) + opening(c, r) + risk(c, r)
+		costs[i] = cost(c, r)
 		if best < 0 || costs[i] < best {
 			best = costs[i]
 		}
@@ -49,23 +106,19 @@
 		return Choice{}, ErrNoEndpoint
 	}
 	bound := best + max(leastSlack, best*slackPercent/100)
-	i := pick(costs, bound, rnd)
-	return choice(cs, i, r), nil
-}
-
-// pick returns the index of a random cost within the bound.
-func pick(costs []time.Duration, bound time.Duration, rnd *rand.Rand) int {
-	n, at := 0, -1
+	var s sample
 	for i, c := range costs {
-		if c < 0 || c > bound {
-			continue
-		}
-		n++
-		if rnd.IntN(n) == 0 {
-			at = i
+		if c >= 0 && c <= bound {
+			s.offer(i, rnd)
 		}
 	}
-	return at
+	return choice(cs, s.at, r), nil
+}
+
+// cost is the estimated time to first token with what the choice costs
+// others.
+func cost(c Candidate, r Request) time.Duration {
+	return First(c, r) + opening(c, r) + risk(c, r)
 }
 
 func choice(cs []Candidate, i int, r Request) Choice {
@@ -90,11 +143,10 @@
 
 // step is the wait for the iteration under way.
 func step(c Candidate) time.Duration {
-	s := max(c.View.Step, idleStep)
 	if c.View.LongQueue > 0 {
-		s = max(s, longStep)
+		return longStep
 	}
-	return s
+	return idleStep
 }
 
 // memoryWait estimates the wait until enough memory is free.
@@ -110,13 +162,16 @@
 	return span(missing, c.View.Rate) * memoryFactor
 }
 
-// opening is the cost of a long request to the short ones of an endpoint
-// that has had none.
+// opening is the cost of a request to the shorter ones outside the lane.
 func opening(c Candidate, r Request) time.Duration {
-	if r.Short || c.View.LongQueue > 0 {
+	if c.Long {
 		return 0
 	}
-	return span(r.Prompt, c.View.Rate) * openPercent / 100
+	own := span(r.Prompt, c.View.Rate) * openPercent / 100
+	if r.Short {
+		return own
+	}
+	return own + openCost
 }
 
 // risk is the cost of sharing an endpoint with a suspect.
--- a/internal/coord/route/route.go
+++ b/internal/coord/route/route.go
@@ -25,6 +25,8 @@
 	// Suspects counts requests in flight there that may have crashed an
 	// endpoint.
 	Suspects int64
+	// Long tells that the endpoint is in the lane of long requests.
+	Long bool
 }
 
 // Request is what a policy knows of a request.
--- a/internal/coord/route/spread.go
+++ b/internal/coord/route/spread.go
@@ -25,32 +25,50 @@
 	Choice
 }
 
-// Spread plans a prompt that is larger than each engine over the fewest
-// engines. With now set, only memory that is free now counts.
+// maxParts bounds the engines that one prompt is spread over.
+const maxParts = 12
+
+// Spread plans a prompt that is larger than each engine over as many engines
+// as give the first token soonest. With now set, only memory that is free now
+// counts.
 func Spread(cs []Candidate, r Request, now bool) (Plan, error) {
-	order := make([]int, 0, len(cs))
-	for i, c := range cs {
-		if !r.Suspect || c.Suspects == 0 {
-			order = append(order, i)
+	var best Plan
+	var least time.Duration
+	for k := 2; k <= min(maxParts, len(cs)); k++ {
+		part := Request{Prompt: (r.need() + ident.Tokens(k) - 1) / ident.Tokens(k), ReservedPercent: r.ReservedPercent}
+		fit := cheapest(cs, r, part, now)
+		if len(fit) < k {
+			continue
+		}
+		p := planOf(cs, fit[:k], part.Prompt, r)
+		total := p.First
+		for _, i := range fit[:k] {
+			total += opening(cs[i], part)
 		}
+		if len(best.Parts) == 0 || total < least {
+			best, least = p, total
+		}
+	}
+	if len(best.Parts) == 0 {
+		return Plan{}, ErrNoEndpoint
 	}
-	room := func(i int) ident.Tokens {
-		c := cs[i]
+	return best, nil
+}
+
+// cheapest lists the candidates that have room for a part, by its cost.
+func cheapest(cs []Candidate, r, part Request, now bool) []int {
+	var fit []int
+	for i, c := range cs {
+		room := c.usable(r)
 		if now {
-			return max(0, c.View.Free-c.reserve(r))
+			room = c.View.Free - c.reserve(r)
 		}
-		return c.usable(r)
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(room(b), room(a)), cmp.Compare(First(cs[a], Request{}), First(cs[b], Request{})))
-	})
-	for k := 2; k <= len(order); k++ {
-		part := (r.need() + ident.Tokens(k) - 1) / ident.Tokens(k)
-		if room(order[k-1]) >= part {
-			return planOf(cs, order[:k], part, r), nil
+		if room >= part.Prompt && (!r.Suspect || c.Suspects == 0) {
+			fit = append(fit, i)
 		}
 	}
-	return Plan{}, ErrNoEndpoint
+	slices.SortStableFunc(fit, func(a, b int) int { return cmp.Compare(cost(cs[a], part), cost(cs[b], part)) })
+	return fit
 }
 
 func planOf(cs []Candidate, chosen []int, part ident.Tokens, r Request) Plan {
--- a/internal/lab/exper/compare.go
+++ b/internal/lab/exper/compare.go
@@ -31,8 +31,10 @@
 type Row struct {
 	Policy string
 	Report load.Report
+	// Alone is the report of the short part of the load alone.
+	Alone load.Report
 	// Slowdown compares each short class with the same short load alone
-	// under the same policy.
+	// under the policy that is best at that.
 	Slowdown map[string]load.Ratio
 }
 
@@ -45,19 +47,34 @@
 		wg.Go(func() { rows[i] = x.row(p) })
 	}
 	wg.Wait()
+	for _, l := range load.Short(x.Lengths, shortTokens) {
+		base := bestAlone(rows, l.Name)
+		for _, r := range rows {
+			r.Slowdown[l.Name] = load.RatioOf(r.Report.First[l.Name], base)
+		}
+	}
 	return rows
 }
 
+// bestAlone returns the least times of a class in the short load alone.
+func bestAlone(rows []Row, class string) load.Spread {
+	best := rows[0].Alone.First[class]
+	for _, r := range rows[1:] {
+		f := r.Alone.First[class]
+		best.P50, best.P95 = min(best.P50, f.P50), min(best.P95, f.P95)
+	}
+	return best
+}
+
 func (x Routing) row(p Named) Row {
 	alone := x
 	alone.ShortOnly = true
-	mixed := load.Summarize(x.Lengths, x.Run(p.New()))
-	base := load.Summarize(x.Lengths, alone.Run(p.New()))
-	r := Row{Policy: p.Name, Report: mixed, Slowdown: map[string]load.Ratio{}}
-	for _, l := range load.Short(x.Lengths, shortTokens) {
-		r.Slowdown[l.Name] = load.RatioOf(mixed.First[l.Name], base.First[l.Name])
+	return Row{
+		Policy:   p.Name,
+		Report:   load.Summarize(x.Lengths, x.Run(p.New())),
+		Alone:    load.Summarize(x.Lengths, alone.Run(p.New())),
+		Slowdown: map[string]load.Ratio{},
 	}
-	return r
 }
 
 // WriteText writes the rows side by side.
--- a/internal/state/table/endpoint.go
+++ b/internal/state/table/endpoint.go
@@ -92,21 +92,23 @@
 	Memory                ident.Tokens
 }
 
-// View returns the corrected load at a time.
-func (e *Endpoint) View(now time.Time) View {
+// View returns the corrected load at a time. What this node sent since the
+// last reports stands for what each of the nodes sent.
+func (e *Endpoint) View(now time.Time, nodes int) View {
 	l := e.Load()
 	rate := max(1, l.PrefillRate)
 	worked := ident.Tokens(0)
 	if !l.At.IsZero() {
 		worked = ident.Tokens(now.Sub(l.At).Seconds() * float64(rate))
 	}
-	short := l.ShortQueue + e.short.sum()
-	long := l.LongQueue + e.long.sum()
+	all := ident.Tokens(nodes)
+	short := l.ShortQueue + e.short.sum()*all
+	long := l.LongQueue + e.long.sum()*all
 	shortWorked := min(short, worked)
 	return View{
 		ShortQueue: short - shortWorked,
 		LongQueue:  max(0, long-(worked-shortWorked)),
-		Free:       max(0, l.Memory-l.Held-e.held.sum()),
+		Free:       max(0, l.Memory-l.Held-e.held.sum()*all),
 		Rate:       rate,
 		Step:       l.Step,
 		Running:    l.Running + int(e.Calls.Load()),
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -163,5 +163,8 @@
 	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
 }
 
+// Models returns the models that engines are configured for.
+func (t *Table) Models() []ident.ModelName { return ident.SortedKeys(t.models) }
+
 // Engines returns the engines configured for a model.
 func (t *Table) Engines(m ident.ModelName) []*Endpoint { return t.models[m] }
--- a/internal/trans/serve/core.go
+++ b/internal/trans/serve/core.go
@@ -49,6 +49,7 @@
 	Budget retry.Budget
 
 	table  atomic.Pointer[table.Table]
+	lanes  lanes
 	random sync.Pool
 	seed   atomic.Uint64
 	after  sync.WaitGroup
--- a/internal/trans/serve/pick.go
+++ b/internal/trans/serve/pick.go
@@ -22,12 +22,15 @@
 func (c *Core) candidatesFor(r *Request, p *chat.Prompt, suspect bool, without ident.Set[ident.EndpointName]) candidates {
 	now := time.Now()
 	cached := c.cachedAt(p)
+	nodes := c.lanes.nodeCount()
+	all := c.engines(r, p, suspect)
+	lane := c.lanes.size(p.Model, len(all))
 	var cs candidates
-	for _, e := range c.engines(r, p, suspect) {
+	for i, e := range all {
 		if e.State() != table.Up || without.Has(e.Name) {
 			continue
 		}
-		v := route.Candidate{Name: e.Name, View: e.View(now), Cached: cached[e.Name]}
+		v := route.Candidate{Name: e.Name, View: e.View(now, nodes), Cached: cached[e.Name], Long: i < lane}
 		v.Suspects = e.Suspects.Load() + e.PeerSuspects.Load()
 		cs.endpoints = append(cs.endpoints, e)
 		cs.views = append(cs.views, v)
