--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -291,6 +291,9 @@
 func (a *Answer) recover(err error) *Failure {
 	t := a.call
 	apart := t != nil && t.suspect
+	if t != nil && t.watch != nil && t.watch.stalled.Load() {
+		a.excluded.Add(t.endpoint.Name)
+	}
 	a.drop(true)
 	kind := classify(err, a.next > 0)
 	if t != nil && (kind == retry.Lost || kind == retry.Cut) {
--- a/internal/trans/serve/watch.go
+++ b/internal/trans/serve/watch.go
@@ -21,6 +21,9 @@
 	checked int64
 	stalls  int
 	stopped atomic.Bool
+	// stalled tells that the stream was cut because its engine makes no
+	// progress.
+	stalled atomic.Bool
 }
 
 // watchOver starts a watchdog over an attempt.
@@ -64,6 +67,7 @@
 	ahead := int64(p.Produced) - got
 	stalled := w.stalls >= maxStalls && (got > 0 || ahead > 0)
 	if err != nil || !p.Known || ahead > 1 || stalled {
+		w.stalled.Store(err == nil && stalled)
 		t.stream.Cut()
 		return
 	}
