admit: count a fleet as busy relative to a prompt's own prefill

Cause: long prompts wait more than half a second on a small fleet that is far from full, and were refused for being over their share. Change: the wait counts from the prompt's own prefill time.

--- a/internal/coord/admit/admit.go
+++ b/internal/coord/admit/admit.go
@@ -26,7 +26,8 @@
 )
 
 const (
-	// busyWait is the wait from which the fleet counts as busy.
+	// busyWait is the wait from which the fleet counts as busy, or the time
+	// of the request's own prefill if that is longer.
 	busyWait = 500 * time.Millisecond
 	// sharePercent of its fair share is what a workspace may use of a busy
 	// fleet.
@@ -80,7 +81,7 @@
 	if in.Whole > in.Remaining {
 		return refuse(TooLate, in.Whole-in.Remaining, fmt.Sprintf("estimated to take %s, %s left", round(in.Whole), round(in.Remaining)))
 	}
-	if in.Wait > busyWait && overShare(in) {
+	if in.Wait > max(busyWait, in.First-in.Wait) && overShare(in) {
 		return refuse(OverShare, in.Wait, fmt.Sprintf("fleet is busy for %s and the workspace has %d of %d tokens in flight", round(in.Wait), in.Mine.Tokens, in.All.Tokens))
 	}
 	return Decision{Admit: true}
--- a/internal/coord/admit/admit_test.go
+++ b/internal/coord/admit/admit_test.go
@@ -34,6 +34,10 @@
 			in.Wait = 600 * time.Millisecond
 			in.Mine.Tokens, in.All.Tokens = 20_000, 100_000
 		}, ""},
+		{"over share, but the wait is short for a long prompt", func(in *admit.Input) {
+			in.Wait, in.First, in.Whole, in.Remaining = 600*time.Millisecond, 2*time.Second, 3*time.Second, 4*time.Second
+			in.Mine.Tokens, in.All.Tokens = 90_000, 100_000
+		}, ""},
 		{"alone while busy", func(in *admit.Input) {
 			in.Wait = 600 * time.Millisecond
 			in.Mine.Tokens, in.All.Tokens = 90_000, 90_000
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -87,6 +87,7 @@
 	alone := d.plan(d.For * alonePercent / 100)
 	d.shorten(&alone)
 	mixed := d.plan(d.For - alone.For)
+	mixed.Begin = mixed.Lengths[len(mixed.Lengths)-1:]
 	before := d.drive(ctx, "short load alone", alone)
 	after, err := d.mixed(ctx, mixed)
 	if err != nil {
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -66,6 +66,8 @@
 	BookingRate float64
 	StatusRate  float64
 	Lengths     []Length
+	// Begin lists prompts that are sent at the start, beside the others.
+	Begin []Length
 	// Output is the number of tokens to generate for each prompt.
 	Output ident.Tokens
 	// SharedPercent of the prompts begin with one of a few documents.
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -53,6 +53,7 @@
 			arrivals.Go(func() { r.arrive(ctx, f.rate, uint64(i+1), f.send) })
 		}
 	}
+	r.begin(ctx)
 	stop := r.report()
 	arrivals.Wait()
 	r.wg.Wait()
@@ -60,6 +61,18 @@
 	return r.results.list
 }
 
+// begin sends the prompts of the start.
+func (r *Runner) begin(ctx context.Context) {
+	for i, l := range r.Plan.Begin {
+		own := rand.New(rand.NewPCG(r.Plan.Seed, uint64(i)))
+		r.sent.Add(1)
+		r.wg.Go(func() {
+			r.prompt(ctx, own, fmt.Sprintf("begin-%d", i), l)
+			r.ended.Add(1)
+		})
+	}
+}
+
 func (r *Runner) report() (stop func()) {
 	if r.Progress == nil {
 		return func() {}
--- a/internal/lab/load/send.go
+++ b/internal/lab/load/send.go
@@ -35,9 +35,12 @@
 }
 
 func (r *Runner) sendPrompt(ctx context.Context, rnd *rand.Rand, n int) {
-	l := r.Plan.pickLength(rnd)
+	r.prompt(ctx, rnd, fmt.Sprint(n), r.Plan.pickLength(rnd))
+}
+
+func (r *Runner) prompt(ctx context.Context, rnd *rand.Rand, name string, l Length) {
 	k := r.Plan.pickKey(rnd)
-	text := r.content(rnd, fmt.Sprintf("%d-%d", r.Plan.Seed, n), int(l.Tokens)*4)
+	text := r.content(rnd, fmt.Sprintf("%d-%s", r.Plan.Seed, name), int(l.Tokens)*4)
 	messages := append(append([]byte(`[{"role":"user","content":"`), text...), `"}]`...)
 	body := fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":%d,"messages":`, r.Plan.Model, r.Plan.Output)
 	body = append(append(body, messages...), '}')
