front: write events from a template and send those at hand together

Change: events come from a template with the text put in, lines are read by fastjson, tokens that are there already share one write.

--- /dev/null
+++ b/cmd/laburnumlab/experiment_cost.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/exper"
+)
+
+// ExperimentCost measures what one node process spends.
+type ExperimentCost struct {
+	Node    string        `long:"node" default:"127.0.0.1:8010" description:"node's address for callers"`
+	Admin   string        `long:"admin" default:"127.0.0.1:8011" description:"node's address for operators"`
+	Direct  string        `long:"direct" default:"127.0.0.1:7020" description:"address of a plain service"`
+	Key     string        `long:"key" default:"local-key" description:"workspace's key"`
+	Host    string        `long:"host" default:"portal.dutos.example" description:"host of the status route"`
+	Model   string        `long:"model" default:"assistente-dutos" description:"model of the prompts"`
+	Workers int           `long:"workers" default:"32" description:"calls at a time"`
+	For     time.Duration `long:"for" default:"3s" description:"time of each part"`
+}
+
+func init() {
+	commands.Add("experiment cost", "measure what one node process spends", &ExperimentCost{})
+}
+
+// Execute measures plain requests and streamed tokens.
+func (c *ExperimentCost) Execute(_ []string) error {
+	if c.Workers < 1 || c.For <= 0 {
+		return &cli.Exit{Code: cli.ExitUsage, Text: "--workers and --for must be above 0"}
+	}
+	x := exper.Cost{Node: c.Node, Admin: c.Admin, Direct: c.Direct, Key: c.Key, Host: c.Host, Model: c.Model, Workers: c.Workers, For: c.For}
+	ctx := context.Background()
+	node, direct, err := x.Plain(ctx)
+	if err != nil {
+		return err
+	}
+	tokens, err := x.Stream(ctx)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "what\ta second\tp50\tp99\tnode CPU each\ta second and core\terrors")
+	for _, r := range []struct {
+		name string
+		exper.Sample
+	}{{"plain, direct", direct}, {"plain, node", node}, {"streamed tokens", tokens}} {
+		fmt.Fprintf(w, "%s\t%.0f\t%s\t%s\t%s\t%.0f\t%d\n", r.name, r.PerSecond, r.P50, r.P99, r.CPU, r.PerCore, r.Errors)
+	}
+	return w.Flush()
+}
--- a/cmd/laburnumlab/standin.go
+++ b/cmd/laburnumlab/standin.go
@@ -78,6 +78,7 @@
 	Models       []ident.ModelName `long:"model" default:"assistente-dutos" description:"model served, repeatable"`
 	Memory       ident.Tokens      `long:"memory" default:"400000" description:"KV memory in tokens"`
 	Rate         ident.Tokens      `long:"rate" default:"200000" description:"prefill tokens a second"`
+	Step         time.Duration     `long:"step" default:"4ms" description:"time of an empty batch iteration"`
 	Lag          time.Duration     `long:"lag" default:"200ms" description:"age of the load reports"`
 	GapPercent   int               `long:"gaps" default:"5" description:"percent of cache events lost"`
 	ChecksOrders bool              `long:"checks-orders" description:"refuse orders with an old fencing number"`
@@ -91,6 +92,7 @@
 	sim := engsim.DefaultSettings()
 	sim.Memory = c.Memory
 	sim.PrefillRate = c.Rate
+	sim.StepBase = c.Step
 	s := &engsrv.Server{
 		Address: c.Listen, Sim: sim, Models: c.Models, ChecksOrders: c.ChecksOrders,
 		Lag: c.Lag, GapPercent: c.GapPercent, WeightStore: c.WeightStore, Seed: c.Seed, PoisonMark: c.Poison,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -154,6 +155,7 @@
 	n.ring = trace.NewRing(s.Name, clock, ringSize)
 	n.ledger = ledgr.New()
 	n.registry = prometheus.NewRegistry()
+	n.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	holder := claim.Holder{Node: s.Name, Boot: n.boot}
 	n.buildMesh(clock)
 	n.config = &config.Follower{Log: n.log, Ring: n.ring, Logger: n.Logger, SnapshotEvery: s.SnapshotEvery, InForce: n.inForce}
--- a/internal/proto/chat/chat_test.go
+++ b/internal/proto/chat/chat_test.go
@@ -1,6 +1,7 @@
 package chat_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -73,3 +74,22 @@
 		}
 	})
 }
+
+func TestTemplateWritesTheSameAsJSON(t *testing.T) {
+	for _, form := range []chat.Form{chat.Chat, chat.Text} {
+		r := chat.Reply{Prompt: &chat.Prompt{Form: form, Model: "m"}, ID: "r"}
+		for _, text := range []string{"hi ", "", `a"b\c`, "línea\n", "<&>", "\x01"} {
+			b := string(r.Template(false).Append(nil, text))
+			data, ok := strings.CutPrefix(b, "data: ")
+			must.True(t, ok)
+			var e struct {
+				Choices []struct {
+					Text  string
+					Delta struct{ Content string }
+				}
+			}
+			must.NoError(t, json.Unmarshal([]byte(data), &e), must.Sprint(b))
+			test.Eq(t, text, e.Choices[0].Text+e.Choices[0].Delta.Content)
+		}
+	}
+}
--- a/internal/proto/chat/reply.go
+++ b/internal/proto/chat/reply.go
@@ -1,6 +1,7 @@
 package chat
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -58,8 +59,17 @@
 	return &Usage{p, generated, p + generated, &UsageDetailed{cached}}
 }
 
-// Event returns the event that carries a piece of text.
-func (r Reply) Event(text string, first bool) []byte {
+// mark stands for the text in a template.
+const mark = "\u0001"
+
+// Template builds events that differ in their text only.
+type Template struct {
+	before, after []byte
+}
+
+// Template returns the template of a reply's events, or of the first one.
+func (r Reply) Template(first bool) Template {
+	text := mark
 	c := choice{}
 	if r.Prompt.Form == Chat {
 		c.Delta = &content{Content: text}
@@ -69,7 +79,36 @@
 	} else {
 		c.Text = &text
 	}
-	return event(r.shape(".chunk", c, nil))
+	before, after, _ := bytes.Cut(event(r.shape(".chunk", c, nil)), quote(mark))
+	return Template{before, after}
+}
+
+// Append appends the event that carries a piece of text.
+func (t Template) Append(b []byte, text string) []byte {
+	b = append(b, t.before...)
+	if plain(text) {
+		b = append(b, '"')
+		b = append(b, text...)
+		b = append(b, '"')
+	} else {
+		b = append(b, quote(text)...)
+	}
+	return append(b, t.after...)
+}
+
+func quote(s string) []byte {
+	raw, _ := json.Marshal(s)
+	return raw
+}
+
+// plain reports whether a text needs no escapes in JSON.
+func plain(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			return false
+		}
+	}
+	return true
 }
 
 // End returns the last events of a whole answer.
--- a/internal/proto/messg/engine.go
+++ b/internal/proto/messg/engine.go
@@ -56,6 +56,8 @@
 type Stream interface {
 	// Next waits for the next token.
 	Next() (Token, error)
+	// Ready reports whether the next token can be read without waiting.
+	Ready() bool
 	// Cut ends a Next that waits; it is safe for concurrent use.
 	Cut()
 	// Close ends the stream. One that didn't reach its end loses its
--- a/internal/trans/engin/engin.go
+++ b/internal/trans/engin/engin.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/table"
@@ -61,17 +63,17 @@
 
 // stream reads an answer line by line.
 type stream struct {
-	reply *conns.Reply
-	lines *bufio.Reader
-	next  ident.Tokens
-	last  bool
+	reply  *conns.Reply
+	lines  *bufio.Reader
+	parser fastjson.Parser
+	next   ident.Tokens
+	last   bool
 }
 
-type line struct {
-	Index  ident.Tokens
-	Text   string
-	Finish string
-	Cached ident.Tokens
+// Ready reports whether a whole line is buffered.
+func (s *stream) Ready() bool {
+	b, _ := s.lines.Peek(s.lines.Buffered())
+	return bytes.IndexByte(b, '\n') >= 0
 }
 
 // Next waits for the next token. Tokens out of order are an error.
@@ -80,16 +82,22 @@
 	if err != nil {
 		return messg.Token{}, errors.WithType(err, conns.ErrCut)
 	}
-	var l line
-	if err := json.Unmarshal(raw, &l); err != nil {
+	v, err := s.parser.ParseBytes(raw)
+	if err != nil {
 		return messg.Token{}, errors.WithType(err, messg.ErrBadAnswer)
 	}
-	if l.Index != s.next {
-		return messg.Token{}, errors.WithType(errors.Errorf("token %d where %d was due", l.Index, s.next), messg.ErrBadAnswer)
+	index := ident.Tokens(v.GetInt64("Index"))
+	if index != s.next || !v.Exists("Index") {
+		return messg.Token{}, errors.WithType(errors.Errorf("token %d where %d was due", index, s.next), messg.ErrBadAnswer)
 	}
 	s.next++
-	s.last = l.Finish != ""
-	return messg.Token{Index: l.Index, Text: l.Text, Last: s.last, Cached: l.Cached}, nil
+	s.last = len(v.GetStringBytes("Finish")) > 0
+	return messg.Token{
+		Index:  index,
+		Text:   string(v.GetStringBytes("Text")),
+		Last:   s.last,
+		Cached: ident.Tokens(v.GetInt64("Cached")),
+	}, nil
 }
 
 // Cut ends a Next that waits.
--- a/internal/trans/front/body.go
+++ b/internal/trans/front/body.go
@@ -25,6 +25,12 @@
 
 func (b *budget) give(n int64) { b.used.Add(-n) }
 
+// Content lengths that fasthttp gives to requests without one.
+const (
+	chunkedBody = -1
+	noBody      = -2
+)
+
 // body reads the whole body into memory that outlives the exchange.
 func (q *exchange) body() ([]byte, *serve.Failure) {
 	l := q.req.Table.Document.Limits
@@ -33,8 +39,11 @@
 	if n > most {
 		return nil, q.tooLarge(l.BodyBytes)
 	}
-	if n < 0 {
+	switch n {
+	case chunkedBody:
 		n = most
+	case noBody:
+		n = 0
 	}
 	if !q.server.memory.take(n, int64(l.MemoryBytes)) {
 		return nil, &serve.Failure{
--- a/internal/trans/front/prompt.go
+++ b/internal/trans/front/prompt.go
@@ -112,7 +112,7 @@
 	h.Set("Cache-Control", "no-store")
 	q.ctx.SetContentType("text/event-stream")
 	q.ctx.Response.ImmediateHeaderFlush = true
-	q.ctx.SetBodyStream(&events{exchange: q.detached(), answer: a, reply: reply, end: end}, -1)
+	q.ctx.SetBodyStream(&events{exchange: q.detached(), answer: a, reply: reply, template: reply.Template(true), end: end}, -1)
 }
 
 // detached returns a copy that doesn't touch the handler's context.
@@ -129,10 +129,11 @@
 	answer   *serve.Answer
 	reply    chat.Reply
 	end      func()
-	rest     []byte
-	begun    bool
-	done     bool
-	failed   bool
+	// rest is the part of buffer that wasn't read yet.
+	rest, buffer []byte
+	template     chat.Template
+	done         bool
+	failed       bool
 }
 
 var _ io.ReadCloser = (*events)(nil)
@@ -154,20 +155,35 @@
 	return n, nil
 }
 
+// maxEvents bounds the events that are sent together.
+const maxEvents = 4 << 10
+
+// fill takes the next token and those that are there already.
 func (e *events) fill() {
+	e.buffer = e.buffer[:0]
+	e.take()
+	for !e.done && !e.failed && len(e.buffer) < maxEvents && e.answer.Ready() {
+		e.take()
+	}
+	e.rest = e.buffer
+}
+
+func (e *events) take() {
 	t, err := e.answer.Next()
 	if err != nil {
 		f := serve.AsFailure(err)
 		e.failed = true
-		e.rest = chat.ErrorEvent(e.exchange.errorBody(f))
+		e.buffer = append(e.buffer, chat.ErrorEvent(e.exchange.errorBody(f))...)
 		e.exchange.ended(f.Outcome, f.Code, f.Message)
 		return
 	}
-	e.rest = e.reply.Event(t.Text, !e.begun)
-	e.begun = true
+	e.buffer = e.template.Append(e.buffer, t.Text)
+	if t.Index == 0 {
+		e.template = e.reply.Template(false)
+	}
 	if t.Last {
 		e.done = true
-		e.rest = append(e.rest, e.reply.End(e.reply.Usage(e.answer.Generated(), e.answer.Cached()))...)
+		e.buffer = append(e.buffer, e.reply.End(e.reply.Usage(e.answer.Generated(), e.answer.Cached()))...)
 		e.exchange.ended(ident.Answered, "", "")
 	}
 }
--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -187,6 +187,11 @@
 	}
 }
 
+// Ready reports whether the next token can be read without waiting.
+func (a *Answer) Ready() bool {
+	return a.pending == nil && a.call != nil && a.call.stream.Ready()
+}
+
 // try reads from the attempt under way, or begins one.
 func (a *Answer) try() (messg.Token, error) {
 	if a.call == nil {
