route: give candidates one by one

Cause: a decision looked at all engines although a short prompt compares four, and each request summed the uses of all workspaces. Change: policies draw candidates from a source; the uses are summed after each round of load reports.

--- a/internal/coord/route/base.go
+++ b/internal/coord/route/base.go
@@ -11,12 +11,13 @@
 }
 
 // Choose picks the next candidate that fits.
-func (p *RoundRobin) Choose(cs []Candidate, r Request, _ *rand.Rand) (Choice, error) {
+func (p *RoundRobin) Choose(s Source, r Request, _ *rand.Rand) (Choice, error) {
+	cs := s.All()
 	for range cs {
 		p.next++
 		i := p.next % len(cs)
 		if cs[i].fits(r) {
-			return choice(cs, i, r), nil
+			return chosen(cs[i], i, r), nil
 		}
 	}
 	return Choice{}, ErrNoEndpoint
@@ -26,7 +27,8 @@
 type LeastCalls struct{}
 
 // Choose picks the candidate with the fewest running requests.
-func (LeastCalls) Choose(cs []Candidate, r Request, _ *rand.Rand) (Choice, error) {
+func (LeastCalls) Choose(s Source, r Request, _ *rand.Rand) (Choice, error) {
+	cs := s.All()
 	at := -1
 	for i, c := range cs {
 		if c.fits(r) && (at < 0 || c.View.Running < cs[at].View.Running) {
@@ -36,14 +38,15 @@
 	if at < 0 {
 		return Choice{}, ErrNoEndpoint
 	}
-	return choice(cs, at, r), nil
+	return chosen(cs[at], at, r), nil
 }
 
 // TwoChoices takes the less busy of two random candidates.
 type TwoChoices struct{}
 
 // Choose picks the less busy of two random candidates.
-func (TwoChoices) Choose(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
+func (TwoChoices) Choose(s Source, r Request, rnd *rand.Rand) (Choice, error) {
+	cs := s.All()
 	fit := make([]int, 0, len(cs))
 	for i, c := range cs {
 		if c.fits(r) {
@@ -57,5 +60,5 @@
 	if cs[b].View.Running < cs[a].View.Running {
 		a = b
 	}
-	return choice(cs, a, r), nil
+	return chosen(cs[a], a, r), nil
 }
--- a/internal/coord/route/estim.go
+++ b/internal/coord/route/estim.go
@@ -23,6 +23,8 @@
 	// samples is the number of endpoints that a short request compares, one
 	// of them inside the long lane.
 	samples = 4
+	// probes bounds the random endpoints that are looked at for samples.
+	probes = 24
 	// suspectCost keeps other requests away from an endpoint that runs one
 	// which may crash it.
 	suspectCost = 250 * time.Millisecond
@@ -37,43 +39,33 @@
 type Estimated struct{}
 
 // Choose picks a candidate.
-func (Estimated) Choose(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
+func (Estimated) Choose(s Source, r Request, rnd *rand.Rand) (Choice, error) {
 	if r.Short {
-		return chooseShort(cs, r, rnd)
+		if c, ok := chooseShort(s, r, rnd); ok {
+			return c, nil
+		}
 	}
-	return chooseLong(cs, r, rnd)
+	return chooseNear(s.All(), r, rnd)
 }
 
-// chooseShort takes the best of a few samples.
-func chooseShort(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
-	best, at := time.Duration(-1), -1
-	try := func(i int) {
-		if c := cost(cs[i], r); at < 0 || c < best {
-			best, at = c, i
-		}
-	}
-	var some [samples]sample
-	for i, c := range cs {
-		if !c.fits(r) {
+// chooseShort takes the best of a few samples, one of them inside the long
+// lane. It fails if few candidates fit.
+func chooseShort(s Source, r Request, rnd *rand.Rand) (Choice, bool) {
+	best, found, inside := time.Duration(0), 0, false
+	var choice Choice
+	for probe := 0; probe < probes && found < samples && s.N > 0; probe++ {
+		i := rnd.IntN(s.N)
+		c := s.At(i)
+		if !c.fits(r) || c.Long && inside {
 			continue
 		}
-		if c.Long {
-			some[0].offer(i, rnd)
-			continue
+		inside = inside || c.Long
+		found++
+		if k := cost(c, r); found == 1 || k < best {
+			best, choice = k, chosen(c, i, r)
 		}
-		for j := range some[1:] {
-			some[1+j].offer(i, rnd)
-		}
-	}
-	for _, s := range some {
-		if s.n > 0 {
-			try(s.at)
-		}
-	}
-	if at < 0 {
-		return Choice{}, ErrNoEndpoint
 	}
-	return choice(cs, at, r), nil
+	return choice, found > 0
 }
 
 // sample holds one of the values offered to it, each as likely.
@@ -88,8 +80,8 @@
 	}
 }
 
-// chooseLong takes a random one of those near the best.
-func chooseLong(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
+// chooseNear takes a random one of those near the best.
+func chooseNear(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error) {
 	best := time.Duration(-1)
 	costs := make([]time.Duration, len(cs))
 	for i, c := range cs {
@@ -112,7 +104,7 @@
 			s.offer(i, rnd)
 		}
 	}
-	return choice(cs, s.at, r), nil
+	return chosen(cs[s.at], s.at, r), nil
 }
 
 // cost is the estimated time to first token with what the choice costs
@@ -121,9 +113,9 @@
 	return First(c, r) + opening(c, r) + risk(c, r)
 }
 
-func choice(cs []Candidate, i int, r Request) Choice {
-	f := First(cs[i], r)
-	return Choice{Index: i, First: f, Whole: f + decode(cs[i], r)}
+func chosen(c Candidate, i int, r Request) Choice {
+	f := First(c, r)
+	return Choice{Index: i, First: f, Whole: f + decode(c, r)}
 }
 
 // First estimates the time to the first token.
--- a/internal/coord/route/route.go
+++ b/internal/coord/route/route.go
@@ -27,6 +27,8 @@
 	Suspects int64
 	// Long tells that the endpoint is in the lane of long requests.
 	Long bool
+	// Out tells that the endpoint gets no new work.
+	Out bool
 }
 
 // Request is what a policy knows of a request.
@@ -50,9 +52,30 @@
 	Whole time.Duration
 }
 
+// Source gives the candidates one by one, so that a policy which samples few
+// of many pays for those only.
+type Source struct {
+	N  int
+	At func(i int) Candidate
+}
+
+// Of returns a source of the given candidates.
+func Of(cs []Candidate) Source {
+	return Source{len(cs), func(i int) Candidate { return cs[i] }}
+}
+
+// All returns all candidates.
+func (s Source) All() []Candidate {
+	cs := make([]Candidate, s.N)
+	for i := range cs {
+		cs[i] = s.At(i)
+	}
+	return cs
+}
+
 // Policy chooses one of the candidates.
 type Policy interface {
-	Choose(cs []Candidate, r Request, rnd *rand.Rand) (Choice, error)
+	Choose(s Source, r Request, rnd *rand.Rand) (Choice, error)
 }
 
 // need is the KV memory that a request takes.
@@ -60,7 +83,7 @@
 
 // fits reports whether the candidate can ever take the request.
 func (c Candidate) fits(r Request) bool {
-	if r.Suspect && c.Suspects > 0 {
+	if c.Out || r.Suspect && c.Suspects > 0 {
 		return false
 	}
 	return r.need() <= c.usable(r)
@@ -82,7 +105,9 @@
 func Largest(cs []Candidate, r Request) ident.Tokens {
 	var most ident.Tokens
 	for _, c := range cs {
-		most = max(most, c.usable(r))
+		if !c.Out {
+			most = max(most, c.usable(r))
+		}
 	}
 	return most
 }
--- a/internal/coord/route/route_test.go
+++ b/internal/coord/route/route_test.go
@@ -32,7 +32,7 @@
 	rnd := random()
 	n := make([]int, len(cs))
 	for range tries {
-		c, err := route.Estimated{}.Choose(cs, r, rnd)
+		c, err := route.Estimated{}.Choose(route.Of(cs), r, rnd)
 		must.NoError(t, err)
 		n[c.Index]++
 	}
@@ -50,6 +50,7 @@
 	}{
 		{"a short queue", func(cs []route.Candidate) { cs[0].View.ShortQueue = 50_000 }, short, 0},
 		{"no long prompt beside short ones", func(cs []route.Candidate) { cs[0].View.LongQueue = 50_000 }, short, 0},
+		{"an endpoint that gets work", func(cs []route.Candidate) { cs[0].Out = true }, long, 0},
 		{"a cached prefix", func(cs []route.Candidate) { cs[1].Cached, cs[2].Cached = 90_000, 90_000 }, long, 0},
 		{"free memory", func(cs []route.Candidate) { cs[0].View.Free = 50_000 }, long, 0},
 		{"memory beyond the reserve", func(cs []route.Candidate) { cs[0].View.Free = 150_000 }, long, 0},
@@ -79,7 +80,7 @@
 	r := route.Request{Prompt: 10, Output: 1, Short: true, Suspect: true}
 	test.Eq(t, 0, chosen(t, cs, r)[0])
 	cs[1].Suspects = 1
-	_, err := route.Estimated{}.Choose(cs, r, random())
+	_, err := route.Estimated{}.Choose(route.Of(cs), r, random())
 	test.ErrorIs(t, err, route.ErrNoEndpoint)
 }
 
@@ -107,9 +108,9 @@
 
 func TestPoliciesFailWithoutCandidates(t *testing.T) {
 	for _, p := range []route.Policy{route.Estimated{}, &route.RoundRobin{}, route.LeastCalls{}, route.TwoChoices{}} {
-		_, err := p.Choose(nil, route.Request{Prompt: 1}, random())
+		_, err := p.Choose(route.Of(nil), route.Request{Prompt: 1}, random())
 		test.ErrorIs(t, err, route.ErrNoEndpoint)
-		_, err = p.Choose(idle("a"), route.Request{Prompt: 900_000, Short: true}, random())
+		_, err = p.Choose(route.Of(idle("a")), route.Request{Prompt: 900_000, Short: true}, random())
 		test.ErrorIs(t, err, route.ErrNoEndpoint)
 	}
 }
@@ -144,10 +145,10 @@
 		c.View.ShortQueue = ident.Tokens(i * 100)
 		cs = append(cs, c)
 	}
-	rnd := random()
+	rnd, src := random(), route.Of(cs)
 	r := route.Request{Prompt: 1000, Output: 100, Short: true}
 	for b.Loop() {
-		if _, err := (route.Estimated{}).Choose(cs, r, rnd); err != nil {
+		if _, err := (route.Estimated{}).Choose(src, r, rnd); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/coord/route/spread.go
+++ b/internal/coord/route/spread.go
@@ -63,7 +63,7 @@
 		if now {
 			room = c.View.Free - c.reserve(r)
 		}
-		if room >= part.Prompt && (!r.Suspect || c.Suspects == 0) {
+		if !c.Out && room >= part.Prompt && (!r.Suspect || c.Suspects == 0) {
 			fit = append(fit, i)
 		}
 	}
--- a/internal/lab/exper/route.go
+++ b/internal/lab/exper/route.go
@@ -190,7 +190,7 @@
 		p.spread()
 		return
 	}
-	c, err := r.policy.Choose(cs, p.query, r.rnd)
+	c, err := r.policy.Choose(route.Of(cs), p.query, r.rnd)
 	if err != nil {
 		return
 	}
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -40,7 +40,7 @@
 	defer t.Stop()
 	for {
 		n.pollRound(ctx, &g, pollers)
-		n.core.ObserveLanes(time.Now())
+		n.core.Observe(time.Now())
 		select {
 		case <-ctx.Done():
 			g.Wait()
--- a/internal/state/tally/tally.go
+++ b/internal/state/tally/tally.go
@@ -87,6 +87,18 @@
 	t.others.Store(&sum)
 }
 
+// Of returns the counts of one workspace over all nodes.
+func (t *Tally) Of(w ident.WorkspaceName) Use {
+	var u Use
+	if v, ok := t.own.Load(w); ok {
+		u = v.(*counter).use()
+	}
+	if o := t.others.Load(); o != nil {
+		u.add((*o)[w])
+	}
+	return u
+}
+
 // Fleet returns the counts over all nodes.
 func (t *Tally) Fleet() map[ident.WorkspaceName]Use {
 	m := t.Own()
--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -128,14 +128,14 @@
 func (a *Answer) admit() *Failure {
 	a.query = routeRequest(a.req, a.prompt, a.suspected())
 	cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, nil)
-	if len(cs.views) == 0 {
+	if !cs.up() {
 		return failBusy("no-endpoint", "no endpoint of the model is up")
 	}
 	ch, f := a.estimate(cs)
 	if f != nil {
 		return f
 	}
-	alone := route.Alone(cs.views[ch.Index], a.query)
+	alone := route.Alone(cs.at(ch.Index), a.query)
 	d := a.core.admit(a.req, a.prompt, ch, alone)
 	if !d.Admit {
 		return failRefused(d)
@@ -150,22 +150,28 @@
 // estimate chooses an endpoint, or several for a prompt that is larger than
 // each of them.
 func (a *Answer) estimate(cs candidates) (route.Choice, *Failure) {
-	if a.prompt.Tokens+a.prompt.MaxTokens > route.Largest(cs.views, a.query) {
-		a.spread = true
-		plan, err := route.Spread(cs.views, a.query, false)
-		if err != nil {
-			return route.Choice{}, failTooLarge(a.prompt.Tokens)
-		}
-		return plan.Choice, nil
-	}
-	ch, err := a.core.choose(cs.views, a.query)
+	ch, err := a.core.choose(cs, a.query)
 	if err != nil {
-		return ch, failBusy("no-endpoint", err.Error())
+		return a.estimateSpread(cs, err)
 	}
 	a.chosen = cs.endpoints[ch.Index]
 	return ch, nil
 }
 
+// estimateSpread plans a prompt that fits into no single engine.
+func (a *Answer) estimateSpread(cs candidates, cause error) (route.Choice, *Failure) {
+	all := cs.source().All()
+	if a.prompt.Tokens+a.prompt.MaxTokens <= route.Largest(all, a.query) {
+		return route.Choice{}, failBusy("no-endpoint", cause.Error())
+	}
+	a.spread = true
+	plan, err := route.Spread(all, a.query, false)
+	if err != nil {
+		return route.Choice{}, failTooLarge(a.prompt.Tokens)
+	}
+	return plan.Choice, nil
+}
+
 // Next waits for the next token. The error is a *Failure.
 func (a *Answer) Next() (messg.Token, error) {
 	if a.pending != nil {
@@ -248,11 +254,11 @@
 	a.query.Suspect = a.suspected()
 	for {
 		cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, a.excluded)
-		ch, err := a.core.choose(cs.views, a.query)
+		ch, err := a.core.choose(cs, a.query)
 		if err == nil {
 			return cs.endpoints[ch.Index], nil
 		}
-		if !a.query.Suspect || len(cs.views) == 0 {
+		if !a.query.Suspect || !cs.up() {
 			return nil, err
 		}
 		// Other suspects run; they end or crash soon.
--- a/internal/trans/serve/core.go
+++ b/internal/trans/serve/core.go
@@ -50,6 +50,7 @@
 
 	table  atomic.Pointer[table.Table]
 	lanes  lanes
+	busy   atomic.Pointer[busy]
 	random sync.Pool
 	seed   atomic.Uint64
 	after  sync.WaitGroup
--- a/internal/trans/serve/lanes.go
+++ b/internal/trans/serve/lanes.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/admit"
 	"laburnumstack.org/laburnum/internal/coord/route"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -32,15 +33,29 @@
 	return route.Lane{}.Size(n)
 }
 
-// ObserveLanes sizes the long lanes from the present loads. It is called after
-// each round of load reports.
-func (c *Core) ObserveLanes(now time.Time) {
+// busy sums what all workspaces have in flight.
+type busy struct {
+	all admit.Use
+	// weights is the sum over workspaces with requests in flight.
+	weights int
+}
+
+// Observe sizes the long lanes and sums the uses, so that the path of a
+// request need not. It is called after each round of load reports.
+func (c *Core) Observe(now time.Time) {
 	_, n := c.Rank()
 	c.lanes.nodes.Store(int64(n))
 	t := c.Table()
 	if t == nil {
 		return
 	}
+	b := &busy{}
+	for w, u := range c.Tally.Fleet() {
+		b.all.Requests += u.Requests
+		b.all.Tokens += u.Tokens
+		b.weights += t.Document.Workspaces[w].Weight
+	}
+	c.busy.Store(b)
 	for _, m := range t.Models() {
 		c.lanes.observe(m, viewsOf(t.Engines(m), now, n))
 	}
--- a/internal/trans/serve/pick.go
+++ b/internal/trans/serve/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/admit"
@@ -11,31 +12,44 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// candidates are the endpoints that may take a prompt, with their load.
+// candidates are the engines of a prompt's model, with their load at a time.
 type candidates struct {
 	endpoints []*table.Endpoint
-	views     []route.Candidate
+	without   ident.Set[ident.EndpointName]
+	cached    map[ident.EndpointName]ident.Tokens
+	nodes     int
+	lane      int
+	now       time.Time
 }
 
-// candidatesFor lists the engines of a model that get new work, without those
-// excluded.
+// candidatesFor lists the engines of a model. Those excluded, and those that
+// get no new work, count as out.
 func (c *Core) candidatesFor(r *Request, p *chat.Prompt, suspect bool, without ident.Set[ident.EndpointName]) candidates {
-	now := time.Now()
-	cached := c.cachedAt(p)
-	nodes := c.lanes.nodeCount()
-	all := c.engines(r, p, suspect)
-	lane := c.lanes.size(p.Model, len(all))
-	var cs candidates
-	for i, e := range all {
-		if e.State() != table.Up || without.Has(e.Name) {
-			continue
-		}
-		v := route.Candidate{Name: e.Name, View: e.View(now, nodes), Cached: cached[e.Name], Long: i < lane}
-		v.Suspects = e.Suspects.Load() + e.PeerSuspects.Load()
-		cs.endpoints = append(cs.endpoints, e)
-		cs.views = append(cs.views, v)
+	es := c.engines(r, p, suspect)
+	return candidates{
+		endpoints: es, without: without, cached: c.cachedAt(p),
+		nodes: c.lanes.nodeCount(), lane: c.lanes.size(p.Model, len(es)), now: time.Now(),
+	}
+}
+
+func (cs candidates) source() route.Source { return route.Source{N: len(cs.endpoints), At: cs.at} }
+
+func (cs candidates) at(i int) route.Candidate {
+	e := cs.endpoints[i]
+	if e.State() != table.Up || cs.without.Has(e.Name) {
+		return route.Candidate{Name: e.Name, Out: true}
 	}
-	return cs
+	return route.Candidate{
+		Name: e.Name, View: e.View(cs.now, cs.nodes), Cached: cs.cached[e.Name],
+		Suspects: e.Suspects.Load() + e.PeerSuspects.Load(), Long: i < cs.lane,
+	}
+}
+
+// up reports whether one of the engines may get work.
+func (cs candidates) up() bool {
+	return slices.ContainsFunc(cs.endpoints, func(e *table.Endpoint) bool {
+		return e.State() == table.Up && !cs.without.Has(e.Name)
+	})
 }
 
 // engines lists the engines of a model. Suspect requests run on a part of
@@ -80,10 +94,10 @@
 	}
 }
 
-func (c *Core) choose(cs []route.Candidate, q route.Request) (route.Choice, error) {
+func (c *Core) choose(cs candidates, q route.Request) (route.Choice, error) {
 	var ch route.Choice
 	var err error
-	c.withRandom(func(r *rand.Rand) { ch, err = c.Policy.Choose(cs, q, r) })
+	c.withRandom(func(r *rand.Rand) { ch, err = c.Policy.Choose(cs.source(), q, r) })
 	return ch, err
 }
 
@@ -118,15 +132,12 @@
 		MaxRequests: int64(w.MaxRequests),
 		MaxTokens:   w.MaxTokens,
 	}
-	for n, u := range c.Tally.Fleet() {
-		in.All.Requests += u.Requests
-		in.All.Tokens += u.Tokens
-		if n == r.Workspace {
-			in.Mine = admit.Use(u)
-		} else {
-			in.Weights += r.Table.Document.Workspaces[n].Weight
-		}
+	in.Mine = admit.Use(c.Tally.Of(r.Workspace))
+	if b := c.busy.Load(); b != nil {
+		in.All, in.Weights = b.all, b.weights
+	}
+	if in.Mine.Requests == 0 {
+		in.Weights += w.Weight
 	}
-	in.Weights += w.Weight
 	return admit.Decide(in)
 }
--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -45,7 +45,7 @@
 	w := r.Table.Document.Workspaces[r.Workspace]
 	d := admit.Decide(admit.Input{
 		Remaining:   r.Remaining(),
-		Mine:        admit.Use(c.Tally.Fleet()[r.Workspace]),
+		Mine:        admit.Use(c.Tally.Of(r.Workspace)),
 		MaxRequests: int64(w.MaxRequests),
 		MaxTokens:   w.MaxTokens,
 	})
--- a/internal/trans/serve/spread.go
+++ b/internal/trans/serve/spread.go
@@ -55,7 +55,7 @@
 // reserveOnce reserves all parts in the global order, or none.
 func (a *Answer) reserveOnce(owner string) (*hold, []route.Part, error) {
 	cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, a.excluded)
-	plan, err := route.Spread(cs.views, a.query, true)
+	plan, err := route.Spread(cs.source().All(), a.query, true)
 	if err != nil {
 		return nil, nil, errors.WithType(err, messg.ErrNoMemory)
 	}
