docs: work out the capacity at the design size from measured slopes

Cause of two changes that came out of it: an idle node polled 25 endpoints five times a second, 4.1 % of a core; it now polls those it doesn't use once a second, 1.2 %. A key of a booking costs 590 B for twice its age; the default age of 24 h would fill 256 MB at 2.5 bookings a second and is now 1 h. Open: bytes of load reports and membership beyond 20 nodes.

--- /dev/null
+++ b/internal/lab/slopes/slopes_test.go
@@ -0,0 +1,189 @@
+// Package slopes measures what state, messages and time grow with, for the
+// capacity page.
+package slopes
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/membr"
+	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/state/fold"
+	"laburnumstack.org/laburnum/internal/state/ledgr"
+	"laburnumstack.org/laburnum/internal/state/table"
+	"laburnumstack.org/laburnum/internal/state/tally"
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// document returns a configuration of n endpoints, with workspaces, models
+// and routes in the proportions of the design size.
+func document(n int) []byte {
+	d := confg.Document{
+		Workspaces: map[ident.WorkspaceName]confg.Workspace{},
+		Endpoints:  map[ident.EndpointName]confg.Endpoint{},
+		Routes:     map[ident.RouteName]confg.Route{},
+	}
+	models := max(1, n*18/5600)
+	for i := range n * 4100 / 5600 {
+		d.Workspaces[ident.WorkspaceName(fmt.Sprintf("workspace-%04d", i))] = confg.Workspace{Keys: []string{fmt.Sprintf("%064x", i)}, Weight: 1}
+	}
+	for i := range n {
+		d.Endpoints[ident.EndpointName(fmt.Sprintf("engine-%04d", i))] = confg.Endpoint{
+			Address: fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250), DataCentre: "dc", Kind: confg.Engine,
+			Models: []ident.ModelName{ident.ModelName(fmt.Sprintf("model-%02d", i%models))}, MemoryTokens: 400_000,
+		}
+	}
+	for i := range models {
+		d.Routes[ident.RouteName(fmt.Sprintf("route-%02d", i))] = confg.Route{PathPrefix: "/v1/", Class: confg.Prompt, Models: []ident.ModelName{ident.ModelName(fmt.Sprintf("model-%02d", i))}}
+	}
+	raw, _ := json.Marshal(d)
+	return raw
+}
+
+var sizes = []int{350, 1400, 5600}
+
+// heap returns the bytes that f's result holds.
+func heap(f func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkPatch folds a patch of one endpoint and compiles the table.
+func BenchmarkPatch(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			raw := document(n)
+			f := fold.New()
+			first, _ := json.Marshal(fold.Record{Patch: &fold.Patch{ID: "0", Merge: raw}})
+			f.Apply(0, first)
+			must.Eq(b, 1, f.Version())
+			held := heap(func() any { return table.New(1, f.Document(), nil) })
+			t := table.New(1, f.Document(), nil)
+			i := 0
+			for b.Loop() {
+				i++
+				p, _ := json.Marshal(fold.Record{Patch: &fold.Patch{ID: ident.PatchID(fmt.Sprint(i)), Base: f.Version(), Merge: json.RawMessage(`{"Endpoints":{"engine-0000":{"PrefillRate":50001}}}`)}})
+				f.Apply(ident.Offset(i), p)
+				t = table.New(f.Version(), f.Document(), t)
+			}
+			b.ReportMetric(float64(len(raw)), "document-bytes")
+			b.ReportMetric(held, "table-bytes")
+		})
+	}
+}
+
+// BenchmarkBeat encodes and decodes a heartbeat with w workspaces in use.
+func BenchmarkBeat(b *testing.B) {
+	for _, w := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(w), func(b *testing.B) {
+			m := messg.Beat{From: membr.Member{Name: "node-001", Peer: "10.1.1.1:8082", Admin: "10.1.1.1:8081", Caller: "10.1.1.1:8080", DataCentre: "dc"}, Stamp: trace.Stamp{Wall: time.Now().UnixMilli()}, Uses: map[ident.WorkspaceName]tally.Use{}}
+			for range 16 {
+				m.Known = append(m.Known, m.From)
+			}
+			for i := range w {
+				m.Uses[ident.WorkspaceName(fmt.Sprintf("workspace-%04d", i))] = tally.Use{Requests: 3, Tokens: 40_000}
+			}
+			var buf bytes.Buffer
+			enc, dec := gob.NewEncoder(&buf), gob.NewDecoder(&buf)
+			size := 0
+			for b.Loop() {
+				enc.Encode(m)
+				size = buf.Len()
+				var out messg.Beat
+				must.NoError(b, dec.Decode(&out))
+			}
+			b.ReportMetric(float64(size), "beat-bytes")
+		})
+	}
+}
+
+// BenchmarkClaims folds records of n claims and as many ends.
+func BenchmarkClaims(b *testing.B) {
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := claim.NewTable()
+			at := time.Now()
+			i, size := 0, 0
+			for b.Loop() {
+				raw, _ := json.Marshal(claimRecord(i, n))
+				size = len(raw)
+				var rec claim.Record
+				must.NoError(b, json.Unmarshal(raw, &rec))
+				t.Apply(ident.Offset(i), at, rec)
+				i++
+			}
+			b.ReportMetric(float64(size)/float64(n), "bytes/booking")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/booking")
+		})
+	}
+	b.Run("memory", func(b *testing.B) {
+		const keys = 100_000
+		for b.Loop() {
+			held := heap(func() any {
+				t := claim.NewTable()
+				for i := range keys / 10 {
+					t.Apply(ident.Offset(i), time.Now(), claimRecord(i, 10))
+				}
+				return t
+			})
+			b.ReportMetric(held/keys, "bytes/key")
+		}
+	})
+}
+
+func claimRecord(i, n int) claim.Record {
+	r := claim.Record{Holder: claim.Holder{Node: "node-001", Boot: 1}}
+	for j := range n {
+		it := claim.Item{
+			Op: claim.Claim, Key: claim.Key{Workspace: "workspace-0001", Name: fmt.Sprintf("018f-key-%d-%d", i, j)},
+			Attempt: ident.AttemptID(fmt.Sprintf("%012d%012d", i, j)), Request: "0123456789abcdef01234567", Digest: 0xfedcba9876543210, Age: time.Hour,
+		}
+		end := it
+		end.Op, end.Answer = claim.Done, &claim.Answer{Status: 201, ContentType: "application/json", Body: make([]byte, 200)}
+		r.Items = append(r.Items, it, end)
+	}
+	return r
+}
+
+// BenchmarkUsage encodes a batch of n rows.
+func BenchmarkUsage(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := ledgr.New()
+			for i := range n {
+				l.Add(ledgr.Account{Workspace: ident.WorkspaceName(fmt.Sprintf("workspace-%04d", i)), Route: "route-01", Model: "model-01"}, time.Now(), ledgr.Sum{Requests: 10, PromptTokens: 100_000, GeneratedTokens: 3000, EndpointSeconds: 12.5})
+			}
+			batch := ledgr.Batch{Node: "node-001", Boot: ident.New(), Seq: 7, Rows: l.Peek()}
+			size := 0
+			for b.Loop() {
+				raw, _ := json.Marshal(batch)
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size)/float64(n), "bytes/row")
+		})
+	}
+}
+
+// BenchmarkRing adds an event.
+func BenchmarkRing(b *testing.B) {
+	g := trace.NewRing("node-001", &trace.Clock{}, 20_000)
+	for b.Loop() {
+		g.Add(trace.Chosen, "0123456789abcdef01234567", "attempt 1 at engine-0001")
+	}
+}
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// loadEvery is the time between two reads of an endpoint's load.
+	// loadEvery is the time between two reads of the load of an endpoint that
+	// this node uses, idleEvery of one that it doesn't.
 	loadEvery = 200 * time.Millisecond
+	idleEvery = time.Second
 	// eventsEvery is the number of load reads to one read of cache events.
 	eventsEvery = 5
 	listEvery   = time.Second
@@ -26,6 +28,7 @@
 // poller reads the load of one endpoint.
 type poller struct {
 	busy   sync.Mutex
+	last   time.Time
 	count  int
 	events uint64
 }
@@ -64,6 +67,11 @@
 		if !p.busy.TryLock() {
 			continue
 		}
+		if !e.Used() && time.Since(p.last) < idleEvery {
+			p.busy.Unlock()
+			continue
+		}
+		p.last = time.Now()
 		if !g.TryGo(func() error { defer p.busy.Unlock(); n.poll(ctx, e, p); return nil }) {
 			p.busy.Unlock()
 		}
--- a/internal/state/table/endpoint.go
+++ b/internal/state/table/endpoint.go
@@ -82,6 +82,10 @@
 	e.held.add(prompt + output)
 }
 
+// Used reports whether this node has requests in flight there or sent some
+// since the last report but one.
+func (e *Endpoint) Used() bool { return e.Calls.Load() > 0 || e.held.sum() > 0 }
+
 // View is an endpoint's load corrected by what this node sent since.
 type View struct {
 	ShortQueue, LongQueue ident.Tokens
--- a/pkg/confg/limits.go
+++ b/pkg/confg/limits.go
@@ -34,7 +34,7 @@
 	setDefault(&l.ShortTokens, 16_000)
 	setDefault(&l.ReservedPercent, 20)
 	setDefault(&l.RetryPercent, 10)
-	setDefault(&l.KeyAge, Duration(24*time.Hour))
+	setDefault(&l.KeyAge, Duration(time.Hour))
 	setDefault(&l.SilenceTimeout, Duration(2*time.Second))
 	setDefault(&l.MaxStrikes, 3)
 }
