leases: give orders to engines from one holder only

The lease is a record on the log whose offset is the fencing number. Test: one order for each change, an old number is refused where it is checked, and put right where it is not.

--- a/internal/lab/engsrv/control.go
+++ b/internal/lab/engsrv/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/url"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -16,6 +18,11 @@
 // transferRate is the speed of KV export and import in tokens a second.
 const transferRate = 2_000_000
 
+const (
+	fetchTries = 20
+	fetchPause = 200 * time.Millisecond
+)
+
 // report is a load snapshot.
 type report struct {
 	at time.Time
@@ -181,11 +188,44 @@
 		return
 	}
 	s.lastNum = max(s.lastNum, o.Number)
-	s.carryOut(o)
+	s.orders++
+	if o.Load == "" || s.WeightStore == "" {
+		s.carryOut(o)
+		return
+	}
+	go s.fetch(o)
+}
+
+// fetch loads a model from the weight store, which may refuse for a while.
+func (s *Server) fetch(o Order) {
+	for range fetchTries {
+		status, _, err := fasthttp.Get(nil, "http://"+s.WeightStore+"/fetch?model="+url.QueryEscape(string(o.Load)))
+		if err == nil && status == fasthttp.StatusOK {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.carryOut(o)
+			return
+		}
+		time.Sleep(fetchPause)
+	}
+}
+
+// Orders returns the number of orders accepted.
+func (s *Server) Orders() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders
+}
+
+// HasModel reports whether the engine serves a model.
+func (s *Server) HasModel(m ident.ModelName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.Models, m)
 }
 
 func (s *Server) carryOut(o Order) {
-	var ms []ident.ModelName
+	ms := []ident.ModelName{}
 	for _, m := range s.Models {
 		if m != o.Drop && m != o.Load {
 			ms = append(ms, m)
--- a/internal/lab/engsrv/engsrv.go
+++ b/internal/lab/engsrv/engsrv.go
@@ -50,6 +50,7 @@
 	rnd      *rand.Rand
 	crash    chan time.Duration
 	crashes  int
+	orders   int
 }
 
 // Listen opens the listener, so that the address is known before Run.
--- a/internal/lab/engsrv/stream.go
+++ b/internal/lab/engsrv/stream.go
@@ -44,6 +44,7 @@
 
 // prompt is what the engine reads of a request's body.
 type prompt struct {
+	Model    ident.ModelName `json:"model"`
 	Messages json.RawMessage `json:"messages"`
 	Prompt   json.RawMessage `json:"prompt"`
 }
@@ -94,6 +95,10 @@
 	if !httpd.Decode(ctx, &p) {
 		return
 	}
+	if !s.HasModel(p.Model) {
+		httpd.Fail(ctx, fasthttp.StatusConflict, "refused", "model is not loaded")
+		return
+	}
 	if s.PoisonMark != "" && strings.Contains(string(p.content()), s.PoisonMark) {
 		go s.Crash(s.poisonDown())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/engin"
 	"laburnumstack.org/laburnum/internal/trans/front"
+	"laburnumstack.org/laburnum/internal/trans/leases"
 	"laburnumstack.org/laburnum/internal/trans/peer"
 	"laburnumstack.org/laburnum/internal/trans/platf"
 	"laburnumstack.org/laburnum/internal/trans/serve"
@@ -53,6 +54,7 @@
 	config   *config.Follower
 	keeper   *claims.Keeper
 	holds    *serve.Holds
+	lease    *leases.Keeper
 	health   *serve.Health
 	strikes  *serve.Strikes
 	core     *serve.Core
@@ -122,6 +124,8 @@
 	g.Go(func() error { n.holds.Follow(life); return nil })
 	g.Go(func() error { n.holds.Reap(life); return nil })
 	g.Go(func() error { return n.mesh.Run(life, n.listeners.peers) })
+	g.Go(func() error { return n.lease.Run(life) })
+	g.Go(func() error { n.giveOrders(life); return nil })
 	g.Go(func() error { n.pollEndpoints(life); return nil })
 	g.Go(func() error { n.pollList(life); return nil })
 	g.Go(func() error { n.usage.run(life); return nil })
@@ -166,6 +170,7 @@
 	n.strikes = serve.NewStrikes(n.mesh.Share)
 	n.holds = &serve.Holds{Log: n.log, Engine: n.engine, Holder: holder, Ring: n.ring, Logger: n.Logger, Alive: n.mesh.Alive}
 	n.holds.Init()
+	n.lease = &leases.Keeper{Log: n.log, Holder: holder, Length: leaseLength, Ring: n.ring, Logger: n.Logger}
 	n.usage = &usageWriter{log: n.log, ledger: n.ledger, node: s.Name, boot: ident.New(), logger: n.Logger}
 	n.core = &serve.Core{
 		Engine: n.engine, Pools: pools, Policy: route.Estimated{}, Keeper: n.keeper,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,6 +21,9 @@
 	"laburnumstack.org/laburnum/internal/lab/fleet"
 	"laburnumstack.org/laburnum/internal/lab/logsrv"
 	"laburnumstack.org/laburnum/internal/lab/plain"
+	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/engin"
 	"laburnumstack.org/laburnum/pkg/admin"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -442,6 +445,32 @@
 	must.NoError(t, f.AwaitVersion(2))
 }
 
+func TestOrdersFollowTheConfiguration(t *testing.T) {
+	f := startFleet(t)
+	const extra = "assistente-mapas"
+	merge := fmt.Sprintf(`{"Endpoints":{%q:{"Models":[%q,%q]},%q:{"Models":[%q]}},"Routes":{"maps":{"PathPrefix":"/v1/","Class":"Prompt","Models":[%q]}}}`,
+		f.Plan.EngineName(0), f.Plan.Model, extra, f.Plan.EngineName(1), extra, extra)
+	v, err := f.Patch(json.RawMessage(merge), 1)
+	must.NoError(t, err)
+	must.Eq(t, admin.Accepted, v.Result, must.Sprint(v.Problems))
+	await(t, "models are loaded and dropped", func() bool {
+		return f.Engines[0].HasModel(extra) && f.Engines[1].HasModel(extra) && !f.Engines[1].HasModel(f.Plan.Model)
+	})
+	body := fmt.Sprintf(`{"model":%q,"prompt":"hi","max_tokens":2}`, extra)
+	await(t, "prompt is served", func() bool {
+		return call(f, 0, "POST", "/v1/completions", body).status == http.StatusOK
+	})
+	test.Eq(t, 1, f.Engines[0].Orders())
+	test.Eq(t, 2, f.Engines[1].Orders())
+	test.Eq(t, 0, f.Engines[2].Orders())
+	eng := &engin.Client{Pools: &conns.Pools{}}
+	old := messg.Order{Number: -1, Drop: extra}
+	test.ErrorIs(t, eng.Order(context.Background(), f.Engines[0].Address, old), messg.ErrOldNumber)
+	must.True(t, f.Engines[0].HasModel(extra))
+	must.NoError(t, eng.Order(context.Background(), f.Engines[1].Address, old))
+	await(t, "the late order is put right", func() bool { return f.Engines[1].HasModel(extra) })
+}
+
 func TestTimelineExplainsARequest(t *testing.T) {
 	f := startFleet(t)
 	a := complete(f, 0, "hi", 2)
--- a/internal/proto/messg/engine.go
+++ b/internal/proto/messg/engine.go
@@ -129,6 +129,7 @@
 	ClaimStream  StreamName = "claims"
 	UsageStream  StreamName = "usage"
 	HoldStream   StreamName = "holds"
+	LeaseStream  StreamName = "leases"
 )
 
 // Log is the platform's append-only log.
--- a/internal/state/table/load.go
+++ b/internal/state/table/load.go
@@ -19,7 +19,8 @@
 	// PrefillRate is in tokens a second.
 	PrefillRate ident.Tokens
 	// Step is the time of the last batch iteration.
-	Step   time.Duration
+	Step time.Duration
+	// Models are loaded; nil if the report doesn't tell.
 	Models []ident.ModelName
 	// Leaving tells that the endpoint takes no new work.
 	Leaving bool
--- a/internal/state/trace/clock.go
+++ b/internal/state/trace/clock.go
@@ -83,6 +83,8 @@
 	Endpoint   Kind = "endpoint"
 	Platform   Kind = "platform"
 	Stopping   Kind = "stopping"
+	Lease      Kind = "lease"
+	Ordered    Kind = "ordered"
 )
 
 // Event is one decision or observation.
--- /dev/null
+++ b/internal/trans/leases/keeper_test.go
@@ -0,0 +1,95 @@
+package leases_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/lab/memlog"
+	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/leases"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const length = 6 * time.Second
+
+func start(t *testing.T, l *memlog.Log, n ident.NodeName) (k *leases.Keeper, stop func()) {
+	k = &leases.Keeper{Log: l, Holder: claim.Holder{Node: n, Boot: 1}, Length: length, Ring: trace.NewRing(n, &trace.Clock{}, 100), Logger: zerolog.Nop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { k.Run(ctx); close(done) }()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return k, stop
+}
+
+// holders returns how many of the keepers may act now.
+func holders(ks ...*leases.Keeper) (n int) {
+	for _, k := range ks {
+		if _, _, ok := k.Held(); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &memlog.Log{}
+		a, _ := start(t, l, "a")
+		b, _ := start(t, l, "b")
+		c, _ := start(t, l, "c")
+		held, last := 0, ident.Offset(-1)
+		for i := range 600 {
+			time.Sleep(100 * time.Millisecond)
+			if i%70 == 0 {
+				l.LoseAnswers(2)
+			}
+			l.SetDown(i%200 > 120)
+			n := holders(a, b, c)
+			must.LessEq(t, 1, n)
+			held += n
+			for _, k := range []*leases.Keeper{a, b, c} {
+				if number, _, ok := k.Held(); ok {
+					must.GreaterEq(t, last, number)
+					last = number
+				}
+			}
+		}
+		test.Greater(t, 200, held)
+	})
+}
+
+func TestLeaseIsGivenUpAtAPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &memlog.Log{}
+		a, stopA := start(t, l, "a")
+		time.Sleep(length)
+		must.Eq(t, 1, holders(a))
+		number, _, _ := a.Held()
+		b, _ := start(t, l, "b")
+		stopA()
+		time.Sleep(length)
+		must.Eq(t, 1, holders(b))
+		next, _, _ := b.Held()
+		test.Greater(t, number, next)
+	})
+}
+
+func TestHolderStopsDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &memlog.Log{}
+		a, _ := start(t, l, "a")
+		time.Sleep(length)
+		must.Eq(t, 1, holders(a))
+		l.SetDown(true)
+		time.Sleep(length)
+		test.Eq(t, 0, holders(a))
+	})
+}
--- a/internal/trans/serve/pick.go
+++ b/internal/trans/serve/pick.go
@@ -15,6 +15,7 @@
 // candidates are the engines of a prompt's model, with their load at a time.
 type candidates struct {
 	endpoints []*table.Endpoint
+	model     ident.ModelName
 	without   ident.Set[ident.EndpointName]
 	cached    map[ident.EndpointName]ident.Tokens
 	nodes     int
@@ -27,7 +28,7 @@
 func (c *Core) candidatesFor(r *Request, p *chat.Prompt, suspect bool, without ident.Set[ident.EndpointName]) candidates {
 	es := c.engines(r, p, suspect)
 	return candidates{
-		endpoints: es, without: without, cached: c.cachedAt(p),
+		endpoints: es, model: p.Model, without: without, cached: c.cachedAt(p),
 		nodes: c.lanes.nodeCount(), lane: c.lanes.size(p.Model, len(es)), now: time.Now(),
 	}
 }
@@ -36,7 +37,7 @@
 
 func (cs candidates) at(i int) route.Candidate {
 	e := cs.endpoints[i]
-	if e.State() != table.Up || cs.without.Has(e.Name) {
+	if !cs.ready(e) {
 		return route.Candidate{Name: e.Name, Out: true}
 	}
 	return route.Candidate{
@@ -47,9 +48,16 @@
 
 // up reports whether one of the engines may get work.
 func (cs candidates) up() bool {
-	return slices.ContainsFunc(cs.endpoints, func(e *table.Endpoint) bool {
-		return e.State() == table.Up && !cs.without.Has(e.Name)
-	})
+	return slices.ContainsFunc(cs.endpoints, cs.ready)
+}
+
+// ready reports whether an engine gets work and has loaded the model.
+func (cs candidates) ready(e *table.Endpoint) bool {
+	if e.State() != table.Up || cs.without.Has(e.Name) {
+		return false
+	}
+	models := e.Load().Models
+	return models == nil || slices.Contains(models, cs.model)
 }
 
 // engines lists the engines of a model. Suspect requests run on a part of
