exper: drive loads above capacity through admission

Cause of a change: at 200 % load 127 admitted prompts of 1M tokens ended past their limit in the model, since it let them wait for memory without end; nodes give up after a quarter of the limit. The model now does too.

--- /dev/null
+++ b/cmd/laburnumlab/experiment_overload.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/exper"
+)
+
+// ExperimentOverload drives loads above capacity in virtual time.
+type ExperimentOverload struct {
+	Seed  uint64        `long:"seed" default:"1" description:"seed"`
+	Loads []int         `long:"load" description:"offered load in percent of the engines' rate, repeatable; 80, 100, 150 and 200 if none is given"`
+	Limit time.Duration `long:"limit" default:"30s" description:"time limit of each prompt"`
+	For   time.Duration `long:"for" default:"60s" description:"virtual time of each load"`
+}
+
+func init() {
+	commands.Add("experiment overload", "compare loads above capacity with and without admission", &ExperimentOverload{})
+}
+
+// Execute runs the loads.
+func (c *ExperimentOverload) Execute(_ []string) error {
+	if len(c.Loads) == 0 {
+		c.Loads = []int{80, 100, 150, 200}
+	}
+	for _, l := range c.Loads {
+		if l < 1 {
+			return &cli.Exit{Code: cli.ExitUsage, Text: "--load must be at least 1"}
+		}
+	}
+	x := exper.DefaultRouting(c.Seed)
+	x.For = c.For
+	fmt.Printf("seed %d, one workspace sends 60%% of the prompts, nine the rest, limit %s\n", c.Seed, c.Limit)
+	exper.WriteOverload(os.Stdout, exper.RunOverload(x, c.Loads, c.Limit))
+	return nil
+}
--- a/internal/lab/exper/route.go
+++ b/internal/lab/exper/route.go
@@ -40,6 +40,10 @@
 	// ShortOnly sends only the short part of the load, at the rate it has in
 	// the whole.
 	ShortOnly bool
+	// Admit refuses prompts as nodes do; otherwise all are taken.
+	Admit bool
+	// Limit bounds each prompt when Admit is set.
+	Limit time.Duration
 }
 
 // DefaultRouting is the load of the example fleets at their real size.
@@ -65,11 +69,12 @@
 	start   time.Time
 	results []load.Result
 	ids     int
+	uses    uses
 }
 
 // Run drives the load through a policy and returns what came of it.
 func (x Routing) Run(p route.Policy) []load.Result {
-	r := &routing{Routing: x, world: newWorld(x.Seed, x.Engines, x.Sim), policy: p}
+	r := &routing{Routing: x, world: newWorld(x.Seed, x.Engines, x.Sim), policy: p, uses: newUses(x.Seed)}
 	r.start = r.now
 	for range x.Nodes {
 		r.nodes = append(r.nodes, r.newNode())
@@ -184,14 +189,18 @@
 	r := n.run
 	r.ids++
 	p := &prompt{node: n, id: ident.RequestID(fmt.Sprint(r.ids)), length: l, began: r.now}
+	p.workspace = r.uses.pick()
 	p.query = route.Request{Prompt: l.Tokens, Output: r.Output, Short: l.Tokens <= shortTokens, ReservedPercent: reserved}
 	cs := n.candidates()
 	if l.Tokens+r.Output > route.Largest(cs, p.query) {
-		p.spread()
+		plan, err := route.Spread(cs, p.query, false)
+		if err == nil && p.admit(plan.Choice, cs) {
+			p.spread()
+		}
 		return
 	}
 	c, err := r.policy.Choose(route.Of(cs), p.query, r.rnd)
-	if err != nil {
+	if err != nil || !p.admit(c, cs) {
 		return
 	}
 	e := n.endpoints[c.Index]
@@ -208,6 +217,8 @@
 	query  route.Request
 	began  time.Time
 	first  time.Duration
+	// workspace is the index of the prompt's owner.
+	workspace int
 }
 
 func (p *prompt) priority() int {
@@ -229,6 +240,7 @@
 
 func (p *prompt) ended() {
 	r := p.node.run
+	r.uses.end(p.workspace, p.length.Tokens)
 	at := p.began.Sub(r.start)
 	if at < warmUp {
 		return
@@ -236,6 +248,7 @@
 	r.results = append(r.results, load.Result{
 		Kind: load.Prompt, Class: p.length.Name, At: at, First: p.first,
 		Took: r.now.Sub(p.began) + network, Outcome: ident.Answered, Whole: true,
+		Workspace: workspaceName(p.workspace),
 	})
 }
 
@@ -244,6 +257,11 @@
 	r := p.node.run
 	plan, err := route.Spread(p.node.candidates(), p.query, true)
 	if err != nil || !p.reserve(plan) {
+		if r.Admit && r.now.Sub(p.began) > route.WaitForMemory(r.Limit) {
+			r.uses.end(p.workspace, p.length.Tokens)
+			r.refuse(p, "no-memory")
+			return
+		}
 		r.after(memoryRetry, p.spread)
 		return
 	}
