--- a/internal/trans/claims/keeper.go
+++ b/internal/trans/claims/keeper.go
@@ -14,6 +14,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -21,9 +22,7 @@
 const ErrNoLog = errors.ConstError("log did not settle the claim in time")
 
 const (
-	// readWait is the long poll of the tail.
-	readWait = 2 * time.Second
-	// retryWait is the pause after a failed call.
+	// retryWait is the pause after a failed append.
 	retryWait = 100 * time.Millisecond
 	// downAfter is how long calls must fail before the log counts as down.
 	downAfter = 500 * time.Millisecond
@@ -70,7 +69,7 @@
 // Run follows the stream and appends until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { k.follow(ctx); return nil })
+	g.Go(func() error { k.follower().Run(ctx); return nil })
 	g.Go(func() error { k.flushAll(ctx); return nil })
 	return g.Wait()
 }
@@ -211,32 +210,24 @@
 	}
 }
 
-// follow folds the stream.
-func (k *Keeper) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		k.mu.Lock()
-		from := k.table.Next()
-		k.mu.Unlock()
-		p, err := k.Log.Read(ctx, messg.ClaimStream, from, readWait)
-		if ctx.Err() != nil {
-			return
-		}
-		k.note(err)
-		if err != nil {
-			pause(ctx, retryWait)
-			continue
-		}
-		k.apply(p.Records)
-	}
+// follower folds the stream.
+func (k *Keeper) follower() tail.Follower {
+	return tail.Follower{Log: k.Log, Stream: messg.ClaimStream, Next: k.next, Apply: k.apply, Note: k.note}
+}
+
+func (k *Keeper) next() ident.Offset {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Next()
 }
 
-func (k *Keeper) apply(rs []messg.Record) {
-	if len(rs) == 0 {
+func (k *Keeper) apply(p messg.Page) {
+	if len(p.Records) == 0 {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, r := range rs {
+	for _, r := range p.Records {
 		var rec claim.Record
 		if err := json.Unmarshal(r.Data, &rec); err != nil {
 			k.Logger.Error().Err(err).Int64("offset", int64(r.Offset)).Msg("claims: bad record")
@@ -277,7 +268,7 @@
 		case <-k.kick:
 		}
 		for k.flush(ctx) {
-			pause(ctx, k.Interval)
+			tail.Pause(ctx, k.Interval)
 		}
 	}
 }
@@ -306,7 +297,7 @@
 		return true
 	}
 	k.requeue(items)
-	pause(ctx, retryWait)
+	tail.Pause(ctx, retryWait)
 	return true
 }
 
@@ -323,12 +314,3 @@
 	}
 	k.queue = append(kept, k.queue...)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/trans/config/config.go
+++ b/internal/trans/config/config.go
@@ -17,6 +17,7 @@
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/fold"
 	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/confg"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -24,11 +25,7 @@
 // ErrNoVerdict means that a patch may or may not have entered the log.
 const ErrNoVerdict = errors.ConstError("no verdict on the patch in time")
 
-const (
-	readWait  = 2 * time.Second
-	retryWait = 100 * time.Millisecond
-	checkWait = time.Second
-)
+const checkWait = time.Second
 
 // Follower is one reader of the configuration stream. Its exported fields are
 // set before Run.
@@ -48,6 +45,8 @@
 	inForce  ident.Version
 	snapshot time.Time
 	started  time.Time
+	// down tells that the last read failed; only the follower uses it.
+	down bool
 }
 
 // Init prepares the follower; it is called once before use.
@@ -60,33 +59,24 @@
 // Run follows the stream until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { f.follow(ctx); return nil })
+	g.Go(func() error { f.follower().Run(ctx); return nil })
 	g.Go(func() error { f.snapshots(ctx); return nil })
 	return g.Wait()
 }
 
-func (f *Follower) follow(ctx context.Context) {
-	down := false
-	for ctx.Err() == nil {
-		p, err := f.Log.Read(ctx, messg.ConfigStream, f.next(), readWait)
-		if ctx.Err() != nil {
-			return
-		}
-		if down != (err != nil) {
-			down = err != nil
-			f.noteLog(down)
-		}
-		if err != nil {
-			pause(ctx, retryWait)
-			continue
-		}
-		f.apply(p)
-	}
+func (f *Follower) follower() tail.Follower {
+	return tail.Follower{Log: f.Log, Stream: messg.ConfigStream, Next: f.next, Apply: f.apply, Note: f.noteRead}
 }
 
-func (f *Follower) noteLog(down bool) {
+// noteRead notes when the log begins and ends to fail.
+func (f *Follower) noteRead(err error) {
+	down := err != nil
+	if down == f.down {
+		return
+	}
+	f.down = down
 	if down {
-		f.Logger.Warn().Msg("config: log does not answer")
+		f.Logger.Warn().Err(err).Msg("config: log does not answer")
 		f.Ring.Add(trace.Platform, "", "log does not answer")
 		return
 	}
@@ -258,7 +248,7 @@
 // wait for random times, so that mostly one of them writes.
 func (f *Follower) snapshots(ctx context.Context) {
 	wait := f.SnapshotEvery + rand.N(f.SnapshotEvery/2+1)
-	for pause(ctx, min(checkWait, f.SnapshotEvery/4)) {
+	for tail.Pause(ctx, min(checkWait, f.SnapshotEvery/4)) {
 		if !f.due(wait) {
 			continue
 		}
@@ -291,15 +281,3 @@
 	_, err = f.Log.Append(ctx, messg.ConfigStream, raw)
 	return err
 }
-
-// pause waits and reports whether the context still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/trans/conns/probe.go
+++ b/internal/trans/conns/probe.go
@@ -10,45 +10,35 @@
 // Open reports whether the other end of a connection has not closed it, as
 // far as this end has heard. It consumes nothing.
 func Open(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := true
-	err = rc.Control(func(fd uintptr) {
-		open = peek(int(fd))
-	})
-	return err == nil && open
+	n, err := peek(c)
+	return err == syscall.EAGAIN || err == syscall.EINTR || err == nil && n > 0
 }
 
 // quiet reports whether a connection is open and has nothing to read.
 func quiet(c net.Conn) bool {
+	_, err := peek(c)
+	return err == syscall.EAGAIN
+}
+
+// peek looks at the next byte of a connection without waiting. EAGAIN means
+// that there is none yet; that is also the answer for connections that can't
+// be looked at.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	idle := false
+	var b [1]byte
+	var failed error
 	err = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = e == syscall.EAGAIN
+		n, _, failed = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && idle
-}
-
-func peek(fd int) bool {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	if err == syscall.EAGAIN || err == syscall.EINTR {
-		return true
+	if err != nil {
+		return 0, err
 	}
-	return err == nil && n > 0
+	return n, failed
 }
--- a/internal/trans/leases/keeper.go
+++ b/internal/trans/leases/keeper.go
@@ -17,12 +17,11 @@
 	"laburnumstack.org/laburnum/internal/state/claim"
 	"laburnumstack.org/laburnum/internal/state/lease"
 	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
-	readWait  = 2 * time.Second
-	retryWait = 200 * time.Millisecond
 	// parts is how often a lease is renewed within its length.
 	parts = 3
 	// marginParts of the length is what the holder stops early by, for the
@@ -55,7 +54,7 @@
 // Run follows the lease until the context ends, then gives it up.
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { k.follow(ctx); return nil })
+	g.Go(func() error { k.follower().Run(ctx); return nil })
 	g.Go(func() error { k.hold(ctx); return nil })
 	return g.Wait()
 }
@@ -71,7 +70,7 @@
 
 // hold asks for the lease when it is free and renews it when it is held.
 func (k *Keeper) hold(ctx context.Context) {
-	for pause(ctx, k.Length/parts+rand.N(k.Length/parts/2)) {
+	for tail.Pause(ctx, k.Length/parts+rand.N(k.Length/parts/2)) {
 		if r, ok := k.next(time.Now()); ok {
 			k.append(ctx, r)
 		}
@@ -115,24 +114,20 @@
 	}
 }
 
-func (k *Keeper) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		k.mu.Lock()
-		from := k.table.Next()
-		k.mu.Unlock()
-		p, err := k.Log.Read(ctx, messg.LeaseStream, from, readWait)
-		if err != nil {
-			pause(ctx, retryWait)
-			continue
-		}
-		k.apply(p.Records)
-	}
+func (k *Keeper) follower() tail.Follower {
+	return tail.Follower{Log: k.Log, Stream: messg.LeaseStream, Next: k.nextOffset, Apply: k.apply}
+}
+
+func (k *Keeper) nextOffset() ident.Offset {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Next()
 }
 
-func (k *Keeper) apply(rs []messg.Record) {
+func (k *Keeper) apply(p messg.Page) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, r := range rs {
+	for _, r := range p.Records {
 		var rec lease.Record
 		if err := json.Unmarshal(r.Data, &rec); err != nil {
 			k.Logger.Error().Err(err).Msg("leases: bad record")
@@ -160,14 +155,3 @@
 	}
 	delete(k.sent, rec.Seq)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/juju/errors"
-
-	"laburnumstack.org/laburnum/internal/coord/retry"
 	"laburnumstack.org/laburnum/internal/coord/route"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/chat"
@@ -18,21 +14,6 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// Priorities at an engine; lower goes first.
-const (
-	shortPriority = 0
-	longPriority  = 1
-)
-
-const (
-	// probation is the number of tokens after which a suspect counts as
-	// harmless for those beside it.
-	probation     = 16
-	suspectPause  = 20 * time.Millisecond
-	cancelTries   = 3
-	cancelTimeout = time.Second
-)
-
 // Answer is the answer to one prompt under way. Failed attempts are hidden
 // from its reader as far as retries and resumption allow.
 type Answer struct {
@@ -60,31 +41,6 @@
 	busy time.Duration
 }
 
-// attempt is one try at one endpoint.
-type attempt struct {
-	id       ident.RequestID
-	endpoint *table.Endpoint
-	stream   messg.Stream
-	began    time.Time
-	watch    *watchdog
-	hold     *hold
-	// suspect tells that the attempt counts as a suspect at its endpoint.
-	suspect bool
-	tokens  int
-}
-
-// endpoints are those that the attempt runs on.
-func (t *attempt) endpoints() []*table.Endpoint {
-	switch {
-	case t == nil:
-		return nil
-	case t.hold != nil:
-		return t.hold.engines
-	default:
-		return []*table.Endpoint{t.endpoint}
-	}
-}
-
 // Begin admits a prompt and waits for the first token. The error is a
 // *Failure.
 func (c *Core) Begin(ctx context.Context, r *Request, p *chat.Prompt, body []byte) (*Answer, error) {
@@ -216,206 +172,6 @@
 	return t, err
 }
 
-// clear ends the attempt's time as a suspect.
-func (t *attempt) clear() {
-	if t.suspect {
-		t.suspect = false
-		t.endpoint.Suspects.Add(-1)
-	}
-}
-
-// open begins an attempt.
-func (a *Answer) open() error {
-	a.attempts++
-	id := ident.RequestID(fmt.Sprintf("%s-%d", a.req.ID, a.attempts))
-	if a.spread {
-		return a.openSpread(id)
-	}
-	e, err := a.endpoint()
-	if err != nil {
-		return err
-	}
-	a.begin(&attempt{id: id, endpoint: e})
-	s, err := a.core.Engine.Generate(a.ctx, e.Config().Address, a.generate(id, ""))
-	if err != nil {
-		return err
-	}
-	a.started(s)
-	a.core.hint(a.prompt, e.Name)
-	return nil
-}
-
-// endpoint returns the one chosen at admission, or chooses another.
-func (a *Answer) endpoint() (*table.Endpoint, error) {
-	if e := a.chosen; e != nil {
-		a.chosen = nil
-		return e, nil
-	}
-	a.query.Suspect = a.suspected()
-	for {
-		cs := a.core.candidatesFor(a.req, a.prompt, a.query.Suspect, a.excluded)
-		ch, err := a.core.choose(cs, a.query)
-		if err == nil {
-			return cs.endpoints[ch.Index], nil
-		}
-		if !a.query.Suspect || !cs.up() {
-			return nil, err
-		}
-		// Other suspects run; they end or crash soon.
-		if !pause(a.ctx, suspectPause) {
-			return nil, a.ctx.Err()
-		}
-	}
-}
-
-// begin counts an attempt at its endpoint.
-func (a *Answer) begin(t *attempt) {
-	t.began = time.Now()
-	a.call = t
-	e := t.endpoint
-	e.Calls.Add(1)
-	if a.query.Suspect {
-		t.suspect = true
-		e.Suspects.Add(1)
-	}
-	e.Sent(a.prompt.Tokens, a.prompt.MaxTokens, a.query.Short)
-	a.core.event(trace.Chosen, a.req, "attempt %d at %s", a.attempts, e.Name)
-}
-
-// started notes that an endpoint took the attempt.
-func (a *Answer) started(s messg.Stream) {
-	a.sent = true
-	a.call.stream = s
-	a.call.watch = a.watchOver(a.call)
-}
-
-func (a *Answer) generate(id ident.RequestID, reservation string) messg.Generate {
-	g := messg.Generate{Request: id, Body: a.body, Priority: longPriority, ResumeAt: a.next, MaxTokens: a.prompt.MaxTokens, Reservation: reservation}
-	if a.query.Short {
-		g.Priority = shortPriority
-	}
-	return g
-}
-
-// recover decides what follows a failed attempt. It returns nil if another
-// one may begin.
-func (a *Answer) recover(err error) *Failure {
-	t := a.call
-	apart := t != nil && t.suspect
-	if t != nil && t.watch != nil && t.watch.stalled.Load() {
-		a.excluded.Add(t.endpoint.Name)
-	}
-	a.drop(true)
-	kind := classify(err, a.next > 0)
-	if t != nil && (kind == retry.Lost || kind == retry.Cut) {
-		a.sent = true
-	}
-	if a.ctx.Err() != nil {
-		return failEnded(a.ctx, a.outcome())
-	}
-	if a.spread && errors.Is(err, messg.ErrNoMemory) {
-		return failBusy("no-memory", "engines lack memory for the prompt")
-	}
-	for _, e := range t.endpoints() {
-		if f := a.blame(e, kind, err, apart); f != nil {
-			return f
-		}
-	}
-	in := retry.Input{Failure: kind, Idempotent: true, Attempts: a.attempts, Delivered: a.next > 0, Remaining: a.req.Remaining()}
-	in.Budget = a.core.Budget.Take()
-	d := retry.Decide(in, a.core.jitter())
-	if d.Action == retry.GiveUp || errors.Is(err, route.ErrNoEndpoint) {
-		return failEndpoint(err, a.outcome(), a.attempts)
-	}
-	a.note(d.Action, err)
-	if !pause(a.ctx, d.Delay) {
-		return failEnded(a.ctx, a.outcome())
-	}
-	return nil
-}
-
-func (a *Answer) note(act retry.Action, err error) {
-	a.core.Metrics.Retries.Inc()
-	if act == retry.Resume {
-		a.core.Metrics.Resumes.Inc()
-		a.core.event(trace.Resumed, a.req, "resumes at token %d after: %v", a.next, err)
-		return
-	}
-	a.core.event(trace.Retried, a.req, "tries again after: %v", err)
-}
-
-// blame finds out what a failure says of the endpoint. It returns a failure
-// if the prompt crashed too many.
-func (a *Answer) blame(e *table.Endpoint, kind retry.Failure, err error, apart bool) *Failure {
-	if errors.Is(err, messg.ErrLeaving) {
-		a.core.Health.Refused(e)
-	}
-	if kind == retry.Refused {
-		a.excluded.Add(e.Name)
-		return nil
-	}
-	dead := a.core.Health.Check(a.ctx, e)
-	if !dead {
-		return nil
-	}
-	a.excluded.Add(e.Name)
-	if kind == retry.NotSent {
-		return nil
-	}
-	n := a.core.Strikes.Strike(a.digest, e.Name, apart)
-	a.core.event(trace.Struck, a.req, "%s died with it in flight, strike %d, %d of them apart", e.Name, n.All, n.Apart)
-	if n.Convicts(a.req.Table.Document.Limits.MaxStrikes) {
-		return failStruck(n, ident.Unknown)
-	}
-	return nil
-}
-
-// outcome is what to tell the caller when the prompt gets no whole answer.
-func (a *Answer) outcome() ident.Outcome {
-	if a.sent {
-		return ident.Unknown
-	}
-	return ident.NotRun
-}
-
-// drop ends the attempt under way, and cancels it at the endpoint if it has
-// not ended by itself.
-func (a *Answer) drop(cancel bool) {
-	t := a.call
-	if t == nil {
-		return
-	}
-	a.call = nil
-	a.busy += time.Since(t.began)
-	t.endpoint.Calls.Add(-1)
-	t.clear()
-	if t.watch != nil {
-		t.watch.stop()
-	}
-	if t.stream != nil {
-		t.stream.Close()
-	}
-	if cancel && t.stream != nil {
-		a.core.later(func() { a.core.cancel(t) })
-	}
-	if t.hold != nil {
-		a.core.later(t.hold.end)
-	}
-}
-
-// cancel frees what an attempt holds at its engine.
-func (c *Core) cancel(t *attempt) {
-	for range cancelTries {
-		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
-		err := c.Engine.Cancel(ctx, t.endpoint.Config().Address, t.id)
-		stop()
-		if err == nil || t.endpoint.State() == table.Down {
-			return
-		}
-		time.Sleep(cancelTimeout / 10)
-	}
-}
-
 // Close ends the answer and books it. It must be called once.
 func (a *Answer) Close() {
 	whole := a.last.Last
--- a/internal/trans/serve/core.go
+++ b/internal/trans/serve/core.go
@@ -3,7 +3,6 @@
 package serve
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -98,18 +97,3 @@
 func (c *Core) event(k trace.Kind, r *Request, format string, args ...any) {
 	c.Ring.Add(k, r.ID, fmt.Sprintf(format, args...))
 }
-
-// pause waits, and reports whether the context still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/trans/serve/health.go
+++ b/internal/trans/serve/health.go
@@ -13,6 +13,7 @@
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -93,7 +94,7 @@
 		if h.failed(e, err) == table.Down {
 			return true
 		}
-		pause(ctx, checkPause)
+		tail.Pause(ctx, checkPause)
 	}
 	return false
 }
--- a/internal/trans/serve/holds.go
+++ b/internal/trans/serve/holds.go
@@ -14,12 +14,12 @@
 	"laburnumstack.org/laburnum/internal/state/holds"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
-	holdReadWait = 2 * time.Second
-	reapEvery    = time.Second
+	reapEvery = time.Second
 	// reapGrace is how long after its end, or after this node's start, a
 	// hold is left to its holder.
 	reapGrace      = 10 * time.Second
@@ -120,30 +120,26 @@
 		if err == nil || e.State() == table.Down {
 			return true
 		}
-		pause(ctx, releasePause)
+		tail.Pause(ctx, releasePause)
 	}
 	return false
 }
 
 // Follow folds the hold stream until the context ends.
 func (h *Holds) Follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		h.mu.Lock()
-		from := h.state.Next()
-		h.mu.Unlock()
-		p, err := h.Log.Read(ctx, messg.HoldStream, from, holdReadWait)
-		if err != nil {
-			pause(ctx, reapEvery)
-			continue
-		}
-		h.apply(p.Records)
-	}
+	tail.Follower{Log: h.Log, Stream: messg.HoldStream, Next: h.next, Apply: h.apply}.Run(ctx)
+}
+
+func (h *Holds) next() ident.Offset {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Next()
 }
 
-func (h *Holds) apply(rs []messg.Record) {
+func (h *Holds) apply(p messg.Page) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, r := range rs {
+	for _, r := range p.Records {
 		var rec holds.Record
 		if err := json.Unmarshal(r.Data, &rec); err != nil {
 			h.Logger.Error().Err(err).Msg("holds: bad record")
@@ -155,7 +151,7 @@
 // Reap releases what dead nodes, or failed releases, left behind.
 func (h *Holds) Reap(ctx context.Context) {
 	started := time.Now()
-	for pause(ctx, reapEvery) {
+	for tail.Pause(ctx, reapEvery) {
 		if time.Since(started) < reapGrace {
 			continue
 		}
--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -16,6 +16,7 @@
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -167,7 +168,7 @@
 	}
 	t.core.Metrics.Retries.Inc()
 	t.core.event(trace.Retried, t.req, "tries again after: %v", err)
-	if !pause(t.ctx, d.Delay) {
+	if !tail.Pause(t.ctx, d.Delay) {
 		return failEnded(t.ctx, t.outcome())
 	}
 	return nil
--- a/internal/trans/serve/spread.go
+++ b/internal/trans/serve/spread.go
@@ -11,6 +11,7 @@
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -46,7 +47,7 @@
 			return o, parts, err
 		}
 		wait := memoryPause + time.Duration(a.core.jitter()*float64(memoryPause))
-		if !pause(a.ctx, wait) {
+		if !tail.Pause(a.ctx, wait) {
 			return nil, nil, a.ctx.Err()
 		}
 	}
