--- /dev/null
+++ b/cmd/laburnumlab/experiment_live.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/exper"
+	"laburnumstack.org/laburnum/internal/lab/fleet"
+)
+
+const maxNodes = 40
+
+// ExperimentConfig measures how soon patches are in force everywhere.
+type ExperimentConfig struct {
+	Nodes   int `long:"nodes" default:"7" description:"number of nodes"`
+	Patches int `long:"patches" default:"100" description:"number of patches"`
+}
+
+// ExperimentBookings measures bookings at several rates.
+type ExperimentBookings struct {
+	Nodes int           `long:"nodes" default:"7" description:"number of nodes"`
+	Rates []int         `long:"rate" description:"bookings a second, repeatable; 10, 100 and 400 if none is given"`
+	For   time.Duration `long:"for" default:"5s" description:"time of each rate"`
+}
+
+func init() {
+	commands.Add("experiment config", "measure how soon patches are in force at all nodes", &ExperimentConfig{})
+	commands.Add("experiment bookings", "measure the latency and the log's appends at booking rates", &ExperimentBookings{})
+}
+
+// withFleet runs f on a fleet of some nodes.
+func withFleet(nodes int, f func(*fleet.Fleet) error) error {
+	if nodes < 1 || nodes > maxNodes {
+		return &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf("--nodes must be from 1 to %d", maxNodes)}
+	}
+	plan, err := planOf("duct")
+	if err != nil {
+		return err
+	}
+	plan.Nodes, plan.Engines = nodes, 2
+	fl := &fleet.Fleet{Plan: plan, Seed: 1, Logger: zerolog.Nop()}
+	if err := fl.Start(context.Background()); err != nil {
+		return err
+	}
+	defer fl.Stop()
+	return f(fl)
+}
+
+// Execute measures the patches.
+func (c *ExperimentConfig) Execute(_ []string) error {
+	return withFleet(c.Nodes, func(f *fleet.Fleet) error {
+		took, err := exper.ConfigSpread(f, c.Patches)
+		if err != nil || len(took) == 0 {
+			return err
+		}
+		n := len(took)
+		fmt.Printf("%d nodes, %d patches, from the verdict until in force everywhere: p50 %s, p99 %s, longest %s\n",
+			c.Nodes, n, took[n/2], took[n*99/100], took[n-1])
+		return nil
+	})
+}
+
+// Execute measures the bookings.
+func (c *ExperimentBookings) Execute(_ []string) error {
+	if len(c.Rates) == 0 {
+		c.Rates = []int{10, 100, 400}
+	}
+	return withFleet(c.Nodes, func(f *fleet.Fleet) error {
+		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "bookings a second\tp50\tp99\tdirect p50\tappends a second\tfailed")
+		for _, r := range c.Rates {
+			if r < 1 {
+				return &cli.Exit{Code: cli.ExitUsage, Text: "--rate must be at least 1"}
+			}
+			b := exper.BookAt(context.Background(), f, r, c.For)
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%.0f\t%d\n", b.Rate, b.P50, b.P99, b.Direct, b.Appends, b.Failed)
+		}
+		return w.Flush()
+	})
+}
--- a/internal/trans/front/front_test.go
+++ b/internal/trans/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,13 +71,16 @@
 func FuzzHeaders(f *testing.F) {
 	f.Add([]byte("GET / HTTP/1.1\r\nHost: a:b:c\r\nAuthorization: Bearer\r\nX-Time-Limit: 1e9\r\n\r\n"))
 	f.Add([]byte("POST /v1/completions HTTP/1.1\r\nHost: [::1\r\nIdempotency-Key: \xff\r\n\r\n"))
-	f.Fuzz(func(_ *testing.T, raw []byte) {
+	f.Fuzz(func(t *testing.T, raw []byte) {
 		var h fasthttp.RequestHeader
 		if h.Read(bufio.NewReader(bytes.NewReader(raw))) != nil {
 			return
 		}
-		hostOnly(string(h.Host()))
-		bearer(h.Peek("Authorization"))
-		parseLimit(string(h.Peek(TimeLimitHeader)))
+		host := hostOnly(string(h.Host()))
+		test.Eq(t, strings.ToLower(host), host)
+		key := bearer(h.Peek("Authorization"))
+		test.Eq(t, strings.TrimSpace(key), key)
+		d, err := parseLimit(string(h.Peek(TimeLimitHeader)))
+		test.Eq(t, err == nil, d > 0)
 	})
 }
