laburnumctl: plot the usage

Endpoint seconds by workspace and hour, for the monthly question. Also a test that the view of members follows stops and starts, and an engine that answers with an error status is not tried again for the same prompt.

--- a/cmd/laburnumctl/main_test.go
+++ b/cmd/laburnumctl/main_test.go
@@ -10,9 +10,13 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"gonum.org/v1/plot/plotter"
 
 	"laburnumstack.org/laburnum/internal/lab/fleet"
 	"laburnumstack.org/laburnum/internal/lab/logsrv"
+	"laburnumstack.org/laburnum/internal/state/ledgr"
+	"laburnumstack.org/laburnum/pkg/admin"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 func startFleet(t *testing.T) *fleet.Fleet {
@@ -71,6 +75,25 @@
 	}
 }
 
+func TestPlotUsage(t *testing.T) {
+	at := time.Date(2026, 1, 1, 10, 0, 0, 0, time.UTC)
+	path := filepath.Join(t.TempDir(), "usage.svg")
+	row := func(w ident.WorkspaceName, hour int, s float64) admin.UsageRow {
+		return admin.UsageRow{
+			Account: ledgr.Account{Workspace: w, Hour: at.Add(time.Duration(hour) * time.Hour)},
+			Sum:     ledgr.Sum{EndpointSeconds: s},
+		}
+	}
+	rows := []admin.UsageRow{row("a", 0, 5), row("b", 0, 2), row("a", 1, 7), row("a", 1, 1)}
+	hours, sums := byHour(rows)
+	test.Eq(t, []string{"01-01 10h", "01-01 11h"}, hours)
+	test.Eq(t, plotter.Values{5, 8}, sums["a"])
+	test.Eq(t, plotter.Values{2, 0}, sums["b"])
+	must.NoError(t, plotUsage(path, rows))
+	test.FileExists(t, path)
+	test.ErrorIs(t, plotUsage(path, nil), errNoUsage)
+}
+
 func TestPatchDuringAnOutageHasNoVerdict(t *testing.T) {
 	f := startFleet(t)
 	f.Log.Inject(logsrv.Faults{OutageMillis: int(time.Minute.Milliseconds())})
--- a/cmd/laburnumctl/usage.go
+++ b/cmd/laburnumctl/usage.go
@@ -13,7 +13,8 @@
 
 // Usage prints the bill.
 type Usage struct {
-	CSV bool `long:"csv" description:"print comma-separated values"`
+	CSV  bool   `long:"csv" description:"print comma-separated values"`
+	Plot string `long:"plot" description:"write a plot of endpoint seconds by workspace and hour, SVG or PNG by the file's name"`
 }
 
 func init() {
@@ -30,6 +31,9 @@
 		if err != nil {
 			return err
 		}
+		if c.Plot != "" {
+			return plotUsage(c.Plot, rows)
+		}
 		if c.CSV {
 			return writeCSV(rows)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -423,6 +423,30 @@
 	wg.Wait()
 }
 
+func TestMembersFollowStopsAndStarts(t *testing.T) {
+	f := startFleet(t)
+	last := f.Nodes[len(f.Nodes)-1]
+	member := func() admin.Member {
+		ms, err := f.Client(0).Nodes()
+		must.NoError(t, err)
+		for _, m := range ms {
+			if m.Admin == last.AdminAddr() {
+				return m
+			}
+		}
+		return admin.Member{}
+	}
+	await(t, "member is alive", func() bool { return member().State == "alive" })
+	boot := member().Boot
+	must.NoError(t, last.Stop())
+	await(t, "member is gone", func() bool { return member().State == "leaving" || member().State == "dead" })
+	must.NoError(t, last.Start())
+	await(t, "member is back", func() bool { return member().State == "alive" })
+	test.Greater(t, boot, member().Boot)
+	await(t, "member has the version", func() bool { return member().Version == 1 })
+	wantText(t, complete(f, 2, "hi", 3), "hi", 3)
+}
+
 func TestRacingPatches(t *testing.T) {
 	f := startFleet(t)
 	results := make(chan admin.Verdict, len(f.Nodes))
--- a/internal/trans/serve/recover.go
+++ b/internal/trans/serve/recover.go
@@ -65,7 +65,7 @@
 	if errors.Is(err, messg.ErrLeaving) {
 		a.core.Health.Refused(e)
 	}
-	if kind == retry.Refused {
+	if kind == retry.Refused || errors.Is(err, messg.ErrStatus) {
 		a.excluded.Add(e.Name)
 		return nil
 	}
