--- a/internal/coord/route/spread.go
+++ b/internal/coord/route/spread.go
@@ -85,5 +85,5 @@
 
 // WaitForMemory bounds how long a spread prompt waits for free memory.
 func WaitForMemory(remaining time.Duration) time.Duration {
-	return min(remaining/4, 15*time.Second)
+	return min(remaining/2, 15*time.Second)
 }
