admit: count a wait as busy relative to the time left

Cause: at 80 % load 91 prompts of the large workspace were refused as over its share although nobody suffered.

--- a/internal/coord/admit/admit.go
+++ b/internal/coord/admit/admit.go
@@ -26,9 +26,10 @@
 )
 
 const (
-	// busyWait is the wait from which the fleet counts as busy, or the time
-	// of the request's own prefill if that is longer.
+	// busyWait is the least wait from which the fleet counts as busy.
 	busyWait = 500 * time.Millisecond
+	// busyPart is the part of the time left from which a wait counts as busy.
+	busyPart = 16
 	// sharePercent of its fair share is what a workspace may use of a busy
 	// fleet.
 	sharePercent = 120
@@ -81,12 +82,18 @@
 	if in.Whole > in.Remaining {
 		return refuse(TooLate, in.Whole-in.Remaining, fmt.Sprintf("estimated to take %s, %s left", round(in.Whole), round(in.Remaining)))
 	}
-	if in.Wait > max(busyWait, in.First-in.Wait) && overShare(in) {
+	if busy(in) && overShare(in) {
 		return refuse(OverShare, in.Wait, fmt.Sprintf("fleet is busy for %s and the workspace has %d of %d tokens in flight", round(in.Wait), in.Mine.Tokens, in.All.Tokens))
 	}
 	return Decision{Admit: true}
 }
 
+// busy reports whether the wait is long for the request: longer than its own
+// prefill and than a part of its time.
+func busy(in Input) bool {
+	return in.Wait > max(busyWait, in.First-in.Wait, in.Remaining/busyPart)
+}
+
 // overShare reports whether the workspace has more than its share in flight.
 func overShare(in Input) bool {
 	if in.Weights <= in.Weight {
