serve: bill prompt tokens only if an endpoint may have run the prompt

Read as a newcomer would: a prompt that ended as not run was billed with its tokens. The digest of a prompt's workspace comes from the hash library in place of a loop of our own.

--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"laburnumstack.org/laburnum/internal/coord/route"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/chat"
@@ -73,11 +75,7 @@
 
 // digestOf identifies a prompt within its workspace.
 func digestOf(r *Request, p *chat.Prompt) strik.Digest {
-	d := p.Digest
-	for _, b := range []byte(r.Workspace) {
-		d = (d ^ uint64(b)) * 0x100000001b3
-	}
-	return strik.Digest(d)
+	return strik.Digest(p.Digest ^ xxhash.Sum64String(string(r.Workspace)))
 }
 
 // admit chooses an endpoint and decides whether the prompt is taken.
@@ -180,12 +178,11 @@
 		a.core.Strikes.Clear(a.digest)
 	}
 	a.endUse()
-	a.core.Ledger.Add(a.account(), a.req.Arrived, ledgr.Sum{
-		Requests:        1,
-		PromptTokens:    a.prompt.Tokens,
-		GeneratedTokens: a.next,
-		EndpointSeconds: a.busy.Seconds(),
-	})
+	s := ledgr.Sum{Requests: 1, GeneratedTokens: a.next, EndpointSeconds: a.busy.Seconds()}
+	if a.sent {
+		s.PromptTokens = a.prompt.Tokens
+	}
+	a.core.Ledger.Add(a.account(), a.req.Arrived, s)
 }
 
 func (a *Answer) account() ledgr.Account {
