--- /dev/null
+++ b/cmd/laburnumlab/up_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/lab/fleet"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// client makes each call on a connection of its own, so that the fleet stops
+// without waiting for idle ones.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// get sends an example call to a node.
+func get(t *testing.T, i upInfo, e example, key string) (int, string) {
+	req, err := http.NewRequest(e.Method, "http://"+i.Callers[0]+e.Path, strings.NewReader(e.Body))
+	must.NoError(t, err)
+	req.Host = e.Host
+	req.Header.Set("Authorization", "Bearer "+i.Keys[ident.SortedKeys(i.Keys)[0]])
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := client.Do(req)
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp.StatusCode, string(raw)
+}
+
+func TestUpTellsHowToReachTheFleet(t *testing.T) {
+	for _, name := range []string{"duct", "grozs"} {
+		plan, err := planOf(name)
+		must.NoError(t, err)
+		f := &fleet.Fleet{Plan: plan, Seed: 1, Logger: zerolog.Nop()}
+		must.NoError(t, f.Start(context.Background()))
+		i := infoOf(f)
+		status, body := get(t, i, i.Booking, "once")
+		test.Eq(t, http.StatusCreated, status, test.Sprint(body))
+		status, body = get(t, i, i.Status, "")
+		test.Eq(t, http.StatusOK, status, test.Sprint(body))
+		resp, err := client.Get("http://" + i.Runs)
+		must.NoError(t, err)
+		var runs map[string]int
+		must.NoError(t, json.NewDecoder(resp.Body).Decode(&runs))
+		resp.Body.Close()
+		test.Eq(t, map[string]int{"once": 1}, runs)
+		test.MapLen(t, len(plan.Workspaces), i.Keys)
+		must.NoError(t, f.Stop())
+	}
+}
+
+func TestUsage(t *testing.T) {
+	cases := [][]string{
+		{"demo", "--fleet", "other"},
+		{"demo", "--for", "1h"},
+		{"load", "--caller", "a", "--key", "noname", "--model", "m"},
+		{"load", "--caller", "a", "--key", "w=k", "--model", "m", "--mix", "9x:1"},
+		{"experiment", "route", "--seeds", "0"},
+		{"experiment", "overload", "--load", "0"},
+		{"nothing"},
+	}
+	for _, c := range cases {
+		test.Eq(t, cli.ExitUsage, commands.Run(c), test.Sprint(c))
+	}
+}
