--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -94,13 +94,18 @@
 	return f.configure()
 }
 
-// Stop ends everything at once.
+// Stop stops the nodes as planned, then the stand-ins.
 func (f *Fleet) Stop() error {
-	f.stop()
+	var g errgroup.Group
 	for _, m := range f.Nodes {
-		m.Stop()
+		g.Go(m.Stop)
+	}
+	err := g.Wait()
+	f.stop()
+	if serr := f.group.Wait(); err == nil {
+		err = serr
 	}
-	return f.group.Wait()
+	return err
 }
 
 // service is a stand-in.
