--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -230,6 +230,27 @@
 	}
 }
 
+func TestRequestsWithoutBodyTakeNoBodyMemory(t *testing.T) {
+	f := startFleet(t)
+	v, err := f.Patch(json.RawMessage(`{"Limits":{"BodyBytes":4096,"MemoryBytes":4096}}`), 1)
+	must.NoError(t, err)
+	must.Eq(t, admin.Accepted, v.Result)
+	must.NoError(t, f.AwaitVersion(v.Version))
+	for _, s := range f.Services {
+		s.Inject(plain.Faults{WorkMillis: 100})
+	}
+	var wg sync.WaitGroup
+	answers := make([]answer, 30)
+	for i := range answers {
+		wg.Go(func() { answers[i] = call(f, 0, "GET", "/bookings/1", "", "Host", f.Plan.Host) })
+	}
+	wg.Wait()
+	for _, a := range answers {
+		must.NoError(t, a.err)
+		test.Eq(t, http.StatusOK, a.status, test.Sprint(string(a.body)))
+	}
+}
+
 func TestRepeatRightAfterTheAnswerIsReplayed(t *testing.T) {
 	f := startFleet(t)
 	for node := range f.Nodes {
