tail: keep the place in a stream and pass over bad records

Read once more: claims, holds and leases each decoded records and kept the next offset by hand. Leases did not move past a record that can't be read, and would have read it again without end; holds opened a hold without an owner for one. The follower now keeps the place, and tail.Each decodes and passes over what can't be read. A test reads a bad record once.

--- a/internal/state/claim/table.go
+++ b/internal/state/claim/table.go
@@ -116,9 +116,6 @@
 	return *e, true
 }
 
-// Next returns the offset of the first record not yet folded.
-func (t *Table) Next() ident.Offset { return t.next }
-
 // Len returns the number of keys.
 func (t *Table) Len() int { return len(t.entries) }
 
--- a/internal/state/holds/holds.go
+++ b/internal/state/holds/holds.go
@@ -45,9 +45,6 @@
 	t.open[r.Owner] = r
 }
 
-// Next returns the offset of the first record not yet folded.
-func (t *Table) Next() ident.Offset { return t.next }
-
 // Open returns the holds that have not ended, in the order of their ends.
 func (t *Table) Open() []Record {
 	rs := make([]Record, 0, len(t.open))
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -63,6 +63,3 @@
 
 // Current returns the lease that was granted last, lapsed or not.
 func (t *Table) Current() (Lease, bool) { return t.current, t.granted }
-
-// Next returns the offset of the first record not yet folded.
-func (t *Table) Next() ident.Offset { return t.next }
--- a/internal/trans/claims/keeper.go
+++ b/internal/trans/claims/keeper.go
@@ -212,13 +212,7 @@
 
 // follower folds the stream.
 func (k *Keeper) follower() tail.Follower {
-	return tail.Follower{Log: k.Log, Stream: messg.ClaimStream, Next: k.next, Apply: k.apply, Note: k.note}
-}
-
-func (k *Keeper) next() ident.Offset {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.Next()
+	return tail.Follower{Log: k.Log, Stream: messg.ClaimStream, Apply: k.apply, Note: k.note}
 }
 
 func (k *Keeper) apply(p messg.Page) {
@@ -227,11 +221,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, r := range p.Records {
-		var rec claim.Record
-		if err := json.Unmarshal(r.Data, &rec); err != nil {
-			k.Logger.Error().Err(err).Int64("offset", int64(r.Offset)).Msg("claims: bad record")
-		}
+	tail.Each(p, k.Logger, func(r messg.Record, rec claim.Record) {
 		for _, u := range k.table.Apply(r.Offset, r.At, rec) {
 			k.hand(u)
 		}
@@ -240,7 +230,7 @@
 				delete(k.settled, it.Attempt)
 			}
 		}
-	}
+	})
 	k.wake()
 }
 
--- a/internal/trans/leases/keeper.go
+++ b/internal/trans/leases/keeper.go
@@ -115,27 +115,16 @@
 }
 
 func (k *Keeper) follower() tail.Follower {
-	return tail.Follower{Log: k.Log, Stream: messg.LeaseStream, Next: k.nextOffset, Apply: k.apply}
-}
-
-func (k *Keeper) nextOffset() ident.Offset {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.Next()
+	return tail.Follower{Log: k.Log, Stream: messg.LeaseStream, Apply: k.apply}
 }
 
 func (k *Keeper) apply(p messg.Page) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, r := range p.Records {
-		var rec lease.Record
-		if err := json.Unmarshal(r.Data, &rec); err != nil {
-			k.Logger.Error().Err(err).Msg("leases: bad record")
-			continue
-		}
+	tail.Each(p, k.Logger, func(r messg.Record, rec lease.Record) {
 		k.table.Apply(r.Offset, r.At, rec)
 		k.noteOwn(rec)
-	}
+	})
 }
 
 // noteOwn moves the time until which this node may act.
--- a/internal/trans/serve/holds.go
+++ b/internal/trans/serve/holds.go
@@ -127,25 +127,15 @@
 
 // Follow folds the hold stream until the context ends.
 func (h *Holds) Follow(ctx context.Context) {
-	tail.Follower{Log: h.Log, Stream: messg.HoldStream, Next: h.next, Apply: h.apply}.Run(ctx)
-}
-
-func (h *Holds) next() ident.Offset {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.state.Next()
+	tail.Follower{Log: h.Log, Stream: messg.HoldStream, Apply: h.apply}.Run(ctx)
 }
 
 func (h *Holds) apply(p messg.Page) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, r := range p.Records {
-		var rec holds.Record
-		if err := json.Unmarshal(r.Data, &rec); err != nil {
-			h.Logger.Error().Err(err).Msg("holds: bad record")
-		}
+	tail.Each(p, h.Logger, func(r messg.Record, rec holds.Record) {
 		h.state.Apply(r.Offset, rec)
-	}
+	})
 }
 
 // Reap releases what dead nodes, or failed releases, left behind.
--- /dev/null
+++ b/internal/trans/tail/tail_test.go
@@ -0,0 +1,35 @@
+package tail_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+
+	"laburnumstack.org/laburnum/internal/lab/memlog"
+	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/trans/tail"
+)
+
+func TestBadRecordsArePassedOverOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &memlog.Log{}
+		for _, s := range []string{`1`, `{`, `2`} {
+			l.Append(context.Background(), "s", []byte(s))
+		}
+		var got []int
+		reads := 0
+		f := tail.Follower{Log: l, Stream: "s", Note: func(error) { reads++ }, Apply: func(p messg.Page) {
+			tail.Each(p, zerolog.Nop(), func(_ messg.Record, v int) { got = append(got, v) })
+		}}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		f.Run(ctx)
+		test.Eq(t, []int{1, 2}, got)
+		// One read gives the records, the others wait for more.
+		test.LessEq(t, 4, reads)
+	})
+}
