lab, serve: drop what is dead and write shared steps once

Read once more: the mean and the random pick of a length mix stood twice, five stand-ins opened their listener by the same lines, the suspects of peers took a lock for each endpoint at each heartbeat, and four pieces were called by nothing.

--- a/internal/coord/admit/admit.go
+++ b/internal/coord/admit/admit.go
@@ -45,7 +45,7 @@
 
 // Input is what a decision is based on.
 type Input struct {
-	Prompt, Output ident.Tokens
+	Prompt ident.Tokens
 	// Remaining is the time left of the request's limit.
 	Remaining time.Duration
 	// First and Whole are the estimated times to first and last token.
--- a/internal/coord/admit/admit_test.go
+++ b/internal/coord/admit/admit_test.go
@@ -11,7 +11,7 @@
 
 func TestDecide(t *testing.T) {
 	idle := admit.Input{
-		Prompt: 1000, Output: 100, Remaining: time.Second,
+		Prompt: 1000, Remaining: time.Second,
 		First: 20 * time.Millisecond, Whole: 500 * time.Millisecond,
 		Weight: 1, Weights: 4, MaxRequests: 10, MaxTokens: 100_000,
 	}
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -129,14 +129,9 @@
 
 // rate returns the prompts a second that make up the offered load.
 func (d *Demo) rate(ls []load.Length) float64 {
-	var tokens, shares float64
-	for _, l := range ls {
-		tokens += float64(l.Tokens) * float64(l.PerMille)
-		shares += float64(l.PerMille)
-	}
 	sim := d.Fleet.Engines[0].Sim
 	total := float64(sim.PrefillRate) * float64(len(d.Fleet.Engines))
-	return total * loadPercent / 100 / (tokens / shares)
+	return total * loadPercent / 100 / load.MeanTokens(ls)
 }
 
 // shorten keeps the short part of a load, at the rate that it has in the mix.
--- a/internal/lab/engsim/step.go
+++ b/internal/lab/engsim/step.go
@@ -27,9 +27,6 @@
 	Tokens []Token
 }
 
-// Idle reports whether there is nothing to do.
-func (e *Engine) Idle() bool { return len(e.running) == 0 && len(e.waiting) == 0 }
-
 // Step runs one iteration that begins now. An engine with nothing that can
 // run returns a zero duration.
 func (e *Engine) Step(now time.Time) Step {
--- a/internal/lab/engsrv/engsrv.go
+++ b/internal/lab/engsrv/engsrv.go
@@ -55,11 +55,10 @@
 
 // Listen opens the listener, so that the address is known before Run.
 func (s *Server) Listen() error {
-	l, err := flaky.Listen(s.Address)
+	l, err := httpd.Listen(&s.Address)
 	if err != nil {
 		return err
 	}
-	s.Address = l.Addr().String()
 	s.listener = l
 	s.reset()
 	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
--- a/internal/lab/exper/route.go
+++ b/internal/lab/exper/route.go
@@ -109,14 +109,9 @@
 // rate returns the prompts a second of the whole load, relative to the rate
 // of engines whose steps are full.
 func (r *routing) rate() float64 {
-	var tokens, shares float64
-	for _, l := range r.Lengths {
-		tokens += float64(l.Tokens) * float64(l.PerMille)
-		shares += float64(l.PerMille)
-	}
 	chunk := float64(r.Sim.Chunk)
 	rate := chunk / (r.Sim.StepBase.Seconds() + chunk/float64(r.Sim.PrefillRate))
-	return rate * float64(r.Engines) * float64(r.LoadPercent) / 100 / (tokens / shares)
+	return rate * float64(r.Engines) * float64(r.LoadPercent) / 100 / load.MeanTokens(r.Lengths)
 }
 
 // report keeps snapshots of an engine's load.
@@ -152,7 +147,7 @@
 		if r.now.Sub(r.start) > r.For {
 			return
 		}
-		l := pickLength(r.Lengths, rnd)
+		l := load.Pick(r.Lengths, rnd)
 		if n := r.nodes[rnd.IntN(len(r.nodes))]; !r.ShortOnly || l.Tokens <= shortTokens {
 			n.send(l)
 		}
@@ -160,21 +155,6 @@
 	})
 }
 
-func pickLength(ls []load.Length, rnd *rand.Rand) load.Length {
-	sum := 0
-	for _, l := range ls {
-		sum += l.PerMille
-	}
-	n := rnd.IntN(sum)
-	for _, l := range ls {
-		if n < l.PerMille {
-			return l
-		}
-		n -= l.PerMille
-	}
-	return ls[len(ls)-1]
-}
-
 // candidates returns the node's view of the engines.
 func (n *node) candidates() []route.Candidate {
 	cs := make([]route.Candidate, len(n.endpoints))
--- a/internal/lab/flaky/flaky.go
+++ b/internal/lab/flaky/flaky.go
@@ -55,16 +55,6 @@
 	}
 }
 
-// Cut resets all connections; new ones are accepted.
-func (l *Listener) Cut() {
-	l.mu.Lock()
-	cs := l.take()
-	l.mu.Unlock()
-	for _, c := range cs {
-		c.reset()
-	}
-}
-
 // Silence makes all open connections swallow what is written and deliver
 // nothing; new ones work.
 func (l *Listener) Silence() {
--- a/internal/lab/httpd/httpd.go
+++ b/internal/lab/httpd/httpd.go
@@ -17,6 +17,17 @@
 	idleTimeout = time.Minute
 )
 
+// Listen opens a listener and puts its address, with the port that was chosen,
+// back into addr.
+func Listen(addr *string) (*flaky.Listener, error) {
+	l, err := flaky.Listen(*addr)
+	if err != nil {
+		return nil, err
+	}
+	*addr = l.Addr().String()
+	return l, nil
+}
+
 // Server is one HTTP interface on a listener that can fail on command.
 type Server struct {
 	Handler  fasthttp.RequestHandler
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -80,37 +80,37 @@
 	Seed  uint64
 }
 
-// perMille sums the shares of the lengths.
-func (p Plan) perMille() int {
-	n := 0
-	for _, l := range p.Lengths {
-		n += l.PerMille
+// MeanTokens returns the mean length of the prompts of a mix.
+func MeanTokens(ls []Length) float64 {
+	var tokens, shares float64
+	for _, l := range ls {
+		tokens += float64(l.Tokens) * float64(l.PerMille)
+		shares += float64(l.PerMille)
 	}
-	return n
+	return tokens / shares
 }
 
-func (p Plan) pickLength(r *rand.Rand) Length {
-	n := r.IntN(p.perMille())
-	for _, l := range p.Lengths {
-		if n < l.PerMille {
-			return l
-		}
-		n -= l.PerMille
-	}
-	return p.Lengths[len(p.Lengths)-1]
+// Pick returns a random length of a mix by its share.
+func Pick(ls []Length, r *rand.Rand) Length {
+	return weighted(ls, r, func(l Length) int { return l.PerMille })
 }
 
 func (p Plan) pickKey(r *rand.Rand) Key {
+	return weighted(p.Keys, r, func(k Key) int { return k.Share })
+}
+
+// weighted returns a random value by its share.
+func weighted[T any](vs []T, r *rand.Rand, share func(T) int) T {
 	sum := 0
-	for _, k := range p.Keys {
-		sum += k.Share
+	for _, v := range vs {
+		sum += share(v)
 	}
 	n := r.IntN(sum)
-	for _, k := range p.Keys {
-		if n < k.Share {
-			return k
+	for _, v := range vs {
+		if n < share(v) {
+			return v
 		}
-		n -= k.Share
+		n -= share(v)
 	}
-	return p.Keys[len(p.Keys)-1]
+	return vs[len(vs)-1]
 }
--- a/internal/lab/load/send.go
+++ b/internal/lab/load/send.go
@@ -35,7 +35,7 @@
 }
 
 func (r *Runner) sendPrompt(ctx context.Context, rnd *rand.Rand, n int) {
-	r.prompt(ctx, rnd, fmt.Sprint(n), r.Plan.pickLength(rnd))
+	r.prompt(ctx, rnd, fmt.Sprint(n), Pick(r.Plan.Lengths, rnd))
 }
 
 func (r *Runner) prompt(ctx context.Context, rnd *rand.Rand, name string, l Length) {
--- a/internal/lab/logsrv/logsrv.go
+++ b/internal/lab/logsrv/logsrv.go
@@ -85,12 +85,11 @@
 
 // Listen opens the listener, so that the address is known before Run.
 func (s *Server) Listen() error {
-	l, err := flaky.Listen(s.Address)
+	l, err := httpd.Listen(&s.Address)
 	if err != nil {
 		return err
 	}
 	s.listener = l
-	s.Address = l.Addr().String()
 	s.streams = map[string]*stream{}
 	s.tokens = float64(s.AppendRate)
 	return nil
--- a/internal/lab/plain/plain.go
+++ b/internal/lab/plain/plain.go
@@ -66,7 +66,6 @@
 	listener *flaky.Listener
 	refused  time.Time
 	lose     int
-	leaving  bool
 }
 
 // Booking is the answer to a booking.
@@ -78,12 +77,11 @@
 
 // Listen opens the listener, so that the address is known before Run.
 func (s *Server) Listen() error {
-	l, err := flaky.Listen(s.Address)
+	l, err := httpd.Listen(&s.Address)
 	if err != nil {
 		return err
 	}
 	s.listener = l
-	s.Address = l.Addr().String()
 	return nil
 }
 
@@ -109,13 +107,6 @@
 	}
 }
 
-// SetLeaving makes the service refuse new work.
-func (s *Server) SetLeaving(v bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = v
-}
-
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
@@ -127,7 +118,7 @@
 			s.Inject(f)
 		}
 	case path == "/load":
-		httpd.Reply(ctx, fasthttp.StatusOK, map[string]bool{"Leaving": s.isLeaving()})
+		httpd.Reply(ctx, fasthttp.StatusOK, map[string]bool{"Leaving": false})
 	case path == "/ping":
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 	case s.refuses():
@@ -142,16 +133,10 @@
 	}
 }
 
-func (s *Server) isLeaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leaving
-}
-
 func (s *Server) refuses() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || time.Now().Before(s.refused)
+	return time.Now().Before(s.refused)
 }
 
 func (s *Server) work() time.Duration {
--- a/internal/lab/vmlist/vmlist.go
+++ b/internal/lab/vmlist/vmlist.go
@@ -44,12 +44,11 @@
 
 // Listen opens the listener, so that the address is known before Run.
 func (s *Server) Listen() error {
-	l, err := flaky.Listen(s.Address)
+	l, err := httpd.Listen(&s.Address)
 	if err != nil {
 		return err
 	}
 	s.listener = l
-	s.Address = l.Addr().String()
 	s.versions = []version{{}}
 	return nil
 }
--- a/internal/lab/weight/weight.go
+++ b/internal/lab/weight/weight.go
@@ -26,12 +26,11 @@
 
 // Listen opens the listener, so that the address is known before Run.
 func (s *Server) Listen() error {
-	l, err := flaky.Listen(s.Address)
+	l, err := httpd.Listen(&s.Address)
 	if err != nil {
 		return err
 	}
 	s.listener = l
-	s.Address = l.Addr().String()
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,8 +256,9 @@
 	n.strikes.Merge(b.Strikes)
 	n.strikes.SetSuspects(b.From.Name, b.Suspects)
 	if t := n.core.Table(); t != nil {
+		sum := n.strikes.Suspects()
 		for name, e := range t.Endpoints {
-			e.PeerSuspects.Store(n.strikes.Suspects(name))
+			e.PeerSuspects.Store(sum[name])
 		}
 	}
 }
--- a/internal/state/trace/clock.go
+++ b/internal/state/trace/clock.go
@@ -77,7 +77,6 @@
 	Claimed    Kind = "claimed"
 	Struck     Kind = "struck"
 	Ended      Kind = "ended"
-	CallerGone Kind = "caller-gone"
 	Config     Kind = "config"
 	Member     Kind = "member"
 	Endpoint   Kind = "endpoint"
--- a/internal/trans/serve/pick.go
+++ b/internal/trans/serve/pick.go
@@ -132,9 +132,8 @@
 func (c *Core) admit(r *Request, p *chat.Prompt, ch route.Choice, alone time.Duration) admit.Decision {
 	w := r.Table.Document.Workspaces[r.Workspace]
 	in := admit.Input{
-		Prompt: p.Tokens, Output: p.MaxTokens,
-		Remaining: r.Remaining(),
-		First:     ch.First, Whole: ch.Whole,
+		Prompt: p.Tokens, Remaining: r.Remaining(),
+		First: ch.First, Whole: ch.Whole,
 		Wait:        max(0, ch.First-alone),
 		Weight:      w.Weight,
 		MaxRequests: int64(w.MaxRequests),
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -90,13 +90,15 @@
 	s.suspects[n] = m
 }
 
-// Suspects returns the suspect requests of other nodes at an endpoint.
-func (s *Strikes) Suspects(e ident.EndpointName) int64 {
+// Suspects returns the suspect requests of other nodes by endpoint.
+func (s *Strikes) Suspects() map[ident.EndpointName]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var n int64
+	sum := map[ident.EndpointName]int64{}
 	for _, m := range s.suspects {
-		n += m[e]
+		for e, n := range m {
+			sum[e] += n
+		}
 	}
-	return n
+	return sum
 }
