--- /dev/null
+++ b/cmd/laburnumgw/main.go
@@ -0,0 +1,76 @@
+// Command laburnumgw is a node that forwards requests on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumstack.org/laburnum/internal/node/edge"
+	"laburnumstack.org/laburnum/platform"
+)
+
+const exitUsage = 2
+
+// options are the settings that are not the platform's.
+type options struct {
+	LogLevel  string `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the lines logged"`
+	GCPercent int    `long:"gc-percent" env:"LABURNUM_GC_PERCENT" default:"100" description:"growth of the heap in percent that starts a collection"`
+	Settings  string `long:"settings" description:"path of the platform's settings file; by default the environment tells"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var o options
+	rest, err := flags.NewParser(&o, flags.HelpFlag).ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Println(fe.Message)
+		return 0
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("unexpected arguments: %v", rest)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "laburnumgw:", err)
+		return exitUsage
+	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	s, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "laburnumgw: bad settings:")
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	return serve(o, s)
+}
+
+func serve(o options, s platform.Settings) int {
+	debug.SetGCPercent(o.GCPercent)
+	level, _ := zerolog.ParseLevel(o.LogLevel)
+	logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", string(s.Node.Name)).Logger()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	signal.Ignore(syscall.SIGHUP)
+	n := &edge.Node{
+		Settings: s.Node, Source: platform.NewStore(s.Store), Decoder: platform.Decoder{},
+		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath, Logger: logger,
+	}
+	if err := n.Run(ctx); err != nil {
+		logger.Error().Err(err).Msg("node: ended by an error")
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/coord/place/engine.go
@@ -0,0 +1,148 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// view is the state of one engine, as far as the nodes know.
+type view struct {
+	endpoint *topol.Endpoint
+	spec     *topol.Engine
+	avoid    bool
+	// requests counts those that occupy a slot, writers those that write.
+	requests, writers int
+	// helping counts the prompts of others that it reads parts of.
+	helping int
+	// longs counts the long prompts that occupy a slot.
+	longs int
+	// context is what the writers have in memory, used all that is or will be.
+	context, used ident.Tokens
+	// backlog is the time until all that is to be read is read.
+	backlog time.Duration
+}
+
+// part is what one engine reads of a prompt.
+type part struct {
+	tokens ident.Tokens
+	// pairs is in millions of pairs of a token and an earlier one.
+	pairs float64
+}
+
+// split returns the part that each of n engines reads of a prompt.
+func split(prompt ident.Tokens, n int) part {
+	p := float64(prompt)
+	return part{
+		tokens: (prompt + ident.Tokens(n) - 1) / ident.Tokens(n),
+		pairs:  p * p / 2 / 1e6 / float64(n),
+	}
+}
+
+// step is the time of one token step of the writers.
+func (v *view) step() time.Duration {
+	return v.spec.Step + time.Duration(v.writers)*v.spec.PerWriter + time.Duration(float64(v.context)/1000*float64(v.spec.PerContext))
+}
+
+// writing is what the writers add to each pass.
+func (v *view) writing() time.Duration {
+	if v.writers == 0 {
+		return 0
+	}
+	return time.Duration(v.spec.Stride) * v.step()
+}
+
+// read is the time to read a part with nothing before it.
+func (v *view) read(p part) time.Duration {
+	t := time.Duration(float64(p.tokens)/v.spec.ReadRate*float64(time.Second)) + time.Duration(p.pairs*float64(v.spec.Pairs))
+	passes := (p.tokens + v.spec.Chunk - 1) / v.spec.Chunk
+	return t + time.Duration(passes)*v.writing()
+}
+
+// finish is the time until a new part is read.
+func (v *view) finish(p part) time.Duration {
+	return v.backlog + v.writing()/2 + v.read(p)
+}
+
+// fits reports whether the engine has memory for more tokens.
+func (v *view) fits(n ident.Tokens) bool {
+	return v.used+n <= v.spec.Memory*memoryPercent/100
+}
+
+// views works out the state of all engines that may get requests, in an order
+// that all nodes share.
+func views(s Scene) []*view {
+	vs := make([]*view, 0, len(s.Endpoints))
+	byName := make(map[ident.EndpointName]*view, len(s.Endpoints))
+	for _, e := range s.Endpoints {
+		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name)}
+		byName[e.Name] = v
+		if !e.Leaving {
+			vs = append(vs, v)
+		}
+	}
+	slices.SortFunc(vs, func(a, b *view) int { return order(a.endpoint.Name, b.endpoint.Name) })
+	for _, w := range s.Works {
+		addWriter(byName[w.First], w, s)
+	}
+	for _, w := range s.Works {
+		if !w.Writing && w.Prompt > 0 {
+			addReading(byName, w, s.Now)
+		}
+	}
+	return vs
+}
+
+func order(a, b ident.EndpointName) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func addWriter(v *view, w works.Work, s Scene) {
+	if v == nil {
+		return
+	}
+	v.requests++
+	v.used += w.Share + w.Output
+	if isLong(s.Engine, w.Prompt) {
+		v.longs++
+	}
+	if w.Writing {
+		v.writers++
+		v.context += w.Share
+	}
+}
+
+// addReading queues the parts of a prompt behind what is queued before.
+func addReading(byName map[ident.EndpointName]*view, w works.Work, now time.Time) {
+	p := split(w.Prompt, len(w.Helpers)+1)
+	age := now.Sub(w.Since)
+	if v := byName[w.First]; v != nil {
+		v.queue(p, age, len(w.Helpers) == 0)
+	}
+	for _, h := range w.Helpers {
+		if v := byName[h]; v != nil {
+			v.helping++
+			v.queue(p, age, false)
+		}
+	}
+}
+
+// queue adds a part that was sent some time ago. Alone tells that no other
+// engine can be the one that the prompt waits for.
+func (v *view) queue(p part, age time.Duration, alone bool) {
+	t := v.read(p)
+	end := max(v.backlog, -age) + t
+	if alone {
+		end = max(end, t/4)
+	}
+	v.backlog = max(v.backlog, end)
+}
--- /dev/null
+++ b/internal/node/edge/node.go
@@ -0,0 +1,268 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/internal/trans/gate"
+	"laburnumstack.org/laburnum/internal/trans/share"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// pullAfter is the age of this node's knowledge from which it asks peers.
+	pullAfter = 1800 * time.Millisecond
+	pullEvery = 400 * time.Millisecond
+	// announceEvery is the pause between two tries to be listed as a member.
+	announceEvery = time.Second
+	// stopMargin is kept from the end of the grace.
+	stopMargin = 400 * time.Millisecond
+	// listenPast is how long a node that stops serves new connections; the
+	// balancer needs that to notice.
+	listenPast = 3 * time.Second
+	// idleParts and idleOf give the part of the idle timeout for which callers
+	// may use a silent connection again.
+	idleParts, idleOf = 4, 5
+	// stopTick is the pause between two looks at the requests in flight.
+	stopTick = 20 * time.Millisecond
+	// memoryShare of the limit is the soft limit of the runtime in percent.
+	memoryShare = 60
+)
+
+// Node is one process. The exported fields are set before Run.
+type Node struct {
+	Settings Settings
+	Source   feeds.Source
+	Decoder  feeds.Decoder
+	// Configuration decodes the document that peers pass on.
+	Configuration func(raw []byte) (*topol.Catalog, error)
+	Dialect       gate.Dialect
+	// ReadyPath is the path at which the balancer asks.
+	ReadyPath string
+	Logger    zerolog.Logger
+
+	feeds  *feeds.Feeds
+	gate   *gate.Server
+	mesh   *share.Mesh
+	works  *works.Table
+	cancel context.CancelFunc
+}
+
+// Run serves until the context ends, then finishes what is in flight.
+func (n *Node) Run(stop context.Context) error {
+	s := n.Settings
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.cancel = cancel
+	n.assemble(ctx)
+	var ls [3]net.Listener
+	for i, a := range []string{s.Callers, s.Ready, s.Peers} {
+		l, err := gate.Listen(ctx, a)
+		if err != nil {
+			return errors.Annotatef(err, "listen on %s", a)
+		}
+		ls[i] = l
+	}
+	n.Logger.Info().Str("callers", s.Callers).Str("peers", s.Peers).Strs("seeds", s.Seeds).Msg("node: started")
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.gate.Run(ctx, ls[0]) })
+	g.Go(func() error { return n.serveReady(ctx, ls[1], stop) })
+	g.Go(func() error { return n.mesh.Run(ctx, ls[2]) })
+	g.Go(func() error { return n.feeds.Run(ctx) })
+	g.Go(func() error { n.announce(ctx); return nil })
+	g.Go(func() error { n.pull(ctx); return nil })
+	g.Go(func() error { n.drain(ctx, stop); cancel(); return nil })
+	err := g.Wait()
+	n.Logger.Info().Err(err).Msg("node: ended")
+	return err
+}
+
+func (n *Node) assemble(ctx context.Context) {
+	s := n.Settings
+	n.works = &works.Table{}
+	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger}
+	n.mesh = &share.Mesh{
+		Self: relay.Member{Name: s.Name, Address: s.Peers}, Works: n.works, Logger: n.Logger, State: n.state,
+		Failed: func([]ident.EndpointName) {},
+	}
+	n.mesh.Init(ctx)
+	n.gate = &gate.Server{
+		Dialect: n.Dialect, Feeds: n.feeds, Works: n.works, Node: s.Name, DataCentre: s.DataCentre,
+		Strict: s.Strict, Revoke: s.Revoke, Budget: s.Budget, Logger: n.Logger,
+		Began: n.mesh.Began, Wrote: n.mesh.Wrote, Done: n.mesh.Done, Nodes: n.mesh.Nodes,
+	}
+	for _, a := range s.Seeds {
+		n.mesh.Meet(a)
+	}
+}
+
+// ready reports whether the node can serve callers.
+func (n *Node) ready() bool {
+	return n.feeds.Catalog() != nil && n.feeds.Fleet() != nil && !n.stale()
+}
+
+// stale reports whether keys can't be trusted any more.
+func (n *Node) stale() bool {
+	return n.Settings.Strict && clock.Now().Sub(n.feeds.Proven()) > n.Settings.Revoke
+}
+
+// serveReady answers the balancer.
+func (n *Node) serveReady(ctx context.Context, l net.Listener, stop context.Context) error {
+	srv := &fasthttp.Server{
+		ReadBufferSize: 2048, WriteBufferSize: 512, NoDefaultServerHeader: true,
+		Handler: func(c *fasthttp.RequestCtx) {
+			switch {
+			case string(c.Path()) != n.ReadyPath:
+				c.SetStatusCode(fasthttp.StatusNotFound)
+			case stop.Err() != nil || !n.ready():
+				c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+	}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	err := srv.Serve(l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// announce puts this node on the list of members and meets the others.
+func (n *Node) announce(ctx context.Context) {
+	r := feeds.Record{Key: string(n.Settings.Name), Value: []byte(n.Settings.Peers)}
+	for ctx.Err() == nil {
+		err := n.Source.Put(ctx, feeds.Members, r)
+		if err == nil {
+			err = n.meetMembers(ctx)
+		}
+		if err == nil {
+			return
+		}
+		n.Logger.Warn().Err(err).Msg("node: not listed as a member yet")
+		wait(ctx, announceEvery)
+	}
+}
+
+func (n *Node) meetMembers(ctx context.Context) error {
+	page, err := n.Source.Newest(ctx, feeds.Members)
+	if err != nil {
+		return err
+	}
+	for _, r := range page.Records {
+		n.mesh.Meet(string(r.Value))
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// state is what this node can tell a peer of the deployment.
+func (n *Node) state(known ident.Version) relay.State {
+	c := n.feeds.Catalog()
+	var st relay.State
+	now := clock.Now()
+	if c != nil {
+		st.Version = c.Version
+		st.Proven, st.ProvenAge = true, now.Sub(n.feeds.Proven())
+		if c.Version > known {
+			st.Raw = c.Raw
+		}
+	}
+	if n.feeds.Fleet() != nil {
+		st.Listed, st.ListedAge = true, now.Sub(n.feeds.Listed())
+		st.Endpoints = n.feeds.List()
+	}
+	return st
+}
+
+// pull asks peers while this node's own knowledge is old.
+func (n *Node) pull(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, pullEvery)
+		now := clock.Now()
+		n.mesh.Sweep(time.Now())
+		if now.Sub(n.feeds.Proven()) < pullAfter && now.Sub(n.feeds.Listed()) < pullAfter {
+			continue
+		}
+		known := ident.Version(0)
+		if c := n.feeds.Catalog(); c != nil {
+			known = c.Version
+		}
+		asked := clock.Now()
+		n.mesh.Ask(known, func(st relay.State) bool {
+			ok := n.adopt(st, asked)
+			asked = clock.Now()
+			return ok
+		})
+	}
+}
+
+// adopt takes what a peer knew when it was asked. It reports whether that was
+// new enough to need no other peer.
+func (n *Node) adopt(st relay.State, asked clock.Instant) bool {
+	if len(st.Raw) > 0 {
+		c, err := n.Configuration(st.Raw)
+		if err != nil {
+			n.Logger.Error().Err(err).Msg("node: a peer's configuration can't be read")
+			return false
+		}
+		n.feeds.Offer(c)
+	}
+	if st.Listed {
+		n.feeds.Adopt(st.Endpoints, asked.Add(-st.ListedAge))
+	}
+	c := n.feeds.Catalog()
+	if c == nil || !st.Proven || st.Version > c.Version {
+		return false
+	}
+	n.feeds.Prove(asked.Add(-st.ProvenAge))
+	return st.ProvenAge < pullAfter && st.ListedAge < pullAfter
+}
+
+// drain waits for the order to stop, and then until nothing is in flight and
+// no caller can think an idle connection usable.
+func (n *Node) drain(ctx, stop context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-stop.Done():
+	}
+	began := time.Now()
+	n.gate.Drain()
+	n.Logger.Info().Int("inFlight", n.gate.InFlight()).Msg("node: stopping")
+	least := listenPast
+	if c := n.feeds.Catalog(); c != nil {
+		least = max(least, c.Limits.IdleTimeout*idleParts/idleOf)
+	}
+	least = min(least, n.Settings.Grace-stopMargin)
+	for {
+		since := time.Since(began)
+		if since >= least && n.gate.InFlight() == 0 || since >= n.Settings.Grace-stopMargin {
+			break
+		}
+		wait(ctx, stopTick)
+	}
+	n.Logger.Info().Int("inFlight", n.gate.InFlight()).Dur("after", time.Since(began)).Msg("node: stopped")
+}
--- /dev/null
+++ b/internal/node/edge/settings.go
@@ -0,0 +1,36 @@
+// Package edge assembles a node that forwards requests on a platform which
+// holds the configuration and the list of endpoints.
+package edge
+
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/internal/trans/gate"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Settings of a node. They come from the platform.
+type Settings struct {
+	Name       ident.NodeName
+	DataCentre ident.DataCentre
+	// Callers, Ready and Peers are the addresses that the node listens on.
+	Callers, Ready, Peers string
+	// Seeds are addresses at which other nodes may listen for peers.
+	Seeds []string
+	// Grace is the time between the order to stop and the end.
+	Grace    time.Duration
+	MemoryMB int
+	// Strict refuses keys while the configuration is older than Revoke.
+	Strict bool
+	Revoke time.Duration
+	Budget Budget
+	// Stall is how long an engine waits for another that is silent.
+	Stall time.Duration
+	// Free is the time within which reserved memory must be free after use.
+	Free time.Duration
+	// HoldMax is the longest reservation.
+	HoldMax time.Duration
+}
+
+// Budget bounds the sends beyond the first of each request.
+type Budget = gate.Budget
--- /dev/null
+++ b/internal/proto/relay/peers.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Member is a node as others reach it.
+type Member struct {
+	Name    ident.NodeName
+	Address string
+}
+
+// WorkNote tells of a work that was sent to an endpoint. Its age stands in
+// place of its time, since the clocks of nodes differ.
+type WorkNote struct {
+	Work works.Work
+	Age  time.Duration
+}
+
+// Update is what a node tells its peers as it happens.
+type Update struct {
+	From Member
+	// Reset tells that Began holds all works of the node.
+	Reset bool
+	Began []WorkNote
+	Wrote []works.ID
+	Done  []works.ID
+	// Failed are endpoints that the node could not reach.
+	Failed []ident.EndpointName
+}
+
+// UpdateReply answers an update.
+type UpdateReply struct {
+	// Members are the nodes that the peer knows; it is set after a reset.
+	Members []Member
+}
+
+// StateArgs asks a peer for what it knows of the deployment.
+type StateArgs struct {
+	From    Member
+	Version ident.Version
+}
+
+// State is what a peer knows of the deployment. Ages count from the moment at
+// which the peer answered.
+type State struct {
+	Version ident.Version
+	// Raw is the configuration, if it is newer than the one asked with.
+	Raw []byte
+	// Proven tells that the configuration was the newest ProvenAge ago.
+	Proven    bool
+	ProvenAge time.Duration
+	// Listed tells that Endpoints were the list ListedAge ago.
+	Listed    bool
+	ListedAge time.Duration
+	Endpoints []topol.Endpoint
+}
--- a/internal/trans/conns/pool.go
+++ b/internal/trans/conns/pool.go
@@ -57,7 +57,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.used) < idleTimeout && now.Sub(c.born) < maxAge && quiet(c.Conn) {
+		if now.Sub(c.used) < idleTimeout && now.Sub(c.born) < maxAge && Quiet(c.Conn) {
 			c.reused = true
 			return c
 		}
--- a/internal/trans/conns/probe.go
+++ b/internal/trans/conns/probe.go
@@ -14,8 +14,8 @@
 	return err == syscall.EAGAIN || err == syscall.EINTR || err == nil && n > 0
 }
 
-// quiet reports whether a connection is open and has nothing to read.
-func quiet(c net.Conn) bool {
+// Quiet reports whether a connection is open and has nothing to read.
+func Quiet(c net.Conn) bool {
 	_, err := peek(c)
 	return err == syscall.EAGAIN
 }
--- /dev/null
+++ b/internal/trans/gate/exchange.go
@@ -0,0 +1,377 @@
+package gate
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/http1"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// maxSends bounds the endpoints asked for one request, also those that
+	// refused it or could not be reached.
+	maxSends = 4
+	// revokeMargin is kept from the time in which a revoked key ends.
+	revokeMargin = 300 * time.Millisecond
+	// staleAfter is the age of the configuration from which an unknown route
+	// or key may be one that this node has not heard of.
+	staleAfter = 2 * time.Second
+	// comeBack tells callers to try another node soon.
+	comeBack = 200 * time.Millisecond
+	// comeBackLater tells callers to come back when load has gone down.
+	comeBackLater = 700 * time.Millisecond
+)
+
+// exchange is one request of a caller and all that is done for it.
+type exchange struct {
+	server  *Server
+	caller  *caller
+	request *http1.Request
+	body    []byte
+	arrived time.Time
+	// deadline is when the caller must have the whole answer.
+	deadline time.Time
+
+	ask       relay.Ask
+	catalog   *topol.Catalog
+	route     *topol.Route
+	service   *topol.Service
+	workspace *topol.Workspace
+
+	tried ident.Set[ident.EndpointName]
+	// sends counts the endpoints that were sent the request, runs those that
+	// may have run it.
+	sends, runs int
+	// begun tells that the header of the answer is out.
+	begun bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	// keep tells that the caller's connection is in order.
+	keep bool
+	done chan struct{}
+
+	mu      sync.Mutex
+	gone    bool
+	current net.Conn
+}
+
+// run serves the request while it watches for the caller to leave.
+func (x *exchange) run() {
+	x.keep = true
+	if !x.admit() {
+		return
+	}
+	watched := make(chan struct{})
+	go x.watch(watched)
+	x.forward()
+	x.caller.SetReadDeadline(past)
+	<-watched
+	x.caller.SetReadDeadline(time.Time{})
+}
+
+// watch waits for the caller to close its connection.
+func (x *exchange) watch(ended chan struct{}) {
+	defer close(ended)
+	_, err := x.caller.reader.Peek(1)
+	if err == nil {
+		return
+	}
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gone = true
+	if x.current != nil {
+		x.current.SetDeadline(past)
+	}
+}
+
+// hold makes a connection end with the caller's. It reports false if the
+// caller has left.
+func (x *exchange) hold(c net.Conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.current = c
+	return !x.gone
+}
+
+func (x *exchange) left() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gone
+}
+
+// admit finds the route and workspace of the request. It answers and returns
+// false if it isn't to be served.
+func (x *exchange) admit() bool {
+	s := x.server
+	x.catalog = s.Feeds.Catalog()
+	fleet := s.Feeds.Fleet()
+	if x.catalog == nil || fleet == nil {
+		x.refuse(503, comeBack, "no configuration yet")
+		return false
+	}
+	var err error
+	x.ask, err = s.Dialect.Ask(&x.request.Head)
+	if err != nil {
+		x.refuse(400, 0, err.Error())
+		return false
+	}
+	age := clock.Now().Sub(s.Feeds.Proven())
+	x.route = x.catalog.Match(x.request.Host, x.request.Path())
+	if x.route == nil {
+		x.refuseUnknown(404, age, "no route")
+		return false
+	}
+	if !x.authorize(age) {
+		return false
+	}
+	x.service = x.catalog.Services[x.route.Pick(random())]
+	if x.service == nil {
+		x.refuse(503, comeBack, "route without a service")
+		return false
+	}
+	limit := x.route.Timeout
+	if x.ask.TimeLeft > 0 && (limit <= 0 || x.ask.TimeLeft < limit) {
+		limit = x.ask.TimeLeft
+	}
+	x.deadline = x.arrived.Add(limit)
+	x.lastEvent = x.ask.LastEvent
+	x.tried = ident.Set[ident.EndpointName]{}
+	s.countRequest(x.service.Name)
+	return true
+}
+
+// authorize finds the workspace of the caller's key.
+func (x *exchange) authorize(age time.Duration) bool {
+	if x.catalog.Keys == nil || x.route.Public {
+		return true
+	}
+	if x.server.Strict && age > x.server.Revoke-revokeMargin {
+		x.refuse(503, comeBack, "configuration is too old to trust keys, age "+age.String())
+		return false
+	}
+	w, ok := x.catalog.Keys[x.ask.Key]
+	if !ok {
+		x.refuseUnknown(401, age, "unknown key")
+		return false
+	}
+	x.workspace = w
+	return true
+}
+
+// refuseUnknown refuses what the configuration doesn't hold, unless a newer
+// one may hold it.
+func (x *exchange) refuseUnknown(status int, age time.Duration, why string) {
+	if age > staleAfter {
+		x.refuse(503, comeBack, why+" in a configuration of age "+age.String())
+		return
+	}
+	x.refuse(status, 0, why)
+}
+
+// refuse ends the request with an answer of this node.
+func (x *exchange) refuse(status int, after time.Duration, why string) {
+	s := x.server
+	e := s.Logger.Info().Str("request", x.ask.ID).Int("status", status).Str("why", why).
+		Dur("after", time.Since(x.arrived)).Int("sends", x.sends)
+	if x.route != nil {
+		e = e.Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version))
+	}
+	e.Msg("gate: refused")
+	if x.begun {
+		x.keep = false
+		return
+	}
+	x.write(ownAnswer(status, after, x.last()))
+}
+
+// last reports whether the answer is the last on the caller's connection.
+func (x *exchange) last() bool { return x.request.Close || x.server.stopping.Load() }
+
+func (x *exchange) write(b []byte) bool {
+	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := x.caller.Write(b); err != nil {
+		x.keep = false
+		return false
+	}
+	return true
+}
+
+// forward sends the request until it is answered or given up.
+func (x *exchange) forward() {
+	for {
+		c, err := x.choose()
+		if err != nil {
+			x.giveUp(err)
+			return
+		}
+		o := x.send(c)
+		if x.left() {
+			x.keep = false
+			x.server.Logger.Info().Str("request", x.ask.ID).Dur("after", time.Since(x.arrived)).Msg("gate: caller left")
+			return
+		}
+		if x.settle(c, o) {
+			return
+		}
+	}
+}
+
+// choose places the request.
+func (x *exchange) choose() (place.Choice, error) {
+	s := x.server
+	now := time.Now()
+	fleet := s.Feeds.Fleet()
+	if !now.Before(x.deadline) || x.sends >= maxSends {
+		return place.Choice{}, place.ErrNone
+	}
+	return place.Choose(place.Scene{
+		Now: now, Endpoints: fleet.Services[x.service.Name], Engine: x.service.Engine,
+		Works:  s.Works.All(),
+		Avoid:  func(n ident.EndpointName) bool { return s.health.avoid(n, now) },
+		Random: random,
+	}, place.Request{
+		Prompt: x.ask.Prompt, Output: x.output(), Target: x.route.Target,
+		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried,
+	})
+}
+
+// output is the number of tokens that the answer probably has.
+func (x *exchange) output() ident.Tokens {
+	if x.ask.Guess > 0 && x.ask.Guess < x.ask.Output {
+		return x.ask.Guess
+	}
+	return x.ask.Output
+}
+
+// giveUp ends a request that gets no more endpoints.
+func (x *exchange) giveUp(err error) {
+	switch {
+	case x.begun:
+		x.refuse(0, 0, "stream ends without its rest: "+err.Error())
+	case x.runs > 0 && !time.Now().Before(x.deadline):
+		x.refuse(504, 0, "no answer in time")
+	case x.runs > 0:
+		x.refuse(502, 0, "may have run, no answer: "+err.Error())
+	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate):
+		x.refuse(503, comeBackLater, err.Error())
+	default:
+		x.refuse(503, comeBack, err.Error())
+	}
+}
+
+// settle decides what follows a send. It returns true if the request has its
+// answer.
+func (x *exchange) settle(c place.Choice, o outcome) bool {
+	s := x.server
+	now := time.Now()
+	x.note(c, o, now)
+	if o.result == complete {
+		return true
+	}
+	x.tried.Add(c.First.Name)
+	may := now.Before(x.deadline) && x.sends < maxSends
+	switch o.result {
+	case notSent:
+		return false
+	case refused:
+		if may && s.takeExtra(x.service.Name) && !x.none() {
+			return false
+		}
+	default:
+		x.runs++
+		if may && x.route.Repeatable() && x.runs < x.route.Attempts && !x.none() && s.takeExtra(x.service.Name) {
+			return false
+		}
+	}
+	x.end(o, now)
+	return true
+}
+
+// none reports whether no endpoint is left to try.
+func (x *exchange) none() bool {
+	for _, e := range x.server.Feeds.Fleet().Services[x.service.Name] {
+		if !e.Leaving && !x.tried.Has(e.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// end gives the caller the last outcome.
+func (x *exchange) end(o outcome, now time.Time) {
+	switch {
+	case x.begun:
+		x.refuse(0, 0, "stream is cut: "+o.why)
+	case o.answer != nil:
+		x.write(o.answer)
+	case o.result == refused:
+		x.refuse(503, comeBack, o.why)
+	case !now.Before(x.deadline):
+		x.refuse(504, 0, o.why)
+	default:
+		x.refuse(502, 0, o.why)
+	}
+}
+
+// note records what a send says of the endpoint.
+func (x *exchange) note(c place.Choice, o outcome, now time.Time) {
+	s := x.server
+	e := s.Logger.Debug()
+	if o.result != complete {
+		e = s.Logger.Info()
+	}
+	e.Str("request", x.ask.ID).Str("endpoint", string(c.First.Name)).Int("helpers", len(c.Helpers)).
+		Str("result", o.result.String()).Str("why", o.why).Dur("estimate", c.Estimate).Dur("first", o.first).Dur("after", now.Sub(x.arrived)).
+		Int64("prompt", int64(x.ask.Prompt)).Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
+	switch {
+	case o.fault != "":
+		x.blame(o.fault, now)
+	case o.result == complete:
+		s.health.worked(c.First.Name)
+	case o.result == notSent || o.result == unanswered:
+		s.health.failed(c.First.Name, now)
+		s.pools.Get(c.First.Address).Drop()
+	case o.result == failed && x.service.Engine != nil:
+		s.health.failed(c.First.Name, now)
+	}
+}
+
+// blame notes a failure of the endpoint that another one names.
+func (x *exchange) blame(addr string, now time.Time) {
+	if e := x.server.Feeds.Fleet().Addresses[addr]; e != nil {
+		x.server.health.failed(e.Name, now)
+		x.tried.Add(e.Name)
+	}
+}
+
+// begin tells the peers of a work at an endpoint.
+func (x *exchange) begin(c place.Choice) works.ID {
+	w := works.Work{
+		ID: works.ID(x.server.nextID.Add(1)), Node: x.server.Node, First: c.First.Name,
+		Prompt: x.ask.Prompt, Output: x.output(), Share: x.ask.Prompt, Since: time.Now(),
+	}
+	for _, h := range c.Helpers {
+		w.Helpers = append(w.Helpers, h.Name)
+	}
+	x.server.Works.Put(w)
+	x.server.Began(w)
+	return w.ID
+}
+
+func (x *exchange) finish(id works.ID) {
+	x.server.Works.Done(x.server.Node, id)
+	x.server.Done(id)
+}
--- /dev/null
+++ b/internal/trans/share/mesh.go
@@ -0,0 +1,323 @@
+// Package share connects the nodes with each other over net/rpc: each tells
+// the others at once which requests it sends where, and gives those that are
+// cut off from the platform what it knows.
+package share
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// beatEvery is the longest pause between two updates to a peer.
+	beatEvery = time.Second
+	// gather is the time in which changes are put into one update.
+	gather = 4 * time.Millisecond
+	// deadAfter is the silence after which a node counts as dead.
+	deadAfter = 3 * time.Second
+	// forgetAfter is the silence after which a node is dialled no more.
+	forgetAfter = time.Minute
+	callTimeout = 700 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+	redialLeast = 200 * time.Millisecond
+	redialMost  = 2 * time.Second
+)
+
+// Mesh holds the connections to the other nodes. The exported fields are set
+// before Run.
+type Mesh struct {
+	Self   relay.Member
+	Works  *works.Table
+	Logger zerolog.Logger
+	// State answers what this node knows of the deployment.
+	State func(known ident.Version) relay.State
+	// Failed is called with the endpoints that a peer could not reach.
+	Failed func([]ident.EndpointName)
+
+	ctx   context.Context
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is another node.
+type peer struct {
+	mesh *Mesh
+	// address is where the node listens; name is known once it was heard.
+	address string
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	name    ident.NodeName
+	heard   time.Time
+	pending relay.Update
+	client  *rpc.Client
+}
+
+// Init prepares the mesh. It is called once before any other method.
+func (m *Mesh) Init(ctx context.Context) {
+	m.ctx = ctx
+	m.peers = map[string]*peer{}
+}
+
+// Meet begins to talk to a node.
+func (m *Mesh) Meet(address string) {
+	if address == m.Self.Address || address == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[address] != nil {
+		return
+	}
+	p := &peer{mesh: m, address: address, wake: make(chan struct{}, 1), heard: time.Now()}
+	m.peers[address] = p
+	go p.run(m.ctx)
+}
+
+func (m *Mesh) all() []*peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ps := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		ps = append(ps, p)
+	}
+	return ps
+}
+
+// Nodes returns the number of nodes known, this one included.
+func (m *Mesh) Nodes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
+
+// Members returns the nodes known, this one included.
+func (m *Mesh) Members() []relay.Member {
+	ms := []relay.Member{m.Self}
+	for _, p := range m.all() {
+		p.mu.Lock()
+		ms = append(ms, relay.Member{Name: p.name, Address: p.address})
+		p.mu.Unlock()
+	}
+	return ms
+}
+
+// Began tells the peers of a work.
+func (m *Mesh) Began(w works.Work) {
+	m.tell(func(u *relay.Update) {
+		u.Began = append(u.Began, relay.WorkNote{Work: w})
+	})
+}
+
+// Wrote tells the peers that a prompt is read.
+func (m *Mesh) Wrote(id works.ID) {
+	m.tell(func(u *relay.Update) { u.Wrote = append(u.Wrote, id) })
+}
+
+// Done tells the peers that a work has ended.
+func (m *Mesh) Done(id works.ID) {
+	m.tell(func(u *relay.Update) { u.Done = append(u.Done, id) })
+}
+
+// Report tells the peers of an endpoint that can't be reached.
+func (m *Mesh) Report(n ident.EndpointName) {
+	m.tell(func(u *relay.Update) { u.Failed = append(u.Failed, n) })
+}
+
+func (m *Mesh) tell(add func(*relay.Update)) {
+	for _, p := range m.all() {
+		p.mu.Lock()
+		if p.client != nil {
+			add(&p.pending)
+		}
+		p.mu.Unlock()
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// hear notes a sign of life of a node.
+func (m *Mesh) hear(from relay.Member) {
+	m.Meet(from.Address)
+	m.mu.Lock()
+	p := m.peers[from.Address]
+	m.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	fresh := p.name == ""
+	p.name = from.Name
+	p.heard = time.Now()
+	p.mu.Unlock()
+	if fresh {
+		m.Logger.Info().Str("peer", string(from.Name)).Str("address", from.Address).Msg("share: node is known")
+	}
+}
+
+// run talks to the peer until it is silent for too long.
+func (p *peer) run(ctx context.Context) {
+	pause := redialLeast
+	for ctx.Err() == nil {
+		err := p.talk(ctx)
+		p.mu.Lock()
+		silent := time.Since(p.heard)
+		p.mu.Unlock()
+		if silent > forgetAfter {
+			p.mesh.forget(p, err)
+			return
+		}
+		if silent < deadAfter {
+			pause = redialLeast
+		}
+		pauseFor(ctx, pause)
+		pause = min(2*pause, redialMost)
+	}
+}
+
+func (m *Mesh) forget(p *peer, err error) {
+	m.mu.Lock()
+	delete(m.peers, p.address)
+	m.mu.Unlock()
+	m.Logger.Info().Str("peer", string(p.name)).Str("address", p.address).Err(err).Msg("share: node is forgotten")
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// talk connects and sends updates until a call fails.
+func (p *peer) talk(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout, Control: conns.Harden}
+	c, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return err
+	}
+	client := rpc.NewClient(c)
+	defer client.Close()
+	p.begin(client)
+	defer p.end()
+	for {
+		if err := p.push(client); err != nil {
+			p.mesh.Logger.Debug().Err(err).Str("address", p.address).Msg("share: lost a node")
+			return err
+		}
+		t := time.NewTimer(beatEvery)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-p.wake:
+			t.Stop()
+			time.Sleep(gather)
+		case <-t.C:
+		}
+	}
+}
+
+// begin queues all works of this node for the peer.
+func (p *peer) begin(client *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.client = client
+	p.pending = relay.Update{Reset: true}
+	for _, w := range p.mesh.Works.Of(p.mesh.Self.Name) {
+		p.pending.Began = append(p.pending.Began, relay.WorkNote{Work: w})
+	}
+}
+
+func (p *peer) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.client = nil
+	p.pending = relay.Update{}
+}
+
+// push sends what is pending.
+func (p *peer) push(client *rpc.Client) error {
+	p.mu.Lock()
+	u := p.pending
+	p.pending = relay.Update{}
+	p.mu.Unlock()
+	u.From = p.mesh.Self
+	now := time.Now()
+	for i := range u.Began {
+		u.Began[i].Age = now.Sub(u.Began[i].Work.Since)
+		u.Began[i].Work.Since = time.Time{}
+	}
+	var r relay.UpdateReply
+	if err := call(client, "Node.Tell", u, &r); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.heard = time.Now()
+	p.mu.Unlock()
+	for _, m := range r.Members {
+		p.mesh.Meet(m.Address)
+	}
+	return nil
+}
+
+// call bounds a call, after which the client is of no use.
+func call(c *rpc.Client, method string, args, reply any) error {
+	done := c.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
+	t := time.NewTimer(callTimeout)
+	defer t.Stop()
+	select {
+	case d := <-done:
+		return d.Error
+	case <-t.C:
+		c.Close()
+		return context.DeadlineExceeded
+	}
+}
+
+// Sweep drops the works of nodes that are dead. It is called now and then.
+func (m *Mesh) Sweep(now time.Time) {
+	for _, p := range m.all() {
+		p.mu.Lock()
+		dead := p.name != "" && now.Sub(p.heard) > deadAfter
+		name := p.name
+		p.mu.Unlock()
+		if dead {
+			m.Works.Drop(name)
+		}
+	}
+}
+
+// Ask asks the peers that are alive, one after the other, for what they know.
+// It returns the first answer that take accepts.
+func (m *Mesh) Ask(known ident.Version, take func(relay.State) bool) {
+	for _, p := range m.all() {
+		p.mu.Lock()
+		c := p.client
+		p.mu.Unlock()
+		if c == nil {
+			continue
+		}
+		var s relay.State
+		if err := call(c, "Node.State", relay.StateArgs{From: m.Self, Version: known}, &s); err != nil {
+			continue
+		}
+		if take(s) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/trans/share/serve.go
@@ -0,0 +1,99 @@
+package share
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+)
+
+// service holds the methods that peers call.
+type service struct {
+	mesh *Mesh
+}
+
+// Tell takes what a peer does.
+func (s *service) Tell(u relay.Update, r *relay.UpdateReply) error {
+	m := s.mesh
+	m.hear(u.From)
+	now := time.Now()
+	if u.Reset {
+		m.Works.Drop(u.From.Name)
+		r.Members = m.Members()
+	}
+	for _, n := range u.Began {
+		n.Work.Since = now.Add(-n.Age)
+		m.Works.Put(n.Work)
+	}
+	for _, id := range u.Wrote {
+		m.Works.Wrote(u.From.Name, id)
+	}
+	for _, id := range u.Done {
+		m.Works.Done(u.From.Name, id)
+	}
+	if len(u.Failed) > 0 {
+		m.Failed(u.Failed)
+	}
+	return nil
+}
+
+// State answers what this node knows of the deployment.
+func (s *service) State(a relay.StateArgs, r *relay.State) error {
+	s.mesh.hear(a.From)
+	*r = s.mesh.State(a.Version)
+	return nil
+}
+
+// Run answers peers until the context ends.
+func (m *Mesh) Run(ctx context.Context, l net.Listener) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Node", &service{m}); err != nil {
+		return err
+	}
+	open := &openConns{conns: map[string]net.Conn{}}
+	stop := context.AfterFunc(ctx, func() { l.Close(); open.closeAll() })
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		open.add(c)
+		go func() {
+			defer open.remove(c)
+			srv.ServeConn(c)
+		}()
+	}
+}
+
+// openConns are the connections that peers opened.
+type openConns struct {
+	mu    sync.Mutex
+	conns map[string]net.Conn
+}
+
+func (o *openConns) add(c net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conns[c.RemoteAddr().String()] = c
+}
+
+func (o *openConns) remove(c net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, c.RemoteAddr().String())
+}
+
+func (o *openConns) closeAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.conns {
+		c.Close()
+	}
+}
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -14,6 +14,8 @@
 	RouteName string
 	// EndpointName identifies a model engine or a plain service.
 	EndpointName string
+	// ServiceName identifies a group of endpoints that serve the same requests.
+	ServiceName string
 	// ModelName identifies a model served by engines.
 	ModelName string
 	// DataCentre identifies the place of a VM.
