--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,17 +10,23 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// view is the state of one engine, as far as the nodes know.
+// view is the state of one engine, as far as the nodes know. An engine works
+// in passes: each writes one event of every writer and reads what waits to be
+// read. So reading delays the writers, and a prompt waits for the pass before
+// it.
 type view struct {
 	endpoint *topol.Endpoint
 	spec     *topol.Engine
 	avoid    bool
+	// rank is the place in an order that all nodes share.
+	rank int
 	// requests counts those that occupy a slot, writers those that write.
 	requests, writers int
 	// helping counts the prompts of others that it reads parts of.
 	helping int
-	// longs counts the long prompts that occupy a slot.
-	longs int
+	// gap is the least pause that the callers of its requests accept; zero
+	// without requests.
+	gap time.Duration
 	// context is what the writers have in memory, used all that is or will be.
 	context, used ident.Tokens
 	// backlog is the time until all that is to be read is read.
@@ -42,24 +49,20 @@
 	}
 }
 
-// step is the time of one token step of the writers.
-func (v *view) step() time.Duration {
-	return v.spec.Step + time.Duration(v.writers)*v.spec.PerWriter + time.Duration(float64(v.context)/1000*float64(v.spec.PerContext))
-}
-
-// writing is what the writers add to each pass.
+// writing is the time that the writers take in each pass.
 func (v *view) writing() time.Duration {
 	if v.writers == 0 {
 		return 0
 	}
-	return time.Duration(v.spec.Stride) * v.step()
+	step := v.spec.Step + time.Duration(v.writers)*v.spec.PerWriter + time.Duration(float64(v.context)/1000*float64(v.spec.PerContext))
+	return time.Duration(v.spec.Stride) * step
 }
 
-// read is the time to read a part with nothing before it.
+// read is the time to read a part alone.
 func (v *view) read(p part) time.Duration {
-	t := time.Duration(float64(p.tokens)/v.spec.ReadRate*float64(time.Second)) + time.Duration(p.pairs*float64(v.spec.Pairs))
-	passes := (p.tokens + v.spec.Chunk - 1) / v.spec.Chunk
-	return t + time.Duration(passes)*v.writing()
+	steps := (p.tokens + v.spec.Chunk - 1) / v.spec.Chunk
+	return time.Duration(float64(p.tokens)/v.spec.ReadRate*float64(time.Second)) +
+		time.Duration(p.pairs*float64(v.spec.Pairs)) + time.Duration(steps)*v.spec.Step/2
 }
 
 // finish is the time until a new part is read.
@@ -67,6 +70,16 @@
 	return v.backlog + v.writing()/2 + v.read(p)
 }
 
+// stall is what a new part adds to the time by which the writers' pauses are
+// longer than their callers accept, summed over the writers.
+func (v *view) stall(p part) time.Duration {
+	if v.requests == 0 {
+		return 0
+	}
+	over := v.backlog + v.writing() - v.gap*gapPercent/100
+	return (max(0, over+v.read(p)) - max(0, over)) * time.Duration(v.requests)
+}
+
 // fits reports whether the engine has memory for more tokens.
 func (v *view) fits(n ident.Tokens) bool {
 	return v.used+n <= v.spec.Memory*memoryPercent/100
@@ -84,9 +97,12 @@
 			vs = append(vs, v)
 		}
 	}
-	slices.SortFunc(vs, func(a, b *view) int { return order(a.endpoint.Name, b.endpoint.Name) })
+	slices.SortFunc(vs, func(a, b *view) int { return cmp.Compare(a.endpoint.Name, b.endpoint.Name) })
+	for i, v := range vs {
+		v.rank = i
+	}
 	for _, w := range s.Works {
-		addWriter(byName[w.First], w, s)
+		addRequest(byName[w.First], w)
 	}
 	for _, w := range s.Works {
 		if !w.Writing && w.Prompt > 0 {
@@ -96,24 +112,14 @@
 	return vs
 }
 
-func order(a, b ident.EndpointName) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-func addWriter(v *view, w works.Work, s Scene) {
+func addRequest(v *view, w works.Work) {
 	if v == nil {
 		return
 	}
 	v.requests++
 	v.used += w.Share + w.Output
-	if isLong(s.Engine, w.Prompt) {
-		v.longs++
+	if v.gap == 0 || w.Gap < v.gap {
+		v.gap = w.Gap
 	}
 	if w.Writing {
 		v.writers++
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -32,6 +32,8 @@
 	Prompt, Output ident.Tokens
 	// Target is the time to the first event that the caller expects.
 	Target time.Duration
+	// Gap is the pause between events that the caller accepts.
+	Gap time.Duration
 	// Left is the time until the request is given up.
 	Left       time.Duration
 	DataCentre ident.DataCentre
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -1,43 +1,40 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
-
-	"laburnumstack.org/laburnum/internal/state/topol"
-	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
 	// memoryPercent of an engine's memory is given to prompts and answers.
 	memoryPercent = 94
-	// longChunks is the size in chunks from which a prompt counts as long.
-	longChunks = 12
-	// shortWriters is the number of requests at an engine beyond which short
-	// prompts open another engine for writing.
-	shortWriters = 12
-	// helperTokens is the size of part below which another helper is not
-	// worth its while.
-	helperTokens = 700
+	// gapPercent of the pause that callers accept is planned for.
+	gapPercent = 75
+	// packedRequests is the number of requests at an engine beyond which
+	// another engine is opened for writing.
+	packedRequests = 11
+	// packedCost is the cost of each request beyond it.
+	packedCost = 40 * time.Millisecond
+	// openCost is the cost of writing on an engine without requests.
+	openCost = 40 * time.Millisecond
+	// rankCost is the cost of each engine in front of one, so that short
+	// prompts fill the engines from the front and long ones from the back.
+	rankCost = time.Millisecond
+	// helperTokens is the least part that is worth another helper.
+	helperTokens = 1000
 	// maxHelpers is the most that an engine takes.
 	maxHelpers = 16
 	// helperCost is what each helper must gain.
 	helperCost = time.Millisecond
-	// reservedReaders is the number of engines without writers that long
-	// prompts leave to short ones.
-	reservedReaders = 3
-	// openCost is what an engine without writers must gain to get the first.
-	openCost = 60 * time.Millisecond
 	// avoidCost keeps requests from engines that fail.
 	avoidCost = 10 * time.Second
 	// latePercent of the time left may go by before the first event.
 	latePercent = 70
+	// longGap is the accepted pause from which a request counts as long.
+	longGap = 800 * time.Millisecond
 )
 
-func isLong(e *topol.Engine, prompt ident.Tokens) bool {
-	return e != nil && prompt > longChunks*e.Chunk
-}
-
 func choosePrompt(s Scene, r Request) (Choice, error) {
 	vs := views(s)
 	vs = slices.DeleteFunc(vs, func(v *view) bool { return r.Tried.Has(v.endpoint.Name) })
@@ -47,99 +44,99 @@
 	if r.Prompt+r.Output > s.Engine.Memory*memoryPercent/100 {
 		return Choice{}, ErrTooLarge
 	}
-	long := isLong(s.Engine, r.Prompt)
-	first := chooseFirst(vs, r, long)
-	if first == nil {
+	best := plan{cost: -1}
+	for _, first := range vs {
+		if first.requests >= first.spec.Slots || !first.fits(r.Prompt+r.Output) {
+			continue
+		}
+		p := planFor(vs, first, r)
+		if best.cost < 0 || p.cost < best.cost {
+			best = p
+		}
+	}
+	if best.cost < 0 {
 		return Choice{}, ErrFull
 	}
-	c := withHelpers(vs, first, r, long)
+	c := best.choice()
 	if r.Left > 0 && c.Estimate > r.Left*latePercent/100 {
 		return c, ErrLate
 	}
 	return c, nil
 }
 
-// chooseFirst takes the engine that writes the answer. Short prompts fill the
-// engines from the front, long ones from the back, so that those between stay
-// free of writers and read fast.
-func chooseFirst(vs []*view, r Request, long bool) *view {
-	var best *view
-	var bestCost time.Duration
-	for i := range vs {
-		v := vs[i]
-		if long {
-			v = vs[len(vs)-1-i]
-		}
-		if v.requests >= v.spec.Slots || !v.fits(r.Prompt+r.Output) {
-			continue
-		}
-		cost := firstCost(v, r, long)
-		if best == nil || cost < bestCost {
-			best, bestCost = v, cost
-		}
-	}
-	return best
+// plan is one way to place a prompt.
+type plan struct {
+	first   *view
+	helpers []*view
+	// end is the time until the prompt is read, cost what is to be least.
+	end, cost time.Duration
 }
 
-func firstCost(v *view, r Request, long bool) time.Duration {
-	n := 1 + min(maxHelpers, int(r.Prompt/helperTokens))
-	cost := v.finish(split(r.Prompt, n))
-	if v.requests == 0 {
-		cost += openCost
-	}
-	if !long {
-		cost += time.Duration(max(0, v.requests-shortWriters)) * openCost
-		cost += time.Duration(v.longs) * openCost
-	}
-	if long {
-		cost += time.Duration(v.requests-v.longs) * openCost / 4
-	}
-	if v.avoid {
-		cost += avoidCost
+func (p plan) choice() Choice {
+	stride := time.Duration(p.first.spec.Stride)
+	c := Choice{First: p.first.endpoint, Estimate: p.end + max(p.first.writing(), stride*p.first.spec.Step)}
+	for _, h := range p.helpers {
+		c.Helpers = append(c.Helpers, h.endpoint)
 	}
-	return cost
+	return c
 }
 
-// withHelpers adds the helpers that bring the first event soonest.
-func withHelpers(vs []*view, first *view, r Request, long bool) Choice {
-	hs := readers(vs, first, r, long)
-	most := min(len(hs), maxHelpers, int(r.Prompt/helperTokens))
-	bestN, best := 0, first.finish(split(r.Prompt, 1))
-	for n := 1; n <= most; n++ {
+// planFor finds the number of helpers that is best with a given engine as the
+// first.
+func planFor(vs []*view, first *view, r Request) plan {
+	base := firstCost(vs, first, r)
+	best := plan{first: first, end: first.finish(split(r.Prompt, 1))}
+	best.cost = base + best.end + first.stall(split(r.Prompt, 1))
+	most := min(maxHelpers, int(r.Prompt/helperTokens)-1)
+	if most < 1 {
+		return best
+	}
+	hs := helpers(vs, first, split(r.Prompt, most+1))
+	for n := 1; n <= min(most, len(hs)); n++ {
 		p := split(r.Prompt, n+1)
 		end := first.finish(p)
+		cost := base + first.stall(p) + time.Duration(n)*helperCost
 		for _, h := range hs[:n] {
 			end = max(end, h.finish(p))
+			cost += h.stall(p)
 		}
-		if end+time.Duration(n-bestN)*helperCost < best {
-			bestN, best = n, end
+		if cost+end < best.cost {
+			best = plan{first: first, helpers: hs[:n], end: end, cost: cost + end}
 		}
 	}
-	c := Choice{First: first.endpoint, Estimate: best + first.writing()}
-	if first.writers == 0 {
-		c.Estimate = best + time.Duration(first.spec.Stride)*first.spec.Step
+	return best
+}
+
+// firstCost is what speaks against writing on an engine beside the time to
+// read there.
+func firstCost(vs []*view, v *view, r Request) time.Duration {
+	cost := time.Duration(v.rank) * rankCost
+	if r.Gap >= longGap {
+		cost = time.Duration(len(vs)-v.rank) * rankCost
 	}
-	for _, h := range hs[:bestN] {
-		c.Helpers = append(c.Helpers, h.endpoint)
+	if v.requests == 0 {
+		cost += openCost
 	}
-	return c
+	cost += time.Duration(max(0, v.requests-packedRequests)) * packedCost
+	// The caller's own pauses are at risk where much is read.
+	cost += max(0, v.backlog+v.writing()-r.Gap*gapPercent/100)
+	if v.avoid {
+		cost += avoidCost
+	}
+	return cost
 }
 
-// readers returns the engines that may help, the best first.
-func readers(vs []*view, first *view, r Request, long bool) []*view {
-	p := split(r.Prompt, 1+min(maxHelpers, int(r.Prompt/helperTokens)))
+// helpers returns the engines that may help, the best first.
+func helpers(vs []*view, first *view, p part) []*view {
 	hs := make([]*view, 0, len(vs))
-	reserved := 0
+	cost := make(map[*view]time.Duration, len(vs))
 	for _, v := range vs {
 		if v == first || v.avoid || v.helping >= v.spec.Slots {
 			continue
 		}
-		if long && v.requests == 0 && reserved < reservedReaders {
-			reserved++
-			continue
-		}
 		hs = append(hs, v)
+		cost[v] = v.finish(p) + v.stall(p)
 	}
-	slices.SortStableFunc(hs, func(a, b *view) int { return int(a.finish(p) - b.finish(p)) })
+	slices.SortStableFunc(hs, func(a, b *view) int { return cmp.Compare(cost[a], cost[b]) })
 	return hs
 }
--- a/internal/state/works/works.go
+++ b/internal/state/works/works.go
@@ -26,6 +26,8 @@
 	// Share is the part of the prompt's memory that stays at the first
 	// endpoint; the rest is in reservations of others.
 	Share ident.Tokens
+	// Gap is the pause between events that the caller accepts.
+	Gap time.Duration
 	// Since is when the work was sent.
 	Since time.Time
 	// Writing tells that the prompt is read.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -62,6 +62,8 @@
 	fault string
 	// first is the time to the first event or the answer.
 	first time.Duration
+	// gap is the longest pause between two writes of events.
+	gap time.Duration
 }
 
 // attempt is one send of a request to an endpoint.
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -243,7 +243,7 @@
 		Avoid:  func(n ident.EndpointName) bool { return s.health.avoid(n, now) },
 		Random: random,
 	}, place.Request{
-		Prompt: x.ask.Prompt, Output: x.output(), Target: x.route.Target,
+		Prompt: x.ask.Prompt, Output: x.output(), Target: x.route.Target, Gap: x.route.Gap,
 		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried,
 	})
 }
@@ -334,7 +334,7 @@
 		e = s.Logger.Info()
 	}
 	e.Str("request", x.ask.ID).Str("endpoint", string(c.First.Name)).Int("helpers", len(c.Helpers)).
-		Str("result", o.result.String()).Str("why", o.why).Dur("estimate", c.Estimate).Dur("first", o.first).Dur("after", now.Sub(x.arrived)).
+		Str("result", o.result.String()).Str("why", o.why).Dur("estimate", c.Estimate).Dur("first", o.first).Dur("gap", o.gap).Dur("after", now.Sub(x.arrived)).
 		Int64("prompt", int64(x.ask.Prompt)).Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
 	switch {
 	case o.fault != "":
@@ -361,7 +361,7 @@
 func (x *exchange) begin(c place.Choice) works.ID {
 	w := works.Work{
 		ID: works.ID(x.server.nextID.Add(1)), Node: x.server.Node, First: c.First.Name,
-		Prompt: x.ask.Prompt, Output: x.output(), Share: x.ask.Prompt, Since: time.Now(),
+		Prompt: x.ask.Prompt, Output: x.output(), Share: x.ask.Prompt, Gap: x.route.Gap, Since: time.Now(),
 	}
 	for _, h := range c.Helpers {
 		w.Helpers = append(w.Helpers, h.Name)
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -26,6 +26,7 @@
 	body := http1.NewBody(a.link.Reader, res.Framing, res.Length)
 	buf := make([]byte, 0, streamBuffer)
 	first := true
+	var passed time.Time
 	for {
 		if !first {
 			a.link.SetReadDeadline(a.gapEnd())
@@ -42,6 +43,11 @@
 		end := eventsEnd(buf)
 		ended := err == io.EOF && end == len(buf)
 		if end > 0 || ended {
+			now := time.Now()
+			if !first {
+				o.gap = max(o.gap, now.Sub(passed))
+			}
+			passed = now
 			if first && end > 0 {
 				first = false
 				o.first = time.Since(a.began)
