--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,8 @@
 	// gap is the least pause that the callers of its requests accept; zero
 	// without requests.
 	gap time.Duration
+	// value weighs its requests together.
+	value float64
 	// context is what the writers have in memory, used all that is or will be.
 	context, used ident.Tokens
 	// backlog is the time until all that is to be read is read.
@@ -71,13 +74,19 @@
 }
 
 // stall is what a new part adds to the time by which the writers' pauses are
-// longer than their callers accept, summed over the writers.
-func (v *view) stall(p part) time.Duration {
-	if v.requests == 0 {
-		return 0
-	}
+// longer than their callers accept, times the value of the writers. Pauses
+// that are far too long already don't count.
+func (v *view) stall(p part) float64 {
 	over := v.backlog + v.writing() - v.gap*gapPercent/100
-	return (max(0, over+v.read(p)) - max(0, over)) * time.Duration(v.requests)
+	return (late(over+v.read(p)) - late(over)).Seconds() * v.value
+}
+
+// late is the part of a delay that counts.
+func late(over time.Duration) time.Duration { return min(max(0, over), latenessMost) }
+
+// value weighs a prompt by its size.
+func value(prompt ident.Tokens) float64 {
+	return math.Pow(max(1, float64(prompt)/valueTokens), valuePower)
 }
 
 // fits reports whether the engine has memory for more tokens.
@@ -117,6 +126,7 @@
 		return
 	}
 	v.requests++
+	v.value += value(w.Prompt)
 	v.used += w.Share + w.Output
 	if v.gap == 0 || w.Gap < v.gap {
 		v.gap = w.Gap
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -31,6 +31,16 @@
 	avoidCost = 10 * time.Second
 	// latePercent of the time left may go by before the first event.
 	latePercent = 70
+	// valueTokens is the prompt that weighs one, valuePower the growth of the
+	// weight with the size.
+	valueTokens = 4000
+	valuePower  = 0.8
+	// latenessMost is the delay beyond which a writer can't become later.
+	latenessMost = 300 * time.Millisecond
+	// earlyWeight is the weight of the time before the target nears, and
+	// targetPercent is the part of the target that is near it.
+	earlyWeight   = 0.1
+	targetPercent = 50
 	// longGap is the accepted pause from which a request counts as long.
 	longGap = 800 * time.Millisecond
 )
@@ -68,8 +78,10 @@
 type plan struct {
 	first   *view
 	helpers []*view
-	// end is the time until the prompt is read, cost what is to be least.
-	end, cost time.Duration
+	// end is the time until the prompt is read.
+	end time.Duration
+	// cost is what is to be least, in seconds of a short prompt.
+	cost float64
 }
 
 func (p plan) choice() Choice {
@@ -85,8 +97,9 @@
 // first.
 func planFor(vs []*view, first *view, r Request) plan {
 	base := firstCost(vs, first, r)
-	best := plan{first: first, end: first.finish(split(r.Prompt, 1))}
-	best.cost = base + best.end + first.stall(split(r.Prompt, 1))
+	whole := split(r.Prompt, 1)
+	best := plan{first: first, end: first.finish(whole)}
+	best.cost = base + endCost(best.end, r) + first.stall(whole)
 	most := min(maxHelpers, int(r.Prompt/helperTokens)-1)
 	if most < 1 {
 		return best
@@ -95,21 +108,28 @@
 	for n := 1; n <= min(most, len(hs)); n++ {
 		p := split(r.Prompt, n+1)
 		end := first.finish(p)
-		cost := base + first.stall(p) + time.Duration(n)*helperCost
+		cost := base + first.stall(p) + float64(n)*helperCost.Seconds()
 		for _, h := range hs[:n] {
 			end = max(end, h.finish(p))
 			cost += h.stall(p)
 		}
-		if cost+end < best.cost {
-			best = plan{first: first, helpers: hs[:n], end: end, cost: cost + end}
+		cost += endCost(end, r)
+		if cost < best.cost {
+			best = plan{first: first, helpers: hs[:n], end: end, cost: cost}
 		}
 	}
 	return best
 }
 
+// endCost weighs the time until the prompt is read.
+func endCost(end time.Duration, r Request) float64 {
+	near := max(0, end-r.Target*targetPercent/100)
+	return value(r.Prompt) * (earlyWeight*end.Seconds() + near.Seconds())
+}
+
 // firstCost is what speaks against writing on an engine beside the time to
 // read there.
-func firstCost(vs []*view, v *view, r Request) time.Duration {
+func firstCost(vs []*view, v *view, r Request) float64 {
 	cost := time.Duration(v.rank) * rankCost
 	if r.Gap >= longGap {
 		cost = time.Duration(len(vs)-v.rank) * rankCost
@@ -119,23 +139,23 @@
 	}
 	cost += time.Duration(max(0, v.requests-packedRequests)) * packedCost
 	// The caller's own pauses are at risk where much is read.
-	cost += max(0, v.backlog+v.writing()-r.Gap*gapPercent/100)
+	risk := late(v.backlog + v.writing() - r.Gap*gapPercent/100).Seconds()
 	if v.avoid {
 		cost += avoidCost
 	}
-	return cost
+	return cost.Seconds() + value(r.Prompt)*risk
 }
 
 // helpers returns the engines that may help, the best first.
 func helpers(vs []*view, first *view, p part) []*view {
 	hs := make([]*view, 0, len(vs))
-	cost := make(map[*view]time.Duration, len(vs))
+	cost := make(map[*view]float64, len(vs))
 	for _, v := range vs {
 		if v == first || v.avoid || v.helping >= v.spec.Slots {
 			continue
 		}
 		hs = append(hs, v)
-		cost[v] = v.finish(p) + v.stall(p)
+		cost[v] = v.finish(p).Seconds() + v.stall(p)
 	}
 	slices.SortStableFunc(hs, func(a, b *view) int { return cmp.Compare(cost[a], cost[b]) })
 	return hs
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -17,7 +17,7 @@
 	// gapFactor times the pause that callers accept, and gapLeast at least,
 	// is how long a stream may be silent.
 	gapFactor = 3
-	gapLeast  = time.Second
+	gapLeast  = 1600 * time.Millisecond
 )
 
 // relayStream passes events on as they come, each whole. A stream that is cut
