--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -66,7 +66,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	n := &edge.Node{
 		Settings: s.Node, Source: platform.NewStore(s.Store), Decoder: platform.Decoder{},
-		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, ReadyPath: platform.ReadyPath, Logger: logger,
+		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: &platform.Orders{}, ReadyPath: platform.ReadyPath, Logger: logger,
 	}
 	if err := n.Run(ctx); err != nil {
 		logger.Error().Err(err).Msg("node: ended by an error")
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -73,22 +72,6 @@
 	return v.backlog + v.writing()/2 + v.read(p)
 }
 
-// stall is what a new part adds to the time by which the writers' pauses are
-// longer than their callers accept, times the value of the writers. Pauses
-// that are far too long already don't count.
-func (v *view) stall(p part) float64 {
-	over := v.backlog + v.writing() - v.gap*gapPercent/100
-	return (late(over+v.read(p)) - late(over)).Seconds() * v.value
-}
-
-// late is the part of a delay that counts.
-func late(over time.Duration) time.Duration { return min(max(0, over), latenessMost) }
-
-// value weighs a prompt by its size.
-func value(prompt ident.Tokens) float64 {
-	return math.Pow(max(1, float64(prompt)/valueTokens), valuePower)
-}
-
 // fits reports whether the engine has memory for more tokens.
 func (v *view) fits(n ident.Tokens) bool {
 	return v.used+n <= v.spec.Memory*memoryPercent/100
@@ -112,6 +95,11 @@
 	}
 	for _, w := range s.Works {
 		addRequest(byName[w.First], w)
+		for _, h := range w.Held {
+			if v := byName[h.Endpoint]; v != nil {
+				v.used += h.Tokens
+			}
+		}
 	}
 	for _, w := range s.Works {
 		if !w.Writing && w.Prompt > 0 {
--- /dev/null
+++ b/internal/coord/place/held.go
@@ -0,0 +1,66 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// pieceParts divides an engine's memory: a prompt that no engine can hold
+// alone is held in pieces of at most such a part.
+const pieceParts = 3
+
+// bestHeld places a prompt whose memory is spread over several engines. The
+// first one keeps a piece, the others reserve theirs before the request is
+// sent.
+func bestHeld(vs []*view, r Request) (plan, bool) {
+	most := vs[0].spec.Memory / pieceParts
+	n := int((r.Prompt + most - 1) / most)
+	if n < 2 || n > maxHelpers+1 {
+		return plan{}, false
+	}
+	piece := (r.Prompt + ident.Tokens(n) - 1) / ident.Tokens(n)
+	p := split(r.Prompt, min(len(vs), maxHelpers+1))
+	roomy := slices.DeleteFunc(slices.Clone(vs), func(v *view) bool {
+		return v.avoid || r.Full.Has(v.endpoint.Name) || !v.fits(piece+r.Output) || v.helping >= v.spec.Slots
+	})
+	slices.SortStableFunc(roomy, func(a, b *view) int {
+		return cmp.Compare(partCost(a, p, r), partCost(b, p, r))
+	})
+	i := slices.IndexFunc(roomy, func(v *view) bool { return v.requests < v.spec.Slots })
+	if i < 0 || len(roomy) < n {
+		return plan{}, false
+	}
+	first := roomy[i]
+	holders := slices.Delete(roomy, i, i+1)[:n-1]
+	best := plan{first: first, helpers: holders}
+	for range n - 1 {
+		best.held = append(best.held, piece)
+	}
+	return withLenders(best, vs, r), true
+}
+
+// withLenders adds the engines that only lend their processor, as many as
+// bring the first event soonest.
+func withLenders(held plan, vs []*view, r Request) plan {
+	others := slices.DeleteFunc(slices.Clone(vs), func(v *view) bool { return slices.Contains(held.helpers, v) })
+	lenders := helpers(others, held.first, split(r.Prompt, maxHelpers+1), r)
+	best := held
+	for n := 0; n <= min(len(lenders), maxHelpers-len(held.helpers)); n++ {
+		p := held
+		p.helpers = slices.Concat(held.helpers, lenders[:n])
+		share := split(r.Prompt, len(p.helpers)+1)
+		p.end = p.first.finish(share)
+		p.cost = p.first.stall(share) + float64(n)*helperCost
+		for _, h := range p.helpers {
+			p.end = max(p.end, h.finish(share))
+			p.cost += h.stall(share)
+		}
+		p.cost += value(r.Prompt) * lateRisk(p.end, r)
+		if n == 0 || p.cost < best.cost {
+			best = p
+		}
+	}
+	return best
+}
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -21,7 +21,7 @@
 	ErrFull = errors.ConstError("all endpoints are full")
 	// ErrLate means that the request would not be answered in its time.
 	ErrLate = errors.ConstError("the wait is too long")
-	// ErrTooLarge means that no engine has memory for the prompt.
+	// ErrTooLarge means that the engines together can't hold the prompt.
 	ErrTooLarge = errors.ConstError("prompt is too large")
 )
 
@@ -39,12 +39,16 @@
 	DataCentre ident.DataCentre
 	// Tried are the endpoints that failed it before.
 	Tried ident.Set[ident.EndpointName]
+	// Full are the endpoints that had no memory to reserve.
+	Full ident.Set[ident.EndpointName]
 }
 
 // Choice is where a request goes.
 type Choice struct {
 	First   *topol.Endpoint
 	Helpers []*topol.Endpoint
+	// Held is the memory to be reserved at the first helpers, in their order.
+	Held []ident.Tokens
 	// Estimate is the time to the first event, as far as is known.
 	Estimate time.Duration
 }
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -4,43 +4,33 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
 	// memoryPercent of an engine's memory is given to prompts and answers.
 	memoryPercent = 94
-	// gapPercent of the pause that callers accept is planned for.
-	gapPercent = 75
 	// packedRequests is the number of requests at an engine beyond which
 	// another engine is opened for writing.
 	packedRequests = 11
 	// packedCost is the cost of each request beyond it.
-	packedCost = 40 * time.Millisecond
+	packedCost = 0.04
 	// openCost is the cost of writing on an engine without requests.
-	openCost = 40 * time.Millisecond
+	openCost = 0.04
 	// rankCost is the cost of each engine in front of one, so that short
 	// prompts fill the engines from the front and long ones from the back.
-	rankCost = time.Millisecond
+	rankCost = 0.001
 	// helperTokens is the least part that is worth another helper.
 	helperTokens = 1000
 	// maxHelpers is the most that an engine takes.
 	maxHelpers = 16
 	// helperCost is what each helper must gain.
-	helperCost = time.Millisecond
+	helperCost = 0.001
 	// avoidCost keeps requests from engines that fail.
-	avoidCost = 10 * time.Second
+	avoidCost = 100
 	// latePercent of the time left may go by before the first event.
 	latePercent = 70
-	// valueTokens is the prompt that weighs one, valuePower the growth of the
-	// weight with the size.
-	valueTokens = 4000
-	valuePower  = 0.8
-	// latenessMost is the delay beyond which a writer can't become later.
-	latenessMost = 300 * time.Millisecond
-	// earlyWeight is the weight of the time before the target nears, and
-	// targetPercent is the part of the target that is near it.
-	earlyWeight   = 0.1
-	targetPercent = 50
 	// longGap is the accepted pause from which a request counts as long.
 	longGap = 800 * time.Millisecond
 )
@@ -51,20 +41,14 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNone
 	}
-	if r.Prompt+r.Output > s.Engine.Memory*memoryPercent/100 {
-		return Choice{}, ErrTooLarge
+	best, ok := bestAlone(vs, r)
+	if !ok {
+		best, ok = bestHeld(vs, r)
 	}
-	best := plan{cost: -1}
-	for _, first := range vs {
-		if first.requests >= first.spec.Slots || !first.fits(r.Prompt+r.Output) {
-			continue
-		}
-		p := planFor(vs, first, r)
-		if best.cost < 0 || p.cost < best.cost {
-			best = p
-		}
+	if !ok && r.Prompt > s.Engine.Memory*ident.Tokens(len(vs))/2 {
+		return Choice{}, ErrTooLarge
 	}
-	if best.cost < 0 {
+	if !ok {
 		return Choice{}, ErrFull
 	}
 	c := best.choice()
@@ -74,19 +58,37 @@
 	return c, nil
 }
 
+// bestAlone places a prompt whose memory is at one engine.
+func bestAlone(vs []*view, r Request) (plan, bool) {
+	var best plan
+	found := false
+	for _, first := range vs {
+		if first.requests >= first.spec.Slots || !first.fits(r.Prompt+r.Output) {
+			continue
+		}
+		p := planFor(vs, first, r)
+		if !found || p.cost < best.cost {
+			best, found = p, true
+		}
+	}
+	return best, found
+}
+
 // plan is one way to place a prompt.
 type plan struct {
 	first   *view
 	helpers []*view
+	// held is the memory reserved at the first helpers.
+	held []ident.Tokens
 	// end is the time until the prompt is read.
 	end time.Duration
-	// cost is what is to be least, in seconds of a short prompt.
+	// cost is what is to be least, the value that is lost.
 	cost float64
 }
 
 func (p plan) choice() Choice {
 	stride := time.Duration(p.first.spec.Stride)
-	c := Choice{First: p.first.endpoint, Estimate: p.end + max(p.first.writing(), stride*p.first.spec.Step)}
+	c := Choice{First: p.first.endpoint, Held: p.held, Estimate: p.end + max(p.first.writing(), stride*p.first.spec.Step)}
 	for _, h := range p.helpers {
 		c.Helpers = append(c.Helpers, h.endpoint)
 	}
@@ -99,21 +101,21 @@
 	base := firstCost(vs, first, r)
 	whole := split(r.Prompt, 1)
 	best := plan{first: first, end: first.finish(whole)}
-	best.cost = base + endCost(best.end, r) + first.stall(whole)
+	best.cost = base + value(r.Prompt)*lateRisk(best.end, r) + first.stall(whole)
 	most := min(maxHelpers, int(r.Prompt/helperTokens)-1)
 	if most < 1 {
 		return best
 	}
-	hs := helpers(vs, first, split(r.Prompt, most+1))
+	hs := helpers(vs, first, split(r.Prompt, most+1), r)
 	for n := 1; n <= min(most, len(hs)); n++ {
 		p := split(r.Prompt, n+1)
 		end := first.finish(p)
-		cost := base + first.stall(p) + float64(n)*helperCost.Seconds()
+		cost := base + first.stall(p) + float64(n)*helperCost
 		for _, h := range hs[:n] {
 			end = max(end, h.finish(p))
 			cost += h.stall(p)
 		}
-		cost += endCost(end, r)
+		cost += value(r.Prompt) * lateRisk(end, r)
 		if cost < best.cost {
 			best = plan{first: first, helpers: hs[:n], end: end, cost: cost}
 		}
@@ -121,33 +123,27 @@
 	return best
 }
 
-// endCost weighs the time until the prompt is read.
-func endCost(end time.Duration, r Request) float64 {
-	near := max(0, end-r.Target*targetPercent/100)
-	return value(r.Prompt) * (earlyWeight*end.Seconds() + near.Seconds())
-}
-
 // firstCost is what speaks against writing on an engine beside the time to
 // read there.
 func firstCost(vs []*view, v *view, r Request) float64 {
-	cost := time.Duration(v.rank) * rankCost
+	cost := float64(v.rank) * rankCost
 	if r.Gap >= longGap {
-		cost = time.Duration(len(vs)-v.rank) * rankCost
+		cost = float64(len(vs)-v.rank) * rankCost
 	}
 	if v.requests == 0 {
 		cost += openCost
 	}
-	cost += time.Duration(max(0, v.requests-packedRequests)) * packedCost
+	cost += float64(max(0, v.requests-packedRequests)) * packedCost
 	// The caller's own pauses are at risk where much is read.
-	risk := late(v.backlog + v.writing() - r.Gap*gapPercent/100).Seconds()
+	risk := pauseRisk(v.backlog+v.writing(), r.Gap)
 	if v.avoid {
 		cost += avoidCost
 	}
-	return cost.Seconds() + value(r.Prompt)*risk
+	return cost + value(r.Prompt)*risk
 }
 
 // helpers returns the engines that may help, the best first.
-func helpers(vs []*view, first *view, p part) []*view {
+func helpers(vs []*view, first *view, p part, r Request) []*view {
 	hs := make([]*view, 0, len(vs))
 	cost := make(map[*view]float64, len(vs))
 	for _, v := range vs {
@@ -155,8 +151,13 @@
 			continue
 		}
 		hs = append(hs, v)
-		cost[v] = v.finish(p).Seconds() + v.stall(p)
+		cost[v] = partCost(v, p, r)
 	}
 	slices.SortStableFunc(hs, func(a, b *view) int { return cmp.Compare(cost[a], cost[b]) })
 	return hs
 }
+
+// partCost is the value that is lost if an engine reads a part.
+func partCost(v *view, p part, r Request) float64 {
+	return value(r.Prompt)*lateRisk(v.finish(p), r) + v.stall(p)
+}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -23,7 +23,7 @@
 
 const (
 	// pullAfter is the age of this node's knowledge from which it asks peers.
-	pullAfter = 1800 * time.Millisecond
+	pullAfter = 2700 * time.Millisecond
 	pullEvery = 400 * time.Millisecond
 	// announceEvery is the pause between two tries to be listed as a member.
 	announceEvery = time.Second
@@ -49,6 +49,7 @@
 	// Configuration decodes the document that peers pass on.
 	Configuration func(raw []byte) (*topol.Catalog, error)
 	Dialect       gate.Dialect
+	Orders        gate.Orders
 	// ReadyPath is the path at which the balancer asks.
 	ReadyPath string
 	Logger    zerolog.Logger
@@ -102,7 +103,7 @@
 	}
 	n.mesh.Init(ctx)
 	n.gate = &gate.Server{
-		Dialect: n.Dialect, Feeds: n.feeds, Works: n.works, Node: s.Name, DataCentre: s.DataCentre,
+		Dialect: n.Dialect, Orders: n.Orders, Feeds: n.feeds, Works: n.works, Node: s.Name, DataCentre: s.DataCentre,
 		Strict: s.Strict, Revoke: s.Revoke, Budget: s.Budget, Logger: n.Logger,
 		Began: n.mesh.Began, Wrote: n.mesh.Wrote, Done: n.mesh.Done, Nodes: n.mesh.Nodes,
 	}
--- a/internal/state/works/works.go
+++ b/internal/state/works/works.go
@@ -13,6 +13,12 @@
 // ID identifies a work among those of its node.
 type ID uint64
 
+// Held is memory that is reserved at an engine for a prompt.
+type Held struct {
+	Endpoint ident.EndpointName
+	Tokens   ident.Tokens
+}
+
 // Work is one request at an endpoint.
 type Work struct {
 	ID    ID
@@ -26,6 +32,8 @@
 	// Share is the part of the prompt's memory that stays at the first
 	// endpoint; the rest is in reservations of others.
 	Share ident.Tokens
+	// Held is the memory that the prompt has at others.
+	Held []Held
 	// Gap is the pause between events that the caller accepts.
 	Gap time.Duration
 	// Since is when the work was sent.
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -20,9 +20,9 @@
 const (
 	// configWait bounds one wait for a change of the configuration. The answer
 	// proves that the configuration was the newest when the wait began.
-	configWait = time.Second
+	configWait = 2 * time.Second
 	// endpointsEvery is the pause between two reads of the endpoints.
-	endpointsEvery = 700 * time.Millisecond
+	endpointsEvery = 1200 * time.Millisecond
 	// retryEvery is the pause after a failed call.
 	retryEvery = 250 * time.Millisecond
 	// outageGrace is how long endpoints stay listed that lapsed while the
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -16,6 +16,7 @@
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
@@ -37,6 +38,8 @@
 const (
 	// notSent means that no byte can have reached the endpoint.
 	notSent result = iota
+	// unreserved means that memory could not be reserved.
+	unreserved
 	// refused means that the endpoint says that it has not run the request.
 	refused
 	// unanswered means that the request may have run.
@@ -48,7 +51,7 @@
 )
 
 func (r result) String() string {
-	return [...]string{"not-sent", "refused", "unanswered", "failed", "complete"}[r]
+	return [...]string{"not-sent", "unreserved", "refused", "unanswered", "failed", "complete"}[r]
 }
 
 // outcome is the end of one send.
@@ -70,6 +73,7 @@
 type attempt struct {
 	*exchange
 	choice place.Choice
+	hold   *hold
 	link   *links.Link
 	pool   *links.Pool
 	work   works.ID
@@ -82,6 +86,13 @@
 func (x *exchange) send(c place.Choice) outcome {
 	x.sends++
 	a := &attempt{exchange: x, choice: c, pool: x.server.pools.Get(c.First.Address), began: time.Now()}
+	if len(c.Held) > 0 {
+		var full ident.Set[ident.EndpointName]
+		if a.hold, full = x.server.reserve(context.Background(), c); a.hold == nil {
+			return x.noMemory(full)
+		}
+		defer a.hold.end()
+	}
 	if err := a.connect(); err != nil {
 		return outcome{result: notSent, why: "connect: " + err.Error()}
 	}
@@ -102,6 +113,16 @@
 	return o
 }
 
+// noMemory notes the engines without memory. The request stays unsent.
+func (x *exchange) noMemory(full ident.Set[ident.EndpointName]) outcome {
+	x.sends--
+	x.reserves++
+	for n := range full {
+		x.full.Add(n)
+	}
+	return outcome{result: unreserved, why: "no memory to reserve"}
+}
+
 // connect takes a link from the pool. Requests that run at most once get a new
 // one, so that a link closed by the endpoint can't leave their fate open.
 func (a *attempt) connect() error {
@@ -213,8 +234,12 @@
 	if resumed {
 		s.LastEvent = a.lastEvent
 	}
-	for _, h := range a.choice.Helpers {
-		s.Helpers = append(s.Helpers, relay.Helper{Endpoint: h.Name, Address: h.Address})
+	for i, h := range a.choice.Helpers {
+		helper := relay.Helper{Endpoint: h.Name, Address: h.Address}
+		if a.hold != nil && i < len(a.hold.tickets) {
+			helper.Ticket = a.hold.tickets[i]
+		}
+		s.Helpers = append(s.Helpers, helper)
 	}
 	b = d.Send(b, s)
 	if r.Framing != http1.None {
@@ -256,9 +281,6 @@
 func (a *attempt) relayWhole(res *http1.Response, note relay.Note, o outcome) (outcome, bool) {
 	a.link.SetReadDeadline(a.deadline)
 	body, err := http1.ReadBody(a.link.Reader, res.Framing, res.Length, maxAnswerBody)
-	if err == nil && res.Framing == http1.ToClose {
-		body, err = io.ReadAll(io.LimitReader(a.link.Reader, maxAnswerBody))
-	}
 	if err != nil {
 		o.result, o.why = unanswered, "answer is cut: "+err.Error()
 		if note.NotRun {
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -24,7 +24,7 @@
 	revokeMargin = 300 * time.Millisecond
 	// staleAfter is the age of the configuration from which an unknown route
 	// or key may be one that this node has not heard of.
-	staleAfter = 2 * time.Second
+	staleAfter = 3 * time.Second
 	// comeBack tells callers to try another node soon.
 	comeBack = 200 * time.Millisecond
 	// comeBackLater tells callers to come back when load has gone down.
@@ -47,7 +47,9 @@
 	service   *topol.Service
 	workspace *topol.Workspace
 
-	tried ident.Set[ident.EndpointName]
+	tried, full ident.Set[ident.EndpointName]
+	// reserves counts the sets of engines without memory.
+	reserves int
 	// sends counts the endpoints that were sent the request, runs those that
 	// may have run it.
 	sends, runs int
@@ -149,6 +151,7 @@
 	x.deadline = x.arrived.Add(limit)
 	x.lastEvent = x.ask.LastEvent
 	x.tried = ident.Set[ident.EndpointName]{}
+	x.full = ident.Set[ident.EndpointName]{}
 	s.countRequest(x.service.Name)
 	return true
 }
@@ -244,7 +247,7 @@
 		Random: random,
 	}, place.Request{
 		Prompt: x.ask.Prompt, Output: x.output(), Target: x.route.Target, Gap: x.route.Gap,
-		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried,
+		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried, Full: x.full,
 	})
 }
 
@@ -281,6 +284,13 @@
 	if o.result == complete {
 		return true
 	}
+	if o.result == unreserved {
+		if x.reserves < maxReserves {
+			return false
+		}
+		x.giveUp(place.ErrFull)
+		return true
+	}
 	x.tried.Add(c.First.Name)
 	may := now.Before(x.deadline) && x.sends < maxSends
 	switch o.result {
@@ -363,8 +373,12 @@
 		ID: works.ID(x.server.nextID.Add(1)), Node: x.server.Node, First: c.First.Name,
 		Prompt: x.ask.Prompt, Output: x.output(), Share: x.ask.Prompt, Gap: x.route.Gap, Since: time.Now(),
 	}
-	for _, h := range c.Helpers {
+	for i, h := range c.Helpers {
 		w.Helpers = append(w.Helpers, h.Name)
+		if i < len(c.Held) {
+			w.Held = append(w.Held, works.Held{Endpoint: h.Name, Tokens: c.Held[i]})
+			w.Share = max(0, w.Share-c.Held[i])
+		}
 	}
 	x.server.Works.Put(w)
 	x.server.Began(w)
--- /dev/null
+++ b/internal/trans/gate/gate_test.go
@@ -0,0 +1,326 @@
+package gate
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+func TestWholeAnswers(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\n"
+	cases := []struct {
+		name   string
+		target string
+		first  script
+		second script
+		status int
+		body   string
+		// runs is the number of requests that endpoints got.
+		runs int
+	}{
+		{"plain", "/once/", ok("yes"), nil, 200, "yes", 1},
+		{"failure passes unchanged", "/once/", fails(500), nil, 500, "oops", 1},
+		{"idempotent failure is tried elsewhere", "/safe/", fails(500), ok("yes"), 200, "yes", 2},
+		{"idempotent failure twice", "/safe/", fails(500), fails(502), 0, "oops", 2},
+		{"once not run is tried elsewhere", "/once/", sheds(503), ok("yes"), 200, "yes", 2},
+		{"other endpoint at the address", "/once/", sheds(421), ok("yes"), 200, "yes", 2},
+		{"once without an answer", "/once/", vanishes, ok("yes"), 502, "", 1},
+		{"idempotent without an answer", "/safe/", vanishes, ok("yes"), 200, "yes", 2},
+		{"answer without a length", "/once/", raw(signed+"\r\nto the end", false), nil, 200, "to the end", 1},
+		{"answer in chunks", "/once/", raw(signed+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true), nil, 200, "abc", 1},
+		{"cut answer", "/once/", raw(signed+"Content-Length: 9\r\n\r\nabc", false), nil, 502, "", 1},
+		{"cut chunks", "/once/", raw(signed+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false), nil, 502, "", 1},
+		{"cut idempotent answer", "/safe/", raw(signed+"Content-Length: 9\r\n\r\nabc", false), ok("yes"), 200, "yes", 2},
+		{"no answer in the protocol", "/once/", raw("hello\r\n\r\n", false), nil, 502, "", 1},
+		{"unsigned success", "/once/", raw("HTTP/1.1 200 OK\r\nId: %ID\r\nContent-Length: 1\r\n\r\nx", true), nil, 502, "", 1},
+		{"answer to another request", "/once/", raw("HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx", false), nil, 502, "", 1},
+		{"answer to another request before this one's", "/once/",
+			raw("HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx"+signed+"Content-Length: 1\r\n\r\ny", true), nil, 200, "y", 1},
+		{"length and chunks", "/once/", raw(signed+"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true), nil, 502, "", 1},
+		{"client's mistake", "/safe/", raw("HTTP/1.1 404 Not Found\r\nId: %ID\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n", true), nil, 404, "", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if c.second == nil {
+				c.second = c.first
+			}
+			// Both endpoints share the scripts, so that the order of choice is
+			// the order of scripts.
+			e := newEndpoint(t, "e", c.first, c.second)
+			r := newRig(t, e, e.twin("f"))
+			a := r.do(request("POST", c.target, "r1", "body"))
+			if c.status > 0 {
+				test.Eq(t, c.status, a.status)
+			}
+			test.NoError(t, a.err)
+			test.Eq(t, c.body, a.body)
+			test.SliceLen(t, c.runs, e.requests())
+		})
+	}
+}
+
+func TestRequestPassesUnchanged(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	r := newRig(t, e)
+	r.do("POST /once/%2e%2e/A//b?q=%41&Z HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nKey: secret\r\nLeft: 900\r\nOwner: eve\r\n" +
+		"X-own: a  b\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	must.SliceLen(t, 1, e.requests())
+	g := e.requests()[0]
+	test.Eq(t, "/once/%2e%2e/A//b?q=%41&Z", string(g.head.Target))
+	test.Eq(t, "abcde", g.body)
+	test.Eq(t, "a  b", g.field("X-own"))
+	test.Eq(t, "ana", g.field("Owner"))
+	test.Eq(t, "ep", g.field("To"))
+	for _, n := range []string{"Key", "X-Hop", "TE", "Transfer-Encoding"} {
+		test.Eq(t, "", g.field(n), test.Sprint(n))
+	}
+	_, owners := g.head.Get("Owner")
+	test.Eq(t, 1, owners)
+}
+
+func TestBadMessagesAreRefused(t *testing.T) {
+	const start = "POST /once/ HTTP/1.1\r\nHost: h.example\r\nId: r1\r\nKey: secret\r\n"
+	cases := []struct {
+		name   string
+		text   string
+		status int
+	}{
+		{"length and chunks", start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"two lengths", start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
+		{"length of twenty digits", start + "Content-Length: 99999999999999999999\r\n\r\n", 400},
+		{"negative length", start + "Content-Length: -1\r\n\r\n", 400},
+		{"length with a sign", start + "Content-Length: +3\r\n\r\nabc", 400},
+		{"length that is no number", start + "Content-Length: abc\r\n\r\n", 400},
+		{"other encoding", start + "Transfer-Encoding: gzip, chunked\r\n\r\n", 400},
+		{"bare line end", "POST /once/ HTTP/1.1\nHost: h.example\n\n", 400},
+		{"space before the colon", start + "X : 1\r\n\r\n", 400},
+		{"folded line", start + "X: 1\r\n 2\r\n\r\n", 400},
+		{"no host", "GET /once/ HTTP/1.1\r\n\r\n", 400},
+		{"two hosts", "GET /once/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+		{"no target", "GET HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+		{"chunk size is no number", start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", 0},
+		{"long header", start + "X: " + strings.Repeat("a", 8<<10) + "\r\n\r\n", 431},
+		{"long body", start + "Content-Length: 2000000\r\n\r\n", 413},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, "e", ok("yes"))
+			r := newRig(t, e)
+			conn := r.dial()
+			io.WriteString(conn, c.text)
+			a, err := readAnswer(conn)
+			if c.status > 0 {
+				must.NoError(t, err)
+				test.Eq(t, c.status, a.status)
+			}
+			// The connection is closed, so nothing after the message is taken
+			// for another one.
+			_, err = conn.Read(make([]byte, 1))
+			test.Error(t, err)
+			test.SliceEmpty(t, e.requests())
+		})
+	}
+}
+
+func TestAdmission(t *testing.T) {
+	cases := []struct {
+		name   string
+		text   string
+		age    time.Duration
+		status int
+	}{
+		{"unknown route", request("GET", "/none/", "r", ""), 0, 404},
+		{"unknown route in an old configuration", request("GET", "/none/", "r", ""), 4 * time.Second, 503},
+		{"unknown key", strings.Replace(request("GET", "/safe/", "r", ""), "secret", "other", 1), 0, 401},
+		{"unknown key in an old configuration", strings.Replace(request("GET", "/safe/", "r", ""), "secret", "other", 1), 4 * time.Second, 503},
+		{"known key in an old configuration", request("GET", "/safe/", "r", ""), 4 * time.Second, 200},
+		{"known key that may be revoked", request("GET", "/safe/", "r", ""), time.Minute, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, "e", ok("yes"))
+			r := newAgedRig(t, c.age, e)
+			test.Eq(t, c.status, r.do(c.text).status)
+		})
+	}
+}
+
+func TestNotRunIsTold(t *testing.T) {
+	// Nothing listens at the endpoint's address.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l.Close()
+	r := newRig(t, &endpoint{name: "e", address: l.Addr().String()})
+	a := r.do(request("POST", "/once/", "r1", "x"))
+	test.Eq(t, 503, a.status)
+	test.NotEq(t, "", a.header.Get("Retry-After"))
+}
+
+func TestRouteTimeoutIsKept(t *testing.T) {
+	e := newEndpoint(t, "e", hangs)
+	r := newRig(t, e)
+	began := time.Now()
+	a := r.do(request("GET", "/short/", "r1", ""))
+	test.Eq(t, 504, a.status)
+	test.GreaterEq(t, 300*time.Millisecond, time.Since(began))
+}
+
+func TestTimeLeftShrinks(t *testing.T) {
+	e := newEndpoint(t, "e", sheds(503), ok("yes"))
+	r := newRig(t, e, e.twin("f"))
+	r.do(request("GET", "/safe/", "r1", "", "Left: 1"))
+	for _, g := range e.requests() {
+		test.NotEq(t, "4000", g.field("Left"))
+	}
+}
+
+func TestStreamIsResumedAfterTheLastEvent(t *testing.T) {
+	cases := []struct {
+		name          string
+		first, second script
+		// after is the event that the second endpoint is asked to go on after.
+		after string
+	}{
+		{"cut between events", streams(1, 2, false), streams(3, 5, true), "2"},
+		{"cut in an event", raw(streamHead+chunked(event(1), event(2), "id: 3\nda"), false), streams(3, 5, true), "2"},
+		{"events again", streams(1, 2, false), streams(1, 5, true), "2"},
+		{"cut before the first event", raw(streamHead, false), streams(1, 5, true), ""},
+		{"no answer", vanishes, streams(1, 5, true), ""},
+	}
+	want := event(1) + event(2) + event(3) + event(4) + event(5)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, "e", c.first, c.second)
+			r := newRig(t, e, e.twin("f"))
+			a := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+			test.Eq(t, 200, a.status)
+			test.NoError(t, a.err)
+			test.Eq(t, want, a.body)
+			must.SliceLen(t, 2, e.requests())
+			test.Eq(t, c.after, e.requests()[1].field("Last-Event-Id"))
+		})
+	}
+}
+
+func TestCutStreamLooksCut(t *testing.T) {
+	e := newEndpoint(t, "e", streams(1, 2, false))
+	r := newRig(t, e)
+	a := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.Error(t, a.err)
+	test.Eq(t, event(1)+event(2), a.body)
+}
+
+func TestCallerWhoLeavesEndsTheRun(t *testing.T) {
+	for _, target := range []string{"/safe/", "/stream/"} {
+		t.Run(target, func(t *testing.T) {
+			e := newEndpoint(t, "e", hangs)
+			r := newRig(t, e)
+			c := r.dial()
+			io.WriteString(c, request("POST", target, "r1", "x", "Prompt: 100"))
+			waitFor(t, func() bool { return len(e.requests()) == 1 })
+			c.Close()
+			waitFor(t, func() bool { return r.server.InFlight() == 0 })
+			test.SliceLen(t, 1, e.requests())
+		})
+	}
+}
+
+// waitFor polls until a condition holds; the test's own time limit ends it.
+func waitFor(t *testing.T, cond func() bool) {
+	t.Helper()
+	for !cond() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	r := newRig(t, e)
+	c := r.dial()
+	br := bufio.NewReader(c)
+	for range 3 {
+		io.WriteString(c, request("GET", "/safe/", "r1", ""))
+		a, err := readAnswerFrom(br)
+		must.NoError(t, err)
+		test.Eq(t, "yes", a.body)
+	}
+	test.Eq(t, 1, e.conns)
+}
+
+func TestRequestsThatRunOnceGetNewConnections(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	r := newRig(t, e)
+	for range 2 {
+		test.Eq(t, 200, r.do(request("POST", "/once/", "r1", "x")).status)
+	}
+	test.Eq(t, 2, e.conns)
+}
+
+func TestPoisonedConnectionIsNotKept(t *testing.T) {
+	extra := "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\nContent-Length: 1\r\n\r\ny"
+	e := newEndpoint(t, "e", raw(extra+extra, true), ok("yes"))
+	r := newRig(t, e)
+	test.Eq(t, "y", r.do(request("GET", "/safe/", "r1", "")).body)
+	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r2", "")).body)
+}
+
+func TestEarlyAnswerBeforeALongBody(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	r := newRig(t, e)
+	long := strings.Repeat("b", 600<<10)
+	test.Eq(t, "yes", r.do(request("POST", "/once/", "r1", long)).body)
+	must.SliceLen(t, 1, e.requests())
+	test.Eq(t, len(long), len(e.requests()[0].body))
+}
+
+func TestStoppingNodeClosesPolitely(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	r := newRig(t, e)
+	r.server.Drain()
+	a := r.do(request("GET", "/safe/", "r1", ""))
+	test.Eq(t, 200, a.status)
+	test.True(t, a.closes)
+}
+
+func TestMemoryOfLargePromptsIsReleased(t *testing.T) {
+	var es []*endpoint
+	for _, n := range []string{"a", "b", "c", "d", "e", "f"} {
+		es = append(es, newEndpoint(t, n, streams(1, 2, true)))
+	}
+	r := newRig(t, es...)
+	a := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 150000"))
+	test.Eq(t, 200, a.status)
+	waitFor(t, func() bool {
+		r.orders.mu.Lock()
+		defer r.orders.mu.Unlock()
+		return len(r.orders.released) == len(r.orders.reserved) && len(r.orders.released) > 0
+	})
+	seen := map[string]bool{}
+	for _, o := range r.orders.reserved {
+		test.False(t, seen[o.Ticket])
+		seen[o.Ticket] = true
+		test.LessEq(t, 3500*time.Millisecond, o.Hold)
+	}
+}
+
+func TestNoMemoryAnywhereIsRefusedAtOnce(t *testing.T) {
+	var es []*endpoint
+	for _, n := range []string{"a", "b", "c", "d", "e", "f"} {
+		es = append(es, newEndpoint(t, n, streams(1, 2, true)))
+	}
+	r := newRig(t, es...)
+	for _, e := range es {
+		r.orders.none[e.name+"m"] = true
+	}
+	a := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 150000"))
+	test.Eq(t, 503, a.status)
+	for _, e := range es {
+		test.SliceEmpty(t, e.requests())
+	}
+}
--- /dev/null
+++ b/internal/trans/gate/rig_test.go
@@ -0,0 +1,348 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/internal/trans/http1"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// plainDialect has short names for the fields that a node reads and sets.
+type plainDialect struct{}
+
+func (plainDialect) Ask(h *http1.Head) (relay.Ask, error) {
+	get := func(n string) string { v, _ := h.Get(n); return string(v) }
+	a := relay.Ask{ID: get("Id"), Key: get("Key"), LastEvent: get("Last-Event-Id")}
+	ms, _ := strconv.Atoi(get("Left"))
+	a.TimeLeft = time.Duration(ms) * time.Millisecond
+	n, _ := strconv.Atoi(get("Prompt"))
+	a.Prompt = ident.Tokens(n)
+	return a, nil
+}
+
+func (plainDialect) Passes(f http1.Field, resumed bool) bool {
+	return !f.Is("Key") && !f.Is("Left") && !f.Is("Owner") && (!resumed || !f.Is("Last-Event-Id"))
+}
+
+func (plainDialect) Send(b []byte, s relay.Send) []byte {
+	b = http1.Append(b, "Left", strconv.FormatInt(s.TimeLeft.Milliseconds(), 10))
+	b = http1.Append(b, "To", string(s.Endpoint))
+	b = http1.Append(b, "Owner", string(s.Workspace))
+	if s.LastEvent != "" {
+		b = http1.Append(b, "Last-Event-Id", s.LastEvent)
+	}
+	for _, h := range s.Helpers {
+		b = http1.Append(b, "Helper", h.Address+"/"+h.Ticket)
+	}
+	return b
+}
+
+func (plainDialect) Note(h *http1.Head, status int) relay.Note {
+	id, _ := h.Get("Id")
+	_, signed := h.Get("Signed")
+	_, notRun := h.Get("Not-Run")
+	fault, _ := h.Get("Fault")
+	return relay.Note{ID: string(id), Signed: signed > 0, NotRun: notRun > 0 || status == 421, Fault: string(fault)}
+}
+
+// got is a request as an endpoint got it.
+type got struct {
+	head *http1.Request
+	body string
+}
+
+func (g got) field(n string) string {
+	v, _ := g.head.Get(n)
+	return string(v)
+}
+
+// endpoint is a scripted server. Each request is answered by the next script,
+// the last one again and again.
+type endpoint struct {
+	name    string
+	address string
+
+	mu      sync.Mutex
+	scripts []script
+	seen    []got
+	conns   int
+	ended   int
+}
+
+// script answers a request on a connection. It returns false to close it.
+type script func(c net.Conn, g got) bool
+
+// raw answers with bytes, in which %ID stands for the request's id.
+func raw(text string, keep bool) script {
+	return func(c net.Conn, g got) bool {
+		io.WriteString(c, strings.ReplaceAll(text, "%ID", g.field("Id")))
+		return keep
+	}
+}
+
+// ok is a signed answer with a body.
+func ok(body string) script {
+	return raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %%ID\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body), true)
+}
+
+// fails is a signed failure.
+func fails(status int) script {
+	return raw(fmt.Sprintf("HTTP/1.1 %d Failed\r\nId: %%ID\r\nSigned: 1\r\nContent-Length: 4\r\n\r\noops", status), true)
+}
+
+// sheds says that the request has not run.
+func sheds(status int) script {
+	return raw(fmt.Sprintf("HTTP/1.1 %d Busy\r\nId: %%ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status), true)
+}
+
+// hangs answers nothing until the connection ends.
+func hangs(c net.Conn, _ got) bool {
+	io.Copy(io.Discard, c)
+	return false
+}
+
+// vanishes closes without an answer.
+func vanishes(net.Conn, got) bool { return false }
+
+const streamHead = "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i) }
+
+func chunked(parts ...string) string {
+	var sb strings.Builder
+	for _, p := range parts {
+		fmt.Fprintf(&sb, "%x\r\n%s\r\n", len(p), p)
+	}
+	return sb.String()
+}
+
+// streams sends events from..to, and the end if whole is set.
+func streams(from, to int, whole bool) script {
+	text := streamHead
+	for i := from; i <= to; i++ {
+		text += chunked(event(i))
+	}
+	if whole {
+		text += lastChunk
+	}
+	return raw(text, whole)
+}
+
+func newEndpoint(t *testing.T, name string, scripts ...script) *endpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	e := &endpoint{name: name, address: l.Addr().String(), scripts: scripts}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns++
+			e.mu.Unlock()
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+// twin is another endpoint that answers with the same scripts.
+func (e *endpoint) twin(name string) *endpoint {
+	return &endpoint{name: name, address: e.address}
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http1.ReadRequest(br, 64<<10)
+		if err != nil {
+			e.mu.Lock()
+			e.ended++
+			e.mu.Unlock()
+			return
+		}
+		body, err := http1.ReadBody(br, req.Framing, req.Length, 8<<20)
+		if err != nil {
+			return
+		}
+		g := got{req, string(body)}
+		e.mu.Lock()
+		s := e.scripts[min(len(e.seen), len(e.scripts)-1)]
+		e.seen = append(e.seen, g)
+		e.mu.Unlock()
+		if !s(c, g) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) requests() []got {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]got(nil), e.seen...)
+}
+
+// orders records the reservations.
+type orders struct {
+	mu       sync.Mutex
+	none     map[string]bool
+	reserved []relay.Reservation
+	released []string
+}
+
+func (o *orders) Reserve(_ context.Context, e *topol.Endpoint, r relay.Reservation) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.none[string(e.Name)] {
+		return ErrNoMemory
+	}
+	o.reserved = append(o.reserved, r)
+	return nil
+}
+
+func (o *orders) Release(_ context.Context, _ *topol.Endpoint, ticket string) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.released = append(o.released, ticket)
+	return nil
+}
+
+// rig is a gate before scripted endpoints.
+type rig struct {
+	t      *testing.T
+	server *Server
+	orders *orders
+	addr   string
+}
+
+// testCatalog has a route for each kind of request. The prefix names it.
+func testCatalog() *topol.Catalog {
+	c := &topol.Catalog{
+		Version: 3,
+		Limits:  topol.Limits{Header: 4 << 10, Body: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second},
+		Services: map[ident.ServiceName]*topol.Service{
+			"plain": {Name: "plain"},
+			"model": {Name: "model", Engine: &topol.Engine{
+				Slots: 16, Memory: 100_000, Stride: 51, Chunk: 2048, ReadRate: 177_000,
+				Step: 850 * time.Microsecond, Pairs: 184 * time.Microsecond,
+			}},
+		},
+		Keys: map[string]*topol.Workspace{"secret": {Name: "ana"}},
+	}
+	route := func(name string, k topol.Kind, service ident.ServiceName, timeout time.Duration) {
+		c.Routes = append(c.Routes, topol.Route{
+			Name: ident.RouteName(name), Host: "h.example", Prefix: "/" + name + "/", Kind: k, Timeout: timeout,
+			Target: 300 * time.Millisecond, Gap: 250 * time.Millisecond, Attempts: 2, Resumable: k == topol.Stream,
+			Split: []topol.Share{{Service: service, Weight: 1}},
+		})
+	}
+	route("once", topol.Once, "plain", 2*time.Second)
+	route("safe", topol.Idempotent, "plain", 2*time.Second)
+	route("short", topol.Idempotent, "plain", 300*time.Millisecond)
+	route("stream", topol.Stream, "model", 5*time.Second)
+	c.Index()
+	return c
+}
+
+func newRig(t *testing.T, es ...*endpoint) *rig { return newAgedRig(t, 0, es...) }
+
+// newAgedRig returns a rig whose configuration was the newest some time ago.
+func newAgedRig(t *testing.T, age time.Duration, es ...*endpoint) *rig {
+	var list []topol.Endpoint
+	for _, e := range es {
+		for _, s := range []ident.ServiceName{"plain", "model"} {
+			list = append(list, topol.Endpoint{Name: ident.EndpointName(e.name + string(s[:1])), Service: s, Address: e.address, Slots: 8, DataCentre: "a"})
+		}
+	}
+	f := &feeds.Feeds{Logger: zerolog.Nop()}
+	f.Offer(testCatalog())
+	f.Prove(clock.Now().Add(-age))
+	f.Adopt(list, clock.Now())
+	r := &rig{t: t, orders: &orders{none: map[string]bool{}}}
+	r.server = &Server{
+		Dialect: plainDialect{}, Orders: r.orders, Feeds: f, Works: &works.Table{}, Node: "n1", DataCentre: "a", Logger: zerolog.Nop(),
+		Strict: true, Revoke: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100},
+		Began: func(works.Work) {}, Wrote: func(works.ID) {}, Done: func(works.ID) {}, Nodes: func() int { return 1 },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := Listen(ctx, "127.0.0.1:0")
+	must.NoError(t, err)
+	r.addr = l.Addr().String()
+	done := make(chan struct{})
+	go func() { r.server.Run(ctx, l); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return r
+}
+
+func (r *rig) dial() net.Conn {
+	c, err := net.Dial("tcp", r.addr)
+	must.NoError(r.t, err)
+	r.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// request is the text of a request with a key.
+func request(method, target, id, body string, fields ...string) string {
+	text := method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nId: " + id + "\r\nKey: secret\r\nLeft: 4000\r\n"
+	for _, f := range fields {
+		text += f + "\r\n"
+	}
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return text + "\r\n" + body
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// closes tells that the connection ends with the answer.
+	closes bool
+	// err is set if the body isn't whole.
+	err error
+}
+
+func readAnswer(c net.Conn) (answer, error) {
+	return readAnswerFrom(bufio.NewReader(c))
+}
+
+func readAnswerFrom(br *bufio.Reader) (answer, error) {
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	b, err := io.ReadAll(res.Body)
+	return answer{res.StatusCode, res.Header, string(b), res.Close, err}, nil
+}
+
+// do sends a request on a new connection.
+func (r *rig) do(text string) answer {
+	c := r.dial()
+	io.WriteString(c, text)
+	a, err := readAnswer(c)
+	must.NoError(r.t, err)
+	return a
+}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -17,6 +17,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/extra"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
@@ -53,6 +54,18 @@
 	Note(h *http1.Head, status int) relay.Note
 }
 
+// Orders reserves memory at engines.
+type Orders interface {
+	// Reserve sets memory aside or renews a reservation. It returns
+	// ErrNoMemory if the engine has none free.
+	Reserve(ctx context.Context, e *topol.Endpoint, r relay.Reservation) error
+	// Release ends a reservation.
+	Release(ctx context.Context, e *topol.Endpoint, ticket string) error
+}
+
+// ErrNoMemory means that an engine has no memory to reserve.
+const ErrNoMemory = errors.ConstError("no memory to reserve")
+
 // Budget bounds the sends beyond the first of each request for all nodes.
 type Budget struct {
 	Ratio  float64
@@ -63,6 +76,7 @@
 // Server serves callers. The exported fields are set before Run.
 type Server struct {
 	Dialect    Dialect
+	Orders     Orders
 	Feeds      *feeds.Feeds
 	Works      *works.Table
 	Node       ident.NodeName
@@ -80,6 +94,7 @@
 	// Nodes returns the number of nodes alive.
 	Nodes func() int
 
+	boot     int64
 	pools    links.Pools
 	health   health
 	budgets  budgets
@@ -127,6 +142,7 @@
 // Run serves callers on a listener until the context ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	s.conns = map[*caller]struct{}{}
+	s.boot = time.Now().UnixMilli()
 	stop := context.AfterFunc(ctx, func() { l.Close(); s.closeAll() })
 	defer stop()
 	go s.sweep(ctx)
--- a/internal/trans/http1/head.go
+++ b/internal/trans/http1/head.go
@@ -69,6 +69,9 @@
 		if len(raw) > limit {
 			return nil, ErrHeaderTooLong
 		}
+		if n := len(raw); err == nil && (n < 2 || raw[n-2] != '\r') {
+			return nil, errors.Annotate(ErrMalformed, "bare line end")
+		}
 		if err == nil && len(line) == 2 && start > 0 && raw[start-1] == '\n' {
 			break
 		}
