place: let the backlog shrink with time

Cause: an idle engine's backlog began at zero instead of in the past, so that parts sent long ago still counted whole (TestBacklogShrinksWithTime).

--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -31,10 +31,15 @@
 	value float64
 	// context is what the writers have in memory, used all that is or will be.
 	context, used ident.Tokens
-	// backlog is the time until all that is to be read is read.
-	backlog time.Duration
+	// backlog is the time until all that is to be read is read. Busy is the
+	// same, below zero if the engine has read all for some time.
+	backlog, busy time.Duration
 }
 
+// idle is the time for which an engine without anything to read counts as
+// idle.
+const idle = time.Hour
+
 // part is what one engine reads of a prompt.
 type part struct {
 	tokens ident.Tokens
@@ -83,7 +88,7 @@
 	vs := make([]*view, 0, len(s.Endpoints))
 	byName := make(map[ident.EndpointName]*view, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name)}
+		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name), busy: -idle}
 		byName[e.Name] = v
 		if !e.Leaving {
 			vs = append(vs, v)
@@ -144,9 +149,10 @@
 // engine can be the one that the prompt waits for.
 func (v *view) queue(p part, age time.Duration, alone bool) {
 	t := v.read(p)
-	end := max(v.backlog, -age) + t
+	end := max(v.busy, -age) + t
 	if alone {
 		end = max(end, t/4)
 	}
-	v.backlog = max(v.backlog, end)
+	v.busy = max(v.busy, end)
+	v.backlog = max(0, v.busy)
 }
