--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -18,6 +18,8 @@
 	packedCost = 0.04
 	// openCost is the cost of writing on an engine without requests.
 	openCost = 0.04
+	// outOfLaneCost is the cost of writing a short prompt outside of its lane.
+	outOfLaneCost = 0.3
 	// rankCost is the cost of each engine in front of one, so that short
 	// prompts fill the engines from the front and long ones from the back.
 	rankCost = 0.001
@@ -41,6 +43,7 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNone
 	}
+	vs = allowed(vs, isLong(s.Engine, r.Prompt))
 	best, ok := bestAlone(vs, r)
 	if !ok {
 		best, ok = bestHeld(vs, r)
@@ -133,6 +136,9 @@
 	if v.requests == 0 {
 		cost += openCost
 	}
+	if !v.short {
+		cost += outOfLaneCost
+	}
 	cost += float64(max(0, v.requests-packedRequests)) * packedCost
 	// The caller's own pauses are at risk where much is read.
 	risk := pauseRisk(v.backlog+v.writing(), r.Gap)
