--- a/internal/coord/place/cost.go
+++ b/internal/coord/place/cost.go
@@ -16,7 +16,7 @@
 	lateShare = 0.75
 	// An answer is the more probably late, the further its expected time is
 	// between these percents of what the caller expects.
-	lateFrom, lateTo = 50, 100
+	lateFrom, lateTo = 0, 100
 	// A pause between events counts likewise.
 	pauseFrom, pauseTo = 70, 105
 	// Callers leave after a pause of this many times the accepted one, or of
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -18,7 +18,8 @@
 	endpoint *topol.Endpoint
 	spec     *topol.Engine
 	avoid    bool
-	// short marks the engines in the lane of short prompts.
+	// short marks the engines in the lane for callers who bear short pauses
+	// only.
 	short bool
 	// rank is the place in an order that all nodes share.
 	rank int
@@ -100,7 +101,7 @@
 	for i, v := range vs {
 		v.rank = i
 	}
-	shortLane(vs, s)
+	markLane(vs, s)
 	for _, w := range s.Works {
 		addRequest(byName[w.First], w)
 		for _, h := range w.Held {
--- a/internal/coord/place/lane.go
+++ b/internal/coord/place/lane.go
@@ -1,49 +1,45 @@
 package place
 
-import (
-	"laburnumstack.org/laburnum/internal/state/topol"
-	"laburnumstack.org/laburnum/pkg/ident"
-)
+import "time"
 
 const (
-	// longChunks is the size in chunks from which a prompt counts as long.
-	longChunks = 12
-	// laneRequests is the number of short prompts at each engine of the lane
-	// for them.
+	// patientGap is the accepted pause from which a caller bears that large
+	// parts are read beside its answer.
+	patientGap = 800 * time.Millisecond
+	// laneRequests is the number of requests at each engine of the lane.
 	laneRequests = 10
 	// laneSpare is the number of engines in the lane beyond need.
 	laneSpare = 1
-	// longEngines is the least number of engines left to long prompts, as a
-	// share of all.
-	longEngines = 10
+	// patientShare is the least part of the engines that stays out of the
+	// lane, one in so many.
+	patientShare = 10
 )
 
-// isLong reports whether a prompt delays the writers beside it by reading.
-func isLong(e *topol.Engine, prompt ident.Tokens) bool {
-	return prompt > longChunks*e.Chunk
-}
+// patient reports whether the caller bears long pauses between events.
+func (r Request) patient() bool { return r.Gap >= patientGap }
 
-// shortLane marks the engines that are kept for short prompts: as many as
-// those under way need, from the front of the order. All nodes know nearly the
-// same prompts, so they mark nearly the same engines.
-func shortLane(vs []*view, s Scene) {
-	shorts := 0
+// markLane marks the engines that are kept for callers who bear short pauses
+// only: as many as the requests under way need, from the front of the order.
+// All nodes know nearly the same requests, so they mark nearly the same
+// engines.
+func markLane(vs []*view, s Scene) {
+	n := 0
 	for _, w := range s.Works {
-		if w.Prompt > 0 && !isLong(s.Engine, w.Prompt) {
-			shorts++
+		if w.Prompt > 0 && w.Gap < patientGap {
+			n++
 		}
 	}
-	size := (shorts+laneRequests-1)/laneRequests + laneSpare
-	most := len(vs) - (len(vs)+longEngines-1)/longEngines
+	size := (n+laneRequests-1)/laneRequests + laneSpare
+	most := len(vs) - (len(vs)+patientShare-1)/patientShare
 	for _, v := range vs {
 		v.short = v.rank < min(size, most)
 	}
 }
 
-// allowed returns the engines that a prompt may use: long ones stay out of the
-// lane of short ones as long as there are others.
-func allowed(vs []*view, long bool) []*view {
-	if !long {
+// allowed returns the engines that may read for a request: those of the lane
+// only read for the requests that they answer, or small parts.
+func allowed(vs []*view, r Request) []*view {
+	if !r.patient() {
 		return vs
 	}
 	var out []*view
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -33,8 +33,6 @@
 	avoidCost = 100
 	// latePercent of the time left may go by before the first event.
 	latePercent = 70
-	// longGap is the accepted pause from which a request counts as long.
-	longGap = 800 * time.Millisecond
 )
 
 func choosePrompt(s Scene, r Request) (Choice, error) {
@@ -43,7 +41,7 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNone
 	}
-	vs = allowed(vs, isLong(s.Engine, r.Prompt))
+	vs = allowed(vs, r)
 	best, ok := bestAlone(vs, r)
 	if !ok {
 		best, ok = bestHeld(vs, r)
@@ -69,6 +67,9 @@
 		if first.requests >= first.spec.Slots || !first.fits(r.Prompt+r.Output) {
 			continue
 		}
+		if r.patient() && first.short {
+			continue
+		}
 		p := planFor(vs, first, r)
 		if !found || p.cost < best.cost {
 			best, found = p, true
@@ -130,13 +131,13 @@
 // read there.
 func firstCost(vs []*view, v *view, r Request) float64 {
 	cost := float64(v.rank) * rankCost
-	if r.Gap >= longGap {
+	if r.patient() {
 		cost = float64(len(vs)-v.rank) * rankCost
 	}
 	if v.requests == 0 {
 		cost += openCost
 	}
-	if !v.short {
+	if !v.short && !r.patient() {
 		cost += outOfLaneCost
 	}
 	cost += float64(max(0, v.requests-packedRequests)) * packedCost
