--- a/internal/coord/place/lane.go
+++ b/internal/coord/place/lane.go
@@ -7,12 +7,12 @@
 	// parts are read beside its answer.
 	patientGap = 800 * time.Millisecond
 	// laneRequests is the number of requests at each engine of the lane.
-	laneRequests = 10
+	laneRequests = 13
 	// laneSpare is the number of engines in the lane beyond need.
 	laneSpare = 1
 	// patientShare is the least part of the engines that stays out of the
 	// lane, one in so many.
-	patientShare = 10
+	patientShare = 7
 )
 
 // patient reports whether the caller bears long pauses between events.
@@ -35,21 +35,3 @@
 		v.short = v.rank < min(size, most)
 	}
 }
-
-// allowed returns the engines that may read for a request: those of the lane
-// only read for the requests that they answer, or small parts.
-func allowed(vs []*view, r Request) []*view {
-	if !r.patient() {
-		return vs
-	}
-	var out []*view
-	for _, v := range vs {
-		if !v.short {
-			out = append(out, v)
-		}
-	}
-	if len(out) == 0 {
-		return vs
-	}
-	return out
-}
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -41,10 +41,11 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNone
 	}
-	vs = allowed(vs, r)
 	best, ok := bestAlone(vs, r)
 	if !ok {
-		best, ok = bestHeld(vs, r)
+		if r.Prompt < 330_000 {
+			best, ok = bestHeld(vs, r)
+		}
 	}
 	if !ok && r.Prompt > s.Engine.Memory*ident.Tokens(len(vs))/2 {
 		return Choice{}, ErrTooLarge
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -186,7 +186,7 @@
 	}
 	wait := a.route.Target
 	if a.route.Kind == topol.Stream {
-		wait = max(2*a.choice.Estimate, a.route.Target) + streamPatience
+		wait = max(3*a.choice.Estimate, a.route.Target) + streamPatience
 	}
 	if t := time.Now().Add(wait); t.Before(a.deadline) {
 		return t
@@ -195,7 +195,7 @@
 }
 
 // streamPatience is what a stream may be later than expected.
-const streamPatience = 700 * time.Millisecond
+const streamPatience = 1500 * time.Millisecond
 
 func (a *attempt) write() error {
 	head := a.head()
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -21,9 +21,9 @@
 	maxIdle    = 32
 	readBuffer = 4 << 10
 	// Probes find a peer that vanished while a connection is silent.
-	probeIdle     = 2 * time.Second
+	probeIdle     = time.Second
 	probeInterval = time.Second
-	probeCount    = 3
+	probeCount    = 2
 )
 
 // Link is one connection to an endpoint. It carries one request at a time.
