--- /dev/null
+++ b/internal/coord/place/admit.go
@@ -0,0 +1,39 @@
+package place
+
+import "time"
+
+const (
+	// freeBacklog is the mean backlog up to which prompts of all sizes are
+	// taken, and busyBacklog that from which those over busyWork are refused.
+	freeBacklog = 150 * time.Millisecond
+	busyBacklog = time.Second
+	// freeWork and busyWork are the time of one engine that a prompt may take
+	// to be read at these backlogs. The pairs of its tokens make that grow
+	// with the square of the size, so the largest prompts take the place of
+	// many others.
+	freeWork = 20 * time.Second
+	busyWork = 8 * time.Second
+)
+
+// costly reports whether a prompt takes too much of the engines at their
+// present load.
+func costly(vs []*view, r Request) bool {
+	work := vs[0].read(split(r.Prompt, 1))
+	if work <= busyWork {
+		return false
+	}
+	var sum time.Duration
+	n := 0
+	for _, v := range vs {
+		if v.short {
+			continue
+		}
+		sum += v.backlog
+		n++
+	}
+	if n == 0 {
+		return true
+	}
+	load := ramp(sum/time.Duration(n), freeBacklog, busyBacklog)
+	return work > freeWork-time.Duration(load*float64(freeWork-busyWork))
+}
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -21,6 +21,9 @@
 	ErrFull = errors.ConstError("all endpoints are full")
 	// ErrLate means that the request would not be answered in its time.
 	ErrLate = errors.ConstError("the wait is too long")
+	// ErrCostly means that a prompt would take more time of the engines than
+	// is left at their load.
+	ErrCostly = errors.ConstError("prompt is too large for the load")
 	// ErrTooLarge means that the engines together can't hold the prompt.
 	ErrTooLarge = errors.ConstError("prompt is too large")
 )
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -28,7 +28,7 @@
 	// maxHelpers is the most that an engine takes.
 	maxHelpers = 16
 	// helperCost is what each helper must gain.
-	helperCost = 0.001
+	helperCost = 0.01
 	// avoidCost keeps requests from engines that fail.
 	avoidCost = 100
 	// latePercent of the time left may go by before the first event.
@@ -41,11 +41,12 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNone
 	}
+	if costly(vs, r) {
+		return Choice{}, ErrCostly
+	}
 	best, ok := bestAlone(vs, r)
 	if !ok {
-		if r.Prompt < 330_000 {
-			best, ok = bestHeld(vs, r)
-		}
+		best, ok = bestHeld(vs, r)
 	}
 	if !ok && r.Prompt > s.Engine.Memory*ident.Tokens(len(vs))/2 {
 		return Choice{}, ErrTooLarge
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -268,7 +268,7 @@
 		x.refuse(504, 0, "no answer in time")
 	case x.runs > 0:
 		x.refuse(502, 0, "may have run, no answer: "+err.Error())
-	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate):
+	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrCostly):
 		x.refuse(503, comeBackLater, err.Error())
 	default:
 		x.refuse(503, comeBack, err.Error())
