--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	go test -race ./...
 
 lint:
-	gofmt -s -l cmd internal pkg
+	gofmt -s -l cmd internal pkg platform
 	go vet ./...
 
 demo:
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -6,6 +6,7 @@
 	"go/token"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -17,7 +18,7 @@
 const module = "laburnumstack.org/laburnum/"
 
 // layers are in the order a request meets them; imports point only downwards.
-var layers = []string{"cmd", "internal/lab", "internal/node", "internal/trans", "internal/proto", "internal/coord", "internal/state"}
+var layers = []string{"cmd", "platform", "internal/lab", "internal/node", "internal/trans", "internal/proto", "internal/coord", "internal/state"}
 
 // bottom packages are imported from everywhere and import only each other.
 var bottom = []string{"pkg/ident", "pkg/confg"}
@@ -60,3 +61,29 @@
 	must.NoError(t, err)
 	test.Positive(t, seen)
 }
+
+// platformNames are names that only the package platform may know.
+var platformNames = regexp.MustCompile(`(?i)laburnumstack-[a-z]+-|/laburnumstack/|laburnumstack_boot|"keyed\.|hold_ms|fencing_token|revoke_ms|path_prefix`)
+
+func TestPlatformNamesStayInItsFolder(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	must.NoError(t, err)
+	seen := 0
+	err = filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "layers_test.go") {
+			return err
+		}
+		rel, _ := filepath.Rel(root, path)
+		raw, err := os.ReadFile(path)
+		must.NoError(t, err)
+		found := platformNames.FindString(string(raw))
+		if strings.HasPrefix(rel, "platform"+string(filepath.Separator)) {
+			seen += len(found)
+			return nil
+		}
+		test.Eq(t, "", found, test.Sprint(rel))
+		return nil
+	})
+	must.NoError(t, err)
+	test.Positive(t, seen)
+}
--- /dev/null
+++ b/internal/trans/feeds/feeds_test.go
@@ -0,0 +1,171 @@
+package feeds
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// plainDecoder reads records that are the types themselves.
+type plainDecoder struct{}
+
+func (plainDecoder) Catalog(r Record) (*topol.Catalog, error) {
+	var v ident.Version
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return nil, err
+	}
+	return &topol.Catalog{Version: v}, nil
+}
+
+func (plainDecoder) Endpoint(r Record) (topol.Endpoint, error) {
+	service, state, ok := strings.Cut(string(r.Value), " ")
+	if !ok {
+		return topol.Endpoint{}, errors.New("no state")
+	}
+	return topol.Endpoint{Name: ident.EndpointName(r.Key), Service: ident.ServiceName(service), Address: r.Key, Leaving: state == "leaving"}, nil
+}
+
+func newFeeds() *Feeds { return &Feeds{Decoder: plainDecoder{}, Logger: zerolog.Nop()} }
+
+func put(key, value string) Record { return Record{Key: key, Value: []byte(value)} }
+
+func at(d time.Duration) clock.Instant { return clock.Instant(time.Hour + d) }
+
+func (f *Feeds) names(s ident.ServiceName) string {
+	var ns []string
+	for _, e := range f.Fleet().Services[s] {
+		n := string(e.Name)
+		if e.Leaving {
+			n += "-"
+		}
+		ns = append(ns, n)
+	}
+	return strings.Join(ns, " ")
+}
+
+func TestNewestVersionWinsByNumber(t *testing.T) {
+	f := newFeeds()
+	f.applyConfig([]Record{put("config", "5"), put("config", "3"), put("config", "x")}, true, at(0))
+	test.Eq(t, 5, f.Catalog().Version)
+	f.Offer(&topol.Catalog{Version: 4})
+	test.Eq(t, 5, f.Catalog().Version)
+	f.Offer(&topol.Catalog{Version: 9})
+	test.Eq(t, 9, f.Catalog().Version)
+}
+
+func TestProofNeverGoesBack(t *testing.T) {
+	f := newFeeds()
+	f.applyConfig(nil, false, at(0))
+	test.Eq(t, 0, f.Proven(), test.Sprint("nothing is proven without a configuration"))
+	f.applyConfig([]Record{put("config", "5")}, true, at(2*time.Second))
+	f.Prove(at(time.Second))
+	test.Eq(t, at(2*time.Second), f.Proven())
+}
+
+func TestEndpointsComeAndGo(t *testing.T) {
+	cases := []struct {
+		name  string
+		rs    []Record
+		whole bool
+		want  string
+	}{
+		{"same again", []Record{put("a", "s up")}, false, "a b"},
+		{"leaving", []Record{put("a", "s leaving")}, false, "a- b"},
+		{"dropped", []Record{{Key: "a"}}, false, "b"},
+		{"unreadable", []Record{put("a", "junk")}, false, "b"},
+		{"unknown and unreadable", []Record{put("x", "junk")}, false, "a b"},
+		{"dropped and back", []Record{{Key: "a"}, put("a", "s up")}, false, "a b"},
+		{"missing in the whole list", []Record{put("b", "s up")}, true, "b"},
+		{"other service", []Record{put("a", "t up")}, false, "b"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFeeds()
+			f.applyEndpoints([]Record{put("a", "s up"), put("b", "s up")}, true, at(0))
+			f.applyEndpoints(c.rs, c.whole, at(time.Second))
+			test.Eq(t, c.want, f.names("s"))
+		})
+	}
+}
+
+func TestEndpointsThatLapsedInAnOutageStayForATime(t *testing.T) {
+	f := newFeeds()
+	f.applyEndpoints([]Record{put("a", "s up"), put("b", "s up")}, true, at(0))
+	// The source was away for 8 s, and both entries lapsed meanwhile.
+	f.applyEndpoints([]Record{{Key: "a"}, {Key: "b"}}, false, at(8*time.Second))
+	test.Eq(t, "a b", f.names("s"))
+	f.applyEndpoints([]Record{put("b", "s up")}, false, at(9*time.Second))
+	test.Eq(t, "a b", f.names("s"))
+	f.applyEndpoints(nil, false, at(11*time.Second))
+	test.Eq(t, "b", f.names("s"))
+}
+
+func TestPeersListIsTakenIfNewer(t *testing.T) {
+	f := newFeeds()
+	f.applyEndpoints([]Record{put("a", "s up")}, true, at(time.Second))
+	f.Adopt([]topol.Endpoint{{Name: "z", Service: "s"}}, at(0))
+	test.Eq(t, "a", f.names("s"))
+	f.Adopt([]topol.Endpoint{{Name: "z", Service: "s"}}, at(2*time.Second))
+	test.Eq(t, "z", f.names("s"))
+}
+
+// steps is a source that answers by a list and then waits.
+type steps struct {
+	list  []func() (Page, error)
+	calls []string
+}
+
+func (s *steps) next(ctx context.Context, call string) (Page, error) {
+	s.calls = append(s.calls, call)
+	if len(s.list) == 0 {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	f := s.list[0]
+	s.list = s.list[1:]
+	return f()
+}
+
+func (s *steps) Newest(ctx context.Context, _ Stream) (Page, error) { return s.next(ctx, "newest") }
+
+func (s *steps) Read(ctx context.Context, _ Stream, from ident.Offset, _ time.Duration) (Page, error) {
+	return s.next(ctx, "read")
+}
+
+func (s *steps) Put(context.Context, Stream, Record) error { return nil }
+
+func TestFollowReadsTheNewestAfterATrim(t *testing.T) {
+	page := func(next ident.Offset, rs ...Record) func() (Page, error) {
+		return func() (Page, error) { return Page{Records: rs, Next: next}, nil }
+	}
+	s := &steps{list: []func() (Page, error){
+		page(3, put("config", "1")),
+		func() (Page, error) { return Page{}, errors.New("lost") },
+		page(2),
+		func() (Page, error) { return Page{}, ErrTrimmed },
+		page(9, put("config", "4")),
+	}}
+	f := newFeeds()
+	f.Source = s
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.follow(ctx, Configuration, 0, 0, f.applyConfig); close(done) }()
+	for f.Catalog() == nil || f.Catalog().Version < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	must.SliceLen(t, 6, s.calls)
+	test.Eq(t, []string{"newest", "read", "read", "read", "newest", "read"}, s.calls)
+}
