--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -21,9 +23,10 @@
 
 // options are the settings that are not the platform's.
 type options struct {
-	LogLevel  string `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the lines logged"`
-	GCPercent int    `long:"gc-percent" env:"LABURNUM_GC_PERCENT" default:"100" description:"growth of the heap in percent that starts a collection"`
-	Settings  string `long:"settings" description:"path of the platform's settings file; by default the environment tells"`
+	LogLevel    string `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the lines logged"`
+	GCPercent   int    `long:"gc-percent" env:"LABURNUM_GC_PERCENT" default:"100" description:"growth of the heap in percent that starts a collection"`
+	MetricsPort int    `long:"metrics-port" env:"LABURNUM_METRICS_PORT" default:"0" description:"port that serves the metrics on the node's address; none if 0"`
+	Settings    string `long:"settings" description:"path of the platform's settings file; by default the environment tells"`
 }
 
 func main() {
@@ -60,10 +63,16 @@
 func serve(o options, s platform.Settings) int {
 	debug.SetGCPercent(o.GCPercent)
 	level, _ := zerolog.ParseLevel(o.LogLevel)
-	logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", string(s.Node.Name)).Logger()
+	out := newOutput(os.Stdout)
+	defer out.Close()
+	logger := zerolog.New(out).Level(level).With().Timestamp().Str("node", string(s.Node.Name)).Logger()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	signal.Ignore(syscall.SIGHUP)
+	if o.MetricsPort > 0 {
+		host, _, _ := net.SplitHostPort(s.Node.Ready)
+		s.Node.Metrics = net.JoinHostPort(host, strconv.Itoa(o.MetricsPort))
+	}
 	n := &edge.Node{
 		Settings: s.Node, Source: platform.NewStore(s.Store), Decoder: platform.Decoder{},
 		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: &platform.Orders{}, ReadyPath: platform.ReadyPath, Logger: logger,
--- /dev/null
+++ b/internal/node/edge/metrics.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"laburnumstack.org/laburnum/internal/trans/gate"
+)
+
+// metricsPath is the path of the metrics.
+const metricsPath = "/metrics"
+
+// serveMetrics serves the metrics until the context ends. A node works on
+// without them.
+func (n *Node) serveMetrics(ctx context.Context) {
+	l, err := gate.Listen(ctx, n.Settings.Metrics)
+	if err != nil {
+		n.Logger.Error().Err(err).Msg("node: no metrics")
+		return
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n.gate.Register(registry)
+	handle := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	srv := &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		Handler: func(c *fasthttp.RequestCtx) {
+			if string(c.Path()) != metricsPath {
+				c.SetStatusCode(fasthttp.StatusNotFound)
+				return
+			}
+			handle(c)
+		},
+	}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	if err := srv.Serve(l); err != nil && ctx.Err() == nil {
+		n.Logger.Error().Err(err).Msg("node: metrics ended")
+	}
+}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -84,6 +84,9 @@
 	g.Go(func() error { return n.gate.Run(ctx, ls[0]) })
 	g.Go(func() error { return n.serveReady(ctx, ls[1], stop) })
 	g.Go(func() error { return n.mesh.Run(ctx, ls[2]) })
+	if s.Metrics != "" {
+		g.Go(func() error { n.serveMetrics(ctx); return nil })
+	}
 	g.Go(func() error { return n.feeds.Run(ctx) })
 	g.Go(func() error { n.announce(ctx); return nil })
 	g.Go(func() error { n.pull(ctx); return nil })
@@ -99,14 +102,15 @@
 	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger}
 	n.mesh = &share.Mesh{
 		Self: relay.Member{Name: s.Name, Address: s.Peers}, Works: n.works, Logger: n.Logger, State: n.state,
-		Failed: func([]ident.EndpointName) {},
 	}
 	n.mesh.Init(ctx)
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Orders: n.Orders, Feeds: n.feeds, Works: n.works, Node: s.Name, DataCentre: s.DataCentre,
 		Strict: s.Strict, Revoke: s.Revoke, Budget: s.Budget, Logger: n.Logger,
 		Began: n.mesh.Began, Wrote: n.mesh.Wrote, Done: n.mesh.Done, Nodes: n.mesh.Nodes,
+		Strike: n.mesh.Strike, Report: n.mesh.Report,
 	}
+	n.mesh.Failed, n.mesh.Struck = n.gate.Failed, n.gate.Struck
 	for _, a := range s.Seeds {
 		n.mesh.Meet(a)
 	}
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -21,6 +22,12 @@
 	Age  time.Duration
 }
 
+// StrikeNote tells of a strike, with its age in place of its time.
+type StrikeNote struct {
+	Strike strik.Strike
+	Age    time.Duration
+}
+
 // Update is what a node tells its peers as it happens.
 type Update struct {
 	From Member
@@ -31,6 +38,8 @@
 	Done  []works.ID
 	// Failed are endpoints that the node could not reach.
 	Failed []ident.EndpointName
+	// Struck are requests at whose endpoints the connection broke.
+	Struck []StrikeNote
 }
 
 // UpdateReply answers an update.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -61,9 +61,13 @@
 	status int
 	// answer is the endpoint's failure as the caller would get it.
 	answer []byte
+	// broke tells that the endpoint broke the connection.
+	broke bool
 	// fault is the address of another endpoint that is to blame.
 	fault string
-	// first is the time to the first event or the answer.
+	// began is when the send began, first the time from there to the first
+	// event or the answer.
+	began time.Time
 	first time.Duration
 	// gap is the longest pause between two writes of events.
 	gap time.Duration
@@ -102,14 +106,14 @@
 		a.link.Close()
 		return outcome{result: notSent, why: "caller left"}
 	}
-	o, intact := a.exchange1()
+	o, intact := a.converse()
 	x.hold(nil)
 	if intact && a.written.Load() {
 		a.pool.Put(a.link, time.Now())
 	} else {
 		a.link.Close()
 	}
-	o.first = max(o.first, 0)
+	o.began = a.began
 	return o
 }
 
@@ -139,17 +143,17 @@
 	return err
 }
 
-// exchange1 writes the request and reads the answer. It reports whether the
+// converse writes the request and reads the answer. It reports whether the
 // link can carry another request.
-func (a *attempt) exchange1() (outcome, bool) {
+func (a *attempt) converse() (outcome, bool) {
 	a.link.SetDeadline(a.deadline)
 	if err := a.write(); err != nil {
-		return outcome{result: unanswered, why: "write: " + err.Error()}, false
+		return outcome{result: unanswered, broke: broke(err), why: "write: " + err.Error()}, false
 	}
 	a.link.SetReadDeadline(a.patience())
 	res, note, err := a.readHead()
 	if err != nil {
-		return outcome{result: unanswered, why: "answer: " + err.Error()}, false
+		return outcome{result: unanswered, broke: broke(err), why: "answer: " + err.Error()}, false
 	}
 	o := outcome{status: res.Status, fault: note.Fault, first: time.Since(a.began)}
 	if k, n := res.Get("Keep-Alive"); n > 0 {
@@ -282,7 +286,7 @@
 	a.link.SetReadDeadline(a.deadline)
 	body, err := http1.ReadBody(a.link.Reader, res.Framing, res.Length, maxAnswerBody)
 	if err != nil {
-		o.result, o.why = unanswered, "answer is cut: "+err.Error()
+		o.result, o.broke, o.why = unanswered, broke(err), "answer is cut: "+err.Error()
 		if note.NotRun {
 			o.result = refused
 		}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	comeBackLater = 700 * time.Millisecond
 )
 
+// errCrashes means that endpoints broke under the request again and again.
+const errCrashes = errors.ConstError("endpoints broke under this request")
+
 // exchange is one request of a caller and all that is done for it.
 type exchange struct {
 	server  *Server
@@ -186,13 +190,17 @@
 
 // refuse ends the request with an answer of this node.
 func (x *exchange) refuse(status int, after time.Duration, why string) {
-	s := x.server
-	e := s.Logger.Info().Str("request", x.ask.ID).Int("status", status).Str("why", why).
-		Dur("after", time.Since(x.arrived)).Int("sends", x.sends)
+	e := x.server.line(false).Str("request", x.ask.ID).Int("status", status).Str("why", why).
+		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Int64("prompt", int64(x.ask.Prompt))
 	if x.route != nil {
 		e = e.Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version))
 	}
 	e.Msg("gate: refused")
+	if x.begun {
+		x.count("cut")
+	} else {
+		x.count(strconv.Itoa(status))
+	}
 	if x.begun {
 		x.keep = false
 		return
@@ -223,7 +231,8 @@
 		o := x.send(c)
 		if x.left() {
 			x.keep = false
-			x.server.Logger.Info().Str("request", x.ask.ID).Dur("after", time.Since(x.arrived)).Msg("gate: caller left")
+			x.count("left")
+			x.server.line(false).Str("request", x.ask.ID).Dur("after", time.Since(x.arrived)).Msg("gate: caller left")
 			return
 		}
 		if x.settle(c, o) {
@@ -236,6 +245,9 @@
 func (x *exchange) choose() (place.Choice, error) {
 	s := x.server
 	now := time.Now()
+	if x.crashes(now) {
+		return place.Choice{}, errCrashes
+	}
 	fleet := s.Feeds.Fleet()
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.ErrNone
@@ -326,6 +338,7 @@
 	case x.begun:
 		x.refuse(0, 0, "stream is cut: "+o.why)
 	case o.answer != nil:
+		x.count(strconv.Itoa(o.status))
 		x.write(o.answer)
 	case o.result == refused:
 		x.refuse(503, comeBack, o.why)
@@ -339,13 +352,14 @@
 // note records what a send says of the endpoint.
 func (x *exchange) note(c place.Choice, o outcome, now time.Time) {
 	s := x.server
-	e := s.Logger.Debug()
-	if o.result != complete {
-		e = s.Logger.Info()
+	s.figures().sends.WithLabelValues(o.result.String()).Inc()
+	s.line(o.result == complete).Str("request", x.ask.ID).Str("endpoint", string(c.First.Name)).Int("helpers", len(c.Helpers)).
+		Str("result", o.result.String()).Str("why", o.why).Dur("estimate", c.Estimate).Dur("first", o.first).Dur("gap", o.gap).
+		Dur("after", now.Sub(x.arrived)).Int64("prompt", int64(x.ask.Prompt)).Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
+	if o.result == complete {
+		x.count(strconv.Itoa(o.status))
+		x.observe(now.Sub(x.arrived) - now.Sub(o.began) + o.first)
 	}
-	e.Str("request", x.ask.ID).Str("endpoint", string(c.First.Name)).Int("helpers", len(c.Helpers)).
-		Str("result", o.result.String()).Str("why", o.why).Dur("estimate", c.Estimate).Dur("first", o.first).Dur("gap", o.gap).Dur("after", now.Sub(x.arrived)).
-		Int64("prompt", int64(x.ask.Prompt)).Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
 	switch {
 	case o.fault != "":
 		x.blame(o.fault, now)
@@ -354,6 +368,12 @@
 	case o.result == notSent || o.result == unanswered:
 		s.health.failed(c.First.Name, now)
 		s.pools.Get(c.First.Address).Drop()
+		if o.result == notSent {
+			s.Report(c.First.Name)
+		}
+		if o.broke {
+			x.strike(c.First.Name, now)
+		}
 	case o.result == failed && x.service.Engine != nil:
 		s.health.failed(c.First.Name, now)
 	}
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 func TestWholeAnswers(t *testing.T) {
@@ -324,3 +327,31 @@
 		test.SliceEmpty(t, e.requests())
 	}
 }
+
+func TestRequestThatCrashesEndpointsIsSentNoMore(t *testing.T) {
+	e := newEndpoint(t, "e", vanishes)
+	r := newRig(t, e, e.twin("f"), e.twin("g"), e.twin("h"))
+	for range 6 {
+		r.do(request("GET", "/safe/bad", "r1", ""))
+	}
+	test.SliceLen(t, maxCrashes, e.requests())
+	test.Eq(t, 503, r.do(request("GET", "/safe/bad", "r1", "")).status)
+	before := len(e.requests())
+	r.do(request("GET", "/safe/good", "r2", ""))
+	test.Greater(t, before, len(e.requests()))
+}
+
+func TestStrikesOfPeersCount(t *testing.T) {
+	e := newEndpoint(t, "e", vanishes, ok("yes"))
+	r := newRig(t, e)
+	var told []strik.Strike
+	r.server.Strike = func(s strik.Strike) { told = append(told, s) }
+	r.do(request("POST", "/once/bad", "r1", "x"))
+	must.SliceLen(t, 1, told)
+	for _, n := range []string{"x", "y", "z"} {
+		told[0].Endpoint = ident.EndpointName(n)
+		r.server.Struck(told[:1])
+	}
+	test.Eq(t, 503, r.do(request("POST", "/once/bad", "r2", "x")).status)
+	test.SliceLen(t, 1, e.requests())
+}
--- /dev/null
+++ b/internal/trans/gate/metrics.go
@@ -0,0 +1,113 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// metrics are the figures of a gate.
+type metrics struct {
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	leftOut  prometheus.Counter
+}
+
+// lengthClasses are the prompt sizes that latencies are told apart by.
+var lengthClasses = []struct {
+	upTo ident.Tokens
+	name string
+}{
+	{0, "none"}, {8_000, "8k"}, {32_000, "32k"}, {128_000, "128k"}, {1 << 40, "more"},
+}
+
+func lengthClass(n ident.Tokens) string {
+	for _, c := range lengthClasses {
+		if n <= c.upTo {
+			return c.name
+		}
+	}
+	return "more"
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_requests_total", Help: "Requests by kind and by status; cut is an answer that was broken off, left a caller who left.",
+		}, []string{"kind", "outcome"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_sends_total", Help: "Sends to endpoints by result.",
+		}, []string{"result"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "laburnum_first_seconds", Help: "Time to the answer, or to the first event of a stream.",
+			Buckets: []float64{.05, .1, .2, .3, .5, 1, 1.5, 3, 6, 12},
+		}, []string{"kind", "length"}),
+		leftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_log_lines_left_out_total", Help: "Lines that were not logged since there were too many.",
+		}),
+	}
+}
+
+// Register adds the gate's figures to a registry.
+func (s *Server) Register(r prometheus.Registerer) {
+	m := s.figures()
+	r.MustRegister(m.requests, m.sends, m.latency, m.leftOut,
+		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlight.Load()) }),
+		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.open.Load()) }),
+		gauge("laburnum_nodes", "Nodes known, this one included.", func() float64 { return float64(s.Nodes()) }),
+		gauge("laburnum_configuration_version", "Version in force.", func() float64 {
+			if c := s.Feeds.Catalog(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+		gauge("laburnum_configuration_age_seconds", "Time since the configuration was known to be the newest.", func() float64 {
+			return clock.Now().Sub(s.Feeds.Proven()).Seconds()
+		}),
+		gauge("laburnum_endpoints_age_seconds", "Time since the endpoints were listed.", func() float64 {
+			return clock.Now().Sub(s.Feeds.Listed()).Seconds()
+		}),
+		gauge("laburnum_endpoints", "Endpoints listed.", func() float64 {
+			if f := s.Feeds.Fleet(); f != nil {
+				return float64(len(f.Names))
+			}
+			return 0
+		}),
+	)
+}
+
+func gauge(name, help string, f func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f)
+}
+
+// figures returns the gate's metrics, which exist also without a registry.
+func (s *Server) figures() *metrics {
+	s.metricsOnce.Do(func() { s.metrics = newMetrics() })
+	return s.metrics
+}
+
+// count notes how a request ended.
+func (x *exchange) count(outcome string) {
+	x.server.figures().requests.WithLabelValues(x.kind(), outcome).Inc()
+}
+
+func (x *exchange) kind() string {
+	if x.route == nil {
+		return "unknown"
+	}
+	return x.route.Kind.String()
+}
+
+// observe notes the time to the first event or the answer.
+func (x *exchange) observe(first time.Duration) {
+	length := "none"
+	if x.route.Kind == topol.Stream {
+		length = lengthClass(x.ask.Prompt)
+	}
+	x.server.figures().latency.WithLabelValues(x.kind(), length).Observe(first.Seconds())
+}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -284,6 +285,7 @@
 		Dialect: plainDialect{}, Orders: r.orders, Feeds: f, Works: &works.Table{}, Node: "n1", DataCentre: "a", Logger: zerolog.Nop(),
 		Strict: true, Revoke: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100},
 		Began: func(works.Work) {}, Wrote: func(works.ID) {}, Done: func(works.ID) {}, Nodes: func() int { return 1 },
+		Strike: func(strik.Strike) {}, Report: func(ident.EndpointName) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l, err := Listen(ctx, "127.0.0.1:0")
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/coord/extra"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
@@ -91,17 +93,26 @@
 	Began func(works.Work)
 	Wrote func(works.ID)
 	Done  func(works.ID)
+	// Strike and Report tell them of a broken connection and of an endpoint
+	// that can't be reached.
+	Strike func(strik.Strike)
+	Report func(ident.EndpointName)
 	// Nodes returns the number of nodes alive.
 	Nodes func() int
 
-	boot     int64
-	pools    links.Pools
-	health   health
-	budgets  budgets
-	nextID   atomic.Uint64
-	stopping atomic.Bool
-	inFlight atomic.Int64
-	open     atomic.Int64
+	boot    int64
+	pools   links.Pools
+	health  health
+	strikes strikes
+	lines   lines
+	metrics *metrics
+	// metricsOnce guards the making of metrics.
+	metricsOnce sync.Once
+	budgets     budgets
+	nextID      atomic.Uint64
+	stopping    atomic.Bool
+	inFlight    atomic.Int64
+	open        atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*caller]struct{}
@@ -185,6 +196,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			s.strikes.expire(now)
 			fleet := s.Feeds.Fleet()
 			s.pools.Expire(now, func(addr string) bool {
 				return fleet == nil || fleet.Addresses[addr] != nil
@@ -292,7 +304,8 @@
 	if status == 0 {
 		return
 	}
-	s.Logger.Info().Err(err).Int("status", status).Msg("gate: refused a message")
+	s.figures().requests.WithLabelValues("unknown", strconv.Itoa(status)).Inc()
+	s.line(false).Err(err).Int("status", status).Msg("gate: refused a message")
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.Write(ownAnswer(status, 0, true))
 }
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -65,7 +65,7 @@
 			return o, !res.Close
 		}
 		if err != nil {
-			o.result, o.why = unanswered, "stream is cut: "+err.Error()
+			o.result, o.broke, o.why = unanswered, broke(err), "stream is cut: "+err.Error()
 			return o, false
 		}
 	}
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
@@ -41,8 +42,10 @@
 	Logger zerolog.Logger
 	// State answers what this node knows of the deployment.
 	State func(known ident.Version) relay.State
-	// Failed is called with the endpoints that a peer could not reach.
+	// Failed is called with the endpoints that a peer could not reach, Struck
+	// with the strikes that it counted.
 	Failed func([]ident.EndpointName)
+	Struck func([]strik.Strike)
 
 	ctx   context.Context
 	mu    sync.Mutex
@@ -134,6 +137,11 @@
 	m.tell(func(u *relay.Update) { u.Failed = append(u.Failed, n) })
 }
 
+// Strike tells the peers of a strike.
+func (m *Mesh) Strike(s strik.Strike) {
+	m.tell(func(u *relay.Update) { u.Struck = append(u.Struck, relay.StrikeNote{Strike: s}) })
+}
+
 func (m *Mesh) tell(add func(*relay.Update)) {
 	for _, p := range m.all() {
 		p.mu.Lock()
@@ -262,6 +270,10 @@
 		u.Began[i].Age = now.Sub(u.Began[i].Work.Since)
 		u.Began[i].Work.Since = time.Time{}
 	}
+	for i := range u.Struck {
+		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
+		u.Struck[i].Strike.At = time.Time{}
+	}
 	var r relay.UpdateReply
 	if err := call(client, "Node.Tell", u, &r); err != nil {
 		return err
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 )
 
@@ -37,6 +38,14 @@
 	if len(u.Failed) > 0 {
 		m.Failed(u.Failed)
 	}
+	if len(u.Struck) > 0 {
+		var ss []strik.Strike
+		for _, n := range u.Struck {
+			n.Strike.At = now.Add(-n.Age)
+			ss = append(ss, n.Strike)
+		}
+		m.Struck(ss)
+	}
 	return nil
 }
 
