--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -106,7 +106,7 @@
 	n.mesh.Init(ctx)
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Orders: n.Orders, Feeds: n.feeds, Works: n.works, Node: s.Name, DataCentre: s.DataCentre,
-		Strict: s.Strict, Revoke: s.Revoke, Budget: s.Budget, Logger: n.Logger,
+		Strict: s.Strict, Revoke: s.Revoke, Budget: s.Budget, Grace: s.Grace, Logger: n.Logger,
 		Began: n.mesh.Began, Wrote: n.mesh.Wrote, Done: n.mesh.Done, Nodes: n.mesh.Nodes,
 		Strike: n.mesh.Strike, Report: n.mesh.Report,
 	}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -143,6 +143,10 @@
 	if !x.authorize(age) {
 		return false
 	}
+	if s.ending(x.route.Kind, x.arrived) {
+		x.refuse(503, comeBack/4, "node ends before the answer could")
+		return false
+	}
 	x.service = x.catalog.Services[x.route.Pick(random())]
 	if x.service == nil {
 		x.refuse(503, comeBack, "route without a service")
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -355,3 +355,30 @@
 	test.Eq(t, 503, r.do(request("POST", "/once/bad", "r2", "x")).status)
 	test.SliceLen(t, 1, e.requests())
 }
+
+func TestNodeThatEndsTakesNothingThatItCantFinish(t *testing.T) {
+	cases := []struct {
+		name   string
+		target string
+		since  time.Duration
+		status int
+	}{
+		{"stream soon after", "/stream/", time.Second, 200},
+		{"stream late", "/stream/", 4 * time.Second, 503},
+		{"plain late", "/safe/", 4 * time.Second, 200},
+		{"plain at the end", "/safe/", 7 * time.Second, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := ok("yes")
+			if c.target == "/stream/" {
+				s = streams(1, 2, true)
+			}
+			r := newRig(t, newEndpoint(t, "e", s))
+			r.server.drainSince(time.Now().Add(-c.since))
+			a := r.do(request("GET", c.target, "r1", "", "Prompt: 100"))
+			test.Eq(t, c.status, a.status)
+			test.True(t, a.closes)
+		})
+	}
+}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -283,7 +283,7 @@
 	r := &rig{t: t, orders: &orders{none: map[string]bool{}}}
 	r.server = &Server{
 		Dialect: plainDialect{}, Orders: r.orders, Feeds: f, Works: &works.Table{}, Node: "n1", DataCentre: "a", Logger: zerolog.Nop(),
-		Strict: true, Revoke: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100},
+		Strict: true, Revoke: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, Grace: 8 * time.Second,
 		Began: func(works.Work) {}, Wrote: func(works.ID) {}, Done: func(works.ID) {}, Nodes: func() int { return 1 },
 		Strike: func(strik.Strike) {}, Report: func(ident.EndpointName) {},
 	}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -88,6 +88,8 @@
 	Strict bool
 	Revoke time.Duration
 	Budget Budget
+	// Grace is the time between the order to stop and the end.
+	Grace  time.Duration
 	Logger zerolog.Logger
 	// Began, Wrote and Done tell the peers of this node's works.
 	Began func(works.Work)
@@ -206,7 +208,33 @@
 }
 
 // Drain lets callers know that this node stops.
-func (s *Server) Drain() { s.stopping.Store(true) }
+func (s *Server) Drain() { s.drainSince(time.Now()) }
+
+func (s *Server) drainSince(t time.Time) {
+	s.stopSince.Store(t.UnixNano())
+	s.stopping.Store(true)
+}
+
+// ending reports whether a new request might not be finished before this node
+// ends.
+func (s *Server) ending(k topol.Kind, now time.Time) bool {
+	if !s.stopping.Load() {
+		return false
+	}
+	since := now.Sub(time.Unix(0, s.stopSince.Load()))
+	if k == topol.Stream {
+		return since > lastStreams
+	}
+	return since > s.Grace-lastPlain
+}
+
+const (
+	// lastStreams is the time after the order to stop up to which new streams
+	// are taken; lastPlain is the time before the end of the grace up to which
+	// other requests are.
+	lastStreams = 2500 * time.Millisecond
+	lastPlain   = 2500 * time.Millisecond
+)
 
 // InFlight returns the number of requests under way.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
