--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -113,8 +113,10 @@
 	budgets     budgets
 	nextID      atomic.Uint64
 	stopping    atomic.Bool
-	inFlight    atomic.Int64
-	open        atomic.Int64
+	// stopSince is the Unix time of the order to stop in nanoseconds.
+	stopSince atomic.Int64
+	inFlight  atomic.Int64
+	open      atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*caller]struct{}
