--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -18,6 +18,8 @@
 	endpoint *topol.Endpoint
 	spec     *topol.Engine
 	avoid    bool
+	// suspect engines read no parts for others.
+	suspect bool
 	// short marks the engines in the lane for callers who bear short pauses
 	// only.
 	short bool
@@ -91,7 +93,7 @@
 	vs := make([]*view, 0, len(s.Endpoints))
 	byName := make(map[ident.EndpointName]*view, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name), busy: -idle}
+		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name), suspect: s.Suspect(e.Name), busy: -idle}
 		byName[e.Name] = v
 		if !e.Leaving {
 			vs = append(vs, v)
--- a/internal/coord/place/engine_test.go
+++ b/internal/coord/place/engine_test.go
@@ -22,7 +22,7 @@
 func scene(n int, ws ...works.Work) Scene {
 	s := Scene{
 		Now: time.Unix(1000, 0), Engine: testEngine, Works: ws,
-		Avoid: func(ident.EndpointName) bool { return false }, Random: func() float64 { return 0 },
+		Avoid: none, Suspect: none, Random: func() float64 { return 0 },
 	}
 	for i := range n {
 		s.Endpoints = append(s.Endpoints, &topol.Endpoint{Name: ident.EndpointName(rune('a' + i)), Slots: 16, DataCentre: "x"})
@@ -30,6 +30,8 @@
 	return s
 }
 
+func none(ident.EndpointName) bool { return false }
+
 // work is a prompt that was sent some time ago.
 func work(first ident.EndpointName, prompt ident.Tokens, age time.Duration, helpers ...ident.EndpointName) works.Work {
 	return works.Work{First: first, Prompt: prompt, Share: prompt, Gap: 250 * time.Millisecond, Helpers: helpers, Since: time.Unix(1000, 0).Add(-age)}
--- a/internal/coord/place/held.go
+++ b/internal/coord/place/held.go
@@ -23,7 +23,7 @@
 	piece := (r.Prompt + ident.Tokens(n) - 1) / ident.Tokens(n)
 	p := split(r.Prompt, min(len(vs), maxHelpers+1))
 	roomy := slices.DeleteFunc(slices.Clone(vs), func(v *view) bool {
-		return v.avoid || v.short || r.Full.Has(v.endpoint.Name) || !v.fits(piece+r.Output) || v.helping >= v.spec.Slots
+		return v.avoid || v.suspect || v.short || r.Full.Has(v.endpoint.Name) || !v.fits(piece+r.Output) || v.helping >= v.spec.Slots
 	})
 	slices.SortStableFunc(roomy, func(a, b *view) int {
 		return cmp.Compare(partCost(a, p, r), partCost(b, p, r))
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -66,6 +66,8 @@
 	Works []works.Work
 	// Avoid reports endpoints that fail at present.
 	Avoid func(ident.EndpointName) bool
+	// Suspect reports endpoints that failed and have not answered since.
+	Suspect func(ident.EndpointName) bool
 	// Random is uniform in [0,1).
 	Random func() float64
 }
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -156,7 +156,7 @@
 	hs := make([]*view, 0, len(vs))
 	cost := make(map[*view]float64, len(vs))
 	for _, v := range vs {
-		if v == first || v.avoid || v.helping >= v.spec.Slots {
+		if v == first || v.avoid || v.suspect || v.helping >= v.spec.Slots {
 			continue
 		}
 		hs = append(hs, v)
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -232,6 +232,7 @@
 			x.giveUp(err)
 			return
 		}
+		x.server.health.chosen(c.First.Name, time.Now())
 		o := x.send(c)
 		if x.left() {
 			x.keep = false
@@ -258,9 +259,10 @@
 	}
 	return place.Choose(place.Scene{
 		Now: now, Endpoints: fleet.Services[x.service.Name], Engine: x.service.Engine,
-		Works:  s.Works.All(),
-		Avoid:  func(n ident.EndpointName) bool { return s.health.avoid(n, now) },
-		Random: random,
+		Works:   s.Works.All(),
+		Avoid:   func(n ident.EndpointName) bool { return s.health.avoid(n, now) },
+		Suspect: func(n ident.EndpointName) bool { return s.health.suspect(n, now) },
+		Random:  random,
 	}, place.Request{
 		Prompt: x.ask.Prompt, Output: x.output(), Target: x.route.Target, Gap: x.route.Gap,
 		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried, Full: x.full,
@@ -370,9 +372,8 @@
 	case o.result == complete:
 		s.health.worked(c.First.Name)
 	case o.result == notSent || o.result == unanswered:
-		s.health.failed(c.First.Name, now)
 		s.pools.Get(c.First.Address).Drop()
-		if o.result == notSent {
+		if s.health.failed(c.First.Name, now) {
 			s.Report(c.First.Name)
 		}
 		if o.broke {
@@ -386,7 +387,9 @@
 // blame notes a failure of the endpoint that another one names.
 func (x *exchange) blame(addr string, now time.Time) {
 	if e := x.server.Feeds.Fleet().Addresses[addr]; e != nil {
-		x.server.health.failed(e.Name, now)
+		if x.server.health.failed(e.Name, now) {
+			x.server.Report(e.Name)
+		}
 		x.tried.Add(e.Name)
 	}
 }
