--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -359,9 +359,10 @@
 func (x *exchange) note(c place.Choice, o outcome, now time.Time) {
 	s := x.server
 	s.figures().sends.WithLabelValues(o.result.String()).Inc()
-	s.line(o.result == complete).Str("request", x.ask.ID).Str("endpoint", string(c.First.Name)).Int("helpers", len(c.Helpers)).
+	s.line(o.result == complete).Str("request", x.ask.ID).Str("endpoint", string(c.First.Name)).Strs("helpers", names(c.Helpers)).
 		Str("result", o.result.String()).Str("why", o.why).Dur("estimate", c.Estimate).Dur("first", o.first).Dur("gap", o.gap).
-		Dur("after", now.Sub(x.arrived)).Int64("prompt", int64(x.ask.Prompt)).Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
+		Dur("took", now.Sub(o.began)).Dur("after", now.Sub(x.arrived)).Int64("prompt", int64(x.ask.Prompt)).
+		Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
 	if o.result == complete {
 		x.count(strconv.Itoa(o.status))
 		x.observe(now.Sub(x.arrived) - now.Sub(o.began) + o.first)
@@ -416,3 +417,12 @@
 	x.server.Works.Done(x.server.Node, id)
 	x.server.Done(id)
 }
+
+// names lists endpoints for a log line.
+func names(es []*topol.Endpoint) []string {
+	ns := make([]string, len(es))
+	for i, e := range es {
+		ns[i] = string(e.Name)
+	}
+	return ns
+}
