--- /dev/null
+++ b/cmd/laburnumlab/experiment_passes.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/lab/passes"
+)
+
+// ExperimentPasses plays bursts of short and long prompts on engines that work
+// in passes.
+type ExperimentPasses struct {
+	Seed    uint64  `long:"seed" default:"1" description:"first seed"`
+	Seeds   int     `long:"seeds" default:"5" description:"number of seeds"`
+	Engines int     `long:"engines" default:"23" description:"number of engines"`
+	Nodes   int     `long:"nodes" default:"7" description:"number of nodes"`
+	Load    float64 `long:"load" default:"1" description:"factor on all rates"`
+}
+
+func init() {
+	commands.Add("experiment passes", "play bursts of prompts on engines that work in passes", &ExperimentPasses{})
+}
+
+// Execute plays each policy over all seeds.
+func (c *ExperimentPasses) Execute(_ []string) error {
+	if c.Seeds < 1 || c.Engines < 2 || c.Nodes < 1 || c.Load <= 0 {
+		return &cli.Exit{Code: cli.ExitUsage, Text: "--seeds and --nodes must be at least 1, --engines at least 2, --load above 0"}
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "policy\tkind\tasked\tcredit\tin time\tlate first\tlate pause\trefused\tfailed\tmean first\tmean error")
+	c.play(w, "placed", place.Choose)
+	c.play(w, "alone", passes.Alone)
+	return w.Flush()
+}
+
+func (c *ExperimentPasses) play(w *tabwriter.Writer, name string, choose func(place.Scene, place.Request) (place.Choice, error)) {
+	var sum []passes.Result
+	for i := range c.Seeds {
+		day := passes.UserDay(c.Seed + uint64(i))
+		day.Choose, day.Engines, day.Nodes = choose, c.Engines, c.Nodes
+		for k := range day.Kinds {
+			day.Kinds[k].Rate *= c.Load
+		}
+		sum = passes.Add(sum, passes.Run(day))
+	}
+	var owed, earned float64
+	for _, r := range sum {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%v\t%v\n", name, r.Kind, r.Asked, r.Credit(), r.InTime, r.LateFirst, r.LateGap, r.Refused, r.Failed, round(r.FirstMean/time.Duration(c.Seeds)), round(r.EstimateError/time.Duration(c.Seeds)))
+		owed += r.Owed
+		earned += r.Earned
+	}
+	fmt.Fprintf(w, "%s\tall\t\t%.3f\n", name, earned/owed)
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
