--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -6,7 +6,7 @@
 	// freeBacklog is the mean backlog up to which prompts of all sizes are
 	// taken, and busyBacklog that from which those over busyWork are refused.
 	freeBacklog = 150 * time.Millisecond
-	busyBacklog = time.Second
+	busyBacklog = 500 * time.Millisecond
 	// freeWork and busyWork are the time of one engine that a prompt may take
 	// to be read at these backlogs. The pairs of its tokens make that grow
 	// with the square of the size, so the largest prompts take the place of
@@ -37,3 +37,16 @@
 	load := ramp(sum/time.Duration(n), freeBacklog, busyBacklog)
 	return work > freeWork-time.Duration(load*float64(freeWork-busyWork))
 }
+
+const (
+	// returnLeast is the least time after which a refused caller is told to
+	// come back, returnPart the largest part of the time left.
+	returnLeast = 700 * time.Millisecond
+	returnPart  = 3
+)
+
+// ReturnAfter is the time after which a caller who was refused for load should
+// come back: when what waits now is mostly read, but in time to be served.
+func ReturnAfter(c Choice, r Request) time.Duration {
+	return max(returnLeast, min(c.Estimate-r.Target/2, r.Left/returnPart))
+}
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -21,6 +21,9 @@
 	ErrFull = errors.ConstError("all endpoints are full")
 	// ErrLate means that the request would not be answered in its time.
 	ErrLate = errors.ConstError("the wait is too long")
+	// ErrDeferred means that the caller would wait longer than expected, and
+	// better comes back.
+	ErrDeferred = errors.ConstError("too much waits to be read")
 	// ErrCostly means that a prompt would take more time of the engines than
 	// is left at their load.
 	ErrCostly = errors.ConstError("prompt is too large for the load")
@@ -37,6 +40,8 @@
 	Target time.Duration
 	// Gap is the pause between events that the caller accepts.
 	Gap time.Duration
+	// Returned tells that the caller was refused before.
+	Returned bool
 	// Left is the time until the request is given up.
 	Left       time.Duration
 	DataCentre ident.DataCentre
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -55,12 +55,20 @@
 		return Choice{}, ErrFull
 	}
 	c := best.choice()
+	if r.deferrable() && c.Estimate > r.Target {
+		return c, ErrDeferred
+	}
 	if r.Left > 0 && c.Estimate > r.Left*latePercent/100 {
 		return c, ErrLate
 	}
 	return c, nil
 }
 
+// deferrable reports whether a prompt may be told to come back when less waits
+// to be read. Prompts that have come back are taken, and short ones make no
+// difference.
+func (r Request) deferrable() bool { return r.patient() && !r.Returned }
+
 // bestAlone places a prompt whose memory is at one engine.
 func bestAlone(vs []*view, r Request) (plan, bool) {
 	var best plan
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -26,6 +26,8 @@
 	// staleAfter is the age of the configuration from which an unknown route
 	// or key may be one that this node has not heard of.
 	staleAfter = 3 * time.Second
+	// returnedAfter is the time waited from which a caller counts as returned.
+	returnedAfter = 300 * time.Millisecond
 	// comeBack tells callers to try another node soon.
 	comeBack = 200 * time.Millisecond
 	// comeBackLater tells callers to come back when load has gone down.
@@ -227,9 +229,9 @@
 // forward sends the request until it is answered or given up.
 func (x *exchange) forward() {
 	for {
-		c, err := x.choose()
+		c, r, err := x.choose()
 		if err != nil {
-			x.giveUp(err)
+			x.giveUp(err, place.ReturnAfter(c, r))
 			return
 		}
 		x.server.health.chosen(c.First.Name, time.Now())
@@ -247,26 +249,47 @@
 }
 
 // choose places the request.
-func (x *exchange) choose() (place.Choice, error) {
+func (x *exchange) choose() (place.Choice, place.Request, error) {
 	s := x.server
 	now := time.Now()
 	if x.crashes(now) {
-		return place.Choice{}, errCrashes
+		return place.Choice{}, place.Request{}, errCrashes
 	}
 	fleet := s.Feeds.Fleet()
 	if !now.Before(x.deadline) || x.sends >= maxSends {
-		return place.Choice{}, place.ErrNone
+		return place.Choice{}, place.Request{}, place.ErrNone
 	}
-	return place.Choose(place.Scene{
+	r := place.Request{
+		Prompt: x.ask.Prompt, Output: x.output(), Target: x.targetLeft(now), Gap: x.route.Gap, Returned: x.returned(),
+		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried, Full: x.full,
+	}
+	c, err := place.Choose(place.Scene{
 		Now: now, Endpoints: fleet.Services[x.service.Name], Engine: x.service.Engine,
 		Works:   s.Works.All(),
 		Avoid:   func(n ident.EndpointName) bool { return s.health.avoid(n, now) },
 		Suspect: func(n ident.EndpointName) bool { return s.health.suspect(n, now) },
 		Random:  random,
-	}, place.Request{
-		Prompt: x.ask.Prompt, Output: x.output(), Target: x.route.Target, Gap: x.route.Gap,
-		Left: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried, Full: x.full,
-	})
+	}, r)
+	return c, r, err
+}
+
+// returned reports whether the caller has waited before, as one does who was
+// refused elsewhere.
+func (x *exchange) returned() bool { return x.waited() > returnedAfter || x.sends > 0 }
+
+// waited is the time that the caller waited before this request arrived, as
+// far as its time left shows.
+func (x *exchange) waited() time.Duration {
+	if x.ask.TimeLeft <= 0 {
+		return 0
+	}
+	return max(0, x.route.Timeout-x.ask.TimeLeft)
+}
+
+// targetLeft is what is left of the time in which the caller expects the first
+// event.
+func (x *exchange) targetLeft(now time.Time) time.Duration {
+	return max(time.Millisecond, x.route.Target-x.waited()-now.Sub(x.arrived))
 }
 
 // output is the number of tokens that the answer probably has.
@@ -278,7 +301,7 @@
 }
 
 // giveUp ends a request that gets no more endpoints.
-func (x *exchange) giveUp(err error) {
+func (x *exchange) giveUp(err error, after time.Duration) {
 	switch {
 	case x.begun:
 		x.refuse(0, 0, "stream ends without its rest: "+err.Error())
@@ -286,8 +309,8 @@
 		x.refuse(504, 0, "no answer in time")
 	case x.runs > 0:
 		x.refuse(502, 0, "may have run, no answer: "+err.Error())
-	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrCostly):
-		x.refuse(503, comeBackLater, err.Error())
+	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrCostly) || errors.Is(err, place.ErrDeferred):
+		x.refuse(503, after, err.Error())
 	default:
 		x.refuse(503, comeBack, err.Error())
 	}
@@ -306,7 +329,7 @@
 		if x.reserves < maxReserves {
 			return false
 		}
-		x.giveUp(place.ErrFull)
+		x.giveUp(place.ErrFull, comeBackLater)
 		return true
 	}
 	x.tried.Add(c.First.Name)
