--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -84,8 +84,12 @@
 
 // prompt is one request.
 type prompt struct {
-	kind     *Kind
-	index    int
+	kind  *Kind
+	index int
+	// asked is when the caller first asked; returned tells that it was refused
+	// then and has come back.
+	asked    time.Duration
+	returned bool
 	Tokens   ident.Tokens
 	node     int
 	at       time.Duration
@@ -160,12 +164,12 @@
 func (p *play) judge() {
 	for _, q := range p.all {
 		res := &p.results[q.index]
-		first := q.wrote - q.at
+		first := q.wrote - q.asked
 		res.FirstMean += first
-		res.EstimateError += (first - q.estimate).Abs()
-		worth := min(4, 0.3+0.7*float64(q.Tokens)/q.kind.Tokens)
+		res.EstimateError += (q.wrote - q.at - q.estimate).Abs()
+		worth := q.size()
 		switch {
-		case q.done == 0 || q.done-q.at > q.kind.Deadline || q.gap > max(2*time.Second, 8*q.kind.Gap):
+		case q.done == 0 || q.done-q.asked > q.kind.Deadline || q.gap > max(2*time.Second, 8*q.kind.Gap):
 			res.Failed++
 		case first > q.kind.Target:
 			res.LateFirst++
@@ -198,7 +202,7 @@
 				if at >= begin+ph.For {
 					break
 				}
-				pr := &prompt{kind: k, index: i, at: at, node: p.rnd.IntN(p.Nodes), Tokens: ident.Tokens(p.draw(k.Tokens, k.Spread, k.Max))}
+				pr := &prompt{kind: k, index: i, at: at, asked: at, node: p.rnd.IntN(p.Nodes), Tokens: ident.Tokens(p.draw(k.Tokens, k.Spread, k.Max))}
 				heap.Push(&p.agenda, moment{at: at, prompt: pr, events: int(math.Ceil(p.draw(k.Events, k.EventSpread, k.MaxEvents)))})
 			}
 		}
@@ -235,17 +239,23 @@
 
 func (p *play) arrive(q *prompt, events int) {
 	res := &p.results[q.index]
-	res.Asked++
-	worth := min(4, 0.3+0.7*float64(q.Tokens)/q.kind.Tokens)
-	res.Owed += q.kind.Worth * worth
+	if !q.returned {
+		res.Asked++
+		res.Owed += q.kind.Worth * q.size()
+	}
+	waited := p.now - q.asked
 	output := ident.Tokens(events * p.Engine.Stride)
 	never := func(ident.EndpointName) bool { return false }
+	request := place.Request{
+		Prompt: q.Tokens, Output: output, Target: max(time.Millisecond, q.kind.Target-waited), Gap: q.kind.Gap,
+		Left: q.kind.Deadline - waited, Returned: q.returned,
+	}
 	c, err := p.Choose(place.Scene{
 		Now: origin.Add(p.now), Endpoints: p.list, Engine: p.Engine, Works: p.known(q.node),
 		Avoid: never, Suspect: never, Random: p.rnd.Float64,
-	}, place.Request{Prompt: q.Tokens, Output: output, Target: q.kind.Target, Gap: q.kind.Gap, Left: q.kind.Deadline})
+	}, request)
 	if err != nil {
-		res.Refused++
+		p.refuse(q, place.ReturnAfter(c, request), events)
 		return
 	}
 	q.estimate = c.Estimate
@@ -265,6 +275,20 @@
 	p.send(q, events)
 }
 
+// refuse lets a caller come back once.
+func (p *play) refuse(q *prompt, after time.Duration, events int) {
+	if q.returned || after >= q.kind.Deadline/2 {
+		p.results[q.index].Refused++
+		return
+	}
+	q.returned = true
+	q.at = p.now + after
+	heap.Push(&p.agenda, moment{at: q.at, prompt: q, events: events})
+}
+
+// size weighs a prompt among its kind.
+func (q *prompt) size() float64 { return min(4, 0.3+0.7*float64(q.Tokens)/q.kind.Tokens) }
+
 // send gives the parts of a prompt to its engines.
 func (p *play) send(q *prompt, events int) {
 	n := float64(len(q.work.Helpers) + 1)
