place: prompts that would cost others more than they are worth come back

Cause: a plan was taken at any cost, also where the pauses and delays that it makes for others lose more than the prompt gains.

--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -31,6 +31,9 @@
 	helperCost = 0.01
 	// avoidCost keeps requests from engines that fail.
 	avoidCost = 100
+	// harmShare is the share of its probable worth that a prompt may cost
+	// others.
+	harmShare = 0.6
 	// latePercent of the time left may go by before the first event.
 	latePercent = 70
 )
@@ -55,7 +58,7 @@
 		return Choice{}, ErrFull
 	}
 	c := best.choice()
-	if r.deferrable() && c.Estimate > r.Target {
+	if r.patient() && (best.harmful(r) || !r.Returned && c.Estimate > r.Target) {
 		return c, ErrDeferred
 	}
 	if r.Left > 0 && c.Estimate > r.Left*latePercent/100 {
@@ -64,10 +67,17 @@
 	return c, nil
 }
 
-// deferrable reports whether a prompt may be told to come back when less waits
-// to be read. Prompts that have come back are taken, and short ones make no
-// difference.
-func (r Request) deferrable() bool { return r.patient() && !r.Returned }
+// harmful reports whether a plan costs other prompts more than it is worth. A
+// caller who has come back is given more.
+func (p plan) harmful(r Request) bool {
+	own := value(r.Prompt)
+	risk := min(1, lateRisk(p.end, r))
+	most := own * (1 - risk)
+	if !r.Returned {
+		most *= harmShare
+	}
+	return p.cost-own*lateRisk(p.end, r) > most
+}
 
 // bestAlone places a prompt whose memory is at one engine.
 func bestAlone(vs []*view, r Request) (plan, bool) {
