place: add chance to the cost of plans

Cause: nodes that decide within the same 8 ms all chose the same engines (spikes of 180 prompts in 0.25 s after a power loss waited 575 ms for an estimate of 111 ms).

--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -23,6 +23,8 @@
 	// rankCost is the cost of each engine in front of one, so that short
 	// prompts fill the engines from the front and long ones from the back.
 	rankCost = 0.001
+	// spreadCost is the most that chance adds to the cost of a plan.
+	spreadCost = 0.1
 	// helperTokens is the least part that is worth another helper.
 	helperTokens = 1000
 	// maxHelpers is the most that an engine takes.
@@ -47,7 +49,7 @@
 	if costly(vs, r) {
 		return Choice{}, ErrCostly
 	}
-	best, ok := bestAlone(vs, r)
+	best, ok := bestAlone(vs, s, r)
 	if !ok {
 		best, ok = bestHeld(vs, r)
 	}
@@ -80,7 +82,7 @@
 }
 
 // bestAlone places a prompt whose memory is at one engine.
-func bestAlone(vs []*view, r Request) (plan, bool) {
+func bestAlone(vs []*view, s Scene, r Request) (plan, bool) {
 	var best plan
 	found := false
 	for _, first := range vs {
@@ -91,6 +93,8 @@
 			continue
 		}
 		p := planFor(vs, first, r)
+		// Nodes that decide at the same moment don't know of each other yet.
+		p.cost += spreadCost * s.Random()
 		if !found || p.cost < best.cost {
 			best, found = p, true
 		}
