--- /dev/null
+++ b/internal/node/edge/news.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/internal/trans/share"
+)
+
+const (
+	// readers is the number of nodes that read the platform's store for all.
+	readers = 2
+	// pullEvery is the pause between two questions to a reader.
+	pullEvery = 600 * time.Millisecond
+	// freshConfig and freshList are the ages of a reader's knowledge up to
+	// which it is taken; a reader waits for news of the configuration, so its
+	// knowledge of that may be older.
+	freshConfig = 2600 * time.Millisecond
+	freshList   = 1500 * time.Millisecond
+	// leaveAfter is the time without an answer of a reader after which a node
+	// reads by itself.
+	leaveAfter = 1100 * time.Millisecond
+)
+
+// news keeps a node's knowledge of the deployment young. A few nodes read the
+// store; the others ask them. Who gets no young answer reads by itself, and
+// who can't do that either asks any peer. Ages are counted from the moment of
+// a question, so a late answer never makes knowledge look younger.
+type news struct {
+	feeds  *feeds.Feeds
+	mesh   *share.Mesh
+	decode func(raw []byte) (*topol.Catalog, error)
+	logger zerolog.Logger
+
+	// served is when the question was sent that a reader last answered well.
+	served atomicInstant
+}
+
+// follows reports whether a reader serves this node at present.
+func (n *news) follows() bool {
+	return clock.Now().Sub(n.served.load()) < leaveAfter
+}
+
+// state is what this node can tell a peer of the deployment.
+func (n *news) state(a relay.StateArgs) relay.State {
+	var st relay.State
+	now := clock.Now()
+	if c := n.feeds.Catalog(); c != nil {
+		st.Version = c.Version
+		st.Proven, st.ProvenAge = true, now.Sub(n.feeds.Proven())
+		if c.Version > a.Version {
+			st.Raw = c.Raw
+		}
+	}
+	if f := n.feeds.Fleet(); f != nil {
+		st.Listed, st.ListedAge, st.List = true, now.Sub(n.feeds.Listed()), f.ID
+		if f.ID != a.List {
+			st.Endpoints = n.feeds.List()
+		}
+	}
+	return st
+}
+
+// run asks readers, or any peer while this node's own knowledge is old.
+func (n *news) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, pullEvery)
+		n.mesh.Sweep(time.Now())
+		n.pull()
+	}
+}
+
+func (n *news) pull() {
+	rs := n.mesh.Readers(readers, time.Now())
+	if slices.Contains(rs, n.mesh.Self.Address) {
+		if n.old() {
+			n.askAny()
+		}
+		return
+	}
+	for _, a := range rs {
+		asked := clock.Now()
+		if n.ask(a, asked) {
+			n.served.store(asked)
+			return
+		}
+	}
+	if n.old() {
+		n.askAny()
+	}
+}
+
+// old reports whether this node's knowledge is older than a reader's should be.
+func (n *news) old() bool {
+	now := clock.Now()
+	return now.Sub(n.feeds.Proven()) > freshConfig+pullEvery || now.Sub(n.feeds.Listed()) > freshList+pullEvery
+}
+
+func (n *news) askAny() {
+	for _, a := range n.mesh.Addresses() {
+		if n.ask(a, clock.Now()) {
+			return
+		}
+	}
+}
+
+// ask takes what a peer knows. It reports whether that is young.
+func (n *news) ask(address string, asked clock.Instant) bool {
+	var a relay.StateArgs
+	if c := n.feeds.Catalog(); c != nil {
+		a.Version = c.Version
+	}
+	if f := n.feeds.Fleet(); f != nil {
+		a.List = f.ID
+	}
+	st, err := n.mesh.Ask(address, a)
+	if err != nil {
+		return false
+	}
+	return n.adopt(st, asked)
+}
+
+func (n *news) adopt(st relay.State, asked clock.Instant) bool {
+	if len(st.Raw) > 0 {
+		c, err := n.decode(st.Raw)
+		if err != nil {
+			n.logger.Error().Err(err).Msg("news: a peer's configuration can't be read")
+			return false
+		}
+		n.feeds.Offer(c)
+	}
+	if st.Listed && len(st.Endpoints) > 0 {
+		n.feeds.Adopt(st.Endpoints, asked.Add(-st.ListedAge))
+	} else if st.Listed {
+		n.feeds.Confirm(st.List, asked.Add(-st.ListedAge))
+	}
+	c := n.feeds.Catalog()
+	if c == nil || !st.Proven || st.Version > c.Version {
+		return false
+	}
+	if st.Version == c.Version {
+		n.feeds.Prove(asked.Add(-st.ProvenAge))
+	}
+	return st.ProvenAge < freshConfig && st.Listed && st.ListedAge < freshList
+}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -18,13 +18,9 @@
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/internal/trans/gate"
 	"laburnumstack.org/laburnum/internal/trans/share"
-	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
-	// pullAfter is the age of this node's knowledge from which it asks peers.
-	pullAfter = 2700 * time.Millisecond
-	pullEvery = 400 * time.Millisecond
 	// announceEvery is the pause between two tries to be listed as a member.
 	announceEvery = time.Second
 	// stopMargin is kept from the end of the grace.
@@ -57,6 +53,7 @@
 	feeds  *feeds.Feeds
 	gate   *gate.Server
 	mesh   *share.Mesh
+	news   *news
 	works  *works.Table
 	cancel context.CancelFunc
 }
@@ -89,7 +86,7 @@
 	}
 	g.Go(func() error { return n.feeds.Run(ctx) })
 	g.Go(func() error { n.announce(ctx); return nil })
-	g.Go(func() error { n.pull(ctx); return nil })
+	g.Go(func() error { n.news.run(ctx); return nil })
 	g.Go(func() error { n.drain(ctx, stop); cancel(); return nil })
 	err := g.Wait()
 	n.Logger.Info().Err(err).Msg("node: ended")
@@ -101,9 +98,12 @@
 	n.works = &works.Table{}
 	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger}
 	n.mesh = &share.Mesh{
-		Self: relay.Member{Name: s.Name, Address: s.Peers}, Works: n.works, Logger: n.Logger, State: n.state,
+		Self: relay.Member{Name: s.Name, Address: s.Peers}, Works: n.works, Logger: n.Logger,
 	}
 	n.mesh.Init(ctx)
+	n.news = &news{feeds: n.feeds, mesh: n.mesh, decode: n.Configuration, logger: n.Logger}
+	n.mesh.State = n.news.state
+	n.feeds.Follows = n.news.follows
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Orders: n.Orders, Feeds: n.feeds, Works: n.works, Node: s.Name, DataCentre: s.DataCentre,
 		Strict: s.Strict, Revoke: s.Revoke, Budget: s.Budget, Grace: s.Grace, Logger: n.Logger,
@@ -183,69 +183,6 @@
 	}
 }
 
-// state is what this node can tell a peer of the deployment.
-func (n *Node) state(known ident.Version) relay.State {
-	c := n.feeds.Catalog()
-	var st relay.State
-	now := clock.Now()
-	if c != nil {
-		st.Version = c.Version
-		st.Proven, st.ProvenAge = true, now.Sub(n.feeds.Proven())
-		if c.Version > known {
-			st.Raw = c.Raw
-		}
-	}
-	if n.feeds.Fleet() != nil {
-		st.Listed, st.ListedAge = true, now.Sub(n.feeds.Listed())
-		st.Endpoints = n.feeds.List()
-	}
-	return st
-}
-
-// pull asks peers while this node's own knowledge is old.
-func (n *Node) pull(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, pullEvery)
-		now := clock.Now()
-		n.mesh.Sweep(time.Now())
-		if now.Sub(n.feeds.Proven()) < pullAfter && now.Sub(n.feeds.Listed()) < pullAfter {
-			continue
-		}
-		known := ident.Version(0)
-		if c := n.feeds.Catalog(); c != nil {
-			known = c.Version
-		}
-		asked := clock.Now()
-		n.mesh.Ask(known, func(st relay.State) bool {
-			ok := n.adopt(st, asked)
-			asked = clock.Now()
-			return ok
-		})
-	}
-}
-
-// adopt takes what a peer knew when it was asked. It reports whether that was
-// new enough to need no other peer.
-func (n *Node) adopt(st relay.State, asked clock.Instant) bool {
-	if len(st.Raw) > 0 {
-		c, err := n.Configuration(st.Raw)
-		if err != nil {
-			n.Logger.Error().Err(err).Msg("node: a peer's configuration can't be read")
-			return false
-		}
-		n.feeds.Offer(c)
-	}
-	if st.Listed {
-		n.feeds.Adopt(st.Endpoints, asked.Add(-st.ListedAge))
-	}
-	c := n.feeds.Catalog()
-	if c == nil || !st.Proven || st.Version > c.Version {
-		return false
-	}
-	n.feeds.Prove(asked.Add(-st.ProvenAge))
-	return st.ProvenAge < pullAfter && st.ListedAge < pullAfter
-}
-
 // drain waits for the order to stop, and then until nothing is in flight and
 // no caller can think an idle connection usable.
 func (n *Node) drain(ctx, stop context.Context) {
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -52,6 +52,8 @@
 type StateArgs struct {
 	From    Member
 	Version ident.Version
+	// List identifies the list of endpoints that the node has.
+	List uint64
 }
 
 // State is what a peer knows of the deployment. Ages count from the moment at
@@ -63,8 +65,10 @@
 	// Proven tells that the configuration was the newest ProvenAge ago.
 	Proven    bool
 	ProvenAge time.Duration
-	// Listed tells that Endpoints were the list ListedAge ago.
+	// Listed tells that List was the list of endpoints ListedAge ago. Endpoints
+	// are left out if the node that asked has it.
 	Listed    bool
 	ListedAge time.Duration
+	List      uint64
 	Endpoints []topol.Endpoint
 }
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -25,6 +27,9 @@
 	endpointsEvery = 1200 * time.Millisecond
 	// retryEvery is the pause after a failed call.
 	retryEvery = 250 * time.Millisecond
+	// followEvery is the pause between two looks at whether another node still
+	// reads for this one.
+	followEvery = 150 * time.Millisecond
 	// outageGrace is how long endpoints stay listed that lapsed while the
 	// source was away.
 	outageGrace = 2500 * time.Millisecond
@@ -35,6 +40,8 @@
 
 // Fleet is the list of endpoints at one moment. It is immutable.
 type Fleet struct {
+	// ID identifies the content of the list.
+	ID       uint64
 	Services map[ident.ServiceName][]*topol.Endpoint
 	Names    map[ident.EndpointName]*topol.Endpoint
 	// Addresses holds the endpoint that has an address now.
@@ -46,6 +53,9 @@
 	Source  Source
 	Decoder Decoder
 	Logger  zerolog.Logger
+	// Follows reports whether another node reads the source for this one at
+	// present. Nil means never.
+	Follows func() bool
 
 	catalog atomic.Pointer[topol.Catalog]
 	fleet   atomic.Pointer[Fleet]
@@ -92,6 +102,12 @@
 	next := ident.Offset(-1)
 	away := false
 	for ctx.Err() == nil {
+		if f.Follows != nil && f.Follows() {
+			// What a peer gave has no place in the stream.
+			next = -1
+			sleep(ctx, followEvery)
+			continue
+		}
 		at := clock.Now()
 		page, err := f.read(ctx, s, next, wait)
 		if errors.Is(err, ErrTrimmed) {
@@ -273,14 +289,17 @@
 		Names:     make(map[ident.EndpointName]*topol.Endpoint, len(f.known)),
 		Addresses: make(map[string]*topol.Endpoint, len(f.known)),
 	}
+	h := xxhash.New()
 	for _, n := range slices.Sorted(maps.Keys(f.known)) {
 		e := f.known[n]
+		fmt.Fprintf(h, "%+v\n", e)
 		fl.Names[n] = &e
 		fl.Services[e.Service] = append(fl.Services[e.Service], &e)
 		if o, ok := fl.Addresses[e.Address]; !ok || o.Born < e.Born {
 			fl.Addresses[e.Address] = &e
 		}
 	}
+	fl.ID = h.Sum64()
 	f.fleet.Store(fl)
 }
 
@@ -291,6 +310,15 @@
 	return slices.Collect(maps.Values(f.known))
 }
 
+// Confirm notes that a peer had the same list of endpoints at a moment.
+func (f *Feeds) Confirm(id uint64, at clock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if fl := f.fleet.Load(); fl != nil && fl.ID == id {
+		raise(&f.listed, at)
+	}
+}
+
 // Adopt takes a peer's list of endpoints if it is newer than this node's.
 func (f *Feeds) Adopt(es []topol.Endpoint, at clock.Instant) {
 	f.mu.Lock()
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +43,7 @@
 	Works  *works.Table
 	Logger zerolog.Logger
 	// State answers what this node knows of the deployment.
-	State func(known ident.Version) relay.State
+	State func(relay.StateArgs) relay.State
 	// Failed is called with the endpoints that a peer could not reach, Struck
 	// with the strikes that it counted.
 	Failed func([]ident.EndpointName)
@@ -314,22 +316,58 @@
 	}
 }
 
-// Ask asks the peers that are alive, one after the other, for what they know.
-// It returns the first answer that take accepts.
-func (m *Mesh) Ask(known ident.Version, take func(relay.State) bool) {
+// Readers returns the addresses of the nodes that read the platform's store for
+// the others: the first ones alive, in an order that all nodes share.
+func (m *Mesh) Readers(n int, now time.Time) []string {
+	names := map[string]string{string(m.Self.Name): m.Self.Address}
 	for _, p := range m.all() {
 		p.mu.Lock()
-		c := p.client
-		p.mu.Unlock()
-		if c == nil {
-			continue
+		if p.name != "" && p.client != nil && now.Sub(p.heard) < readerAlive {
+			names[string(p.name)] = p.address
 		}
-		var s relay.State
-		if err := call(c, "Node.State", relay.StateArgs{From: m.Self, Version: known}, &s); err != nil {
-			continue
+		p.mu.Unlock()
+	}
+	var as []string
+	for _, k := range slices.Sorted(maps.Keys(names)) {
+		if len(as) < n {
+			as = append(as, names[k])
 		}
-		if take(s) {
-			return
+	}
+	return as
+}
+
+// readerAlive is the silence after which a node is no reader any more.
+const readerAlive = 1500 * time.Millisecond
+
+// Ask asks a peer for what it knows.
+func (m *Mesh) Ask(address string, a relay.StateArgs) (relay.State, error) {
+	m.mu.Lock()
+	p := m.peers[address]
+	m.mu.Unlock()
+	var s relay.State
+	if p == nil {
+		return s, rpc.ErrShutdown
+	}
+	p.mu.Lock()
+	c := p.client
+	p.mu.Unlock()
+	if c == nil {
+		return s, rpc.ErrShutdown
+	}
+	a.From = m.Self
+	err := call(c, "Node.State", a, &s)
+	return s, err
+}
+
+// Addresses returns the addresses of the peers that this node is connected to.
+func (m *Mesh) Addresses() []string {
+	var as []string
+	for _, p := range m.all() {
+		p.mu.Lock()
+		if p.client != nil {
+			as = append(as, p.address)
 		}
+		p.mu.Unlock()
 	}
+	return as
 }
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -52,7 +52,7 @@
 // State answers what this node knows of the deployment.
 func (s *service) State(a relay.StateArgs, r *relay.State) error {
 	s.mesh.hear(a.From)
-	*r = s.mesh.State(a.Version)
+	*r = s.mesh.State(a)
 	return nil
 }
 
