--- a/cmd/laburnumctl/explain.go
+++ b/cmd/laburnumctl/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,13 +15,14 @@
 
 // Explain tells the story of one request.
 type Explain struct {
+	Logs []string `long:"log" value-name:"FILE" description:"read the log lines of nodes from a file, or - for standard input, instead of asking the nodes; may be given again"`
 	Args struct {
 		Request ident.RequestID `positional-arg-name:"REQUEST" description:"id of the request"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 func init() {
-	commands.Add("explain", "tell the story of one request", &Explain{})
+	commands.Add("explain", "tell the story of one request; from logs also of an endpoint or a version", &Explain{})
 }
 
 const explainMost = 1000
@@ -29,6 +32,9 @@
 	if err := noArgs(args); err != nil {
 		return err
 	}
+	if len(c.Logs) > 0 {
+		return c.fromLogs()
+	}
 	es, err := gather(c.Args.Request, explainMost)
 	if err != nil {
 		return err
@@ -45,6 +51,51 @@
 	})
 }
 
+// fromLogs tells the story from the lines that nodes logged.
+func (c *Explain) fromLogs() error {
+	var ls []trace.Line
+	for _, name := range c.Logs {
+		more, err := readLog(name)
+		if err != nil {
+			return &cli.Exit{Code: cli.ExitUsage, Text: err.Error()}
+		}
+		ls = append(ls, more...)
+	}
+	about := string(c.Args.Request)
+	story := trace.Story(ls, about)
+	if len(story) == 0 {
+		return &cli.Exit{Code: cli.ExitFailed, Text: "no line tells of " + about}
+	}
+	for _, l := range story {
+		fmt.Printf("%s  %s  %s%s\n", l.At.UTC().Format("15:04:05.000"), l.Node, l.Text, details(l, about))
+	}
+	return nil
+}
+
+func readLog(name string) ([]trace.Line, error) {
+	if name == "-" {
+		return trace.ReadLines(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return trace.ReadLines(f)
+}
+
+// details lists the values of a line beside what it is about.
+func details(l trace.Line, about string) string {
+	var sb strings.Builder
+	for _, f := range l.Fields {
+		if f.Value == "" || f.Value == about || f.Value == "[]" {
+			continue
+		}
+		fmt.Fprintf(&sb, ", %s %s", f.Name, f.Value)
+	}
+	return sb.String()
+}
+
 // sentence puts an event in plain words.
 func sentence(e admin.Event) string {
 	switch e.Kind {
--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -63,6 +63,7 @@
 func serve(o options, s platform.Settings) int {
 	debug.SetGCPercent(o.GCPercent)
 	level, _ := zerolog.ParseLevel(o.LogLevel)
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	out := newOutput(os.Stdout)
 	defer out.Close()
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("node", string(s.Node.Name)).Logger()
