--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -54,6 +54,8 @@
 	workspace *topol.Workspace
 
 	tried, full ident.Set[ident.EndpointName]
+	// estimate is the time to the first event that the last placement expected.
+	estimate time.Duration
 	// reserves counts the sets of engines without memory.
 	reserves int
 	// sends counts the endpoints that were sent the request, runs those that
@@ -197,9 +199,9 @@
 // refuse ends the request with an answer of this node.
 func (x *exchange) refuse(status int, after time.Duration, why string) {
 	e := x.server.line(false).Str("request", x.ask.ID).Int("status", status).Str("why", why).
-		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Int64("prompt", int64(x.ask.Prompt))
+		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Int64("prompt", int64(x.ask.Prompt)).Dur("estimate", x.estimate)
 	if x.route != nil {
-		e = e.Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version))
+		e = e.Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", clock.Now().Sub(x.server.Feeds.Proven()))
 	}
 	e.Msg("gate: refused")
 	if x.begun {
@@ -270,6 +272,7 @@
 		Suspect: func(n ident.EndpointName) bool { return s.health.suspect(n, now) },
 		Random:  random,
 	}, r)
+	x.estimate = c.Estimate
 	return c, r, err
 }
 
