feeds: read the endpoints each 0.8 s

A change reached a node that asks a reader after up to 1.8 s, too near to the 2 s in which a leaving endpoint must be left alone; now after 1.4 s.

--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -24,7 +24,7 @@
 	// proves that the configuration was the newest when the wait began.
 	configWait = 2 * time.Second
 	// endpointsEvery is the pause between two reads of the endpoints.
-	endpointsEvery = 1200 * time.Millisecond
+	endpointsEvery = 800 * time.Millisecond
 	// retryEvery is the pause after a failed call.
 	retryEvery = 250 * time.Millisecond
 	// followEvery is the pause between two looks at whether another node still
