edge, feeds: a list with lapsed endpoints is not for peers

Such a list is not given to peers, and a reader that lost the store asks the other one, so that its own knowledge stays young.

--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,11 +42,13 @@
 
 	// served is when the question was sent that a reader last answered well.
 	served atomicInstant
+	// reader tells that this node reads the store for others.
+	reader atomic.Bool
 }
 
 // follows reports whether a reader serves this node at present.
 func (n *news) follows() bool {
-	return clock.Now().Sub(n.served.load()) < leaveAfter
+	return !n.reader.Load() && clock.Now().Sub(n.served.load()) < leaveAfter
 }
 
 // state is what this node can tell a peer of the deployment.
@@ -59,7 +62,7 @@
 			st.Raw = c.Raw
 		}
 	}
-	if f := n.feeds.Fleet(); f != nil {
+	if f := n.feeds.Fleet(); f != nil && n.feeds.Settled(now) {
 		st.Listed, st.ListedAge, st.List = true, now.Sub(n.feeds.Listed()), f.ID
 		if f.ID != a.List {
 			st.Endpoints = n.feeds.List()
@@ -79,15 +82,14 @@
 
 func (n *news) pull() {
 	rs := n.mesh.Readers(readers, time.Now())
-	if slices.Contains(rs, n.mesh.Self.Address) {
-		if n.old() {
-			n.askAny()
-		}
+	reads := slices.Contains(rs, n.mesh.Self.Address)
+	n.reader.Store(reads)
+	if reads && !n.feeds.Away() {
 		return
 	}
 	for _, a := range rs {
 		asked := clock.Now()
-		if n.ask(a, asked) {
+		if a != n.mesh.Self.Address && n.ask(a, asked) {
 			n.served.store(asked)
 			return
 		}
--- a/internal/node/edge/news_test.go
+++ b/internal/node/edge/news_test.go
@@ -129,3 +129,34 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// away is a source that doesn't answer.
+type away struct{}
+
+func (away) Newest(context.Context, feeds.Stream) (feeds.Page, error) {
+	return feeds.Page{}, errors.New("away")
+}
+
+func (away) Read(context.Context, feeds.Stream, ident.Offset, time.Duration) (feeds.Page, error) {
+	return feeds.Page{}, errors.New("away")
+}
+
+func (away) Put(context.Context, feeds.Stream, feeds.Record) error { return errors.New("away") }
+
+func TestReaderThatLostTheStoreAsksTheOther(t *testing.T) {
+	ps := newPeers(t, "a", "b", "c")
+	ps[1].knows(7, 0)
+	ps[0].feeds.Source = away{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { ps[0].feeds.Run(ctx); close(ended) }()
+	for !ps[0].feeds.Away() {
+		time.Sleep(time.Millisecond)
+	}
+	ps[0].pull()
+	must.NotNil(t, ps[0].feeds.Catalog())
+	test.Eq(t, 7, ps[0].feeds.Catalog().Version)
+	test.False(t, ps[0].follows(), test.Sprint("it still tries the store"))
+	cancel()
+	<-ended
+}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -64,6 +64,9 @@
 	// listed is the same for the endpoints.
 	listed atomic.Int64
 
+	// away tells for each stream that the last read failed.
+	away [Members]atomic.Bool
+
 	mu      sync.Mutex
 	known   map[ident.EndpointName]topol.Endpoint
 	lapsing map[ident.EndpointName]clock.Instant
@@ -81,6 +84,18 @@
 // zero if there is no catalog.
 func (f *Feeds) Proven() clock.Instant { return clock.Instant(f.proven.Load()) }
 
+// Settled reports whether the list of endpoints is as the source gives it. For
+// some time after the source was away it also holds endpoints that lapsed.
+func (f *Feeds) Settled(now clock.Instant) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.returned == 0 || now.Sub(f.returned) >= outageGrace
+}
+
+// Away reports whether the source did not answer the last read of either
+// stream.
+func (f *Feeds) Away() bool { return f.away[Configuration].Load() || f.away[Endpoints].Load() }
+
 // Listed returns the moment of the newest list of endpoints.
 func (f *Feeds) Listed() clock.Instant { return clock.Instant(f.listed.Load()) }
 
@@ -120,6 +135,7 @@
 				f.Logger.Warn().Err(err).Str("stream", s.String()).Msg("feeds: lost the source")
 			}
 			away = true
+			f.away[s].Store(true)
 			sleep(ctx, retryEvery)
 			continue
 		}
@@ -127,6 +143,7 @@
 			f.Logger.Info().Str("stream", s.String()).Msg("feeds: source is back")
 		}
 		away = false
+		f.away[s].Store(false)
 		if page.Next < next {
 			// An older state than one seen before proves nothing.
 			sleep(ctx, retryEvery)
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -105,6 +105,8 @@
 	// The source was away for 8 s, and both entries lapsed meanwhile.
 	f.applyEndpoints([]Record{{Key: "a"}, {Key: "b"}}, false, at(8*time.Second))
 	test.Eq(t, "a b", f.names("s"))
+	test.False(t, f.Settled(at(9*time.Second)), test.Sprint("such a list is not for peers"))
+	test.True(t, f.Settled(at(11*time.Second)))
 	f.applyEndpoints([]Record{put("b", "s up")}, false, at(9*time.Second))
 	test.Eq(t, "a b", f.names("s"))
 	f.applyEndpoints(nil, false, at(11*time.Second))
