edge: count the requests that dead nodes left at engines

Cause: after all nodes lost power the engines still ran what they had sent, and the nodes that started sent more to the fullest. Nodes wait 1.2 s in place of 2 s for news of the configuration, since unknown keys got 503 by the age of 3 s.

--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -74,9 +74,10 @@
 		host, _, _ := net.SplitHostPort(s.Node.Ready)
 		s.Node.Metrics = net.JoinHostPort(host, strconv.Itoa(o.MetricsPort))
 	}
+	orders := &platform.Orders{}
 	n := &edge.Node{
 		Settings: s.Node, Source: platform.NewStore(s.Store), Decoder: platform.Decoder{},
-		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: &platform.Orders{}, ReadyPath: platform.ReadyPath, Logger: logger,
+		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: orders, Reporter: orders, ReadyPath: platform.ReadyPath, Logger: logger,
 	}
 	if err := n.Run(ctx); err != nil {
 		logger.Error().Err(err).Msg("node: ended by an error")
--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -23,7 +23,7 @@
 	// freshConfig and freshList are the ages of a reader's knowledge up to
 	// which it is taken; a reader waits for news of the configuration, so its
 	// knowledge of that may be older.
-	freshConfig = 2600 * time.Millisecond
+	freshConfig = 1900 * time.Millisecond
 	freshList   = 1500 * time.Millisecond
 	// leaveAfter is the time without an answer of a reader after which a node
 	// reads by itself.
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -46,6 +46,7 @@
 	Configuration func(raw []byte) (*topol.Catalog, error)
 	Dialect       gate.Dialect
 	Orders        gate.Orders
+	Reporter      Reporter
 	// ReadyPath is the path at which the balancer asks.
 	ReadyPath string
 	Logger    zerolog.Logger
@@ -87,6 +88,9 @@
 	g.Go(func() error { return n.feeds.Run(ctx) })
 	g.Go(func() error { n.announce(ctx); return nil })
 	g.Go(func() error { n.news.run(ctx); return nil })
+	if !s.First {
+		g.Go(func() error { n.findOrphans(ctx); return nil })
+	}
 	g.Go(func() error { n.drain(ctx, stop); cancel(); return nil })
 	err := g.Wait()
 	n.Logger.Info().Err(err).Msg("node: ended")
--- /dev/null
+++ b/internal/node/edge/orphans_test.go
@@ -0,0 +1,37 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// All nodes lose power at once; the engines still run what they sent. The
+// nodes that start must not send more there than there are slots for.
+func TestRequestsOfDeadNodesAreCounted(t *testing.T) {
+	reports := map[ident.EndpointName]relay.Report{
+		"full":  {Running: 16, Waiting: 4, Used: 200_000},
+		"known": {Running: 2, Used: 9_000},
+		"some":  {Running: 3, Used: 90_000},
+		"free":  {},
+	}
+	known := []works.Work{
+		{Node: "n", First: "known", Share: 5000}, {Node: "n", First: "known", Share: 4000}, {Node: "n", First: "some", Share: 10_000},
+		{Node: orphanNode, First: "some", Share: 5000},
+	}
+	count := map[ident.EndpointName]int{}
+	tokens := map[ident.EndpointName]ident.Tokens{}
+	for _, w := range unknownWorks(reports, known, time.Now()) {
+		count[w.First]++
+		tokens[w.First] += w.Share
+		test.True(t, w.Writing)
+	}
+	test.Eq(t, map[ident.EndpointName]int{"full": 20, "some": 2}, count)
+	test.Eq(t, 200_000, tokens["full"])
+	test.Eq(t, 80_000, tokens["some"])
+}
--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -15,6 +15,8 @@
 	DataCentre ident.DataCentre
 	// Callers, Ready and Peers are the addresses that the node listens on.
 	Callers, Ready, Peers string
+	// First tells that no node has run before.
+	First bool
 	// Metrics is the address that serves the metrics; none if it is empty.
 	Metrics string
 	// Seeds are addresses at which other nodes may listen for peers.
--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -66,6 +66,14 @@
 	Running, Waiting, Slots int
 }
 
+// Report is what an engine says of itself when it is asked.
+type Report struct {
+	// Running and Waiting count its requests, of all callers.
+	Running, Waiting int
+	// Used is the memory that running requests hold.
+	Used ident.Tokens
+}
+
 // Reservation is KV memory that is set aside on an engine.
 type Reservation struct {
 	Ticket string
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -22,7 +22,7 @@
 const (
 	// configWait bounds one wait for a change of the configuration. The answer
 	// proves that the configuration was the newest when the wait began.
-	configWait = 2 * time.Second
+	configWait = 1200 * time.Millisecond
 	// endpointsEvery is the pause between two reads of the endpoints.
 	endpointsEvery = 800 * time.Millisecond
 	// retryEvery is the pause after a failed call.
