feeds, edge: leave a reader at once that is cut off; test the load patterns

Only reads that fail for a second are an outage now; a reader's list is taken up to 0.95 s old, and a node reads by itself as soon as no reader has a younger one.

--- a/internal/lab/passes/engine.go
+++ b/internal/lab/passes/engine.go
@@ -121,8 +121,9 @@
 }
 
 // end completes a pass: writers get their events, prompts that are read begin
-// to write.
-func (e *engine) end(now time.Duration) {
+// to write. It returns the engines that have something new to do.
+func (e *engine) end(now time.Duration) []*engine {
+	woken := []*engine{e}
 	finished := e.finished
 	e.finished = nil
 	e.writers = slices.DeleteFunc(e.writers, func(r *run) bool {
@@ -142,6 +143,7 @@
 		}
 		r.event(now)
 		r.wrote = now
+		woken = append(woken, r.first)
 		if r.events > 0 {
 			r.first.writers = append(r.first.writers, r)
 			continue
@@ -149,6 +151,7 @@
 		r.done = now
 		r.first.release()
 	}
+	return woken
 }
 
 // event writes one event.
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -153,8 +153,9 @@
 			p.arrive(m.prompt, m.events)
 			continue
 		}
-		m.engine.end(p.now)
-		p.next(m.engine)
+		for _, e := range m.engine.end(p.now) {
+			p.next(e)
+		}
 	}
 	p.judge()
 	return p.results
@@ -309,7 +310,7 @@
 // next starts an engine's next pass if it is idle or has just ended one, and
 // counts the prompts that have ended.
 func (p *play) next(e *engine) {
-	if e.busy && !p.ended(e) {
+	if e.busy && e.until > p.now {
 		return
 	}
 	d := e.start()
@@ -320,6 +321,3 @@
 	heap.Push(&p.agenda, moment{at: p.now + d, engine: e})
 	e.until = p.now + d
 }
-
-// ended reports whether the pass under way ends now.
-func (p *play) ended(e *engine) bool { return e.until <= p.now }
--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -19,15 +19,15 @@
 	// readers is the number of nodes that read the platform's store for all.
 	readers = 2
 	// pullEvery is the pause between two questions to a reader.
-	pullEvery = 600 * time.Millisecond
+	pullEvery = 450 * time.Millisecond
 	// freshConfig and freshList are the ages of a reader's knowledge up to
 	// which it is taken; a reader waits for news of the configuration, so its
 	// knowledge of that may be older.
-	freshConfig = 1900 * time.Millisecond
-	freshList   = 1500 * time.Millisecond
-	// leaveAfter is the time without an answer of a reader after which a node
-	// reads by itself.
-	leaveAfter = 1100 * time.Millisecond
+	freshConfig = 1600 * time.Millisecond
+	freshList   = 950 * time.Millisecond
+	// leaveAfter is the time after the last question that a reader answered
+	// well from which a node reads by itself, whatever holds up the next one.
+	leaveAfter = 800 * time.Millisecond
 )
 
 // news keeps a node's knowledge of the deployment young. A few nodes read the
@@ -94,6 +94,7 @@
 			return
 		}
 	}
+	n.served.store(0)
 	if n.old() {
 		n.askAny()
 	}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -24,18 +24,18 @@
 	// proves that the configuration was the newest when the wait began.
 	configWait = 1200 * time.Millisecond
 	// endpointsEvery is the pause between two reads of the endpoints.
-	endpointsEvery = 800 * time.Millisecond
+	endpointsEvery = 700 * time.Millisecond
 	// retryEvery is the pause after a failed call.
 	retryEvery = 250 * time.Millisecond
 	// followEvery is the pause between two looks at whether another node still
 	// reads for this one.
-	followEvery = 150 * time.Millisecond
+	followEvery = 100 * time.Millisecond
 	// outageGrace is how long endpoints stay listed that lapsed while the
 	// source was away.
 	outageGrace = 2500 * time.Millisecond
-	// outageAfter is the time without a read after which the source counts as
-	// away.
-	outageAfter = 2 * time.Second
+	// outageAfter is the time of failing reads after which the source counts as
+	// having been away.
+	outageAfter = time.Second
 )
 
 // Fleet is the list of endpoints at one moment. It is immutable.
@@ -115,7 +115,7 @@
 // it needs are deleted.
 func (f *Feeds) follow(ctx context.Context, s Stream, wait, every time.Duration, take apply) {
 	next := ident.Offset(-1)
-	away := false
+	var away clock.Instant
 	for ctx.Err() == nil {
 		if f.Follows != nil && f.Follows() {
 			// What a peer gave has no place in the stream.
@@ -131,19 +131,18 @@
 			continue
 		}
 		if err != nil {
-			if !away && ctx.Err() == nil {
+			if away == 0 && ctx.Err() == nil {
+				away = at
 				f.Logger.Warn().Err(err).Str("stream", s.String()).Msg("feeds: lost the source")
 			}
-			away = true
 			f.away[s].Store(true)
 			sleep(ctx, retryEvery)
 			continue
 		}
-		if away {
-			f.Logger.Info().Str("stream", s.String()).Msg("feeds: source is back")
+		if away > 0 {
+			f.back(s, at, at.Sub(away))
 		}
-		away = false
-		f.away[s].Store(false)
+		away = 0
 		if page.Next < next {
 			// An older state than one seen before proves nothing.
 			sleep(ctx, retryEvery)
@@ -155,6 +154,18 @@
 	}
 }
 
+// back notes that a source answers again after reads that failed.
+func (f *Feeds) back(s Stream, at clock.Instant, after time.Duration) {
+	f.Logger.Info().Str("stream", s.String()).Dur("after", after).Msg("feeds: source is back")
+	f.away[s].Store(false)
+	if s != Endpoints || after < outageAfter {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returned = at
+}
+
 func (f *Feeds) read(ctx context.Context, s Stream, next ident.Offset, wait time.Duration) (Page, error) {
 	if next < 0 {
 		return f.Source.Newest(ctx, s)
@@ -217,9 +228,6 @@
 func (f *Feeds) applyEndpoints(rs []Record, whole bool, at clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at.Sub(f.Listed()) > outageAfter && f.Listed() > 0 {
-		f.returned = at
-	}
 	seen := ident.Set[ident.EndpointName]{}
 	changed := whole
 	for _, r := range rs {
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -103,6 +103,7 @@
 	f := newFeeds()
 	f.applyEndpoints([]Record{put("a", "s up"), put("b", "s up")}, true, at(0))
 	// The source was away for 8 s, and both entries lapsed meanwhile.
+	f.back(Endpoints, at(8*time.Second), 8*time.Second)
 	f.applyEndpoints([]Record{{Key: "a"}, {Key: "b"}}, false, at(8*time.Second))
 	test.Eq(t, "a b", f.names("s"))
 	test.False(t, f.Settled(at(9*time.Second)), test.Sprint("such a list is not for peers"))
@@ -113,6 +114,19 @@
 	test.Eq(t, "b", f.names("s"))
 }
 
+func TestEndpointsThatLapseAreGoneAtOnceWithoutAnOutage(t *testing.T) {
+	// A node that followed another for a while has not read for long either.
+	for _, away := range []time.Duration{0, 300 * time.Millisecond} {
+		f := newFeeds()
+		f.applyEndpoints([]Record{put("a", "s up"), put("b", "s up")}, true, at(0))
+		if away > 0 {
+			f.back(Endpoints, at(8*time.Second), away)
+		}
+		f.applyEndpoints([]Record{put("b", "s up")}, true, at(8*time.Second))
+		test.Eq(t, "b", f.names("s"))
+	}
+}
+
 func TestPeersListIsTakenIfNewer(t *testing.T) {
 	f := newFeeds()
 	f.applyEndpoints([]Record{put("a", "s up")}, true, at(time.Second))
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -31,6 +31,8 @@
 	// forgetAfter is the silence after which a node is dialled no more.
 	forgetAfter = time.Minute
 	callTimeout = 700 * time.Millisecond
+	// askTimeout bounds a question, after which another peer is asked.
+	askTimeout  = 250 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	redialLeast = 200 * time.Millisecond
 	redialMost  = 2 * time.Second
@@ -355,8 +357,15 @@
 		return s, rpc.ErrShutdown
 	}
 	a.From = m.Self
-	err := call(c, "Node.State", a, &s)
-	return s, err
+	done := c.Go("Node.State", a, &s, make(chan *rpc.Call, 1)).Done
+	t := time.NewTimer(askTimeout)
+	defer t.Stop()
+	select {
+	case d := <-done:
+		return s, d.Error
+	case <-t.C:
+		return relay.State{}, context.DeadlineExceeded
+	}
 }
 
 // Addresses returns the addresses of the peers that this node is connected to.
