--- a/internal/coord/place/cost.go
+++ b/internal/coord/place/cost.go
@@ -26,7 +26,7 @@
 	leavePercent = 65
 	// secondCost is the cost of each second of waiting, as a share of the
 	// value, beside the risk to be late.
-	secondCost = 0.03
+	secondCost = 0.1
 )
 
 // value weighs a prompt by its size.
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -13,7 +13,7 @@
 	memoryPercent = 94
 	// packedRequests is the number of requests at an engine beyond which
 	// another engine is opened for writing.
-	packedRequests = 11
+	packedRequests = 13
 	// packedCost is the cost of each request beyond it.
 	packedCost = 0.04
 	// openCost is the cost of writing on an engine without requests.
