--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -21,9 +21,10 @@
 	// pullEvery is the pause between two questions to a reader.
 	pullEvery = 450 * time.Millisecond
 	// freshConfig and freshList are the ages of a reader's knowledge up to
-	// which it is taken; a reader waits for news of the configuration, so its
-	// knowledge of that may be older.
-	freshConfig = 1600 * time.Millisecond
+	// which it is taken. A reader waits for news of the configuration, and an
+	// answer proves what held when the wait began, so that knowledge is between
+	// one and two waits old.
+	freshConfig = 2600 * time.Millisecond
 	freshList   = 950 * time.Millisecond
 	// leaveAfter is the time after the last question that a reader answered
 	// well from which a node reads by itself, whatever holds up the next one.
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -25,7 +25,7 @@
 	revokeMargin = 300 * time.Millisecond
 	// staleAfter is the age of the configuration from which an unknown route
 	// or key may be one that this node has not heard of.
-	staleAfter = 3 * time.Second
+	staleAfter = 3500 * time.Millisecond
 	// returnedAfter is the time waited from which a caller counts as returned.
 	returnedAfter = 300 * time.Millisecond
 	// comeBack tells callers to try another node soon.
