share: one node of a data centre passes works on from 24 nodes on

From 24 nodes on a node tells its own data centre and one node in each other, which passes it on; another one takes over when that is silent.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -102,7 +102,8 @@
 	n.works = &works.Table{}
 	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger}
 	n.mesh = &share.Mesh{
-		Self: relay.Member{Name: s.Name, Address: s.Peers}, Works: n.works, Logger: n.Logger,
+		Self: relay.Member{Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre}, Works: n.works, Logger: n.Logger,
+		HubsFrom: share.DefaultHubsFrom,
 	}
 	n.mesh.Init(ctx)
 	n.news = &news{feeds: n.feeds, mesh: n.mesh, decode: n.Configuration, logger: n.Logger}
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -11,8 +11,9 @@
 
 // Member is a node as others reach it.
 type Member struct {
-	Name    ident.NodeName
-	Address string
+	Name       ident.NodeName
+	Address    string
+	DataCentre ident.DataCentre
 }
 
 // WorkNote tells of a work that was sent to an endpoint. Its age stands in
@@ -40,6 +41,15 @@
 	Failed []ident.EndpointName
 	// Struck are requests at whose endpoints the connection broke.
 	Struck []StrikeNote
+	// Forward asks the peer to pass the update on in its data centre, and
+	// Forwarded are updates of other data centres that were passed on.
+	Forward   bool
+	Forwarded []Update
+}
+
+// Empty reports whether an update tells nothing but that its node is alive.
+func (u *Update) Empty() bool {
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck) == 0
 }
 
 // UpdateReply answers an update.
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -44,6 +44,10 @@
 	Self   relay.Member
 	Works  *works.Table
 	Logger zerolog.Logger
+	// HubsFrom is the number of nodes from which a node tells only one node of
+	// each other data centre of its works, which passes them on there. Zero
+	// means never.
+	HubsFrom int
 	// State answers what this node knows of the deployment.
 	State func(relay.StateArgs) relay.State
 	// Failed is called with the endpoints that a peer could not reach, Struck
@@ -63,8 +67,14 @@
 	address string
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	name    ident.NodeName
+	mu     sync.Mutex
+	name   ident.NodeName
+	centre ident.DataCentre
+	// told tells that this node's works go straight to the peer. Otherwise
+	// another node of its data centre passes them on.
+	told bool
+	// hub tells that the peer passes them on in its data centre.
+	hub     bool
 	heard   time.Time
 	pending relay.Update
 	client  *rpc.Client
@@ -86,7 +96,7 @@
 	if m.peers[address] != nil {
 		return
 	}
-	p := &peer{mesh: m, address: address, wake: make(chan struct{}, 1), heard: time.Now()}
+	p := &peer{mesh: m, address: address, wake: make(chan struct{}, 1), heard: time.Now(), told: true}
 	m.peers[address] = p
 	go p.run(m.ctx)
 }
@@ -148,15 +158,24 @@
 
 func (m *Mesh) tell(add func(*relay.Update)) {
 	for _, p := range m.all() {
-		p.mu.Lock()
-		if p.client != nil {
-			add(&p.pending)
-		}
-		p.mu.Unlock()
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		p.tell(add)
+	}
+}
+
+// tell adds to what the peer is told next.
+func (p *peer) tell(add func(*relay.Update)) {
+	p.mu.Lock()
+	tell := p.client != nil && p.told
+	if tell {
+		add(&p.pending)
+	}
+	p.mu.Unlock()
+	if !tell {
+		return
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -172,6 +191,7 @@
 	p.mu.Lock()
 	fresh := p.name == ""
 	p.name = from.Name
+	p.centre = from.DataCentre
 	p.heard = time.Now()
 	p.mu.Unlock()
 	if fresh {
@@ -249,10 +269,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.client = client
-	p.pending = relay.Update{Reset: true}
-	for _, w := range p.mesh.Works.Of(p.mesh.Self.Name) {
-		p.pending.Began = append(p.pending.Began, relay.WorkNote{Work: w})
+	p.pending = p.mesh.whole(p.told)
+}
+
+// whole is an update with all works of this node, if they are to be told.
+func (m *Mesh) whole(told bool) relay.Update {
+	if !told {
+		return relay.Update{}
+	}
+	u := relay.Update{Reset: true}
+	for _, w := range m.Works.Of(m.Self.Name) {
+		u.Began = append(u.Began, relay.WorkNote{Work: w})
 	}
+	return u
 }
 
 func (p *peer) end() {
@@ -267,16 +296,14 @@
 	p.mu.Lock()
 	u := p.pending
 	p.pending = relay.Update{}
+	hub := p.hub
 	p.mu.Unlock()
 	u.From = p.mesh.Self
+	u.Forward = hub
 	now := time.Now()
-	for i := range u.Began {
-		u.Began[i].Age = now.Sub(u.Began[i].Work.Since)
-		u.Began[i].Work.Since = time.Time{}
-	}
-	for i := range u.Struck {
-		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
-		u.Struck[i].Strike.At = time.Time{}
+	age(&u, now)
+	for i := range u.Forwarded {
+		age(&u.Forwarded[i], now)
 	}
 	var r relay.UpdateReply
 	if err := call(client, "Node.Tell", u, &r); err != nil {
@@ -291,6 +318,18 @@
 	return nil
 }
 
+// age replaces the times of an update by ages.
+func age(u *relay.Update, now time.Time) {
+	for i := range u.Began {
+		u.Began[i].Age = now.Sub(u.Began[i].Work.Since)
+		u.Began[i].Work.Since = time.Time{}
+	}
+	for i := range u.Struck {
+		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
+		u.Struck[i].Strike.At = time.Time{}
+	}
+}
+
 // call bounds a call, after which the client is of no use.
 func call(c *rpc.Client, method string, args, reply any) error {
 	done := c.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
@@ -305,8 +344,9 @@
 	}
 }
 
-// Sweep drops the works of nodes that are dead. It is called now and then.
+// Sweep chooses whom to tell and drops the works of nodes that are dead. It is called now and then.
 func (m *Mesh) Sweep(now time.Time) {
+	m.chooseHubs(now)
 	for _, p := range m.all() {
 		p.mu.Lock()
 		dead := p.name != "" && now.Sub(p.heard) > deadAfter
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -20,12 +20,29 @@
 func (s *service) Tell(u relay.Update, r *relay.UpdateReply) error {
 	m := s.mesh
 	m.hear(u.From)
+	if u.Reset {
+		r.Members = m.Members()
+	}
+	forwarded := u.Forwarded
+	u.Forwarded = nil
+	m.apply(&u)
+	for i := range forwarded {
+		m.apply(&forwarded[i])
+	}
+	if u.Forward && !u.Empty() {
+		m.pass(u)
+	}
+	return nil
+}
+
+// apply takes the works of a node, and turns their ages into times.
+func (m *Mesh) apply(u *relay.Update) {
 	now := time.Now()
 	if u.Reset {
 		m.Works.Drop(u.From.Name)
-		r.Members = m.Members()
 	}
-	for _, n := range u.Began {
+	for i := range u.Began {
+		n := &u.Began[i]
 		n.Work.Since = now.Add(-n.Age)
 		m.Works.Put(n.Work)
 	}
@@ -38,15 +55,14 @@
 	if len(u.Failed) > 0 {
 		m.Failed(u.Failed)
 	}
-	if len(u.Struck) > 0 {
-		var ss []strik.Strike
-		for _, n := range u.Struck {
-			n.Strike.At = now.Add(-n.Age)
-			ss = append(ss, n.Strike)
-		}
+	var ss []strik.Strike
+	for i := range u.Struck {
+		u.Struck[i].Strike.At = now.Add(-u.Struck[i].Age)
+		ss = append(ss, u.Struck[i].Strike)
+	}
+	if len(ss) > 0 {
 		m.Struck(ss)
 	}
-	return nil
 }
 
 // State answers what this node knows of the deployment.
