--- a/cmd/laburnumctl/config_check.go
+++ b/cmd/laburnumctl/config_check.go
@@ -6,7 +6,7 @@
 	"os"
 	"text/tabwriter"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/pkg/admin"
 	"laburnumstack.org/laburnum/pkg/confg"
 )
@@ -72,5 +72,5 @@
 	if err != nil || len(ps) == 0 {
 		return err
 	}
-	return &cli.Exit{Code: exitRefused}
+	return &cmds.Exit{Code: exitRefused}
 }
--- a/cmd/laburnumctl/config_patch.go
+++ b/cmd/laburnumctl/config_patch.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/pkg/admin"
 	"laburnumstack.org/laburnum/pkg/confg"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -107,7 +107,7 @@
 	if err := nodes.print(admin.Verdict{PatchID: id}, func(w *tabwriter.Writer) { fmt.Fprintln(w, id) }); err != nil {
 		return err
 	}
-	return &cli.Exit{Code: exitNoVerdict}
+	return &cmds.Exit{Code: exitNoVerdict}
 }
 
 // reportVerdict prints a verdict and fails unless it is acceptance.
@@ -129,8 +129,8 @@
 	case admin.Accepted:
 		return nil
 	case admin.Stale:
-		return &cli.Exit{Code: exitStale}
+		return &cmds.Exit{Code: exitStale}
 	default:
-		return &cli.Exit{Code: exitRefused}
+		return &cmds.Exit{Code: exitRefused}
 	}
 }
--- a/cmd/laburnumctl/explain.go
+++ b/cmd/laburnumctl/explain.go
@@ -7,7 +7,7 @@
 	"text/tabwriter"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/pkg/admin"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -40,7 +40,7 @@
 		return err
 	}
 	if len(es) == 0 {
-		return &cli.Exit{Code: cli.ExitFailed, Text: "no node remembers request " + string(c.Args.Request)}
+		return &cmds.Exit{Code: cmds.ExitFailed, Text: "no node remembers request " + string(c.Args.Request)}
 	}
 	return nodes.print(es, func(w *tabwriter.Writer) {
 		start := es[0].Stamp.Time()
@@ -57,14 +57,14 @@
 	for _, name := range c.Logs {
 		more, err := readLog(name)
 		if err != nil {
-			return &cli.Exit{Code: cli.ExitUsage, Text: err.Error()}
+			return &cmds.Exit{Code: cmds.ExitUsage, Text: err.Error()}
 		}
 		ls = append(ls, more...)
 	}
 	about := string(c.Args.Request)
 	story := trace.Story(ls, about)
 	if len(story) == 0 {
-		return &cli.Exit{Code: cli.ExitFailed, Text: "no line tells of " + about}
+		return &cmds.Exit{Code: cmds.ExitFailed, Text: "no line tells of " + about}
 	}
 	for _, l := range story {
 		fmt.Printf("%s  %s  %s%s\n", l.At.UTC().Format("15:04:05.000"), l.Node, l.Text, details(l, about))
--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -4,11 +4,11 @@
 import (
 	"os"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 )
 
 // commands is filled by the files of the commands.
-var commands = cli.New("laburnumctl")
+var commands = cmds.New("laburnumctl")
 
 func main() {
 	os.Exit(commands.Run(os.Args[1:]))
--- a/cmd/laburnumctl/nodes.go
+++ b/cmd/laburnumctl/nodes.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/pkg/admin"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -116,5 +116,5 @@
 }
 
 func usagef(format string, args ...any) error {
-	return &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf(format, args...)}
+	return &cmds.Exit{Code: cmds.ExitUsage, Text: fmt.Sprintf(format, args...)}
 }
--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -69,7 +69,9 @@
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("node", string(s.Node.Name)).Logger()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	signal.Ignore(syscall.SIGHUP)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go watchSettings(ctx, hup, o.Settings, s, logger)
 	if o.MetricsPort > 0 {
 		host, _, _ := net.SplitHostPort(s.Node.Ready)
 		s.Node.Metrics = net.JoinHostPort(host, strconv.Itoa(o.MetricsPort))
--- a/cmd/laburnumlab/demo.go
+++ b/cmd/laburnumlab/demo.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/lab/demo"
 	"laburnumstack.org/laburnum/internal/lab/fleet"
 )
@@ -35,7 +35,7 @@
 // Execute runs the demo.
 func (d *Demo) Execute(_ []string) error {
 	if d.For < time.Second || d.For > maxDemo {
-		return &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf("--for must be from 1s to %s", maxDemo)}
+		return &cmds.Exit{Code: cmds.ExitUsage, Text: fmt.Sprintf("--for must be from 1s to %s", maxDemo)}
 	}
 	plan, err := planOf(d.Fleet)
 	if err != nil {
@@ -63,7 +63,7 @@
 		o.WriteText(os.Stdout)
 	}
 	if !o.Held {
-		return &cli.Exit{Code: cli.ExitFailed, Text: "an invariant was broken"}
+		return &cmds.Exit{Code: cmds.ExitFailed, Text: "an invariant was broken"}
 	}
 	return nil
 }
--- a/cmd/laburnumlab/experiment_overload.go
+++ b/cmd/laburnumlab/experiment_overload.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/lab/exper"
 )
 
@@ -28,7 +28,7 @@
 	}
 	for _, l := range c.Loads {
 		if l < 1 {
-			return &cli.Exit{Code: cli.ExitUsage, Text: "--load must be at least 1"}
+			return &cmds.Exit{Code: cmds.ExitUsage, Text: "--load must be at least 1"}
 		}
 	}
 	x := exper.DefaultRouting(c.Seed)
--- a/cmd/laburnumlab/experiment_passes.go
+++ b/cmd/laburnumlab/experiment_passes.go
@@ -6,7 +6,7 @@
 	"text/tabwriter"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/lab/passes"
 )
@@ -28,7 +28,7 @@
 // Execute plays each policy over all seeds.
 func (c *ExperimentPasses) Execute(_ []string) error {
 	if c.Seeds < 1 || c.Engines < 2 || c.Nodes < 1 || c.Load <= 0 {
-		return &cli.Exit{Code: cli.ExitUsage, Text: "--seeds and --nodes must be at least 1, --engines at least 2, --load above 0"}
+		return &cmds.Exit{Code: cmds.ExitUsage, Text: "--seeds and --nodes must be at least 1, --engines at least 2, --load above 0"}
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tkind\tasked\tcredit\tin time\tlate first\tlate pause\trefused\tfailed\tmean first\tmean error")
--- a/cmd/laburnumlab/load.go
+++ b/cmd/laburnumlab/load.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/lab/load"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -43,7 +43,7 @@
 func (l *Load) Execute(_ []string) error {
 	p, err := l.plan()
 	if err != nil {
-		return &cli.Exit{Code: cli.ExitUsage, Text: err.Error()}
+		return &cmds.Exit{Code: cmds.ExitUsage, Text: err.Error()}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/cmd/laburnumlab/up.go
+++ b/cmd/laburnumlab/up.go
@@ -11,7 +11,7 @@
 
 	"github.com/rs/zerolog"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/lab/fleet"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -80,7 +80,7 @@
 func planOf(name string) (fleet.Plan, error) {
 	p, err := fleet.PlanOf(name)
 	if err != nil {
-		return p, &cli.Exit{Code: cli.ExitUsage, Text: fmt.Sprintf("--fleet %q: %v", name, err)}
+		return p, &cmds.Exit{Code: cmds.ExitUsage, Text: fmt.Sprintf("--fleet %q: %v", name, err)}
 	}
 	return p, nil
 }
--- a/cmd/laburnumlab/up_test.go
+++ b/cmd/laburnumlab/up_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"laburnumstack.org/laburnum/internal/cli"
+	"laburnumstack.org/laburnum/internal/cmds"
 	"laburnumstack.org/laburnum/internal/lab/fleet"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -69,6 +69,6 @@
 		{"nothing"},
 	}
 	for _, c := range cases {
-		test.Eq(t, cli.ExitUsage, commands.Run(c), test.Sprint(c))
+		test.Eq(t, cmds.ExitUsage, commands.Run(c), test.Sprint(c))
 	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cmds/cmds.go
@@ -1,5 +1,5 @@
-// Package cli runs commands that register themselves, with go-flags.
-package cli
+// Package cmds runs commands that register themselves, with go-flags.
+package cmds
 
 import (
 	"fmt"
