feeds, edge: settle a list after an outage by that of a peer

It now takes the list of a peer that read the store since, reads each 0.2 s until then, and keeps lapsed endpoints for 2.2 s.

--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -85,7 +85,8 @@
 	rs := n.mesh.Readers(readers, time.Now())
 	reads := slices.Contains(rs, n.mesh.Self.Address)
 	n.reader.Store(reads)
-	if reads && !n.feeds.Away() {
+	settled := n.feeds.Settled(clock.Now())
+	if reads && !n.feeds.Away() && settled {
 		return
 	}
 	for _, a := range rs {
@@ -96,7 +97,7 @@
 		}
 	}
 	n.served.store(0)
-	if n.old() {
+	if n.old() || !settled {
 		n.askAny()
 	}
 }
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -27,12 +27,15 @@
 	endpointsEvery = 700 * time.Millisecond
 	// retryEvery is the pause after a failed call.
 	retryEvery = 250 * time.Millisecond
+	// settleEvery is the pause between two reads of the endpoints while some are
+	// listed that lapsed.
+	settleEvery = 200 * time.Millisecond
 	// followEvery is the pause between two looks at whether another node still
 	// reads for this one.
 	followEvery = 100 * time.Millisecond
 	// outageGrace is how long endpoints stay listed that lapsed while the
 	// source was away.
-	outageGrace = 2500 * time.Millisecond
+	outageGrace = 2200 * time.Millisecond
 	// outageAfter is the time of failing reads after which the source counts as
 	// having been away.
 	outageAfter = time.Second
@@ -150,10 +153,18 @@
 		}
 		take(page.Records, next < 0, at)
 		next = page.Next
-		sleep(ctx, every)
+		sleep(ctx, f.pause(s, every))
 	}
 }
 
+// pause is the time until the next read of a stream.
+func (f *Feeds) pause(s Stream, every time.Duration) time.Duration {
+	if s == Endpoints && !f.Settled(clock.Now()) {
+		return min(every, settleEvery)
+	}
+	return every
+}
+
 // back notes that a source answers again after reads that failed.
 func (f *Feeds) back(s Stream, at clock.Instant, after time.Duration) {
 	f.Logger.Info().Str("stream", s.String()).Dur("after", after).Msg("feeds: source is back")
@@ -339,8 +350,13 @@
 func (f *Feeds) Confirm(id uint64, at clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if fl := f.fleet.Load(); fl != nil && fl.ID == id {
-		raise(&f.listed, at)
+	fl := f.fleet.Load()
+	if fl == nil || fl.ID != id {
+		return
+	}
+	raise(&f.listed, at)
+	if f.returned > 0 && at > f.returned {
+		f.returned = 0
 	}
 }
 
@@ -348,9 +364,13 @@
 func (f *Feeds) Adopt(es []topol.Endpoint, at clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at <= f.Listed() {
+	settles := f.returned > 0 && at > f.returned
+	if at <= f.Listed() && !settles {
 		return
 	}
+	if settles {
+		f.returned = 0
+	}
 	f.known = make(map[ident.EndpointName]topol.Endpoint, len(es))
 	f.lapsing = map[ident.EndpointName]clock.Instant{}
 	for _, e := range es {
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -114,6 +114,28 @@
 	test.Eq(t, "b", f.names("s"))
 }
 
+func TestPeersListSettlesAnOwnOneAfterAnOutage(t *testing.T) {
+	lapsed := func() *Feeds {
+		f := newFeeds()
+		f.applyEndpoints([]Record{put("a", "s up"), put("b", "s up")}, true, at(0))
+		f.back(Endpoints, at(8*time.Second), 8*time.Second)
+		f.applyEndpoints([]Record{{Key: "a"}}, false, at(8100*time.Millisecond))
+		must.Eq(t, "a b", f.names("s"))
+		return f
+	}
+	// The peer read the source after this node had it back, and before this
+	// node's own last read.
+	f := lapsed()
+	f.Adopt([]topol.Endpoint{{Name: "b", Service: "s"}}, at(8050*time.Millisecond))
+	test.Eq(t, "b", f.names("s"))
+	test.True(t, f.Settled(at(8200*time.Millisecond)))
+	// The peer's list is from before.
+	f = lapsed()
+	f.Adopt([]topol.Endpoint{{Name: "b", Service: "s"}}, at(7900*time.Millisecond))
+	test.Eq(t, "a b", f.names("s"))
+	test.False(t, f.Settled(at(8200*time.Millisecond)))
+}
+
 func TestEndpointsThatLapseAreGoneAtOnceWithoutAnOutage(t *testing.T) {
 	// A node that followed another for a while has not read for long either.
 	for _, away := range []time.Duration{0, 300 * time.Millisecond} {
