--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"io"
-	"net/http/httputil"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/internal/trans/http1"
 )
 
 // Errors of a call.
@@ -93,62 +94,15 @@
 	case head || r.Status == fasthttp.StatusNoContent || r.Status == fasthttp.StatusNotModified:
 		return io.LimitReader(r.conn.reader, 0)
 	case n >= 0:
-		return &exact{r.conn.reader, int64(n)}
+		return http1.NewBody(r.conn.reader, http1.Sized, int64(n))
 	case n == -1:
-		return &chunked{Reader: httputil.NewChunkedReader(r.conn.reader), raw: r.conn}
+		return http1.NewBody(r.conn.reader, http1.Chunked, 0)
 	default:
 		r.conn.born = time.Time{}
 		return r.conn.reader
 	}
 }
 
-// exact reads a body of known length; an early end is an error.
-type exact struct {
-	r    io.Reader
-	left int64
-}
-
-func (e *exact) Read(b []byte) (int, error) {
-	if e.left == 0 {
-		return 0, io.EOF
-	}
-	if int64(len(b)) > e.left {
-		b = b[:e.left]
-	}
-	n, err := e.r.Read(b)
-	e.left -= int64(n)
-	if err == io.EOF && e.left > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	if err == nil && e.left == 0 {
-		err = io.EOF
-	}
-	return n, err
-}
-
-// chunked reads a chunked body with the empty line that ends it.
-type chunked struct {
-	io.Reader
-	raw  *conn
-	done bool
-}
-
-func (c *chunked) Read(b []byte) (int, error) {
-	if c.done {
-		return 0, io.EOF
-	}
-	n, err := c.Reader.Read(b)
-	if err != io.EOF {
-		return n, err
-	}
-	c.done = true
-	line, err := c.raw.reader.ReadString('\n')
-	if err != nil || line != "\r\n" {
-		return n, io.ErrUnexpectedEOF
-	}
-	return n, io.EOF
-}
-
 // Read reads the body. An early end gives ErrCut.
 func (r *Reply) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
--- a/internal/trans/peer/serve.go
+++ b/internal/trans/peer/serve.go
@@ -4,9 +4,9 @@
 	"context"
 	"net"
 	"net/rpc"
-	"sync"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 // service holds the methods that peers call.
@@ -40,8 +40,8 @@
 	if err := srv.RegisterName("Node", &service{m}); err != nil {
 		return err
 	}
-	open := &openConns{set: map[net.Conn]struct{}{}}
-	stop := context.AfterFunc(ctx, func() { l.Close(); open.closeAll() })
+	var open conns.Tracker
+	stop := context.AfterFunc(ctx, func() { l.Close(); open.CloseAll() })
 	defer stop()
 	for {
 		c, err := l.Accept()
@@ -51,36 +51,10 @@
 		if err != nil {
 			return err
 		}
-		open.add(c)
+		open.Add(c)
 		go func() {
-			defer open.remove(c)
+			defer open.Remove(c)
 			srv.ServeConn(c)
 		}()
 	}
 }
-
-// openConns are the connections that peers opened.
-type openConns struct {
-	mu  sync.Mutex
-	set map[net.Conn]struct{}
-}
-
-func (o *openConns) add(c net.Conn) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.set[c] = struct{}{}
-}
-
-func (o *openConns) remove(c net.Conn) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.set, c)
-}
-
-func (o *openConns) closeAll() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for c := range o.set {
-		c.Close()
-	}
-}
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/rpc"
-	"sync"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 // service holds the methods that peers call.
@@ -78,8 +78,8 @@
 	if err := srv.RegisterName("Node", &service{m}); err != nil {
 		return err
 	}
-	open := &openConns{conns: map[string]net.Conn{}}
-	stop := context.AfterFunc(ctx, func() { l.Close(); open.closeAll() })
+	var open conns.Tracker
+	stop := context.AfterFunc(ctx, func() { l.Close(); open.CloseAll() })
 	defer stop()
 	for {
 		c, err := l.Accept()
@@ -89,36 +89,10 @@
 		if err != nil {
 			return err
 		}
-		open.add(c)
+		open.Add(c)
 		go func() {
-			defer open.remove(c)
+			defer open.Remove(c)
 			srv.ServeConn(c)
 		}()
 	}
 }
-
-// openConns are the connections that peers opened.
-type openConns struct {
-	mu    sync.Mutex
-	conns map[string]net.Conn
-}
-
-func (o *openConns) add(c net.Conn) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.conns[c.RemoteAddr().String()] = c
-}
-
-func (o *openConns) remove(c net.Conn) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.conns, c.RemoteAddr().String())
-}
-
-func (o *openConns) closeAll() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, c := range o.conns {
-		c.Close()
-	}
-}
