place: bound a prompt's work by the engines; keep long parts out of the lane

A prompt may take 0.4 to 1 s of each engine outside of the lane, in place of 8 to 20 engine seconds, so that the bound grows with the fleet.

--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -4,26 +4,23 @@
 
 const (
 	// freeBacklog is the mean backlog up to which prompts of all sizes are
-	// taken, and busyBacklog that from which those over busyWork are refused.
+	// taken that the engines can read soon, and busyBacklog that from which only
+	// those are taken that are within busyWork.
 	freeBacklog = 150 * time.Millisecond
 	busyBacklog = 500 * time.Millisecond
-	// freeWork and busyWork are the time of one engine that a prompt may take
-	// to be read at these backlogs. The pairs of its tokens make that grow
+	// freeWork and busyWork are the time that a prompt may take of each engine,
+	// if all read it, at these backlogs. The pairs of its tokens make that grow
 	// with the square of the size, so the largest prompts take the place of
 	// many others.
-	freeWork = 20 * time.Second
-	busyWork = 8 * time.Second
+	freeWork = time.Second
+	busyWork = 400 * time.Millisecond
 )
 
 // costly reports whether a prompt takes too much of the engines at their
 // present load.
 func costly(vs []*view, r Request) bool {
-	work := vs[0].read(split(r.Prompt, 1))
-	if work <= busyWork {
-		return false
-	}
 	var sum time.Duration
-	n := 0
+	n := time.Duration(0)
 	for _, v := range vs {
 		if v.short {
 			continue
@@ -32,10 +29,11 @@
 		n++
 	}
 	if n == 0 {
-		return true
+		return r.patient()
 	}
-	load := ramp(sum/time.Duration(n), freeBacklog, busyBacklog)
-	return work > freeWork-time.Duration(load*float64(freeWork-busyWork))
+	load := ramp(sum/n, freeBacklog, busyBacklog)
+	most := freeWork - time.Duration(load*float64(freeWork-busyWork))
+	return vs[0].read(split(r.Prompt, 1)) > n*most
 }
 
 const (
--- a/internal/coord/place/lane.go
+++ b/internal/coord/place/lane.go
@@ -10,6 +10,9 @@
 	laneRequests = 13
 	// laneSpare is the number of engines in the lane beyond need.
 	laneSpare = 1
+	// lanePart is the longest time for which an engine of the lane reads for a
+	// caller who bears long pauses.
+	lanePart = 100 * time.Millisecond
 	// patientShare is the least part of the engines that stays out of the
 	// lane, one in so many.
 	patientShare = 7
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -181,6 +181,9 @@
 		if v == first || v.avoid || v.suspect || v.helping >= v.spec.Slots {
 			continue
 		}
+		if v.short && r.patient() && v.read(p) > lanePart {
+			continue
+		}
 		hs = append(hs, v)
 		cost[v] = partCost(v, p, r)
 	}
