--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -14,6 +14,18 @@
 	// many others.
 	freeWork = time.Second
 	busyWork = 400 * time.Millisecond
+	// leastWork is what a prompt may take in all on any fleet.
+	leastWork = 8 * time.Second
+	// leastGain is the share of its value that a prompt counts for even if it
+	// is late.
+	leastGain = 0.02
+	// harmShare is the share of its probable worth that a prompt may cost
+	// others.
+	harmShare = 0.6
+	// waitShare of the target, one in so many, must come from the backlog
+	// before a prompt is told to come back: if it would be late anyway, waiting
+	// doesn't help.
+	waitShare = 10
 )
 
 // costly reports whether a prompt takes too much of the engines at their
@@ -33,7 +45,40 @@
 	}
 	load := ramp(sum/n, freeBacklog, busyBacklog)
 	most := freeWork - time.Duration(load*float64(freeWork-busyWork))
-	return vs[0].read(split(r.Prompt, 1)) > n*most
+	return vs[0].read(split(r.Prompt, 1)) > max(leastWork, n*most)
+}
+
+// defers reports whether a caller who bears pauses should come back when less
+// waits to be read. Those who have come back are taken, unless that costs
+// others more than it is worth.
+func (p plan) defers(estimate time.Duration, r Request) bool {
+	if !r.patient() {
+		return false
+	}
+	if p.harmful(r) {
+		return true
+	}
+	return !r.Returned && estimate > r.Target && p.backlog() > r.Target/waitShare
+}
+
+// backlog is the longest wait at the engines of a plan.
+func (p plan) backlog() time.Duration {
+	most := p.first.backlog
+	for _, h := range p.helpers {
+		most = max(most, h.backlog)
+	}
+	return most
+}
+
+// harmful reports whether a plan costs other prompts more than it is worth. A
+// caller who has come back is given more.
+func (p plan) harmful(r Request) bool {
+	own := value(r.Prompt)
+	most := own * max(leastGain, 1-lateRisk(p.end, r))
+	if !r.Returned {
+		most *= harmShare
+	}
+	return p.harm > most
 }
 
 const (
--- a/internal/coord/place/held.go
+++ b/internal/coord/place/held.go
@@ -52,12 +52,12 @@
 		p.helpers = slices.Concat(held.helpers, lenders[:n])
 		share := split(r.Prompt, len(p.helpers)+1)
 		p.end = p.first.finish(share)
-		p.cost = p.first.stall(share) + float64(n)*helperCost
+		p.harm = p.first.stall(share)
 		for _, h := range p.helpers {
 			p.end = max(p.end, h.finish(share))
-			p.cost += h.stall(share)
+			p.harm += h.stall(share)
 		}
-		p.cost += value(r.Prompt) * lateRisk(p.end, r)
+		p.cost = p.harm + value(r.Prompt)*lateRisk(p.end, r) + float64(n)*helperCost
 		if n == 0 || p.cost < best.cost {
 			best = p
 		}
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -33,9 +33,6 @@
 	helperCost = 0.01
 	// avoidCost keeps requests from engines that fail.
 	avoidCost = 100
-	// harmShare is the share of its probable worth that a prompt may cost
-	// others.
-	harmShare = 0.6
 	// latePercent of the time left may go by before the first event.
 	latePercent = 70
 )
@@ -60,7 +57,7 @@
 		return Choice{}, ErrFull
 	}
 	c := best.choice()
-	if r.patient() && (best.harmful(r) || !r.Returned && c.Estimate > r.Target) {
+	if best.defers(c.Estimate, r) {
 		return c, ErrDeferred
 	}
 	if r.Left > 0 && c.Estimate > r.Left*latePercent/100 {
@@ -69,18 +66,6 @@
 	return c, nil
 }
 
-// harmful reports whether a plan costs other prompts more than it is worth. A
-// caller who has come back is given more.
-func (p plan) harmful(r Request) bool {
-	own := value(r.Prompt)
-	risk := min(1, lateRisk(p.end, r))
-	most := own * (1 - risk)
-	if !r.Returned {
-		most *= harmShare
-	}
-	return p.cost-own*lateRisk(p.end, r) > most
-}
-
 // bestAlone places a prompt whose memory is at one engine.
 func bestAlone(vs []*view, s Scene, r Request) (plan, bool) {
 	var best plan
@@ -110,8 +95,8 @@
 	held []ident.Tokens
 	// end is the time until the prompt is read.
 	end time.Duration
-	// cost is what is to be least, the value that is lost.
-	cost float64
+	// harm is the value that others lose, cost all that is to be least.
+	harm, cost float64
 }
 
 func (p plan) choice() Choice {
@@ -128,8 +113,8 @@
 func planFor(vs []*view, first *view, r Request) plan {
 	base := firstCost(vs, first, r)
 	whole := split(r.Prompt, 1)
-	best := plan{first: first, end: first.finish(whole)}
-	best.cost = base + value(r.Prompt)*lateRisk(best.end, r) + first.stall(whole)
+	best := plan{first: first, end: first.finish(whole), harm: first.stall(whole)}
+	best.cost = base + value(r.Prompt)*lateRisk(best.end, r) + best.harm
 	most := min(maxHelpers, int(r.Prompt/helperTokens)-1)
 	if most < 1 {
 		return best
@@ -138,14 +123,14 @@
 	for n := 1; n <= min(most, len(hs)); n++ {
 		p := split(r.Prompt, n+1)
 		end := first.finish(p)
-		cost := base + first.stall(p) + float64(n)*helperCost
+		harm := first.stall(p)
 		for _, h := range hs[:n] {
 			end = max(end, h.finish(p))
-			cost += h.stall(p)
+			harm += h.stall(p)
 		}
-		cost += value(r.Prompt) * lateRisk(end, r)
+		cost := base + harm + value(r.Prompt)*lateRisk(end, r) + float64(n)*helperCost
 		if cost < best.cost {
-			best = plan{first: first, helpers: hs[:n], end: end, cost: cost}
+			best = plan{first: first, helpers: hs[:n], end: end, harm: harm, cost: cost}
 		}
 	}
 	return best
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -131,7 +131,7 @@
 // one, so that a link closed by the endpoint can't leave their fate open.
 func (a *attempt) connect() error {
 	now := time.Now()
-	if a.route.Kind != topol.Once {
+	if a.route.Repeatable() {
 		if a.link = a.pool.Take(now); a.link != nil {
 			return nil
 		}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -28,6 +28,8 @@
 	staleAfter = 3500 * time.Millisecond
 	// returnedAfter is the time waited from which a caller counts as returned.
 	returnedAfter = 300 * time.Millisecond
+	// defaultLimit bounds requests where neither route nor caller does.
+	defaultLimit = 30 * time.Second
 	// comeBack tells callers to try another node soon.
 	comeBack = 200 * time.Millisecond
 	// comeBackLater tells callers to come back when load has gone down.
@@ -160,6 +162,9 @@
 	if x.ask.TimeLeft > 0 && (limit <= 0 || x.ask.TimeLeft < limit) {
 		limit = x.ask.TimeLeft
 	}
+	if limit <= 0 {
+		limit = defaultLimit
+	}
 	x.deadline = x.arrived.Add(limit)
 	x.lastEvent = x.ask.LastEvent
 	x.tried = ident.Set[ident.EndpointName]{}
