gate: keep the end of a wait that a leaving caller asked for

Cause, from reading the change: a deadline set for the next read could replace the one with which the watcher ends reads when the caller leaves, so that the endpoint worked on until its next event (rule GONE). All reads set theirs under the lock of the watcher now. No test: the window is a few microseconds.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -146,11 +146,11 @@
 // converse writes the request and reads the answer. It reports whether the
 // link can carry another request.
 func (a *attempt) converse() (outcome, bool) {
-	a.link.SetDeadline(a.deadline)
+	a.link.SetWriteDeadline(a.deadline)
 	if err := a.write(); err != nil {
 		return outcome{result: unanswered, broke: broke(err), why: "write: " + err.Error()}, false
 	}
-	a.link.SetReadDeadline(a.patience())
+	a.readUntil(a.patience())
 	res, note, err := a.readHead()
 	if err != nil {
 		return outcome{result: unanswered, broke: broke(err), why: "answer: " + err.Error()}, false
@@ -182,6 +182,17 @@
 	}
 }
 
+// readUntil bounds the next reads of the link, which end at once if the caller
+// has left.
+func (a *attempt) readUntil(t time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gone {
+		t = past
+	}
+	a.link.SetReadDeadline(t)
+}
+
 // patience is the moment until which the endpoint has time for its answer, if
 // another can be asked then.
 func (a *attempt) patience() time.Time {
@@ -283,7 +294,7 @@
 
 // relayWhole reads an answer to its end and passes it on.
 func (a *attempt) relayWhole(res *http1.Response, note relay.Note, o outcome) (outcome, bool) {
-	a.link.SetReadDeadline(a.deadline)
+	a.readUntil(a.deadline)
 	body, err := http1.ReadBody(a.link.Reader, res.Framing, res.Length, maxAnswerBody)
 	if err != nil {
 		o.result, o.broke, o.why = unanswered, broke(err), "answer is cut: "+err.Error()
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -29,7 +29,7 @@
 	var passed time.Time
 	for {
 		if !first {
-			a.link.SetReadDeadline(a.gapEnd())
+			a.readUntil(a.gapEnd())
 		}
 		if len(buf) == cap(buf) {
 			if len(buf) >= maxEvent {
