--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -4,18 +4,15 @@
 
 const (
 	// freeBacklog is the mean backlog up to which prompts of all sizes are
-	// taken that the engines can read soon, and busyBacklog that from which only
-	// those are taken that are within busyWork.
+	// taken that are within freeWork, and busyBacklog that from which only those
+	// within busyWork are.
 	freeBacklog = 150 * time.Millisecond
 	busyBacklog = 500 * time.Millisecond
-	// freeWork and busyWork are the time that a prompt may take of each engine,
-	// if all read it, at these backlogs. The pairs of its tokens make that grow
-	// with the square of the size, so the largest prompts take the place of
-	// many others.
-	freeWork = time.Second
-	busyWork = 400 * time.Millisecond
-	// leastWork is what a prompt may take in all on any fleet.
-	leastWork = 8 * time.Second
+	// freeWork and busyWork are the time of one engine that a prompt may take to
+	// be read at these backlogs. The pairs of its tokens make that grow with the
+	// square of the size, so the largest prompts take the place of many others.
+	freeWork = 32 * time.Second
+	busyWork = 8 * time.Second
 	// leastGain is the share of its value that a prompt counts for even if it
 	// is late.
 	leastGain = 0.02
@@ -31,6 +28,10 @@
 // costly reports whether a prompt takes too much of the engines at their
 // present load.
 func costly(vs []*view, r Request) bool {
+	work := vs[0].read(split(r.Prompt, 1))
+	if work <= busyWork {
+		return false
+	}
 	var sum time.Duration
 	n := time.Duration(0)
 	for _, v := range vs {
@@ -41,11 +42,11 @@
 		n++
 	}
 	if n == 0 {
-		return r.patient()
+		return true
 	}
 	load := ramp(sum/n, freeBacklog, busyBacklog)
 	most := freeWork - time.Duration(load*float64(freeWork-busyWork))
-	return vs[0].read(split(r.Prompt, 1)) > max(leastWork, n*most)
+	return work > most
 }
 
 // defers reports whether a caller who bears pauses should come back when less
