--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -14,6 +14,7 @@
 
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/serve"
 	"laburnumstack.org/laburnum/pkg/confg"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -74,7 +75,7 @@
 // Run answers callers until Stop.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	go s.active.watch(ctx)
-	return s.http.Serve(l)
+	return s.http.Serve(conns.LingerListener{Listener: l})
 }
 
 type silent struct{}
@@ -139,6 +140,9 @@
 	}
 	q.fail(&serve.Failure{Status: status, Code: code, Message: "request can't be read", Outcome: ident.NotRun})
 	ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(*conns.Lingering); ok {
+		c.Linger()
+	}
 }
 
 // exchange is one request with its answer.
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -109,6 +109,8 @@
 		{"no target", "GET HTTP/1.1\r\nHost: a\r\n\r\n", 400},
 		{"chunk size is no number", start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", 0},
 		{"long header", start + "X: " + strings.Repeat("a", 8<<10) + "\r\n\r\n", 431},
+		{"header that goes on after the answer", start + "X: " + strings.Repeat("a", 300<<10) + "\r\n\r\n", 431},
+		{"body that goes on after the answer", start + "Content-Length: 2000000\r\n\r\n" + strings.Repeat("b", 400<<10), 413},
 		{"long body", start + "Content-Length: 2000000\r\n\r\n", 413},
 	}
 	for _, c := range cases {
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -338,6 +338,9 @@
 	s.line(false).Err(err).Int("status", status).Msg("gate: refused a message")
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.Write(ownAnswer(status, 0, true))
+	if l, ok := c.Conn.(*conns.Lingering); ok {
+		l.Linger()
+	}
 }
 
 // listenConfig hardens the connections of callers.
@@ -345,7 +348,11 @@
 
 // Listen opens the callers' port.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	return listenConfig.Listen(ctx, "tcp", addr)
+	l, err := listenConfig.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return conns.LingerListener{Listener: l}, nil
 }
 
 func random() float64 { return rand.Float64() }
