--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -182,6 +182,9 @@
 	}
 }
 
+// another reports whether the request may still run at another endpoint.
+func (a *attempt) another() bool { return a.route.Repeatable() && a.runs+1 < a.route.Attempts }
+
 // readUntil bounds the next reads of the link, which end at once if the caller
 // has left.
 func (a *attempt) readUntil(t time.Time) {
@@ -196,7 +199,7 @@
 // patience is the moment until which the endpoint has time for its answer, if
 // another can be asked then.
 func (a *attempt) patience() time.Time {
-	if !a.route.Repeatable() || a.runs+1 >= a.route.Attempts {
+	if !a.another() {
 		return a.deadline
 	}
 	wait := a.route.Target
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -384,3 +384,17 @@
 		})
 	}
 }
+
+func TestLastAttemptOfAStreamIsNotCutForSilence(t *testing.T) {
+	silent := func(c net.Conn, g got) bool {
+		io.WriteString(c, strings.ReplaceAll(streamHead, "%ID", g.field("Id"))+chunked(event(2)))
+		time.Sleep(gapLeast + 300*time.Millisecond)
+		io.WriteString(c, chunked(event(3))+lastChunk)
+		return true
+	}
+	e := newEndpoint(t, "e", streams(1, 1, false), silent)
+	r := newRig(t, e, e.twin("f"), e.twin("g"))
+	a := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.NoError(t, a.err)
+	test.Eq(t, event(1)+event(2)+event(3), a.body)
+}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -71,8 +71,12 @@
 	}
 }
 
-// gapEnd is the moment until which the next event must come.
+// gapEnd is the moment until which the next event must come, if another
+// endpoint can be asked then. Silence alone is no reason to end an answer.
 func (a *attempt) gapEnd() time.Time {
+	if !a.another() {
+		return a.deadline
+	}
 	t := time.Now().Add(max(gapLeast, gapFactor*a.route.Gap))
 	if t.Before(a.deadline) {
 		return t
