--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -51,12 +51,11 @@
 	ReadyPath string
 	Logger    zerolog.Logger
 
-	feeds  *feeds.Feeds
-	gate   *gate.Server
-	mesh   *share.Mesh
-	news   *news
-	works  *works.Table
-	cancel context.CancelFunc
+	feeds *feeds.Feeds
+	gate  *gate.Server
+	mesh  *share.Mesh
+	news  *news
+	works *works.Table
 }
 
 // Run serves until the context ends, then finishes what is in flight.
@@ -67,7 +66,6 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n.cancel = cancel
 	n.assemble(ctx)
 	var ls [3]net.Listener
 	for i, a := range []string{s.Callers, s.Ready, s.Peers} {
--- a/internal/trans/peer/serve.go
+++ b/internal/trans/peer/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/rpc"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/trans/conns"
@@ -36,25 +35,5 @@
 
 // serve answers peers until the context ends.
 func (m *Mesh) serve(ctx context.Context, l net.Listener) error {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName("Node", &service{m}); err != nil {
-		return err
-	}
-	var open conns.Tracker
-	stop := context.AfterFunc(ctx, func() { l.Close(); open.CloseAll() })
-	defer stop()
-	for {
-		c, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		open.Add(c)
-		go func() {
-			defer open.Remove(c)
-			srv.ServeConn(c)
-		}()
-	}
+	return conns.ServeRPC(ctx, l, "Node", &service{m})
 }
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/rpc"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -74,25 +73,5 @@
 
 // Run answers peers until the context ends.
 func (m *Mesh) Run(ctx context.Context, l net.Listener) error {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName("Node", &service{m}); err != nil {
-		return err
-	}
-	var open conns.Tracker
-	stop := context.AfterFunc(ctx, func() { l.Close(); open.CloseAll() })
-	defer stop()
-	for {
-		c, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		open.Add(c)
-		go func() {
-			defer open.Remove(c)
-			srv.ServeConn(c)
-		}()
-	}
+	return conns.ServeRPC(ctx, l, "Node", &service{m})
 }
