peer: strikes are with peers before a caller has its answer

Cause of TestCrashingRequest's rare failure: strikes were sent to peers in the background. A caller told of the third crash could send the request to a node that did not have them yet, which crashed a fourth engine. With the sending held up by 100 ms the test failed 3 of 3 times; delaying the end of a crash in the stand-in engine by 50 ms, the cause thought of before, changed nothing (5 of 5 passed). Sharing now ends when the peers that answer within 500 ms have the strikes. Before: 3 of 40 failed beside 20 processes.

--- a/internal/trans/peer/mesh.go
+++ b/internal/trans/peer/mesh.go
@@ -26,6 +26,8 @@
 	// fanout bounds the peers that one beat goes to.
 	fanout      = 6
 	callTimeout = time.Second
+	// shareWait bounds how long sharing strikes holds up a request.
+	shareWait = 500 * time.Millisecond
 	// maxKnown bounds the members that one beat passes on.
 	maxKnown = 16
 )
@@ -229,14 +231,31 @@
 	}
 }
 
-// Share tells all known peers of new strikes.
+// Share tells all known peers of new strikes, and returns when those that
+// answer in time have them: the caller that is told of a failure may send the
+// request to another node at once.
 func (m *Mesh) Share(ss []strik.Strike) {
 	args := messg.StrikeArgs{Stamp: m.Clock.Now(), Strikes: ss}
+	var wg sync.WaitGroup
 	for _, e := range m.Members() {
 		if e.State == membr.Dead {
 			continue
 		}
-		go m.call(context.Background(), e.Peer, "Node.Strike", args, &messg.Empty{})
+		wg.Go(func() { m.shareWith(e.Peer, args) })
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	t := time.NewTimer(shareWait)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
+}
+
+func (m *Mesh) shareWith(addr string, args messg.StrikeArgs) {
+	if err := m.call(context.Background(), addr, "Node.Strike", args, &messg.Empty{}); err != nil {
+		m.Logger.Warn().Err(err).Str("peer", addr).Msg("peer: strikes not shared")
 	}
 }
 
