--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -63,10 +63,10 @@
 			st.Raw = c.Raw
 		}
 	}
-	if f := n.feeds.Fleet(); f != nil && n.feeds.Settled(now) {
-		st.Listed, st.ListedAge, st.List = true, now.Sub(n.feeds.Listed()), f.ID
-		if f.ID != a.List {
-			st.Endpoints = n.feeds.List()
+	if s := n.feeds.Snapshot(); s.Fleet != nil && n.feeds.Settled(now) {
+		st.Listed, st.ListedAge, st.List = true, now.Sub(s.At), s.Fleet.ID
+		if s.Fleet.ID != a.List {
+			st.Endpoints = s.Endpoints
 		}
 	}
 	return st
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -339,11 +339,19 @@
 	f.fleet.Store(fl)
 }
 
-// List returns the endpoints known, for peers.
-func (f *Feeds) List() []topol.Endpoint {
+// Snapshot is the list of endpoints and the moment at which it was the newest.
+type Snapshot struct {
+	// Fleet is nil if the endpoints aren't known yet.
+	Fleet     *Fleet
+	Endpoints []topol.Endpoint
+	At        clock.Instant
+}
+
+// Snapshot returns the endpoints known, for peers.
+func (f *Feeds) Snapshot() Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Collect(maps.Values(f.known))
+	return Snapshot{Fleet: f.fleet.Load(), Endpoints: slices.Collect(maps.Values(f.known)), At: f.Listed()}
 }
 
 // Confirm notes that a peer had the same list of endpoints at a moment.
@@ -355,8 +363,22 @@
 		return
 	}
 	raise(&f.listed, at)
-	if f.returned > 0 && at > f.returned {
-		f.returned = 0
+	f.settle(at)
+}
+
+// settle ends the time after an outage in which endpoints that lapsed stay
+// listed, if a peer read the source after it came back to this node: the
+// outage was this node's own then.
+func (f *Feeds) settle(at clock.Instant) {
+	if f.returned == 0 || at <= f.returned {
+		return
+	}
+	f.returned = 0
+	for n := range f.lapsing {
+		f.lapsing[n] = at
+	}
+	if f.expire(at) {
+		f.publish()
 	}
 }
 
@@ -364,13 +386,10 @@
 func (f *Feeds) Adopt(es []topol.Endpoint, at clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	settles := f.returned > 0 && at > f.returned
-	if at <= f.Listed() && !settles {
+	f.settle(at)
+	if at <= f.Listed() {
 		return
 	}
-	if settles {
-		f.returned = 0
-	}
 	f.known = make(map[ident.EndpointName]topol.Endpoint, len(es))
 	f.lapsing = map[ident.EndpointName]clock.Instant{}
 	for _, e := range es {
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -136,6 +136,52 @@
 	test.False(t, f.Settled(at(8200*time.Millisecond)))
 }
 
+func TestPeersListDoesNotBringBackWhatLeftSinceItWasRead(t *testing.T) {
+	lapsed := func() *Feeds {
+		f := newFeeds()
+		f.applyEndpoints([]Record{put("a", "s up"), put("b", "s up")}, true, at(0))
+		f.back(Endpoints, at(8*time.Second), 8*time.Second)
+		f.applyEndpoints([]Record{{Key: "a"}}, false, at(8300*time.Millisecond))
+		must.Eq(t, "a b", f.names("s"))
+		return f
+	}
+	f := lapsed()
+	f.Adopt([]topol.Endpoint{{Name: "a", Service: "s"}, {Name: "b", Service: "s"}}, at(8100*time.Millisecond))
+	test.Eq(t, "b", f.names("s"))
+	test.True(t, f.Settled(at(8400*time.Millisecond)))
+	// The peer has the list that this node shows.
+	f = lapsed()
+	f.Confirm(f.Fleet().ID, at(8100*time.Millisecond))
+	test.Eq(t, "b", f.names("s"))
+	test.True(t, f.Settled(at(8400*time.Millisecond)))
+}
+
+func TestSnapshotsHoldTheListOfTheirMoment(t *testing.T) {
+	f := newFeeds()
+	f.applyEndpoints([]Record{put("a", "s up")}, true, at(0))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 2000 {
+			state := "s up"
+			if i%2 == 0 {
+				state = "s leaving"
+			}
+			f.applyEndpoints([]Record{put("a", state)}, false, at(time.Duration(i+1)))
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		s := f.Snapshot()
+		must.Eq(t, time.Duration(s.At-at(0))%2 == 1, s.Endpoints[0].Leaving)
+		must.Eq(t, s.Endpoints[0].Leaving, s.Fleet.Services["s"][0].Leaving)
+	}
+}
+
 func TestEndpointsThatLapseAreGoneAtOnceWithoutAnOutage(t *testing.T) {
 	// A node that followed another for a while has not read for long either.
 	for _, away := range []time.Duration{0, 300 * time.Millisecond} {
