--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -90,9 +90,17 @@
 func (x *exchange) send(c place.Choice) outcome {
 	x.sends++
 	a := &attempt{exchange: x, choice: c, pool: x.server.pools.Get(c.First.Address), began: time.Now()}
-	if len(c.Held) > 0 {
+	o := a.run()
+	o.began = a.began
+	return o
+}
+
+// run reserves memory if the request needs it, connects and converses.
+func (a *attempt) run() outcome {
+	x := a.exchange
+	if len(a.choice.Held) > 0 {
 		var full ident.Set[ident.EndpointName]
-		if a.hold, full = x.server.reserve(context.Background(), c); a.hold == nil {
+		if a.hold, full = x.server.reserve(context.Background(), a.choice); a.hold == nil {
 			return x.noMemory(full)
 		}
 		defer a.hold.end()
@@ -100,7 +108,7 @@
 	if err := a.connect(); err != nil {
 		return outcome{result: notSent, why: "connect: " + err.Error()}
 	}
-	a.work = x.begin(c)
+	a.work = x.begin(a.choice)
 	defer x.finish(a.work)
 	if !x.hold(a.link) {
 		a.link.Close()
@@ -113,7 +121,6 @@
 	} else {
 		a.link.Close()
 	}
-	o.began = a.began
 	return o
 }
 
