--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -17,6 +17,7 @@
 
 	"laburnumstack.org/laburnum/internal/node/edge"
 	"laburnumstack.org/laburnum/platform"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 const exitUsage = 2
@@ -49,7 +50,7 @@
 		return exitUsage
 	}
 	if o.Settings == "" {
-		o.Settings = os.Getenv(platform.SettingsVariable)
+		o.Settings = os.Getenv(wire.SettingsVariable)
 	}
 	s, err := platform.ReadSettings(o.Settings)
 	if err != nil {
@@ -79,7 +80,7 @@
 	orders := &platform.Orders{}
 	n := &edge.Node{
 		Settings: s.Node, Source: platform.NewStore(s.Store), Decoder: platform.Decoder{},
-		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: orders, Reporter: orders, ReadyPath: platform.ReadyPath, Logger: logger,
+		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: orders, Reporter: orders, ReadyPath: wire.ReadyPath, Logger: logger,
 	}
 	if err := n.Run(ctx); err != nil {
 		logger.Error().Err(err).Msg("node: ended by an error")
--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -28,12 +28,6 @@
 	Strict bool
 	Revoke time.Duration
 	Budget Budget
-	// Stall is how long an engine waits for another that is silent.
-	Stall time.Duration
-	// Free is the time within which reserved memory must be free after use.
-	Free time.Duration
-	// HoldMax is the longest reservation.
-	HoldMax time.Duration
 }
 
 // Budget bounds the sends beyond the first of each request.
--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -57,13 +57,6 @@
 	NotRun bool
 	// Fault is the address of the endpoint at fault, if another one is.
 	Fault string
-	// Load is the endpoint's own view, if it tells.
-	Load *Load
-}
-
-// Load is what an endpoint tells of its load.
-type Load struct {
-	Running, Waiting, Slots int
 }
 
 // Report is what an engine says of itself when it is asked.
--- a/internal/state/topol/catalog.go
+++ b/internal/state/topol/catalog.go
@@ -80,8 +80,6 @@
 // Service is a group of endpoints.
 type Service struct {
 	Name ident.ServiceName
-	// Connections bounds the connections to one endpoint from all callers.
-	Connections int
 	// Engine is set if the endpoints are model engines.
 	Engine *Engine
 }
