--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -30,11 +30,29 @@
 	Settings    string `long:"settings" description:"path of the platform's settings file; by default the environment tells"`
 }
 
+// signals are what the operating system asks of the program.
+type signals struct {
+	// stop ends when the program is to end.
+	stop   context.Context
+	reload chan os.Signal
+}
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
 
+// catchSignals is called first: a signal that nobody waits for ends the
+// program.
+func catchSignals() (s signals, release func()) {
+	s.reload = make(chan os.Signal, 1)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	s.stop, release = signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	return s, release
+}
+
 func run(args []string) int {
+	sig, release := catchSignals()
+	defer release()
 	var o options
 	rest, err := flags.NewParser(&o, flags.HelpFlag).ParseArgs(args)
 	var fe *flags.Error
@@ -58,21 +76,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	return serve(o, s)
+	return serve(sig, o, s)
 }
 
-func serve(o options, s platform.Settings) int {
+func serve(sig signals, o options, s platform.Settings) int {
 	debug.SetGCPercent(o.GCPercent)
 	level, _ := zerolog.ParseLevel(o.LogLevel)
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	out := newOutput(os.Stdout)
 	defer out.Close()
 	logger := zerolog.New(out).Level(level).With().Timestamp().Str("node", string(s.Node.Name)).Logger()
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go watchSettings(ctx, hup, o.Settings, s, logger)
+	go watchSettings(sig.stop, sig.reload, o.Settings, s, logger)
 	if o.MetricsPort > 0 {
 		host, _, _ := net.SplitHostPort(s.Node.Ready)
 		s.Node.Metrics = net.JoinHostPort(host, strconv.Itoa(o.MetricsPort))
@@ -82,7 +96,7 @@
 		Settings: s.Node, Source: platform.NewStore(s.Store), Decoder: platform.Decoder{},
 		Configuration: platform.DecodeCatalog, Dialect: platform.Dialect{}, Orders: orders, Reporter: orders, ReadyPath: wire.ReadyPath, Logger: logger,
 	}
-	if err := n.Run(ctx); err != nil {
+	if err := n.Run(sig.stop); err != nil {
 		logger.Error().Err(err).Msg("node: ended by an error")
 		return 1
 	}
--- a/cmd/laburnumgw/main_test.go
+++ b/cmd/laburnumgw/main_test.go
@@ -3,10 +3,13 @@
 import (
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -35,6 +38,32 @@
 	}
 }
 
+// program builds the command and returns its path.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "laburnumgw")
+	out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return path
+}
+
+func TestReloadDuringTheStartDoesNotEndTheProgram(t *testing.T) {
+	// The program waits for its settings, which come through a pipe.
+	pipe := filepath.Join(t.TempDir(), "settings.yaml")
+	must.NoError(t, syscall.Mkfifo(pipe, 0o600))
+	cmd := exec.Command(program(t), "--settings", pipe)
+	must.NoError(t, cmd.Start())
+	w, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+	must.NoError(t, err)
+	must.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	_, err = w.WriteString("node_name: 1\n")
+	must.NoError(t, err)
+	must.NoError(t, w.Close())
+	var end *exec.ExitError
+	must.True(t, errors.As(cmd.Wait(), &end))
+	test.Eq(t, exitUsage, end.ExitCode(), test.Sprint(end.String()))
+}
+
 func TestLogNeverWaitsForItsReader(t *testing.T) {
 	// The pipe is full after 64 KiB and nobody reads it.
 	r, w, err := os.Pipe()
