share: two hubs of each data centre pass updates on in large deployments

Each change went to all nodes of a data centre in a call of its own, and each node called each other once a second. From 24 nodes on a node now tells one of two hubs of its data centre, which put changes of 20 ms together for the nodes there and for a hub of each other data centre. Peers that are neither hub nor reader candidates are called each 10 s.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -128,7 +128,7 @@
 	case PauseNode:
 		return s.alone(n, func() error { n.pause(ctx, st.For); return nil })
 	case ReloadNode:
-		return s.alone(n, n.reload)
+		return s.alone(n, func() error { return n.reload(ctx) })
 	case KillAll:
 		return s.killAll(ctx, st.For)
 	case StoreDown:
@@ -164,14 +164,6 @@
 	p.signal(syscall.SIGCONT, false)
 }
 
-func (p *process) reload() error {
-	if err := p.writeSettings(); err != nil {
-		return err
-	}
-	p.signal(syscall.SIGHUP, false)
-	return nil
-}
-
 // alone keeps signals to one process apart; other faults may overlap.
 func (s *Soak) alone(n *process, f func() error) error {
 	l := s.locks[n.name()]
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -133,6 +133,29 @@
 	return p.ended
 }
 
+// reload writes the settings anew and says so. It waits until the program
+// listens: a signal that comes before a program's first step ends it.
+func (p *process) reload(ctx context.Context) error {
+	if err := p.writeSettings(); err != nil {
+		return err
+	}
+	for !p.listens() {
+		if !pause(ctx, readyEvery) {
+			return nil
+		}
+	}
+	p.signal(syscall.SIGHUP, false)
+	return nil
+}
+
+func (p *process) listens() bool {
+	c, err := net.DialTimeout("tcp", p.callers(), readyTimeout)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
 // kill ends the process and starts it again after a pause.
 func (p *process) kill(ctx context.Context, down time.Duration) error {
 	<-p.signal(syscall.SIGKILL, true)
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -41,12 +41,25 @@
 	Failed []ident.EndpointName
 	// Struck are requests at whose endpoints the connection broke.
 	Struck []StrikeNote
-	// Forward asks the peer to pass the update on in its data centre, and
-	// Forwarded are updates of other data centres that were passed on.
-	Forward   bool
+	// Reach tells to whom the peer is to pass the update on, and Forwarded are
+	// updates of other nodes that were passed on.
+	Reach     Reach
 	Forwarded []Update
 }
 
+// Reach tells how far an update is passed on.
+type Reach int
+
+// Reaches of an update.
+const (
+	// ReachPeer is the peer alone.
+	ReachPeer Reach = iota
+	// ReachCentre is all nodes of the peer's data centre.
+	ReachCentre
+	// ReachAll is all nodes.
+	ReachAll
+)
+
 // Empty reports whether an update tells nothing but that its node is alive.
 func (u *Update) Empty() bool {
 	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck) == 0
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,67 +14,167 @@
 // DefaultHubsFrom is the default of Mesh.HubsFrom.
 const DefaultHubsFrom = 24
 
-// hubs reports whether works go to other data centres through one node each.
+const (
+	// hubsEach is the number of nodes of a data centre that pass updates on.
+	hubsEach = 2
+	// candidates is the number of nodes that are watched closely, so that one
+	// of them can take over as hub or as reader of the store.
+	candidates = 4
+)
+
+// hubs reports whether updates go through a few nodes of each data centre.
 func (m *Mesh) hubs() bool { return m.HubsFrom > 0 && m.Nodes() >= m.HubsFrom }
 
-// chooseHubs chooses the peers that are told directly: all in this data centre,
-// and one that is alive in each other. The choices of all nodes together spread
-// over the nodes of a data centre.
-func (m *Mesh) chooseHubs(now time.Time) {
-	ps := m.all()
-	hubs := m.hubs()
-	alive := map[ident.DataCentre][]*peer{}
-	for _, p := range ps {
+// contact is a node as the choice of hubs sees it. Peer is nil for this node.
+type contact struct {
+	name    ident.NodeName
+	address string
+	centre  ident.DataCentre
+	alive   bool
+	peer    *peer
+}
+
+// connected returns this node and the peers that it is connected to, in the
+// order of their names.
+func (m *Mesh) connected(now time.Time) []contact {
+	ns := []contact{{m.Self.Name, m.Self.Address, m.Self.DataCentre, true, nil}}
+	for _, p := range m.all() {
 		p.mu.Lock()
-		if p.client != nil && now.Sub(p.heard) < readerAlive {
-			alive[p.centre] = append(alive[p.centre], p)
+		if p.name != "" && p.client != nil {
+			ns = append(ns, contact{p.name, p.address, p.centre, now.Sub(p.heard) < p.aliveFor(), p})
 		}
 		p.mu.Unlock()
 	}
-	chosen := map[*peer]bool{}
-	for c, list := range alive {
-		if c == "" || c == m.Self.DataCentre {
+	slices.SortFunc(ns, func(a, b contact) int { return cmp.Compare(a.name, b.name) })
+	return ns
+}
+
+// topology is who passes updates on for whom.
+type topology struct {
+	// hubs passes this node's updates on in its data centre; nil if this node
+	// is a hub itself.
+	hub *peer
+	// others are the hubs that this node uses in other data centres, if it is a
+	// hub.
+	others map[*peer]bool
+	// close are the nodes that are watched closely.
+	close map[*peer]bool
+}
+
+// plan chooses the hubs. The choices of all nodes spread over the hubs of a
+// data centre.
+func (m *Mesh) plan(ns []contact) topology {
+	t := topology{others: map[*peer]bool{}, close: map[*peer]bool{}}
+	watch := func(list []contact) {
+		for _, n := range list[:min(candidates, len(list))] {
+			t.close[n.peer] = true
+		}
+	}
+	watch(ns)
+	centres := map[ident.DataCentre][]contact{}
+	for _, n := range ns {
+		centres[n.centre] = append(centres[n.centre], n)
+	}
+	own := centres[m.Self.DataCentre]
+	watch(own)
+	chosen := hubsOf(own)
+	if !slices.ContainsFunc(chosen, func(n contact) bool { return n.peer == nil }) {
+		t.hub = m.pickHub(chosen)
+		return t
+	}
+	for c, list := range centres {
+		if c == m.Self.DataCentre {
 			continue
 		}
-		slices.SortFunc(list, func(a, b *peer) int { return compareText(a.address, b.address) })
-		chosen[list[xxhash.Sum64String(string(m.Self.Name))%uint64(len(list))]] = true
+		watch(list)
+		if p := m.pickHub(hubsOf(list)); p != nil {
+			t.others[p] = true
+		}
 	}
-	for _, p := range ps {
+	return t
+}
+
+// hubsOf returns the first nodes alive.
+func hubsOf(ns []contact) []contact {
+	alive := slices.DeleteFunc(slices.Clone(ns), func(n contact) bool { return !n.alive })
+	return alive[:min(hubsEach, len(alive))]
+}
+
+func (m *Mesh) pickHub(hubs []contact) *peer {
+	if len(hubs) == 0 {
+		return nil
+	}
+	return hubs[xxhash.Sum64String(string(m.Self.Name))%uint64(len(hubs))].peer
+}
+
+// chooseHubs chooses the peers that are told directly: without hubs all; else
+// the hub of this node, or for a hub all nodes of its data centre and one hub
+// of each other.
+func (m *Mesh) chooseHubs(now time.Time) {
+	hubs := m.hubs()
+	var t topology
+	if hubs {
+		t = m.plan(m.connected(now))
+	}
+	m.passing.Store(hubs && t.hub == nil)
+	for _, p := range m.all() {
 		p.mu.Lock()
-		told := !hubs || p.centre == "" || p.centre == m.Self.DataCentre || chosen[p]
+		near := p.centre == "" || p.centre == m.Self.DataCentre
+		told := !hubs || p == t.hub || t.hub == nil && (near || t.others[p])
 		if told && !p.told && p.client != nil {
 			p.pending = m.whole(true)
 		}
-		p.told = told
-		p.hub = hubs && chosen[p]
+		p.told, p.close, p.reach = told, !hubs || t.close[p] || p.name == "", relay.ReachPeer
+		if hubs && p == t.hub {
+			p.reach = relay.ReachAll
+		}
+		if t.others[p] {
+			p.reach = relay.ReachCentre
+		}
 		p.mu.Unlock()
 	}
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+// known returns what this node knows of the works of others, for a node of its
+// data centre that it passes updates on to.
+func (m *Mesh) known(p *peer) []relay.Update {
+	if !m.passing.Load() || p.centre != m.Self.DataCentre {
+		return nil
+	}
+	var us []relay.Update
+	for _, o := range m.Members() {
+		if o.Name == "" || o.Name == m.Self.Name || o.Name == p.name {
+			continue
+		}
+		u := relay.Update{From: o, Reset: true}
+		for _, w := range m.Works.Of(o.Name) {
+			u.Began = append(u.Began, relay.WorkNote{Work: w})
+		}
+		us = append(us, u)
 	}
-	return 0
+	return us
 }
 
-// pass passes an update on to the nodes of this data centre. The ages of its
-// works were turned into times by apply.
+// pass passes an update on as far as it asks for. The ages of its works were
+// turned into times by apply.
 func (m *Mesh) pass(u relay.Update) {
-	u.Forward = false
+	if u.Reach == relay.ReachPeer || u.Empty() {
+		return
+	}
 	for _, p := range m.all() {
 		p.mu.Lock()
-		near := p.centre == m.Self.DataCentre
+		near, other, origin := p.centre == m.Self.DataCentre, p.reach == relay.ReachCentre, p.name == u.From.Name
 		p.mu.Unlock()
-		if !near {
+		if origin || !near && (u.Reach != relay.ReachAll || !other) {
 			continue
 		}
 		copied := u
 		copied.Began = slices.Clone(u.Began)
 		copied.Struck = slices.Clone(u.Struck)
-		p.tell(func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
+		copied.Reach = relay.ReachPeer
+		if !near {
+			copied.Reach = relay.ReachCentre
+		}
+		p.queue(func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
 	}
 }
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -82,64 +83,79 @@
 	}
 }
 
-func TestOneNodeOfADataCentrePassesWorksOn(t *testing.T) {
-	ns := start(t, "a1", "a2", "b1", "b2", "b3", "c1")
+func TestHubsPassWorksOn(t *testing.T) {
+	ns := start(t, "a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1")
+	test.Eq(t, 1, len(ns[2].direct()), test.Sprint("a node tells its hub alone"))
 	a1 := ns[0]
-	test.Eq(t, 1, strings.Count(a1.direct(), "a"))
+	test.Eq(t, 3, strings.Count(a1.direct(), "a"), test.Sprint("a hub tells all of its data centre"))
 	test.Eq(t, 1, strings.Count(a1.direct(), "b"))
 	test.Eq(t, 1, strings.Count(a1.direct(), "c"))
-	w := works.Work{ID: 7, Node: "a1", First: "e", Since: time.Now().Add(-time.Second)}
-	a1.Works.Put(w)
-	a1.Began(w)
-	for _, n := range ns[1:] {
-		n.waitFor(7, "a1", true)
-		test.GreaterEq(t, time.Second, time.Since(n.Works.Of("a1")[0].Since), test.Sprint("the age is kept on the way"))
-	}
-	a1.Wrote(7)
-	a1.Works.Done("a1", 7)
-	a1.Done(7)
-	for _, n := range ns[1:] {
-		n.waitFor(7, "a1", false)
+	for i, from := range []*node{ns[0], ns[3], ns[6], ns[7]} {
+		id, name := works.ID(i+1), from.Self.Name
+		w := works.Work{ID: id, Node: name, First: "e", Since: time.Now().Add(-time.Second)}
+		from.Works.Put(w)
+		from.Began(w)
+		for _, n := range ns {
+			n.waitFor(id, name, true)
+			test.GreaterEq(t, time.Second, time.Since(n.Works.Of(name)[0].Since), test.Sprint("the age is kept on the way"))
+		}
+		from.Wrote(id)
+		from.Works.Done(name, id)
+		from.Done(id)
+		for _, n := range ns {
+			n.waitFor(id, name, false)
+		}
 	}
 }
 
-func TestAnotherNodePassesWorksOnIfOneDies(t *testing.T) {
-	ns := start(t, "a1", "b1", "b2", "b3")
-	a1 := ns[0]
-	w := works.Work{ID: 7, Node: "a1", First: "e", Since: time.Now()}
-	a1.Works.Put(w)
-	var left []*node
-	for _, n := range ns[1:] {
-		a1.mu.Lock()
-		p := a1.peers[n.Self.Address]
-		a1.mu.Unlock()
-		p.mu.Lock()
-		hub := p.hub
-		p.mu.Unlock()
-		if hub {
+func TestAnotherNodePassesWorksOnIfAHubDies(t *testing.T) {
+	ns := start(t, "a1", "a2", "a3", "a4", "b1", "b2")
+	a4 := ns[3]
+	w := works.Work{ID: 7, Node: "a4", First: "e", Since: time.Now()}
+	a4.Works.Put(w)
+	left := ns
+	for i, n := range ns[:2] {
+		if a4.hubAmong([]*node{n}) {
 			n.stop()
-			continue
+			left = slices.Delete(slices.Clone(ns), i, i+1)
 		}
-		left = append(left, n)
 	}
-	must.SliceLen(t, 2, left)
-	for strings.Count(a1.direct(), "b") != 1 || !a1.hubAmong(left) {
-		a1.Sweep(time.Now())
+	must.SliceLen(t, len(ns)-1, left)
+	for !a4.hubAmong(left) {
+		for _, n := range left {
+			n.Sweep(time.Now())
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	for _, n := range left {
-		n.waitFor(7, "a1", true)
+		n.waitFor(7, "a4", true)
 	}
 }
 
+func TestNewNodeLearnsOfWorksFromAHub(t *testing.T) {
+	ns := start(t, "a1", "a2", "a3", "a4")
+	w := works.Work{ID: 7, Node: "a4", First: "e", Since: time.Now()}
+	ns[3].Works.Put(w)
+	ns[3].Began(w)
+	ns[0].waitFor(7, "a4", true)
+	late := start(t, "a5")[0]
+	for _, n := range ns {
+		n.Meet(late.Self.Address)
+	}
+	late.waitFor(7, "a4", true)
+}
+
 // hubAmong reports whether one of some nodes passes this node's works on.
 func (n *node) hubAmong(some []*node) bool {
 	for _, o := range some {
 		n.mu.Lock()
 		p := n.peers[o.Self.Address]
 		n.mu.Unlock()
+		if p == nil {
+			continue
+		}
 		p.mu.Lock()
-		hub := p.hub
+		hub := p.reach == relay.ReachAll
 		p.mu.Unlock()
 		if hub {
 			return true
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -5,11 +5,10 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,9 +23,18 @@
 const (
 	// beatEvery is the longest pause between two updates to a peer.
 	beatEvery = time.Second
-	// gather is the time in which changes are put into one update.
-	gather = 4 * time.Millisecond
-	// deadAfter is the silence after which a node counts as dead.
+	// beatFar is the same for a peer that is not watched closely.
+	beatFar = 10 * time.Second
+	// gatherOwn is the time in which changes are put into one update, and
+	// gatherPassed that at a node that passes updates on.
+	gatherOwn    = 4 * time.Millisecond
+	gatherPassed = 20 * time.Millisecond
+	// closeAlive is the silence after which a node that is watched closely is
+	// no reader or hub any more, farAlive that of the others.
+	closeAlive = 1500 * time.Millisecond
+	farAlive   = 25 * time.Second
+	// deadAfter is the silence after which a node counts as dead that is
+	// watched closely, or to which there is no connection.
 	deadAfter = 3 * time.Second
 	// forgetAfter is the silence after which a node is dialled no more.
 	forgetAfter = time.Minute
@@ -44,9 +52,8 @@
 	Self   relay.Member
 	Works  *works.Table
 	Logger zerolog.Logger
-	// HubsFrom is the number of nodes from which a node tells only one node of
-	// each other data centre of its works, which passes them on there. Zero
-	// means never.
+	// HubsFrom is the number of nodes from which a node tells only one other
+	// node of its works, which passes them on. Zero means never.
 	HubsFrom int
 	// State answers what this node knows of the deployment.
 	State func(relay.StateArgs) relay.State
@@ -55,6 +62,9 @@
 	Failed func([]ident.EndpointName)
 	Struck func([]strik.Strike)
 
+	// passing tells that this node passes updates on.
+	passing atomic.Bool
+
 	ctx   context.Context
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -73,8 +83,10 @@
 	// told tells that this node's works go straight to the peer. Otherwise
 	// another node of its data centre passes them on.
 	told bool
-	// hub tells that the peer passes them on in its data centre.
-	hub     bool
+	// reach tells how far the peer passes them on.
+	reach relay.Reach
+	// close tells that the peer is watched closely.
+	close   bool
 	heard   time.Time
 	pending relay.Update
 	client  *rpc.Client
@@ -96,7 +108,7 @@
 	if m.peers[address] != nil {
 		return
 	}
-	p := &peer{mesh: m, address: address, wake: make(chan struct{}, 1), heard: time.Now(), told: true}
+	p := &peer{mesh: m, address: address, wake: make(chan struct{}, 1), heard: time.Now(), told: true, close: true}
 	m.peers[address] = p
 	go p.run(m.ctx)
 }
@@ -165,12 +177,22 @@
 // tell adds to what the peer is told next.
 func (p *peer) tell(add func(*relay.Update)) {
 	p.mu.Lock()
-	tell := p.client != nil && p.told
-	if tell {
+	told := p.told
+	p.mu.Unlock()
+	if told {
+		p.queue(add)
+	}
+}
+
+// queue adds to what the peer is told next, if there is a connection.
+func (p *peer) queue(add func(*relay.Update)) {
+	p.mu.Lock()
+	open := p.client != nil
+	if open {
 		add(&p.pending)
 	}
 	p.mu.Unlock()
-	if !tell {
+	if !open {
 		return
 	}
 	select {
@@ -251,25 +273,54 @@
 			p.mesh.Logger.Debug().Err(err).Str("address", p.address).Msg("share: lost a node")
 			return err
 		}
-		t := time.NewTimer(beatEvery)
+		t := time.NewTimer(p.beat())
 		select {
 		case <-ctx.Done():
 			t.Stop()
 			return ctx.Err()
 		case <-p.wake:
 			t.Stop()
-			time.Sleep(gather)
+			time.Sleep(p.mesh.gather())
 		case <-t.C:
 		}
 	}
 }
 
+// beat is the longest pause between two updates.
+func (p *peer) beat() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.close {
+		return beatEvery
+	}
+	return beatFar
+}
+
+// aliveFor is the silence after which the peer is no reader or hub any more.
+func (p *peer) aliveFor() time.Duration {
+	if p.close {
+		return closeAlive
+	}
+	return farAlive
+}
+
+// gather is the time in which changes are put into one update. What is passed
+// on for many nodes is put together for longer.
+func (m *Mesh) gather() time.Duration {
+	if m.passing.Load() {
+		return gatherPassed
+	}
+	return gatherOwn
+}
+
 // begin queues all works of this node for the peer.
 func (p *peer) begin(client *rpc.Client) {
+	known := p.mesh.known(p)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.client = client
 	p.pending = p.mesh.whole(p.told)
+	p.pending.Forwarded = known
 }
 
 // whole is an update with all works of this node, if they are to be told.
@@ -296,10 +347,9 @@
 	p.mu.Lock()
 	u := p.pending
 	p.pending = relay.Update{}
-	hub := p.hub
+	u.Reach = p.reach
 	p.mu.Unlock()
 	u.From = p.mesh.Self
-	u.Forward = hub
 	now := time.Now()
 	age(&u, now)
 	for i := range u.Forwarded {
@@ -349,7 +399,8 @@
 	m.chooseHubs(now)
 	for _, p := range m.all() {
 		p.mu.Lock()
-		dead := p.name != "" && now.Sub(p.heard) > deadAfter
+		silent := now.Sub(p.heard)
+		dead := p.name != "" && (silent > farAlive || silent > deadAfter && (p.close || p.client == nil))
 		name := p.name
 		p.mu.Unlock()
 		if dead {
@@ -361,26 +412,15 @@
 // Readers returns the addresses of the nodes that read the platform's store for
 // the others: the first ones alive, in an order that all nodes share.
 func (m *Mesh) Readers(n int, now time.Time) []string {
-	names := map[string]string{string(m.Self.Name): m.Self.Address}
-	for _, p := range m.all() {
-		p.mu.Lock()
-		if p.name != "" && p.client != nil && now.Sub(p.heard) < readerAlive {
-			names[string(p.name)] = p.address
-		}
-		p.mu.Unlock()
-	}
 	var as []string
-	for _, k := range slices.Sorted(maps.Keys(names)) {
-		if len(as) < n {
-			as = append(as, names[k])
+	for _, k := range m.connected(now) {
+		if k.alive && len(as) < n {
+			as = append(as, k.address)
 		}
 	}
 	return as
 }
 
-// readerAlive is the silence after which a node is no reader any more.
-const readerAlive = 1500 * time.Millisecond
-
 // Ask asks a peer for what it knows.
 func (m *Mesh) Ask(address string, a relay.StateArgs) (relay.State, error) {
 	m.mu.Lock()
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -25,11 +25,10 @@
 	forwarded := u.Forwarded
 	u.Forwarded = nil
 	m.apply(&u)
+	m.pass(u)
 	for i := range forwarded {
 		m.apply(&forwarded[i])
-	}
-	if u.Forward && !u.Empty() {
-		m.pass(u)
+		m.pass(forwarded[i])
 	}
 	return nil
 }
