share: strong nodes pass updates on; starts of works go out at once

In a deployment with hubs, what tells that a prompt is read or a work has ended waits up to 40 ms for a start; hubs and readers are the nodes with the most cores.

--- a/cmd/laburnumlab/experiment_passes.go
+++ b/cmd/laburnumlab/experiment_passes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"text/tabwriter"
@@ -16,9 +17,12 @@
 type ExperimentPasses struct {
 	Seed    uint64  `long:"seed" default:"1" description:"first seed"`
 	Seeds   int     `long:"seeds" default:"5" description:"number of seeds"`
-	Engines int     `long:"engines" default:"23" description:"number of engines"`
-	Nodes   int     `long:"nodes" default:"7" description:"number of nodes"`
+	Large   bool    `long:"large" description:"play the deployment that has grown"`
+	Engines int     `long:"engines" description:"number of engines; by default the deployment's"`
+	Nodes   int     `long:"nodes" description:"number of nodes; by default the deployment's"`
 	Load    float64 `long:"load" default:"1" description:"factor on all rates"`
+	// Delay is when a node knows what another did.
+	Delay time.Duration `long:"delay" default:"8ms" description:"time after which a node knows what another did"`
 }
 
 func init() {
@@ -27,8 +31,8 @@
 
 // Execute plays each policy over all seeds.
 func (c *ExperimentPasses) Execute(_ []string) error {
-	if c.Seeds < 1 || c.Engines < 2 || c.Nodes < 1 || c.Load <= 0 {
-		return &cmds.Exit{Code: cmds.ExitUsage, Text: "--seeds and --nodes must be at least 1, --engines at least 2, --load above 0"}
+	if c.Seeds < 1 || c.Engines < 0 || c.Engines == 1 || c.Nodes < 0 || c.Load <= 0 {
+		return &cmds.Exit{Code: cmds.ExitUsage, Text: "--seeds must be at least 1, --engines at least 2, --load above 0"}
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tkind\tasked\tcredit\tin time\tlate first\tlate pause\trefused\tfailed\tmean first\tmean error")
@@ -41,7 +45,11 @@
 	var sum []passes.Result
 	for i := range c.Seeds {
 		day := passes.UserDay(c.Seed + uint64(i))
-		day.Choose, day.Engines, day.Nodes = choose, c.Engines, c.Nodes
+		if c.Large {
+			day = passes.LargeDay(c.Seed + uint64(i))
+		}
+		day.Choose, day.Delay = choose, c.Delay
+		day.Engines, day.Nodes = cmp.Or(c.Engines, day.Engines), cmp.Or(c.Nodes, day.Nodes)
 		for k := range day.Kinds {
 			day.Kinds[k].Rate *= c.Load
 		}
--- a/internal/coord/place/lane.go
+++ b/internal/coord/place/lane.go
@@ -1,13 +1,17 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
+)
 
 const (
 	// patientGap is the accepted pause from which a caller bears that large
 	// parts are read beside its answer.
 	patientGap = 800 * time.Millisecond
-	// laneRequests is the number of requests at each engine of the lane.
-	laneRequests = 13
+	// lanePercent of the slots of an engine of the lane are to be taken.
+	lanePercent = 82
 	// laneSpare is the number of engines in the lane beyond need.
 	laneSpare = 1
 	// lanePart is the longest time for which an engine of the lane reads for a
@@ -18,6 +22,10 @@
 	patientShare = 7
 )
 
+// packed is the number of requests at an engine beyond which another engine is
+// opened for writing.
+func packed(e *topol.Engine) int { return max(1, e.Slots*lanePercent/100) }
+
 // patient reports whether the caller bears long pauses between events.
 func (r Request) patient() bool { return r.Gap >= patientGap }
 
@@ -32,7 +40,8 @@
 			n++
 		}
 	}
-	size := (n+laneRequests-1)/laneRequests + laneSpare
+	each := packed(s.Engine)
+	size := (n+each-1)/each + laneSpare
 	most := len(vs) - (len(vs)+patientShare-1)/patientShare
 	for _, v := range vs {
 		v.short = v.rank < min(size, most)
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -11,20 +11,18 @@
 const (
 	// memoryPercent of an engine's memory is given to prompts and answers.
 	memoryPercent = 94
-	// packedRequests is the number of requests at an engine beyond which
-	// another engine is opened for writing.
-	packedRequests = 13
-	// packedCost is the cost of each request beyond it.
+	// packedCost is the cost of each request at an engine that is packed.
 	packedCost = 0.04
 	// openCost is the cost of writing on an engine without requests.
 	openCost = 0.04
 	// outOfLaneCost is the cost of writing a short prompt outside of its lane.
 	outOfLaneCost = 0.3
-	// rankCost is the cost of each engine in front of one, so that short
-	// prompts fill the engines from the front and long ones from the back.
-	rankCost = 0.001
+	// rankCost is the cost of the last engine in the order against the first,
+	// so that short prompts fill the engines from the front and long ones from
+	// the back.
+	rankCost = 0.023
 	// spreadCost is the most that chance adds to the cost of a plan.
-	spreadCost = 0.1
+	spreadCost = 0.2
 	// helperTokens is the least part that is worth another helper.
 	helperTokens = 1000
 	// maxHelpers is the most that an engine takes.
@@ -139,9 +137,9 @@
 // firstCost is what speaks against writing on an engine beside the time to
 // read there.
 func firstCost(vs []*view, v *view, r Request) float64 {
-	cost := float64(v.rank) * rankCost
+	cost := rankCost * float64(v.rank) / float64(len(vs))
 	if r.patient() {
-		cost = float64(len(vs)-v.rank) * rankCost
+		cost = rankCost - cost
 	}
 	if v.requests == 0 {
 		cost += openCost
@@ -149,7 +147,7 @@
 	if !v.short && !r.patient() {
 		cost += outOfLaneCost
 	}
-	cost += float64(max(0, v.requests-packedRequests)) * packedCost
+	cost += float64(max(0, v.requests-packed(v.spec))) * packedCost
 	// The caller's own pauses are at risk where much is read.
 	risk := pauseRisk(v.backlog+v.writing(), r.Gap)
 	if v.avoid {
--- a/internal/lab/passes/users.go
+++ b/internal/lab/passes/users.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// LargeDay is such a day on a deployment of the users that has grown: more and
+// smaller engines, longer prompts, many nodes.
+func LargeDay(seed uint64) Config {
+	day := UserDay(seed)
+	day.Engine.Slots, day.Engine.Memory, day.Engine.Stride = 12, 267_750, 57
+	day.Engines, day.Nodes = 78, 86
+	k := day.Kinds
+	k[0].Rate, k[0].Events, k[0].MaxEvents = 126, 31.7, 79
+	k[1].Rate, k[1].Events, k[1].MaxEvents, k[1].Worth, k[1].Late = 7.97, 19, 48, 3.5, 0.88
+	k[2].Name, k[2].Rate, k[2].Tokens, k[2].Events, k[2].MaxEvents = "220k", 3.41, 220_000, 15.9, 40
+	k[2].Target, k[2].Worth, k[2].Late = 4*time.Second, 29, 7.4
+	return day
+}
+
 // Alone is a baseline: each prompt goes to the engine with the fewest requests,
 // and no engine helps another.
 func Alone(s place.Scene, r place.Request) (place.Choice, error) {
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -100,7 +100,7 @@
 	n.works = &works.Table{}
 	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger}
 	n.mesh = &share.Mesh{
-		Self: relay.Member{Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre}, Works: n.works, Logger: n.Logger,
+		Self: relay.Member{Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre, Cores: s.Cores}, Works: n.works, Logger: n.Logger,
 		HubsFrom: share.DefaultHubsFrom,
 	}
 	n.mesh.Init(ctx)
--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -22,7 +22,9 @@
 	// Seeds are addresses at which other nodes may listen for peers.
 	Seeds []string
 	// Grace is the time between the order to stop and the end.
-	Grace    time.Duration
+	Grace time.Duration
+	// Cores is the part of a processor that the node has; zero if unknown.
+	Cores    float64
 	MemoryMB int
 	// Strict refuses keys while the configuration is older than Revoke.
 	Strict bool
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -14,6 +14,8 @@
 	Name       ident.NodeName
 	Address    string
 	DataCentre ident.DataCentre
+	// Cores is the part of a processor that the node has.
+	Cores float64
 }
 
 // WorkNote tells of a work that was sent to an endpoint. Its age stands in
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -27,25 +27,25 @@
 
 // contact is a node as the choice of hubs sees it. Peer is nil for this node.
 type contact struct {
-	name    ident.NodeName
-	address string
-	centre  ident.DataCentre
-	alive   bool
-	peer    *peer
+	relay.Member
+	alive bool
+	peer  *peer
 }
 
-// connected returns this node and the peers that it is connected to, in the
-// order of their names.
+// connected returns this node and the peers that it is connected to, the
+// strongest first, and in the order of their names among equals.
 func (m *Mesh) connected(now time.Time) []contact {
-	ns := []contact{{m.Self.Name, m.Self.Address, m.Self.DataCentre, true, nil}}
+	ns := []contact{{m.Self, true, nil}}
 	for _, p := range m.all() {
 		p.mu.Lock()
-		if p.name != "" && p.client != nil {
-			ns = append(ns, contact{p.name, p.address, p.centre, now.Sub(p.heard) < p.aliveFor(), p})
+		if p.Name != "" && p.client != nil {
+			ns = append(ns, contact{p.Member, now.Sub(p.heard) < p.aliveFor(), p})
 		}
 		p.mu.Unlock()
 	}
-	slices.SortFunc(ns, func(a, b contact) int { return cmp.Compare(a.name, b.name) })
+	slices.SortFunc(ns, func(a, b contact) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
+	})
 	return ns
 }
 
@@ -73,7 +73,7 @@
 	watch(ns)
 	centres := map[ident.DataCentre][]contact{}
 	for _, n := range ns {
-		centres[n.centre] = append(centres[n.centre], n)
+		centres[n.DataCentre] = append(centres[n.DataCentre], n)
 	}
 	own := centres[m.Self.DataCentre]
 	watch(own)
@@ -117,14 +117,15 @@
 		t = m.plan(m.connected(now))
 	}
 	m.passing.Store(hubs && t.hub == nil)
+	m.lazy.Store(hubs)
 	for _, p := range m.all() {
 		p.mu.Lock()
-		near := p.centre == "" || p.centre == m.Self.DataCentre
+		near := p.DataCentre == "" || p.DataCentre == m.Self.DataCentre
 		told := !hubs || p == t.hub || t.hub == nil && (near || t.others[p])
 		if told && !p.told && p.client != nil {
 			p.pending = m.whole(true)
 		}
-		p.told, p.close, p.reach = told, !hubs || t.close[p] || p.name == "", relay.ReachPeer
+		p.told, p.close, p.reach = told, !hubs || t.close[p] || p.Name == "", relay.ReachPeer
 		if hubs && p == t.hub {
 			p.reach = relay.ReachAll
 		}
@@ -138,12 +139,12 @@
 // known returns what this node knows of the works of others, for a node of its
 // data centre that it passes updates on to.
 func (m *Mesh) known(p *peer) []relay.Update {
-	if !m.passing.Load() || p.centre != m.Self.DataCentre {
+	if !m.passing.Load() || p.DataCentre != m.Self.DataCentre {
 		return nil
 	}
 	var us []relay.Update
 	for _, o := range m.Members() {
-		if o.Name == "" || o.Name == m.Self.Name || o.Name == p.name {
+		if o.Name == "" || o.Name == m.Self.Name || o.Name == p.Name {
 			continue
 		}
 		u := relay.Update{From: o, Reset: true}
@@ -163,7 +164,7 @@
 	}
 	for _, p := range m.all() {
 		p.mu.Lock()
-		near, other, origin := p.centre == m.Self.DataCentre, p.reach == relay.ReachCentre, p.name == u.From.Name
+		near, other, origin := p.DataCentre == m.Self.DataCentre, p.reach == relay.ReachCentre, p.Name == u.From.Name
 		p.mu.Unlock()
 		if origin || !near && (u.Reach != relay.ReachAll || !other) {
 			continue
@@ -175,6 +176,6 @@
 		if !near {
 			copied.Reach = relay.ReachCentre
 		}
-		p.queue(func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
+		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
 	}
 }
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -63,7 +63,7 @@
 	for _, p := range n.all() {
 		p.mu.Lock()
 		if p.told {
-			as = append(as, string(p.centre))
+			as = append(as, string(p.DataCentre))
 		}
 		p.mu.Unlock()
 	}
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -25,10 +25,10 @@
 	beatEvery = time.Second
 	// beatFar is the same for a peer that is not watched closely.
 	beatFar = 10 * time.Second
-	// gatherOwn is the time in which changes are put into one update, and
-	// gatherPassed that at a node that passes updates on.
-	gatherOwn    = 4 * time.Millisecond
-	gatherPassed = 20 * time.Millisecond
+	// gather is the time in which changes are put into one update.
+	gather = 4 * time.Millisecond
+	// lazyAfter is how long what is not urgent waits for something that is.
+	lazyAfter = 40 * time.Millisecond
 	// closeAlive is the silence after which a node that is watched closely is
 	// no reader or hub any more, farAlive that of the others.
 	closeAlive = 1500 * time.Millisecond
@@ -62,8 +62,8 @@
 	Failed func([]ident.EndpointName)
 	Struck func([]strik.Strike)
 
-	// passing tells that this node passes updates on.
-	passing atomic.Bool
+	// passing tells that this node passes updates on, lazy that some nodes do.
+	passing, lazy atomic.Bool
 
 	ctx   context.Context
 	mu    sync.Mutex
@@ -73,13 +73,12 @@
 // peer is another node.
 type peer struct {
 	mesh *Mesh
-	// address is where the node listens; name is known once it was heard.
+	// address is where the node listens; the rest is known once it was heard.
 	address string
 	wake    chan struct{}
 
-	mu     sync.Mutex
-	name   ident.NodeName
-	centre ident.DataCentre
+	mu sync.Mutex
+	relay.Member
 	// told tells that this node's works go straight to the peer. Otherwise
 	// another node of its data centre passes them on.
 	told bool
@@ -89,7 +88,9 @@
 	close   bool
 	heard   time.Time
 	pending relay.Update
-	client  *rpc.Client
+	// waits tells that something pending is sent before long.
+	waits  bool
+	client *rpc.Client
 }
 
 // Init prepares the mesh. It is called once before any other method.
@@ -108,7 +109,7 @@
 	if m.peers[address] != nil {
 		return
 	}
-	p := &peer{mesh: m, address: address, wake: make(chan struct{}, 1), heard: time.Now(), told: true, close: true}
+	p := &peer{mesh: m, address: address, Member: relay.Member{Address: address}, wake: make(chan struct{}, 1), heard: time.Now(), told: true, close: true}
 	m.peers[address] = p
 	go p.run(m.ctx)
 }
@@ -135,7 +136,7 @@
 	ms := []relay.Member{m.Self}
 	for _, p := range m.all() {
 		p.mu.Lock()
-		ms = append(ms, relay.Member{Name: p.name, Address: p.address})
+		ms = append(ms, p.Member)
 		p.mu.Unlock()
 	}
 	return ms
@@ -143,58 +144,64 @@
 
 // Began tells the peers of a work.
 func (m *Mesh) Began(w works.Work) {
-	m.tell(func(u *relay.Update) {
+	m.tell(true, func(u *relay.Update) {
 		u.Began = append(u.Began, relay.WorkNote{Work: w})
 	})
 }
 
 // Wrote tells the peers that a prompt is read.
 func (m *Mesh) Wrote(id works.ID) {
-	m.tell(func(u *relay.Update) { u.Wrote = append(u.Wrote, id) })
+	m.tell(false, func(u *relay.Update) { u.Wrote = append(u.Wrote, id) })
 }
 
 // Done tells the peers that a work has ended.
 func (m *Mesh) Done(id works.ID) {
-	m.tell(func(u *relay.Update) { u.Done = append(u.Done, id) })
+	m.tell(false, func(u *relay.Update) { u.Done = append(u.Done, id) })
 }
 
 // Report tells the peers of an endpoint that can't be reached.
 func (m *Mesh) Report(n ident.EndpointName) {
-	m.tell(func(u *relay.Update) { u.Failed = append(u.Failed, n) })
+	m.tell(true, func(u *relay.Update) { u.Failed = append(u.Failed, n) })
 }
 
 // Strike tells the peers of a strike.
 func (m *Mesh) Strike(s strik.Strike) {
-	m.tell(func(u *relay.Update) { u.Struck = append(u.Struck, relay.StrikeNote{Strike: s}) })
+	m.tell(true, func(u *relay.Update) { u.Struck = append(u.Struck, relay.StrikeNote{Strike: s}) })
 }
 
-func (m *Mesh) tell(add func(*relay.Update)) {
+func (m *Mesh) tell(urgent bool, add func(*relay.Update)) {
 	for _, p := range m.all() {
-		p.tell(add)
-	}
-}
-
-// tell adds to what the peer is told next.
-func (p *peer) tell(add func(*relay.Update)) {
-	p.mu.Lock()
-	told := p.told
-	p.mu.Unlock()
-	if told {
-		p.queue(add)
+		p.mu.Lock()
+		told := p.told
+		p.mu.Unlock()
+		if told {
+			p.queue(urgent, add)
+		}
 	}
 }
 
-// queue adds to what the peer is told next, if there is a connection.
-func (p *peer) queue(add func(*relay.Update)) {
+// queue adds to what the peer is told next, if there is a connection. What is
+// not urgent waits for a while where few nodes pass on what many tell.
+func (p *peer) queue(urgent bool, add func(*relay.Update)) {
+	lazy := !urgent && p.mesh.lazy.Load()
 	p.mu.Lock()
 	open := p.client != nil
 	if open {
 		add(&p.pending)
 	}
+	waits := p.waits
+	p.waits = waits || lazy
 	p.mu.Unlock()
-	if !open {
-		return
+	switch {
+	case !open || lazy && waits:
+	case lazy:
+		time.AfterFunc(lazyAfter, p.rouse)
+	default:
+		p.rouse()
 	}
+}
+
+func (p *peer) rouse() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -211,9 +218,8 @@
 		return
 	}
 	p.mu.Lock()
-	fresh := p.name == ""
-	p.name = from.Name
-	p.centre = from.DataCentre
+	fresh := p.Name == ""
+	p.Member = from
 	p.heard = time.Now()
 	p.mu.Unlock()
 	if fresh {
@@ -245,7 +251,7 @@
 	m.mu.Lock()
 	delete(m.peers, p.address)
 	m.mu.Unlock()
-	m.Logger.Info().Str("peer", string(p.name)).Str("address", p.address).Err(err).Msg("share: node is forgotten")
+	m.Logger.Info().Str("peer", string(p.Name)).Str("address", p.address).Err(err).Msg("share: node is forgotten")
 }
 
 func pauseFor(ctx context.Context, d time.Duration) {
@@ -280,7 +286,7 @@
 			return ctx.Err()
 		case <-p.wake:
 			t.Stop()
-			time.Sleep(p.mesh.gather())
+			time.Sleep(gather)
 		case <-t.C:
 		}
 	}
@@ -304,15 +310,6 @@
 	return farAlive
 }
 
-// gather is the time in which changes are put into one update. What is passed
-// on for many nodes is put together for longer.
-func (m *Mesh) gather() time.Duration {
-	if m.passing.Load() {
-		return gatherPassed
-	}
-	return gatherOwn
-}
-
 // begin queues all works of this node for the peer.
 func (p *peer) begin(client *rpc.Client) {
 	known := p.mesh.known(p)
@@ -347,6 +344,7 @@
 	p.mu.Lock()
 	u := p.pending
 	p.pending = relay.Update{}
+	p.waits = false
 	u.Reach = p.reach
 	p.mu.Unlock()
 	u.From = p.mesh.Self
@@ -400,8 +398,8 @@
 	for _, p := range m.all() {
 		p.mu.Lock()
 		silent := now.Sub(p.heard)
-		dead := p.name != "" && (silent > farAlive || silent > deadAfter && (p.close || p.client == nil))
-		name := p.name
+		dead := p.Name != "" && (silent > farAlive || silent > deadAfter && (p.close || p.client == nil))
+		name := p.Name
 		p.mu.Unlock()
 		if dead {
 			m.Works.Drop(name)
@@ -415,7 +413,7 @@
 	var as []string
 	for _, k := range m.connected(now) {
 		if k.alive && len(as) < n {
-			as = append(as, k.address)
+			as = append(as, k.Address)
 		}
 	}
 	return as
