--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -36,6 +36,9 @@
 	value float64
 	// context is what the writers have in memory, used all that is or will be.
 	context, used ident.Tokens
+	// cost is what speaks against the engine as a helper of the request that is
+	// placed.
+	cost float64
 	// backlog is the time until all that is to be read is read. Busy is the
 	// same, below zero if the engine has read all for some time.
 	backlog, busy time.Duration
--- a/internal/coord/place/held.go
+++ b/internal/coord/place/held.go
@@ -14,7 +14,7 @@
 // bestHeld places a prompt whose memory is spread over several engines. The
 // first one keeps a piece, the others reserve theirs before the request is
 // sent.
-func bestHeld(vs []*view, r Request) (plan, bool) {
+func bestHeld(vs []*view, s Scene, r Request) (plan, bool) {
 	most := vs[0].spec.Memory / pieceParts
 	n := int((r.Prompt + most - 1) / most)
 	if n < 2 || n > maxHelpers+1 {
@@ -25,9 +25,11 @@
 	roomy := slices.DeleteFunc(slices.Clone(vs), func(v *view) bool {
 		return v.avoid || v.suspect || v.short || r.Full.Has(v.endpoint.Name) || !v.fits(piece+r.Output) || v.helping >= v.spec.Slots
 	})
-	slices.SortStableFunc(roomy, func(a, b *view) int {
-		return cmp.Compare(partCost(a, p, r), partCost(b, p, r))
-	})
+	spread := value(r.Prompt) * lateRisk(helperSpread, r)
+	for _, v := range roomy {
+		v.cost = partCost(v, p, r) + spread*s.Random()
+	}
+	slices.SortFunc(roomy, func(a, b *view) int { return cmp.Compare(a.cost, b.cost) })
 	i := slices.IndexFunc(roomy, func(v *view) bool { return v.requests < v.spec.Slots })
 	if i < 0 || len(roomy) < n {
 		return plan{}, false
@@ -38,14 +40,14 @@
 	for range n - 1 {
 		best.held = append(best.held, piece)
 	}
-	return withLenders(best, vs, r), true
+	return withLenders(best, vs, s, r), true
 }
 
 // withLenders adds the engines that only lend their processor, as many as
 // bring the first event soonest.
-func withLenders(held plan, vs []*view, r Request) plan {
+func withLenders(held plan, vs []*view, s Scene, r Request) plan {
 	others := slices.DeleteFunc(slices.Clone(vs), func(v *view) bool { return slices.Contains(held.helpers, v) })
-	lenders := helpers(others, held.first, split(r.Prompt, maxHelpers+1), r)
+	lenders := except(held.first, helpers(others, s, r), maxHelpers)
 	best := held
 	for n := 0; n <= min(len(lenders), maxHelpers-len(held.helpers)); n++ {
 		p := held
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -23,6 +23,8 @@
 	rankCost = 0.023
 	// spreadCost is the most that chance adds to the cost of a plan.
 	spreadCost = 0.2
+	// helperSpread is the time by which chance may make a helper look worse.
+	helperSpread = 15 * time.Millisecond
 	// helperTokens is the least part that is worth another helper.
 	helperTokens = 1000
 	// maxHelpers is the most that an engine takes.
@@ -46,7 +48,7 @@
 	}
 	best, ok := bestAlone(vs, s, r)
 	if !ok {
-		best, ok = bestHeld(vs, r)
+		best, ok = bestHeld(vs, s, r)
 	}
 	if !ok && r.Prompt > s.Engine.Memory*ident.Tokens(len(vs))/2 {
 		return Choice{}, ErrTooLarge
@@ -68,6 +70,7 @@
 func bestAlone(vs []*view, s Scene, r Request) (plan, bool) {
 	var best plan
 	found := false
+	hs := helpers(vs, s, r)
 	for _, first := range vs {
 		if first.requests >= first.spec.Slots || !first.fits(r.Prompt+r.Output) {
 			continue
@@ -75,7 +78,7 @@
 		if r.patient() && first.short {
 			continue
 		}
-		p := planFor(vs, first, r)
+		p := planFor(vs, hs, first, r)
 		// Nodes that decide at the same moment don't know of each other yet.
 		p.cost += spreadCost * s.Random()
 		if !found || p.cost < best.cost {
@@ -107,18 +110,14 @@
 }
 
 // planFor finds the number of helpers that is best with a given engine as the
-// first.
-func planFor(vs []*view, first *view, r Request) plan {
+// first. The helpers are in the order in which they are taken.
+func planFor(vs, hs []*view, first *view, r Request) plan {
 	base := firstCost(vs, first, r)
 	whole := split(r.Prompt, 1)
 	best := plan{first: first, end: first.finish(whole), harm: first.stall(whole)}
 	best.cost = base + value(r.Prompt)*lateRisk(best.end, r) + best.harm
-	most := min(maxHelpers, int(r.Prompt/helperTokens)-1)
-	if most < 1 {
-		return best
-	}
-	hs := helpers(vs, first, split(r.Prompt, most+1), r)
-	for n := 1; n <= min(most, len(hs)); n++ {
+	hs = except(first, hs, mostHelpers(r))
+	for n := 1; n <= len(hs); n++ {
 		p := split(r.Prompt, n+1)
 		end := first.finish(p)
 		harm := first.stall(p)
@@ -156,21 +155,47 @@
 	return cost + value(r.Prompt)*risk
 }
 
-// helpers returns the engines that may help, the best first.
-func helpers(vs []*view, first *view, p part, r Request) []*view {
+// mostHelpers is the most engines that may help to read a prompt.
+func mostHelpers(r Request) int {
+	return max(0, min(maxHelpers, int(r.Prompt/helperTokens)-1))
+}
+
+// except returns the first engines of a list that are not a given one.
+func except(first *view, hs []*view, most int) []*view {
+	left := make([]*view, 0, most)
+	for _, h := range hs {
+		if len(left) == most {
+			break
+		}
+		if h != first {
+			left = append(left, h)
+		}
+	}
+	return left
+}
+
+// helpers returns the engines that may help, the best first. Chance orders
+// those that are nearly as good, since nodes that decide at the same moment
+// don't know of each other yet.
+func helpers(vs []*view, s Scene, r Request) []*view {
+	most := mostHelpers(r)
+	if most == 0 {
+		return nil
+	}
+	p := split(r.Prompt, most+1)
+	spread := value(r.Prompt) * lateRisk(helperSpread, r)
 	hs := make([]*view, 0, len(vs))
-	cost := make(map[*view]float64, len(vs))
 	for _, v := range vs {
-		if v == first || v.avoid || v.suspect || v.helping >= v.spec.Slots {
+		if v.avoid || v.suspect || v.helping >= v.spec.Slots {
 			continue
 		}
 		if v.short && r.patient() && v.read(p) > lanePart {
 			continue
 		}
+		v.cost = partCost(v, p, r) + spread*s.Random()
 		hs = append(hs, v)
-		cost[v] = partCost(v, p, r)
 	}
-	slices.SortStableFunc(hs, func(a, b *view) int { return cmp.Compare(cost[a], cost[b]) })
+	slices.SortFunc(hs, func(a, b *view) int { return cmp.Compare(a.cost, b.cost) })
 	return hs
 }
 
