place: a part for another engine is read before those that wait

Cause of the long prompts that stalled for seconds on the grown site: an engine without writers reads the newest part for another engine first (logs of all sends: of parts at one engine, later ones were read in 0.1 s while earlier ones waited for 5 s until the burst was over). The placement took the order of arrival, so it took starved parts for read and sent new ones to the same engines. It now counts what is left in that order, and what the prompts lose whose parts a new one delays, weighed by how many parts of one prompt a new prompt delays at once. The lab's engine reads in the same order.

--- a/internal/coord/place/cost.go
+++ b/internal/coord/place/cost.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -27,6 +28,8 @@
 	// secondCost is the cost of each second of waiting, as a share of the
 	// value, beside the risk to be late.
 	secondCost = 0.1
+	// leastTarget is the shortest time to the first event that counts.
+	leastTarget = 200 * time.Millisecond
 )
 
 // value weighs a prompt by its size.
@@ -61,6 +64,22 @@
 		secondCost*pause.Seconds()
 }
 
+// delayRisk is the value that a prompt loses by each second for which it is
+// read later.
+func delayRisk(w works.Work) float64 {
+	return value(w.Prompt) * (secondCost + lateShare/max(leastTarget, w.Target).Seconds())
+}
+
+// lendHarm is the value that others lose if an engine reads a part for another
+// one.
+func (v *view) lendHarm(p part) float64 {
+	if v.writers > 0 {
+		// A pass reads all that is there.
+		return v.stall(p)
+	}
+	return v.reads.delay(v.read(p))
+}
+
 // stall is the value that the writers of an engine lose by a new part.
 func (v *view) stall(p part) float64 {
 	if v.requests == 0 {
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -39,15 +39,12 @@
 	// cost is what speaks against the engine as a helper of the request that is
 	// placed.
 	cost float64
-	// backlog is the time until all that is to be read is read. Busy is the
-	// same, below zero if the engine has read all for some time.
-	backlog, busy time.Duration
+	// reads is what the engine has still to read.
+	reads reads
+	// backlog is the time until all of that is read.
+	backlog time.Duration
 }
 
-// idle is the time for which an engine without anything to read counts as
-// idle.
-const idle = time.Hour
-
 // part is what one engine reads of a prompt.
 type part struct {
 	tokens ident.Tokens
@@ -80,7 +77,9 @@
 		time.Duration(p.pairs*float64(v.spec.Pairs)) + time.Duration(steps)*v.spec.Step/2
 }
 
-// finish is the time until a new part is read.
+// finish is the time until a new part is read, if it waits for all that are
+// there. A part for another engine goes before them where nobody writes, but
+// others that come later go before it.
 func (v *view) finish(p part) time.Duration {
 	return v.backlog + v.writing()/2 + v.read(p)
 }
@@ -96,7 +95,7 @@
 	vs := make([]*view, 0, len(s.Endpoints))
 	byName := make(map[ident.EndpointName]*view, len(s.Endpoints))
 	for _, e := range s.Endpoints {
-		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name), suspect: s.Suspect(e.Name), busy: -idle}
+		v := &view{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name), suspect: s.Suspect(e.Name)}
 		byName[e.Name] = v
 		if !e.Leaving {
 			vs = append(vs, v)
@@ -120,6 +119,11 @@
 			addReading(byName, w, s.Now)
 		}
 	}
+	weight := delayWeight(len(vs))
+	for _, v := range vs {
+		v.backlog = v.reads.settle()
+		v.reads.weight = weight
+	}
 	return vs
 }
 
@@ -139,29 +143,24 @@
 	}
 }
 
-// addReading queues the parts of a prompt behind what is queued before.
+// addReading adds the parts of a prompt to what its engines have to read.
 func addReading(byName map[ident.EndpointName]*view, w works.Work, now time.Time) {
 	p := split(w.Prompt, len(w.Helpers)+1)
-	age := now.Sub(w.Since)
+	at := -now.Sub(w.Since)
+	risk := delayRisk(w)
 	if v := byName[w.First]; v != nil {
-		v.queue(p, age, len(w.Helpers) == 0)
+		t := v.read(p)
+		u := unread{left: t, risk: risk}
+		if len(w.Helpers) == 0 {
+			// No other engine can be the one that the prompt waits for.
+			u.least = t / 4
+		}
+		v.reads.own(u, at)
 	}
 	for _, h := range w.Helpers {
 		if v := byName[h]; v != nil {
 			v.helping++
-			v.queue(p, age, false)
+			v.reads.lend(unread{left: v.read(p), risk: risk}, at)
 		}
 	}
 }
-
-// queue adds a part that was sent some time ago. Alone tells that no other
-// engine can be the one that the prompt waits for.
-func (v *view) queue(p part, age time.Duration, alone bool) {
-	t := v.read(p)
-	end := max(v.busy, -age) + t
-	if alone {
-		end = max(end, t/4)
-	}
-	v.busy = max(v.busy, end)
-	v.backlog = max(0, v.busy)
-}
--- a/internal/coord/place/held.go
+++ b/internal/coord/place/held.go
@@ -57,7 +57,7 @@
 		p.harm = p.first.stall(share)
 		for _, h := range p.helpers {
 			p.end = max(p.end, h.finish(share))
-			p.harm += h.stall(share)
+			p.harm += h.lendHarm(share)
 		}
 		p.cost = p.harm + value(r.Prompt)*lateRisk(p.end, r) + float64(n)*helperCost
 		if n == 0 || p.cost < best.cost {
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -123,7 +123,7 @@
 		harm := first.stall(p)
 		for _, h := range hs[:n] {
 			end = max(end, h.finish(p))
-			harm += h.stall(p)
+			harm += h.lendHarm(p)
 		}
 		cost := base + harm + value(r.Prompt)*lateRisk(end, r) + float64(n)*helperCost
 		if cost < best.cost {
@@ -201,5 +201,5 @@
 
 // partCost is the value that is lost if an engine reads a part.
 func partCost(v *view, p part, r Request) float64 {
-	return value(r.Prompt)*lateRisk(v.finish(p), r) + v.stall(p)
+	return value(r.Prompt)*lateRisk(v.finish(p), r) + v.lendHarm(p)
 }
--- a/internal/lab/passes/engine.go
+++ b/internal/lab/passes/engine.go
@@ -47,8 +47,15 @@
 	reading time.Duration
 }
 
-// queue adds a part.
-func (e *engine) queue(p *part) { e.parts = append(e.parts, p) }
+// queue adds a part. One that is read for another engine goes before all
+// others, also before those that came earlier.
+func (e *engine) queue(p *part) {
+	if p.own {
+		e.parts = append(e.parts, p)
+		return
+	}
+	e.parts = slices.Insert(e.parts, 0, p)
+}
 
 // admit gives a run a slot, or lets it wait for one.
 func (e *engine) admit(r *run, p *part) {
@@ -92,17 +99,8 @@
 	return time.Duration(steps)*step + e.read(float64(steps)*float64(e.spec.Chunk))
 }
 
-// read reads up to a number of tokens, the parts of others first.
+// read reads up to a number of tokens.
 func (e *engine) read(room float64) time.Duration {
-	slices.SortStableFunc(e.parts, func(a, b *part) int {
-		switch {
-		case a.own == b.own:
-			return 0
-		case b.own:
-			return -1
-		}
-		return 1
-	})
 	var t time.Duration
 	for room > 0 && len(e.parts) > 0 {
 		p := e.parts[0]
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -262,7 +262,7 @@
 	q.estimate = c.Estimate
 	q.work = works.Work{
 		First: c.First.Name, Prompt: q.Tokens, Share: q.Tokens, Output: output,
-		Gap: q.kind.Gap, Since: origin.Add(p.now),
+		Gap: q.kind.Gap, Target: request.Target, Since: origin.Add(p.now),
 	}
 	for i, h := range c.Helpers {
 		q.work.Helpers = append(q.work.Helpers, h.Name)
--- a/internal/lab/passes/passes_test.go
+++ b/internal/lab/passes/passes_test.go
@@ -69,6 +69,18 @@
 	test.Greater(t, 0.5, rs["154k"].Credit())
 }
 
+// Load pattern: bursts of long prompts on many engines without writers, which
+// read the newest part first, decided by many nodes with late knowledge. Parts
+// that wait must not wait ever longer.
+func TestManyEnginesReadWhatWaits(t *testing.T) {
+	day := LargeDay(1)
+	day.Delay = 15 * time.Millisecond
+	rs := Run(day)
+	test.Greater(t, 0.93, rs[0].Credit())
+	test.Greater(t, 0.9, rs[1].Credit())
+	test.Greater(t, 0.68, rs[2].Credit())
+}
+
 // Placement must be better than the baseline for each kind.
 func TestPlacementBeatsTheFewestRequests(t *testing.T) {
 	placed := Run(UserDay(5))
--- a/internal/state/works/works.go
+++ b/internal/state/works/works.go
@@ -34,8 +34,9 @@
 	Share ident.Tokens
 	// Held is the memory that the prompt has at others.
 	Held []Held
-	// Gap is the pause between events that the caller accepts.
-	Gap time.Duration
+	// Gap is the pause between events that the caller accepts, Target the time
+	// from Since to the first event that it expects.
+	Gap, Target time.Duration
 	// Since is when the work was sent.
 	Since time.Time
 	// Writing tells that the prompt is read.
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -430,7 +430,7 @@
 func (x *exchange) begin(c place.Choice) works.ID {
 	w := works.Work{
 		ID: works.ID(x.server.nextID.Add(1)), Node: x.server.Node, First: c.First.Name,
-		Prompt: x.ask.Prompt, Output: x.output(), Share: x.ask.Prompt, Gap: x.route.Gap, Since: time.Now(),
+		Prompt: x.ask.Prompt, Output: x.output(), Share: x.ask.Prompt, Gap: x.route.Gap, Target: x.targetLeft(time.Now()), Since: time.Now(),
 	}
 	for i, h := range c.Helpers {
 		w.Helpers = append(w.Helpers, h.Name)
