share: a node that becomes a candidate is called at once

Found by reading the change: a peer that is watched closely from now on may have been heard 10 s ago, and would not have counted as alive until its next call. Also a lock where a peer's name is read.

--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -32,7 +32,7 @@
 	codec   Codec
 	journal *Journal
 	proxy   *Proxy
-	// workspaces maps request keys to what endpoints must be told.
+	// workspace is what nodes must tell the endpoint.
 	workspace ident.WorkspaceName
 
 	mu       sync.Mutex
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -51,7 +51,7 @@
 
 // topology is who passes updates on for whom.
 type topology struct {
-	// hubs passes this node's updates on in its data centre; nil if this node
+	// hub passes this node's updates on in its data centre; nil if this node
 	// is a hub itself.
 	hub *peer
 	// others are the hubs that this node uses in other data centres, if it is a
@@ -125,7 +125,12 @@
 		if told && !p.told && p.client != nil {
 			p.pending = m.whole(true)
 		}
-		p.told, p.close, p.reach = told, !hubs || t.close[p] || p.Name == "", relay.ReachPeer
+		watched := !hubs || t.close[p] || p.Name == ""
+		if watched && !p.close {
+			// It may have been heard too long ago to count as alive.
+			p.rouse()
+		}
+		p.told, p.close, p.reach = told, watched, relay.ReachPeer
 		if hubs && p == t.hub {
 			p.reach = relay.ReachAll
 		}
@@ -139,12 +144,15 @@
 // known returns what this node knows of the works of others, for a node of its
 // data centre that it passes updates on to.
 func (m *Mesh) known(p *peer) []relay.Update {
-	if !m.passing.Load() || p.DataCentre != m.Self.DataCentre {
+	p.mu.Lock()
+	to := p.Member
+	p.mu.Unlock()
+	if !m.passing.Load() || to.DataCentre != m.Self.DataCentre {
 		return nil
 	}
 	var us []relay.Update
 	for _, o := range m.Members() {
-		if o.Name == "" || o.Name == m.Self.Name || o.Name == p.Name {
+		if o.Name == "" || o.Name == m.Self.Name || o.Name == to.Name {
 			continue
 		}
 		u := relay.Update{From: o, Reset: true}
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/rpc"
 	"slices"
 	"strings"
 	"testing"
@@ -145,6 +146,21 @@
 	late.waitFor(7, "a4", true)
 }
 
+func TestCandidateIsCalledAtOnce(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	m := &Mesh{Self: relay.Member{Name: "a9", Address: "9", DataCentre: "a"}, Works: &works.Table{}, HubsFrom: 1}
+	m.Init(context.Background())
+	p := &peer{
+		mesh: m, Member: relay.Member{Name: "a1", Address: "1", DataCentre: "a"}, client: rpc.NewClient(near),
+		wake: make(chan struct{}, 1), heard: time.Now().Add(-9 * time.Second),
+	}
+	m.peers["1"] = p
+	m.chooseHubs(time.Now())
+	must.True(t, p.close)
+	test.Eq(t, 1, len(p.wake), test.Sprint("it was heard too long ago to count as alive"))
+}
+
 // hubAmong reports whether one of some nodes passes this node's works on.
 func (n *node) hubAmong(some []*node) bool {
 	for _, o := range some {
