share: updates on the way through a hub that is new aren't lost

Found by the test of a dying hub, which hung now and then beside load (once for 600 s in a run of the whole package): a node that others take for their hub before it knows of it passed updates on in its data centre only, and, when it became a hub, put its own works in the place of updates queued to be passed on. It now keeps what others asked it to pass on, and both go out.

--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -116,14 +116,27 @@
 	if hubs {
 		t = m.plan(m.connected(now))
 	}
-	m.passing.Store(hubs && t.hub == nil)
+	passes := hubs && t.hub == nil
+	var missed []relay.Update
+	if !m.passing.Swap(passes) && passes {
+		missed = m.takeUnpassed()
+	}
 	m.lazy.Store(hubs)
 	for _, p := range m.all() {
 		p.mu.Lock()
 		near := p.DataCentre == "" || p.DataCentre == m.Self.DataCentre
 		told := !hubs || p == t.hub || t.hub == nil && (near || t.others[p])
 		if told && !p.told && p.client != nil {
-			p.pending = m.whole(true)
+			whole := m.whole(true)
+			whole.Forwarded = p.pending.Forwarded
+			p.pending = whole
+			p.rouse()
+		}
+		if t.others[p] && p.client != nil && len(missed) > 0 {
+			for _, u := range missed {
+				p.pending.Forwarded = append(p.pending.Forwarded, copyOf(u, relay.ReachCentre))
+			}
+			p.rouse()
 		}
 		watched := !hubs || t.close[p] || p.Name == ""
 		if watched && !p.close {
@@ -152,24 +165,31 @@
 	}
 	var us []relay.Update
 	for _, o := range m.Members() {
-		if o.Name == "" || o.Name == m.Self.Name || o.Name == to.Name {
-			continue
+		if o.Name != "" && o.Name != m.Self.Name && o.Name != to.Name {
+			us = append(us, m.worksOf(o))
 		}
-		u := relay.Update{From: o, Reset: true}
-		for _, w := range m.Works.Of(o.Name) {
-			u.Began = append(u.Began, relay.WorkNote{Work: w})
-		}
-		us = append(us, u)
 	}
 	return us
 }
 
+// worksOf is an update with all works of another node.
+func (m *Mesh) worksOf(o relay.Member) relay.Update {
+	u := relay.Update{From: o, Reset: true}
+	for _, w := range m.Works.Of(o.Name) {
+		u.Began = append(u.Began, relay.WorkNote{Work: w})
+	}
+	return u
+}
+
 // pass passes an update on as far as it asks for. The ages of its works were
 // turned into times by apply.
 func (m *Mesh) pass(u relay.Update) {
 	if u.Reach == relay.ReachPeer || u.Empty() {
 		return
 	}
+	if u.Reach == relay.ReachAll && !m.passing.Load() {
+		m.keepUnpassed(u)
+	}
 	for _, p := range m.all() {
 		p.mu.Lock()
 		near, other, origin := p.DataCentre == m.Self.DataCentre, p.reach == relay.ReachCentre, p.Name == u.From.Name
@@ -177,13 +197,40 @@
 		if origin || !near && (u.Reach != relay.ReachAll || !other) {
 			continue
 		}
-		copied := u
-		copied.Began = slices.Clone(u.Began)
-		copied.Struck = slices.Clone(u.Struck)
-		copied.Reach = relay.ReachPeer
+		copied := copyOf(u, relay.ReachPeer)
 		if !near {
 			copied.Reach = relay.ReachCentre
 		}
 		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
 	}
 }
+
+// copyOf copies what differs from peer to peer of an update.
+func copyOf(u relay.Update, r relay.Reach) relay.Update {
+	u.Began = slices.Clone(u.Began)
+	u.Struck = slices.Clone(u.Struck)
+	u.Reach = r
+	return u
+}
+
+// mostUnpassed bounds the updates that are kept.
+const mostUnpassed = 256
+
+// keepUnpassed keeps an update of a node that takes this one for its hub before
+// this node knows that it is one.
+func (m *Mesh) keepUnpassed(u relay.Update) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.unpassed) == mostUnpassed {
+		m.unpassed = m.unpassed[1:]
+	}
+	m.unpassed = append(m.unpassed, copyOf(u, relay.ReachCentre))
+}
+
+func (m *Mesh) takeUnpassed() []relay.Update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	us := m.unpassed
+	m.unpassed = nil
+	return us
+}
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -122,15 +122,21 @@
 		}
 	}
 	must.SliceLen(t, len(ns)-1, left)
-	for !a4.hubAmong(left) {
-		for _, n := range left {
-			n.Sweep(time.Now())
-		}
-		time.Sleep(10 * time.Millisecond)
+	// Each node sweeps now and then; they see the death at different moments.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i, n := range left {
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(time.Duration(i+1) * 10 * time.Millisecond)
+				n.Sweep(time.Now())
+			}
+		}()
 	}
 	for _, n := range left {
 		n.waitFor(7, "a4", true)
 	}
+	test.True(t, a4.hubAmong(left))
 }
 
 func TestNewNodeLearnsOfWorksFromAHub(t *testing.T) {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -65,9 +65,11 @@
 	// passing tells that this node passes updates on, lazy that some nodes do.
 	passing, lazy atomic.Bool
 
-	ctx   context.Context
-	mu    sync.Mutex
-	peers map[string]*peer
+	ctx context.Context
+	mu  sync.Mutex
+	// unpassed are updates to be passed on when this node becomes a hub.
+	unpassed []relay.Update
+	peers    map[string]*peer
 }
 
 // peer is another node.
