delay: one wait that ends with a context, one loop with a ticker

The wait for a time or the end of a context stood six times (tail.Pause, and copies of it in edge, feeds, gate, share and the soak), the loop around a ticker six times. No change of behaviour.

--- a/internal/lab/engsrv/control.go
+++ b/internal/lab/engsrv/control.go
@@ -12,6 +12,7 @@
 
 	"laburnumstack.org/laburnum/internal/lab/engsim"
 	"laburnumstack.org/laburnum/internal/lab/httpd"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -43,16 +44,7 @@
 
 // snapshots keeps the load of the last moments, so that reports can lag.
 func (s *Server) snapshots(ctx context.Context) {
-	t := time.NewTicker(reportEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			s.snapshot(now)
-		}
-	}
+	delay.Every(ctx, reportEvery, s.snapshot)
 }
 
 func (s *Server) snapshot(now time.Time) {
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -53,7 +54,7 @@
 		if c.connect() {
 			c.call()
 		}
-		pause(ctx, time.Duration(rand.ExpFloat64()*float64(callPause)))
+		delay.For(ctx, time.Duration(rand.ExpFloat64()*float64(callPause)))
 	}
 	c.close()
 }
--- a/internal/lab/soak/endpoints.go
+++ b/internal/lab/soak/endpoints.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -41,7 +42,7 @@
 // renew starts an endpoint that has stopped, under a new name and at the same
 // address.
 func (s *Soak) renew(ctx context.Context, e *server) error {
-	pause(ctx, reuseAfter)
+	delay.For(ctx, reuseAfter)
 	next := s.newEndpoint(e, e.endpoint().Service)
 	if err := e.start(next); err != nil {
 		return err
@@ -59,7 +60,7 @@
 		return err
 	}
 	s.journal.Left(leaving.Name)
-	pause(ctx, s.Bounds.Drain+serveOn)
+	delay.For(ctx, s.Bounds.Drain+serveOn)
 	s.store.Put(feeds.Endpoints, string(leaving.Name), nil)
 	e.stop()
 	return s.renew(ctx, e)
@@ -73,13 +74,13 @@
 	name := e.endpoint().Name
 	if st.Fault == CrashEndpoint {
 		e.stop()
-		pause(ctx, entryLife)
+		delay.For(ctx, entryLife)
 	}
 	s.store.Put(feeds.Endpoints, string(name), nil)
 	s.journal.Left(name)
-	pause(ctx, st.For)
+	delay.For(ctx, st.For)
 	if st.Fault == LapseEndpoint {
-		pause(ctx, s.Bounds.Drain+serveOn)
+		delay.For(ctx, s.Bounds.Drain+serveOn)
 		e.stop()
 	}
 	return s.renew(ctx, e)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 )
 
@@ -154,13 +155,13 @@
 
 func disturb(ctx context.Context, p *Proxy, m Mode, d time.Duration) {
 	p.Set(m)
-	pause(ctx, d)
+	delay.For(ctx, d)
 	p.Set(Pass)
 }
 
 func (p *process) pause(ctx context.Context, d time.Duration) {
 	p.signal(syscall.SIGSTOP, false)
-	pause(ctx, d)
+	delay.For(ctx, d)
 	p.signal(syscall.SIGCONT, false)
 }
 
@@ -182,7 +183,7 @@
 	for _, n := range s.nodes {
 		<-n.signal(syscall.SIGKILL, true)
 	}
-	pause(ctx, down)
+	delay.For(ctx, down)
 	for _, n := range s.nodes {
 		if err := n.start(); err != nil {
 			return err
@@ -195,7 +196,7 @@
 	for _, n := range s.nodes {
 		n.store.Set(m)
 	}
-	pause(ctx, d)
+	delay.For(ctx, d)
 	for _, n := range s.nodes {
 		n.store.Set(Pass)
 	}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -140,7 +141,7 @@
 		return err
 	}
 	for !p.listens() {
-		if !pause(ctx, readyEvery) {
+		if !delay.For(ctx, readyEvery) {
 			return nil
 		}
 	}
@@ -159,7 +160,7 @@
 // kill ends the process and starts it again after a pause.
 func (p *process) kill(ctx context.Context, down time.Duration) error {
 	<-p.signal(syscall.SIGKILL, true)
-	pause(ctx, down)
+	delay.For(ctx, down)
 	return p.start()
 }
 
@@ -175,14 +176,14 @@
 		p.journal.Fault("stop", "%s did not end within %v", p.place.Name, p.place.Grace)
 		<-p.signal(syscall.SIGKILL, true)
 	}
-	pause(ctx, restartAfter)
+	delay.For(ctx, restartAfter)
 	return p.start()
 }
 
 // watch keeps the node out of rotation while it is not ready.
 func (p *process) watch(ctx context.Context) {
 	bad := 0
-	for pause(ctx, readyEvery) {
+	for delay.For(ctx, readyEvery) {
 		if p.answers() {
 			bad = 0
 		} else {
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -26,8 +26,8 @@
 	Delay
 )
 
-// delay is how late a proxy forwards in the mode Delay.
-const delay = 120 * time.Millisecond
+// lateBy is how late a proxy forwards in the mode Delay.
+const lateBy = 120 * time.Millisecond
 
 const proxyBuffer = 32 << 10
 
@@ -135,7 +135,7 @@
 		n, err := from.Read(b)
 		m := p.current()
 		if m == Delay {
-			time.Sleep(delay)
+			time.Sleep(lateBy)
 		}
 		dropped = dropped || m == Silence || m == OneWay && !request
 		if n > 0 && !dropped {
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -127,7 +128,7 @@
 
 // plain answers after some work. It reports whether the node left before.
 func (s *server) plain(ctx context.Context, w http.ResponseWriter, in Received, body []byte) bool {
-	if !pause(ctx, time.Duration(rand.ExpFloat64()*float64(workTime))) {
+	if !delay.For(ctx, time.Duration(rand.ExpFloat64()*float64(workTime))) {
 		return true
 	}
 	text := answerOf(in.ID, string(body))
@@ -152,7 +153,7 @@
 		breaks = rand.IntN(events) + 1
 	}
 	for i := in.After + 1; i <= events; i++ {
-		if !pause(ctx, time.Duration(rand.ExpFloat64()*float64(eventPause))) {
+		if !delay.For(ctx, time.Duration(rand.ExpFloat64()*float64(eventPause))) {
 			return true
 		}
 		text := eventOf(in.ID, i)
@@ -169,18 +170,6 @@
 	return false
 }
 
-// pause waits, and reports whether the context still lives.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Requests and answers are made so that each side can tell whether what it
 // got belongs to the request.
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -95,11 +96,11 @@
 		for range s.Callers {
 			wg.Go(s.newCaller().runner(callers))
 		}
-		pause(ctx, s.Calm)
+		delay.For(ctx, s.Calm)
 		err = s.playAll(ctx, steps)
-		pause(ctx, s.Bounds.Calm)
+		delay.For(ctx, s.Bounds.Calm)
 		calm = time.Now()
-		pause(ctx, s.Calm)
+		delay.For(ctx, s.Calm)
 		leave()
 		wg.Wait()
 	}
@@ -243,7 +244,7 @@
 	const limit = 30 * time.Second
 	began := time.Now()
 	for slices.ContainsFunc(s.nodes, func(n *process) bool { return !n.answers() }) {
-		if time.Since(began) > limit || !pause(ctx, readyEvery) {
+		if time.Since(began) > limit || !delay.For(ctx, readyEvery) {
 			return errors.New("nodes are not ready")
 		}
 	}
@@ -255,7 +256,7 @@
 	var g errgroup.Group
 	began := time.Now()
 	for _, st := range steps {
-		pause(ctx, st.At-time.Since(began))
+		delay.For(ctx, st.At-time.Since(began))
 		fmt.Fprintln(s.Output, st)
 		g.Go(func() error { return s.play(ctx, st) })
 	}
--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -10,6 +10,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/internal/trans/share"
@@ -75,7 +76,7 @@
 // run asks readers, or any peer while this node's own knowledge is old.
 func (n *news) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, pullEvery)
+		delay.For(ctx, pullEvery)
 		n.mesh.Sweep(time.Now())
 		n.pull()
 	}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -13,6 +13,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
@@ -162,7 +163,7 @@
 			return
 		}
 		n.Logger.Warn().Err(err).Msg("node: not listed as a member yet")
-		wait(ctx, announceEvery)
+		delay.For(ctx, announceEvery)
 	}
 }
 
@@ -177,15 +178,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // drain waits for the order to stop, and then until nothing is in flight and
 // no caller can think an idle connection usable.
 func (n *Node) drain(ctx, stop context.Context) {
@@ -207,7 +199,7 @@
 		if since >= least && n.gate.InFlight() == 0 || since >= n.Settings.Grace-stopMargin {
 			break
 		}
-		wait(ctx, stopTick)
+		delay.For(ctx, stopTick)
 	}
 	n.Logger.Info().Int("inFlight", n.gate.InFlight()).Dur("after", time.Since(began)).Msg("node: stopped")
 }
--- a/internal/node/edge/orphans.go
+++ b/internal/node/edge/orphans.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -40,10 +41,10 @@
 			if ctx.Err() != nil {
 				return
 			}
-			wait(ctx, stopTick)
+			delay.For(ctx, stopTick)
 		}
 		n.works.Replace(orphanNode, n.orphans(ctx))
-		wait(ctx, orphanEvery)
+		delay.For(ctx, orphanEvery)
 	}
 }
 
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -7,6 +7,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/order"
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/pkg/confg"
@@ -28,23 +29,16 @@
 // while this node holds the lease.
 func (n *Node) giveOrders(ctx context.Context) {
 	p := order.Planner{Interval: loadInterval}
-	t := time.NewTicker(orderEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	delay.Every(ctx, orderEvery, func(time.Time) {
 		number, left, held := n.lease.Held()
 		if !held || left <= orderTimeout {
 			p = order.Planner{Interval: loadInterval}
-			continue
+			return
 		}
 		if o, ok := p.Next(n.engines(), time.Now()); ok {
 			n.giveOrder(ctx, o, number)
 		}
-	}
+	})
 }
 
 // engines compares the configuration with the engines' reports.
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/pkg/confg"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -79,7 +80,7 @@
 }
 
 func (n *Node) poll(ctx context.Context, e *table.Endpoint, p *poller) {
-	if !pauseRandom(ctx, loadEvery/4) {
+	if !delay.For(ctx, rand.N(loadEvery/4)) {
 		return
 	}
 	if n.health.Poll(ctx, e) != nil || e.Config().Kind != confg.Engine {
@@ -144,16 +145,3 @@
 	}
 	n.mesh.SetListed(peers)
 }
-
-// pauseRandom waits for a random time up to most, so that nodes don't poll in
-// step.
-func pauseRandom(ctx context.Context, most time.Duration) bool {
-	t := time.NewTimer(rand.N(most))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/ledgr"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -33,18 +34,11 @@
 }
 
 func (u *usageWriter) run(ctx context.Context) {
-	t := time.NewTicker(usageEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	delay.Every(ctx, usageEvery, func(time.Time) {
 		if err := u.flush(ctx); err != nil {
 			u.logger.Warn().Err(err).Msg("usage: append failed, will be repeated")
 		}
-	}
+	})
 }
 
 // flush appends what was collected. A batch that failed is repeated as it was
--- a/internal/trans/claims/keeper.go
+++ b/internal/trans/claims/keeper.go
@@ -14,6 +14,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -258,7 +259,7 @@
 		case <-k.kick:
 		}
 		for k.flush(ctx) {
-			tail.Pause(ctx, k.Interval)
+			delay.For(ctx, k.Interval)
 		}
 	}
 }
@@ -287,7 +288,7 @@
 		return true
 	}
 	k.requeue(items)
-	tail.Pause(ctx, retryWait)
+	delay.For(ctx, retryWait)
 	return true
 }
 
--- a/internal/trans/config/config.go
+++ b/internal/trans/config/config.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/fold"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/tail"
@@ -248,7 +249,7 @@
 // wait for random times, so that mostly one of them writes.
 func (f *Follower) snapshots(ctx context.Context) {
 	wait := f.SnapshotEvery + rand.N(f.SnapshotEvery/2+1)
-	for tail.Pause(ctx, min(checkWait, f.SnapshotEvery/4)) {
+	for delay.For(ctx, min(checkWait, f.SnapshotEvery/4)) {
 		if !f.due(wait) {
 			continue
 		}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -126,7 +127,7 @@
 		if f.Follows != nil && f.Follows() {
 			// What a peer gave has no place in the stream.
 			next = -1
-			sleep(ctx, followEvery)
+			delay.For(ctx, followEvery)
 			continue
 		}
 		at := clock.Now()
@@ -142,7 +143,7 @@
 				f.Logger.Warn().Err(err).Str("stream", s.String()).Msg("feeds: lost the source")
 			}
 			f.away[s].Store(true)
-			sleep(ctx, again)
+			delay.For(ctx, again)
 			again = min(2*again, retryMost)
 			continue
 		}
@@ -153,12 +154,12 @@
 		away = 0
 		if page.Next < next {
 			// An older state than one seen before proves nothing.
-			sleep(ctx, retryEvery)
+			delay.For(ctx, retryEvery)
 			continue
 		}
 		take(page.Records, next < 0, at)
 		next = page.Next
-		sleep(ctx, f.pause(s, every))
+		delay.For(ctx, f.pause(s, every))
 	}
 }
 
@@ -189,18 +190,6 @@
 	return f.Source.Read(ctx, s, next, wait)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (f *Feeds) applyConfig(rs []Record, _ bool, at clock.Instant) {
 	for _, r := range rs {
 		c, err := f.Decoder.Catalog(r)
--- a/internal/trans/front/active.go
+++ b/internal/trans/front/active.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
@@ -63,20 +64,13 @@
 
 // watch cancels the requests of callers that are gone.
 func (g *registry) watch(ctx context.Context) {
-	t := time.NewTicker(goneCheck)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	delay.Every(ctx, goneCheck, func(time.Time) {
 		for _, e := range g.all() {
 			if !conns.Open(e.conn) {
 				e.cancel()
 			}
 		}
-	}
+	})
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/internal/trans/gate/hold.go
+++ b/internal/trans/gate/hold.go
@@ -10,6 +10,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -95,20 +96,13 @@
 // keep renews the reservations until it is stopped.
 func (h *hold) keep(ctx context.Context) {
 	defer h.done.Done()
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	delay.Every(ctx, renewEvery, func(time.Time) {
 		for i, err := range h.each(ctx, h.renew) {
 			if err != nil && ctx.Err() == nil {
 				h.server.Logger.Warn().Err(err).Str("endpoint", string(h.engines[i].Name)).Str("ticket", h.tickets[i]).Msg("gate: reservation is not renewed")
 			}
 		}
-	}
+	})
 }
 
 // end stops the renewals and releases the memory.
@@ -131,16 +125,7 @@
 			if err == nil || ctx.Err() != nil {
 				return err
 			}
-			sleep(ctx, orderTimeout)
+			delay.For(ctx, orderTimeout)
 		}
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -19,6 +19,7 @@
 	"laburnumstack.org/laburnum/internal/coord/extra"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
@@ -193,20 +194,13 @@
 
 // sweep closes connections to endpoints that are not used any more.
 func (s *Server) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			s.strikes.expire(now)
-			fleet := s.Feeds.Fleet()
-			s.pools.Expire(now, func(addr string) bool {
-				return fleet == nil || fleet.Addresses[addr] != nil
-			})
-		}
-	}
+	delay.Every(ctx, sweepEvery, func(now time.Time) {
+		s.strikes.expire(now)
+		fleet := s.Feeds.Fleet()
+		s.pools.Expire(now, func(addr string) bool {
+			return fleet == nil || fleet.Addresses[addr] != nil
+		})
+	})
 }
 
 // Drain lets callers know that this node stops.
--- a/internal/trans/leases/keeper.go
+++ b/internal/trans/leases/keeper.go
@@ -15,6 +15,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/lease"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/tail"
@@ -70,7 +71,7 @@
 
 // hold asks for the lease when it is free and renews it when it is held.
 func (k *Keeper) hold(ctx context.Context) {
-	for tail.Pause(ctx, k.Length/parts+rand.N(k.Length/parts/2)) {
+	for delay.For(ctx, k.Length/parts+rand.N(k.Length/parts/2)) {
 		if r, ok := k.next(time.Now()); ok {
 			k.append(ctx, r)
 		}
--- a/internal/trans/serve/attempt.go
+++ b/internal/trans/serve/attempt.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
-	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -98,7 +98,7 @@
 			return nil, err
 		}
 		// Other suspects run; they end or crash soon.
-		if !tail.Pause(a.ctx, suspectPause) {
+		if !delay.For(a.ctx, suspectPause) {
 			return nil, a.ctx.Err()
 		}
 	}
--- a/internal/trans/serve/health.go
+++ b/internal/trans/serve/health.go
@@ -10,10 +10,10 @@
 
 	"laburnumstack.org/laburnum/internal/coord/health"
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/conns"
-	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -94,7 +94,7 @@
 		if h.failed(e, err) == table.Down {
 			return true
 		}
-		tail.Pause(ctx, checkPause)
+		delay.For(ctx, checkPause)
 	}
 	return false
 }
--- a/internal/trans/serve/holds.go
+++ b/internal/trans/serve/holds.go
@@ -11,6 +11,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/claim"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/holds"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
@@ -120,7 +121,7 @@
 		if err == nil || e.State() == table.Down {
 			return true
 		}
-		tail.Pause(ctx, releasePause)
+		delay.For(ctx, releasePause)
 	}
 	return false
 }
@@ -141,7 +142,7 @@
 // Reap releases what dead nodes, or failed releases, left behind.
 func (h *Holds) Reap(ctx context.Context) {
 	started := time.Now()
-	for tail.Pause(ctx, reapEvery) {
+	for delay.For(ctx, reapEvery) {
 		if time.Since(started) < reapGrace {
 			continue
 		}
--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -12,11 +12,11 @@
 	"laburnumstack.org/laburnum/internal/coord/retry"
 	"laburnumstack.org/laburnum/internal/coord/route"
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/ledgr"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/conns"
-	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -168,7 +168,7 @@
 	}
 	t.core.Metrics.Retries.Inc()
 	t.core.event(trace.Retried, t.req, "tries again after: %v", err)
-	if !tail.Pause(t.ctx, d.Delay) {
+	if !delay.For(t.ctx, d.Delay) {
 		return failEnded(t.ctx, t.outcome())
 	}
 	return nil
--- a/internal/trans/serve/recover.go
+++ b/internal/trans/serve/recover.go
@@ -6,9 +6,9 @@
 	"laburnumstack.org/laburnum/internal/coord/retry"
 	"laburnumstack.org/laburnum/internal/coord/route"
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
-	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -43,7 +43,7 @@
 		return failEndpoint(err, a.outcome(), a.attempts)
 	}
 	a.note(d.Action, err)
-	if !tail.Pause(a.ctx, d.Delay) {
+	if !delay.For(a.ctx, d.Delay) {
 		return failEnded(a.ctx, a.outcome())
 	}
 	return nil
--- a/internal/trans/serve/spread.go
+++ b/internal/trans/serve/spread.go
@@ -9,9 +9,9 @@
 
 	"laburnumstack.org/laburnum/internal/coord/route"
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
-	"laburnumstack.org/laburnum/internal/trans/tail"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -47,7 +47,7 @@
 			return o, parts, err
 		}
 		wait := memoryPause + time.Duration(a.core.jitter()*float64(memoryPause))
-		if !tail.Pause(a.ctx, wait) {
+		if !delay.For(a.ctx, wait) {
 			return nil, nil, a.ctx.Err()
 		}
 	}
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -15,6 +15,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -244,7 +245,7 @@
 		if silent < deadAfter {
 			pause = redialLeast
 		}
-		pauseFor(ctx, pause)
+		delay.For(ctx, pause)
 		pause = min(2*pause, redialMost)
 	}
 }
@@ -256,15 +257,6 @@
 	m.Logger.Info().Str("peer", string(p.Name)).Str("address", p.address).Err(err).Msg("share: node is forgotten")
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // talk connects and sends updates until a call fails.
 func (p *peer) talk(ctx context.Context) error {
 	d := net.Dialer{Timeout: dialTimeout, Control: conns.Harden}
--- a/internal/trans/tail/tail.go
+++ b/internal/trans/tail/tail.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -49,7 +50,7 @@
 			f.Note(err)
 		}
 		if err != nil {
-			Pause(ctx, wait)
+			delay.For(ctx, wait)
 			wait = min(lastRetry, 2*wait)
 			continue
 		}
@@ -73,18 +74,3 @@
 		apply(r, v)
 	}
 }
-
-// Pause waits, and reports whether the context still lives.
-func Pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
