--- a/internal/trans/conns/pool.go
+++ b/internal/trans/conns/pool.go
@@ -28,8 +28,7 @@
 type Pool struct {
 	Address string
 
-	mu   sync.Mutex
-	idle []*conn
+	idle Idle[*conn]
 }
 
 type conn struct {
@@ -52,18 +51,14 @@
 }
 
 func (p *Pool) take(now time.Time) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.used) < idleTimeout && now.Sub(c.born) < maxAge && Quiet(c.Conn) {
-			c.reused = true
-			return c
-		}
-		c.Close()
+	c, ok := p.idle.Take(func(c *conn) bool {
+		return now.Sub(c.used) < idleTimeout && now.Sub(c.born) < maxAge && Quiet(c.Conn)
+	})
+	if !ok {
+		return nil
 	}
-	return nil
+	c.reused = true
+	return c
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
@@ -85,29 +80,15 @@
 // put keeps a connection whose last answer was read to its end.
 func (p *Pool) put(c *conn) {
 	c.used = time.Now()
-	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if !Reusable(c.Conn, c.reader) {
 		c.Close()
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) >= maxIdle {
-		c.Close()
-		return
-	}
-	p.idle = append(p.idle, c)
+	p.idle.Put(c, maxIdle)
 }
 
 // DropIdle closes all idle connections, after one of them proved dead.
-func (p *Pool) DropIdle() {
-	p.mu.Lock()
-	cs := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, c := range cs {
-		c.Close()
-	}
-}
+func (p *Pool) DropIdle() { p.idle.Drop() }
 
 // Harden bounds how long sent bytes may stay without acknowledgement. It is
 // a control function for dialers and listeners.
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -42,26 +42,22 @@
 type Pool struct {
 	address string
 
-	mu   sync.Mutex
-	idle []*Link
+	idle conns.Idle[*Link]
 }
 
 // Take returns an idle link that is still open and silent, or nil.
 func (p *Pool) Take(now time.Time) *Link {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		l := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(l.used) < l.Idle && conns.Quiet(l.Conn) {
-			l.Reused = true
-			return l
-		}
-		l.Close()
+	l, ok := p.idle.Take(func(l *Link) bool { return l.fresh(now) && conns.Quiet(l.Conn) })
+	if !ok {
+		return nil
 	}
-	return nil
+	l.Reused = true
+	return l
 }
 
+// fresh reports whether the endpoint still keeps an unused link open.
+func (l *Link) fresh(now time.Time) bool { return now.Sub(l.used) < l.Idle }
+
 // Dial opens a new link.
 func (p *Pool) Dial(ctx context.Context, timeout time.Duration) (*Link, error) {
 	d := net.Dialer{
@@ -81,44 +77,19 @@
 // Put keeps a link whose last answer was read to its end.
 func (p *Pool) Put(l *Link, now time.Time) {
 	l.used = now
-	if l.Reader.Buffered() > 0 || l.SetDeadline(time.Time{}) != nil {
-		l.Close()
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) >= maxIdle {
+	if !conns.Reusable(l.Conn, l.Reader) {
 		l.Close()
 		return
 	}
-	p.idle = append(p.idle, l)
+	p.idle.Put(l, maxIdle)
 }
 
 // Drop closes all idle links.
-func (p *Pool) Drop() {
-	p.mu.Lock()
-	ls := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, l := range ls {
-		l.Close()
-	}
-}
+func (p *Pool) Drop() { p.idle.Drop() }
 
 // expire closes links that have been idle too long.
 func (p *Pool) expire(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, l := range p.idle {
-		if now.Sub(l.used) < l.Idle {
-			kept = append(kept, l)
-			continue
-		}
-		l.Close()
-	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
+	p.idle.Keep(func(l *Link) bool { return l.fresh(now) })
 }
 
 // Pools holds one pool for each address. It is safe for concurrent use.
