conns: one bounded call over net/rpc

share waited for an answer in two ways and peer in a third. The update with all works of a node stood twice in share.

--- a/internal/trans/peer/mesh.go
+++ b/internal/trans/peer/mesh.go
@@ -18,6 +18,7 @@
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -266,21 +267,11 @@
 	if err != nil {
 		return err
 	}
-	t := time.NewTimer(callTimeout)
-	defer t.Stop()
-	done := c.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
-	select {
-	case r := <-done:
-		err = r.Error
-	case <-t.C:
-		err = errors.Errorf("%s at %s timed out", method, addr)
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
+	err = conns.CallRPC(ctx, c, callTimeout, method, args, reply)
 	if err != nil {
 		m.forget(addr, c)
 	}
-	return err
+	return errors.Annotatef(err, "%s at %s", method, addr)
 }
 
 func (m *Mesh) client(ctx context.Context, addr string) (*rpc.Client, error) {
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -172,7 +172,7 @@
 	return us
 }
 
-// worksOf is an update with all works of another node.
+// worksOf is an update with all works of a node.
 func (m *Mesh) worksOf(o relay.Member) relay.Update {
 	u := relay.Update{From: o, Reset: true}
 	for _, w := range m.Works.Of(o.Name) {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -319,11 +320,7 @@
 	if !told {
 		return relay.Update{}
 	}
-	u := relay.Update{Reset: true}
-	for _, w := range m.Works.Of(m.Self.Name) {
-		u.Began = append(u.Began, relay.WorkNote{Work: w})
-	}
-	return u
+	return m.worksOf(m.Self)
 }
 
 func (p *peer) end() {
@@ -374,16 +371,11 @@
 
 // call bounds a call, after which the client is of no use.
 func call(c *rpc.Client, method string, args, reply any) error {
-	done := c.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
-	t := time.NewTimer(callTimeout)
-	defer t.Stop()
-	select {
-	case d := <-done:
-		return d.Error
-	case <-t.C:
+	err := conns.CallRPC(context.Background(), c, callTimeout, method, args, reply)
+	if errors.Is(err, context.DeadlineExceeded) {
 		c.Close()
-		return context.DeadlineExceeded
 	}
+	return err
 }
 
 // Sweep chooses whom to tell and drops the works of nodes that are dead. It is called now and then.
@@ -429,15 +421,10 @@
 		return s, rpc.ErrShutdown
 	}
 	a.From = m.Self
-	done := c.Go("Node.State", a, &s, make(chan *rpc.Call, 1)).Done
-	t := time.NewTimer(askTimeout)
-	defer t.Stop()
-	select {
-	case d := <-done:
-		return s, d.Error
-	case <-t.C:
-		return relay.State{}, context.DeadlineExceeded
+	if err := conns.CallRPC(m.ctx, c, askTimeout, "Node.State", a, &s); err != nil {
+		return relay.State{}, err
 	}
+	return s, nil
 }
 
 // Addresses returns the addresses of the peers that this node is connected to.
