--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -74,8 +74,7 @@
 // harmful reports whether a plan costs other prompts more than it is worth. A
 // caller who has come back is given more.
 func (p plan) harmful(r Request) bool {
-	own := value(r.Prompt)
-	most := own * max(leastGain, 1-lateRisk(p.end, r))
+	most := r.worth * max(leastGain, 1-lateRisk(p.end, r))
 	if !r.Returned {
 		most *= harmShare
 	}
--- a/internal/coord/place/held.go
+++ b/internal/coord/place/held.go
@@ -25,7 +25,7 @@
 	roomy := slices.DeleteFunc(slices.Clone(vs), func(v *view) bool {
 		return v.avoid || v.suspect || v.short || r.Full.Has(v.endpoint.Name) || !v.fits(piece+r.Output) || v.helping >= v.spec.Slots
 	})
-	spread := value(r.Prompt) * lateRisk(helperSpread, r)
+	spread := r.worth * lateRisk(helperSpread, r)
 	for _, v := range roomy {
 		v.cost = partCost(v, p, r) + spread*s.Random()
 	}
@@ -50,16 +50,9 @@
 	lenders := except(held.first, helpers(others, s, r), maxHelpers)
 	best := held
 	for n := 0; n <= min(len(lenders), maxHelpers-len(held.helpers)); n++ {
-		p := held
-		p.helpers = slices.Concat(held.helpers, lenders[:n])
-		share := split(r.Prompt, len(p.helpers)+1)
-		p.end = p.first.finish(share)
-		p.harm = p.first.stall(share)
-		for _, h := range p.helpers {
-			p.end = max(p.end, h.finish(share))
-			p.harm += h.lendHarm(share)
-		}
-		p.cost = p.harm + value(r.Prompt)*lateRisk(p.end, r) + float64(n)*helperCost
+		p := weigh(held.first, slices.Concat(held.helpers, lenders[:n]), r)
+		p.held = held.held
+		p.cost += float64(n) * helperCost
 		if n == 0 || p.cost < best.cost {
 			best = p
 		}
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -49,6 +49,9 @@
 	Tried ident.Set[ident.EndpointName]
 	// Full are the endpoints that had no memory to reserve.
 	Full ident.Set[ident.EndpointName]
+
+	// worth weighs the prompt by its size.
+	worth float64
 }
 
 // Choice is where a request goes.
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -38,6 +38,7 @@
 )
 
 func choosePrompt(s Scene, r Request) (Choice, error) {
+	r.worth = value(r.Prompt)
 	vs := views(s)
 	vs = slices.DeleteFunc(vs, func(v *view) bool { return r.Tried.Has(v.endpoint.Name) })
 	if len(vs) == 0 {
@@ -109,27 +110,32 @@
 	return c
 }
 
+// weigh returns the plan with given engines. Its cost is what the prompt and
+// others probably lose.
+func weigh(first *view, helpers []*view, r Request) plan {
+	p := split(r.Prompt, len(helpers)+1)
+	w := plan{first: first, helpers: helpers, end: first.finish(p), harm: first.stall(p)}
+	for _, h := range helpers {
+		w.end = max(w.end, h.finish(p))
+		w.harm += h.lendHarm(p)
+	}
+	w.cost = w.harm + r.worth*lateRisk(w.end, r)
+	return w
+}
+
 // planFor finds the number of helpers that is best with a given engine as the
 // first. The helpers are in the order in which they are taken.
 func planFor(vs, hs []*view, first *view, r Request) plan {
-	base := firstCost(vs, first, r)
-	whole := split(r.Prompt, 1)
-	best := plan{first: first, end: first.finish(whole), harm: first.stall(whole)}
-	best.cost = base + value(r.Prompt)*lateRisk(best.end, r) + best.harm
 	hs = except(first, hs, mostHelpers(r))
+	best := weigh(first, nil, r)
 	for n := 1; n <= len(hs); n++ {
-		p := split(r.Prompt, n+1)
-		end := first.finish(p)
-		harm := first.stall(p)
-		for _, h := range hs[:n] {
-			end = max(end, h.finish(p))
-			harm += h.lendHarm(p)
-		}
-		cost := base + harm + value(r.Prompt)*lateRisk(end, r) + float64(n)*helperCost
-		if cost < best.cost {
-			best = plan{first: first, helpers: hs[:n], end: end, harm: harm, cost: cost}
+		p := weigh(first, hs[:n], r)
+		p.cost += float64(n) * helperCost
+		if p.cost < best.cost {
+			best = p
 		}
 	}
+	best.cost += firstCost(vs, first, r)
 	return best
 }
 
@@ -152,7 +158,7 @@
 	if v.avoid {
 		cost += avoidCost
 	}
-	return cost + value(r.Prompt)*risk
+	return cost + r.worth*risk
 }
 
 // mostHelpers is the most engines that may help to read a prompt.
@@ -183,7 +189,7 @@
 		return nil
 	}
 	p := split(r.Prompt, most+1)
-	spread := value(r.Prompt) * lateRisk(helperSpread, r)
+	spread := r.worth * lateRisk(helperSpread, r)
 	hs := make([]*view, 0, len(vs))
 	for _, v := range vs {
 		if v.avoid || v.suspect || v.helping >= v.spec.Slots {
@@ -201,5 +207,5 @@
 
 // partCost is the value that is lost if an engine reads a part.
 func partCost(v *view, p part, r Request) float64 {
-	return value(r.Prompt)*lateRisk(v.finish(p), r) + v.lendHarm(p)
+	return r.worth*lateRisk(v.finish(p), r) + v.lendHarm(p)
 }
--- a/internal/coord/place/reads.go
+++ b/internal/coord/place/reads.go
@@ -17,8 +17,8 @@
 	lent, owned []unread
 	// at is the moment up to which the engine's work is counted.
 	at time.Duration
-	// weight is the weight of a delay.
-	weight float64
+	// weight is the weight of a delay, risk what is lost by each second of one.
+	weight, risk float64
 }
 
 // delayedParts is the number of parts of one prompt that another may delay at
@@ -69,30 +69,23 @@
 	}
 }
 
-// settle reads up to now and returns the time that the rest takes.
+// settle reads up to now, and returns the time that the rest takes.
 func (r *reads) settle() time.Duration {
 	r.advance(0)
 	var sum time.Duration
 	for _, u := range r.lent {
 		sum += u.left
+		r.risk += u.risk
 	}
 	for _, u := range r.owned {
 		sum += max(u.left, u.least)
+		if u.left > 0 {
+			r.risk += u.risk
+		}
 	}
 	return sum
 }
 
 // delay is the value that the prompts lose whose parts wait, if all wait
 // longer.
-func (r *reads) delay(t time.Duration) float64 {
-	var sum float64
-	for _, u := range r.lent {
-		sum += u.risk
-	}
-	for _, u := range r.owned {
-		if u.left > 0 {
-			sum += u.risk
-		}
-	}
-	return sum * t.Seconds() * r.weight
-}
+func (r *reads) delay(t time.Duration) float64 { return r.risk * t.Seconds() * r.weight }
