gate, http1: shorter forms of the same

One function for the wait after which another endpoint is asked, one for a field in a message; the Keep-Alive field is read with strings.Cut; a number made from a condition goes.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -172,21 +173,16 @@
 	return a.relayWhole(res, note, o)
 }
 
+// keepAlive takes the time for which the endpoint keeps the link.
 func (a *attempt) keepAlive(v string) {
-	const word = "timeout="
-	for i := 0; i+len(word) <= len(v); i++ {
-		if v[i:i+len(word)] != word {
-			continue
-		}
-		end := i + len(word)
-		for end < len(v) && v[end] >= '0' && v[end] <= '9' {
-			end++
-		}
-		if n, err := strconv.Atoi(v[i+len(word) : end]); err == nil {
-			a.link.KeepAlive(n)
-		}
+	_, rest, ok := strings.Cut(v, "timeout=")
+	if !ok {
 		return
 	}
+	digits := rest[:len(rest)-len(strings.TrimLeft(rest, "0123456789"))]
+	if n, err := strconv.Atoi(digits); err == nil {
+		a.link.KeepAlive(n)
+	}
 }
 
 // another reports whether the request may still run at another endpoint.
@@ -206,17 +202,20 @@
 // patience is the moment until which the endpoint has time for its answer, if
 // another can be asked then.
 func (a *attempt) patience() time.Time {
-	if !a.another() {
-		return a.deadline
-	}
-	wait := a.route.Target
 	if a.route.Kind == topol.Stream {
-		wait = max(3*a.choice.Estimate, a.route.Target) + streamPatience
+		return a.within(max(3*a.choice.Estimate, a.route.Target) + streamPatience)
 	}
-	if t := time.Now().Add(wait); t.Before(a.deadline) {
-		return t
+	return a.within(a.route.Target)
+}
+
+// within is the end of a wait after which another endpoint is asked, or the
+// deadline if there is none to ask.
+func (a *attempt) within(wait time.Duration) time.Time {
+	t := time.Now().Add(wait)
+	if !a.another() || a.deadline.Before(t) {
+		return a.deadline
 	}
-	return a.deadline
+	return t
 }
 
 // streamPatience is what a stream may be later than expected.
@@ -240,7 +239,11 @@
 // head is the header of the request as the endpoint gets it.
 func (a *attempt) head() []byte {
 	r := a.request
-	b := make([]byte, 0, 1024+len(a.body)*boolToInt(len(a.body) <= inlineBody))
+	size := 1024
+	if len(a.body) <= inlineBody {
+		size += len(a.body)
+	}
+	b := make([]byte, 0, size)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -273,13 +276,6 @@
 	return append(b, "\r\n"...)
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // readHead reads the header of the answer, and passes over late answers to
 // other requests on the link.
 func (a *attempt) readHead() (*http1.Response, relay.Note, error) {
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -73,16 +73,7 @@
 
 // gapEnd is the moment until which the next event must come, if another
 // endpoint can be asked then. Silence alone is no reason to end an answer.
-func (a *attempt) gapEnd() time.Time {
-	if !a.another() {
-		return a.deadline
-	}
-	t := time.Now().Add(max(gapLeast, gapFactor*a.route.Gap))
-	if t.Before(a.deadline) {
-		return t
-	}
-	return a.deadline
-}
+func (a *attempt) gapEnd() time.Time { return a.within(max(gapLeast, gapFactor*a.route.Gap)) }
 
 // passEvents writes events, the header before the first and the end after the
 // last.
--- a/internal/trans/http1/head.go
+++ b/internal/trans/http1/head.go
@@ -160,7 +160,7 @@
 }
 
 // Append adds a field to a message.
-func Append[T string | []byte](b []byte, name string, value T) []byte {
+func Append[N, V string | []byte](b []byte, name N, value V) []byte {
 	b = append(b, name...)
 	b = append(b, ": "...)
 	b = append(b, value...)
@@ -168,9 +168,4 @@
 }
 
 // Append adds the field to a message.
-func (f Field) Append(b []byte) []byte {
-	b = append(b, f.Name...)
-	b = append(b, ": "...)
-	b = append(b, f.Value...)
-	return append(b, "\r\n"...)
-}
+func (f Field) Append(b []byte) []byte { return Append(b, f.Name, f.Value) }
