--- a/internal/node/edge/metrics.go
+++ b/internal/node/edge/metrics.go
@@ -37,8 +37,7 @@
 			handle(c)
 		},
 	}
-	defer context.AfterFunc(ctx, func() { l.Close() })()
-	if err := srv.Serve(l); err != nil && ctx.Err() == nil {
+	if err := serveUntil(ctx, srv, l); err != nil {
 		n.Logger.Error().Err(err).Msg("node: metrics ended")
 	}
 }
--- a/internal/node/edge/news.go
+++ b/internal/node/edge/news.go
@@ -43,14 +43,14 @@
 	logger zerolog.Logger
 
 	// served is when the question was sent that a reader last answered well.
-	served atomicInstant
+	served clock.Atomic
 	// reader tells that this node reads the store for others.
 	reader atomic.Bool
 }
 
 // follows reports whether a reader serves this node at present.
 func (n *news) follows() bool {
-	return !n.reader.Load() && clock.Now().Sub(n.served.load()) < leaveAfter
+	return !n.reader.Load() && clock.Now().Sub(n.served.Load()) < leaveAfter
 }
 
 // state is what this node can tell a peer of the deployment.
@@ -93,11 +93,11 @@
 	for _, a := range rs {
 		asked := clock.Now()
 		if a != n.mesh.Self.Address && n.ask(a, asked) {
-			n.served.store(asked)
+			n.served.Store(asked)
 			return
 		}
 	}
-	n.served.store(0)
+	n.served.Store(0)
 	if n.old() || !settled {
 		n.askAny()
 	}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -143,6 +143,11 @@
 			}
 		},
 	}
+	return serveUntil(ctx, srv, l)
+}
+
+// serveUntil serves until the context ends.
+func serveUntil(ctx context.Context, srv *fasthttp.Server, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
 	err := srv.Serve(l)
 	if ctx.Err() != nil {
--- a/internal/state/clock/clock.go
+++ b/internal/state/clock/clock.go
@@ -4,6 +4,7 @@
 package clock
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -26,3 +27,22 @@
 	}
 	return Instant(t.Nano())
 }
+
+// Atomic is a moment that goroutines share; zero until one is stored.
+type Atomic struct{ v atomic.Int64 }
+
+// Load returns the moment.
+func (a *Atomic) Load() Instant { return Instant(a.v.Load()) }
+
+// Store sets the moment.
+func (a *Atomic) Store(i Instant) { a.v.Store(int64(i)) }
+
+// Raise sets the moment if it is later than the one stored.
+func (a *Atomic) Raise(i Instant) {
+	for {
+		old := a.v.Load()
+		if old >= int64(i) || a.v.CompareAndSwap(old, int64(i)) {
+			return
+		}
+	}
+}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -66,9 +66,9 @@
 	catalog atomic.Pointer[topol.Catalog]
 	fleet   atomic.Pointer[Fleet]
 	// proven is the moment at which the catalog was known to be the newest.
-	proven atomic.Int64
+	proven clock.Atomic
 	// listed is the same for the endpoints.
-	listed atomic.Int64
+	listed clock.Atomic
 
 	// away tells for each stream that the last read failed.
 	away [Members]atomic.Bool
@@ -88,7 +88,7 @@
 
 // Proven returns the moment at which the catalog was known to be the newest;
 // zero if there is no catalog.
-func (f *Feeds) Proven() clock.Instant { return clock.Instant(f.proven.Load()) }
+func (f *Feeds) Proven() clock.Instant { return f.proven.Load() }
 
 // Settled reports whether the list of endpoints is as the source gives it. For
 // some time after the source was away it also holds endpoints that lapsed.
@@ -103,7 +103,7 @@
 func (f *Feeds) Away() bool { return f.away[Configuration].Load() || f.away[Endpoints].Load() }
 
 // Listed returns the moment of the newest list of endpoints.
-func (f *Feeds) Listed() clock.Instant { return clock.Instant(f.listed.Load()) }
+func (f *Feeds) Listed() clock.Instant { return f.listed.Load() }
 
 // Run follows both streams until the context ends.
 func (f *Feeds) Run(ctx context.Context) error {
@@ -219,16 +219,7 @@
 }
 
 // Prove notes that the catalog was the newest at a moment.
-func (f *Feeds) Prove(at clock.Instant) { raise(&f.proven, at) }
-
-func raise(v *atomic.Int64, at clock.Instant) {
-	for {
-		old := v.Load()
-		if old >= int64(at) || v.CompareAndSwap(old, int64(at)) {
-			return
-		}
-	}
-}
+func (f *Feeds) Prove(at clock.Instant) { f.proven.Raise(at) }
 
 func (f *Feeds) applyEndpoints(rs []Record, whole bool, at clock.Instant) {
 	f.mu.Lock()
@@ -247,7 +238,7 @@
 		}
 	}
 	changed = f.expire(at) || changed
-	raise(&f.listed, at)
+	f.listed.Raise(at)
 	if changed {
 		f.publish()
 	}
@@ -356,7 +347,7 @@
 	if fl == nil || fl.ID != id {
 		return
 	}
-	raise(&f.listed, at)
+	f.listed.Raise(at)
 	f.settle(at)
 }
 
@@ -389,6 +380,6 @@
 	for _, e := range es {
 		f.known[e.Name] = e
 	}
-	raise(&f.listed, at)
+	f.listed.Raise(at)
 	f.publish()
 }
