--- a/internal/lab/soak/endpoints.go
+++ b/internal/lab/soak/endpoints.go
@@ -52,9 +52,8 @@
 
 // replace empties an endpoint, takes it away and starts another.
 func (s *Soak) replace(ctx context.Context, e *server) error {
-	l := s.locks[ident.NodeName(e.proxy.Address())]
-	l.Lock()
-	defer l.Unlock()
+	e.turn.Lock()
+	defer e.turn.Unlock()
 	leaving := e.setLeaving()
 	if err := s.list(leaving); err != nil {
 		return err
@@ -68,9 +67,8 @@
 
 // crash ends an endpoint without a word, or takes only its entry away.
 func (s *Soak) crash(ctx context.Context, e *server, st Step) error {
-	l := s.locks[ident.NodeName(e.proxy.Address())]
-	l.Lock()
-	defer l.Unlock()
+	e.turn.Lock()
+	defer e.turn.Unlock()
 	name := e.endpoint().Name
 	if st.Fault == CrashEndpoint {
 		e.stop()
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -123,13 +123,13 @@
 	defer end()
 	switch st.Fault {
 	case KillNode:
-		return s.alone(n, func() error { return n.kill(ctx, st.For) })
+		return n.alone(func() error { return n.kill(ctx, st.For) })
 	case StopNode:
-		return s.alone(n, func() error { return n.stop(ctx) })
+		return n.alone(func() error { return n.stop(ctx) })
 	case PauseNode:
-		return s.alone(n, func() error { n.pause(ctx, st.For); return nil })
+		return n.alone(func() error { n.pause(ctx, st.For); return nil })
 	case ReloadNode:
-		return s.alone(n, func() error { return n.reload(ctx) })
+		return n.alone(func() error { return n.reload(ctx) })
 	case KillAll:
 		return s.killAll(ctx, st.For)
 	case StoreDown:
@@ -166,18 +166,16 @@
 }
 
 // alone keeps signals to one process apart; other faults may overlap.
-func (s *Soak) alone(n *process, f func() error) error {
-	l := s.locks[n.name()]
-	l.Lock()
-	defer l.Unlock()
+func (p *process) alone(f func() error) error {
+	p.turn.Lock()
+	defer p.turn.Unlock()
 	return f()
 }
 
 func (s *Soak) killAll(ctx context.Context, down time.Duration) error {
 	for _, n := range s.nodes {
-		l := s.locks[n.name()]
-		l.Lock()
-		defer l.Unlock()
+		n.turn.Lock()
+		defer n.turn.Unlock()
 		n.signal(syscall.SIGKILL, true)
 	}
 	for _, n := range s.nodes {
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -36,6 +36,9 @@
 	dir        string
 	store      *Proxy
 
+	// turn keeps faults apart that send signals to the process.
+	turn sync.Mutex
+
 	mu    sync.Mutex
 	place Place
 	cmd   *exec.Cmd
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -36,6 +36,9 @@
 	// workspace is what nodes must tell the endpoint.
 	workspace ident.WorkspaceName
 
+	// turn keeps faults apart that take the endpoint away.
+	turn sync.Mutex
+
 	mu       sync.Mutex
 	state    topol.Endpoint
 	listener net.Listener
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -60,7 +60,6 @@
 	store   Store
 	nodes   []*process
 	servers []*server
-	locks   map[ident.NodeName]*sync.Mutex
 	starts  atomic.Int64
 	ids     atomic.Int64
 
@@ -79,7 +78,7 @@
 func (s *Soak) Run(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.journal, s.locks = NewJournal(), map[ident.NodeName]*sync.Mutex{}
+	s.journal = NewJournal()
 	g, ctx := errgroup.WithContext(ctx)
 	steps := Plan(s.Seed, s.For)
 	var calm time.Time
@@ -94,7 +93,7 @@
 		callers, leave := context.WithCancel(ctx)
 		var wg sync.WaitGroup
 		for range s.Callers {
-			wg.Go(s.newCaller().runner(callers))
+			wg.Go(func() { s.newCaller().run(callers) })
 		}
 		delay.For(ctx, s.Calm)
 		err = s.playAll(ctx, steps)
@@ -176,7 +175,6 @@
 			return err
 		}
 		context.AfterFunc(ctx, e.stop)
-		s.locks[ident.NodeName(p.Address())] = &sync.Mutex{}
 		s.servers = append(s.servers, e)
 		if err := s.list(first); err != nil {
 			return err
@@ -204,7 +202,6 @@
 			Name: ident.NodeName(fmt.Sprintf("node-%s-%d", dc, i)), DataCentre: dc, IP: ip, Port: port,
 			Seeds: ips[:min(3, len(ips))], Store: p.Address(), First: true, Bounds: s.Bounds, Grace: grace,
 		}}
-		s.locks[n.name()] = &sync.Mutex{}
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -273,8 +270,6 @@
 	return &caller{codec: s.Deployment, journal: s.journal, host: host, pick: s.pick, key: s.key, ids: &s.ids}
 }
 
-func (c *caller) runner(ctx context.Context) func() { return func() { c.run(ctx) } }
-
 // pick returns a node in rotation, or any if none is.
 func (s *Soak) pick() (ident.NodeName, string) {
 	at := rand.IntN(len(s.nodes))
