passes: count the results by size class

Cause: the simulation reported a kind of prompt as a whole, so it could not show that the largest prompts of a kind are served less often than the others. Change: a result has the prompts asked, refused and served of the largest tenth of its kind, the fifth below it and the rest; `experiment passes` prints the shares. No change of behaviour.

--- a/cmd/laburnumlab/experiment_passes.go
+++ b/cmd/laburnumlab/experiment_passes.go
@@ -36,7 +36,7 @@
 		return &cmds.ExitError{Code: cmds.ExitUsage, Text: "--seeds must be at least 1, --engines at least 2 or 0 for the default, --nodes not negative, --load above 0"}
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "policy\tkind\tasked\tcredit\tin time\tlate first\tlate pause\trefused\tfailed\tmean first\tmean error")
+	fmt.Fprintln(w, "policy\tkind\tasked\tcredit\tin time\tlate first\tlate pause\trefused\tfailed\tmean first\tmean error\tserved\tserved next fifth\tserved largest tenth")
 	c.simulate(w, "placed", place.Choose)
 	c.simulate(w, "alone", passes.LeastRequests)
 	return w.Flush()
@@ -60,7 +60,8 @@
 	}
 	var maxCredit, earnedCredit float64
 	for _, r := range sum {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%v\t%v\n", name, r.Kind, r.Requests, r.CreditRatio(), r.InTime, r.LateFirst, r.LateGap, r.Refused, r.Failed, round(r.MeanTimeToFirstEvent/time.Duration(c.Seeds)), round(r.MeanEstimateError/time.Duration(c.Seeds)))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%.3f\t%.3f\t%.3f\n", name, r.Kind, r.Requests, r.CreditRatio(), r.InTime, r.LateFirst, r.LateGap, r.Refused, r.Failed, round(r.MeanTimeToFirstEvent/time.Duration(c.Seeds)), round(r.MeanEstimateError/time.Duration(c.Seeds)),
+			r.Sizes.All().ServedShare(), r.Sizes[passes.NextFifth].ServedShare(), r.Sizes[passes.LargestTenth].ServedShare())
 		maxCredit += r.MaxCredit
 		earnedCredit += r.EarnedCredit
 	}
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -80,6 +80,9 @@
 	LateFirst, LateGap int
 	// MaxCredit is the credit if all prompts had been answered in time.
 	MaxCredit, EarnedCredit float64
+	// Sizes holds the results by the size of the prompt, the smallest prompts
+	// first.
+	Sizes SizeResults
 	// MeanTimeToFirstEvent is counted from the arrival. MeanEstimateError is the
 	// mean absolute error of the time to the first event that was estimated at
 	// placement, counted from the latest attempt.
@@ -103,6 +106,7 @@
 		a[i].Failed += b[i].Failed
 		a[i].LateFirst += b[i].LateFirst
 		a[i].LateGap += b[i].LateGap
+		a[i].Sizes.add(b[i].Sizes)
 		a[i].MaxCredit += b[i].MaxCredit
 		a[i].EarnedCredit += b[i].EarnedCredit
 		a[i].MeanTimeToFirstEvent += b[i].MeanTimeToFirstEvent
@@ -116,9 +120,10 @@
 	kind      *Kind
 	kindIndex int
 	// arrivedAt is the time of the first attempt to place the prompt. isRetry is
-	// set once that attempt has been refused.
+	// set once that attempt has been refused, refused once the retry has been too.
 	arrivedAt time.Duration
 	isRetry   bool
+	refused   bool
 	tokens    ident.Tokens
 	node      int
 	// attemptAt is the time of the latest attempt.
@@ -166,8 +171,9 @@
 	engines   map[ident.EndpointName]*engine
 	endpoints []*topol.Endpoint
 	events    eventHeap
-	// placed holds all placed prompts, active those that some node may still see
-	// as in flight.
+	// arrived holds all prompts by kind, placed those that were placed, and active
+	// those of them that some node may still see as in flight.
+	arrived [][]*prompt
 	active  []*prompt
 	placed  []*prompt
 	results []Result
@@ -186,6 +192,7 @@
 	for _, k := range c.Kinds {
 		s.results = append(s.results, Result{Kind: k.Name})
 	}
+	s.arrived = make([][]*prompt, len(c.Kinds))
 	s.scheduleArrivals()
 	for len(s.events) > 0 {
 		ev := heap.Pop(&s.events).(simEvent)
@@ -202,6 +209,12 @@
 	return s.results
 }
 
+// served reports whether the whole answer came before the deadline, without a
+// pause at which the caller leaves.
+func (q *prompt) served() bool {
+	return q.endedAt > 0 && q.endedAt-q.arrivedAt <= q.kind.Deadline && q.maxGap <= max(2*time.Second, 8*q.kind.Gap)
+}
+
 // computeResults adds the placed prompts to the results and computes the mean
 // times.
 func (s *simulation) computeResults() {
@@ -212,7 +225,7 @@
 		res.MeanEstimateError += (q.firstEventAt - q.attemptAt - q.estimate).Abs()
 		weight := q.creditWeight()
 		switch {
-		case q.endedAt == 0 || q.endedAt-q.arrivedAt > q.kind.Deadline || q.maxGap > max(2*time.Second, 8*q.kind.Gap):
+		case !q.served():
 			res.Failed++
 		case first > q.kind.Target:
 			res.LateFirst++
@@ -226,6 +239,7 @@
 		}
 	}
 	for i := range s.results {
+		s.results[i].Sizes = sizeResults(s.arrived[i])
 		if n := time.Duration(s.results[i].Requests - s.results[i].Refused); n > 0 {
 			s.results[i].MeanTimeToFirstEvent /= n
 			s.results[i].MeanEstimateError /= n
@@ -247,6 +261,7 @@
 					break
 				}
 				pr := &prompt{kind: k, kindIndex: i, attemptAt: at, arrivedAt: at, node: s.rnd.IntN(s.NodeCount), tokens: ident.Tokens(s.drawLogNormal(k.MeanTokens, k.TokenSigma, k.MaxTokens))}
+				s.arrived[i] = append(s.arrived[i], pr)
 				heap.Push(&s.events, simEvent{at: at, prompt: pr, answerEvents: int(math.Ceil(s.drawLogNormal(k.MeanEvents, k.EventSigma, k.MaxEvents)))})
 			}
 		}
@@ -331,6 +346,7 @@
 func (s *simulation) retryOrRefuse(q *prompt, after time.Duration, answerEvents int) {
 	if q.isRetry || after >= q.kind.Deadline/2 {
 		s.results[q.kindIndex].Refused++
+		q.refused = true
 		return
 	}
 	q.isRetry = true
