gate: report rejected prompts by size, reason and load

Change: counters laburnum_prompts_total and laburnum_rejections_total, length classes up to 512k, fields backlog, loss, maxLoss, retryAfter and waited in "gate: refused", and a reason of its own for reservations that failed. Result: TestRejectedPromptsAreReportedBySizeAndReason failed before (both reasons were "all endpoints are full", no counters).

--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -16,24 +16,19 @@
 	// minValueFraction is the least fraction of its value that a late answer
 	// counts for.
 	minValueFraction = 0.02
-	// maxLossOfOthers bounds the loss that a prompt may cause to other requests,
+	// maxLossFraction bounds the loss that a prompt may cause to other requests,
 	// as a fraction of its own expected value. A retry may cause a loss of up to
 	// its whole expected value.
-	maxLossOfOthers = 0.6
+	maxLossFraction = 0.6
 	// A request that is expected to miss its target is deferred only if the
 	// backlog is more than the target divided by deferBacklogDivisor: if the
 	// request would be late even without the backlog, waiting doesn't help.
 	deferBacklogDivisor = 10
 )
 
-// costly reports whether the prefill time of a prompt exceeds the limit at the
-// mean backlog of the engines outside the interactive pool. Without such
-// engines, the lower limit applies.
-func costly(vs []*engineView, r Request) bool {
-	prefill := vs[0].prefillTime(split(r.Prompt, 1))
-	if prefill <= maxPrefillAtHighBacklog {
-		return false
-	}
+// meanBacklog returns the mean backlog of the engines outside the interactive
+// pool. Without such engines, it is highBacklog.
+func meanBacklog(vs []*engineView) time.Duration {
 	var sum time.Duration
 	n := time.Duration(0)
 	for _, v := range vs {
@@ -44,11 +39,17 @@
 		n++
 	}
 	if n == 0 {
-		return true
+		return highBacklog
 	}
-	load := ramp(sum/n, lowBacklog, highBacklog)
+	return sum / n
+}
+
+// costly reports whether the prefill time of a prompt exceeds the limit at the
+// mean backlog of the engines.
+func costly(vs []*engineView, backlog time.Duration, r Request) bool {
+	load := ramp(backlog, lowBacklog, highBacklog)
 	limit := maxPrefillAtLowBacklog - time.Duration(load*float64(maxPrefillAtLowBacklog-maxPrefillAtHighBacklog))
-	return prefill > limit
+	return vs[0].prefillTime(split(r.Prompt, 1)) > limit
 }
 
 // shouldDefer reports whether a caller who tolerates pauses should retry later,
@@ -59,7 +60,7 @@
 	if !r.toleratesPauses() {
 		return false
 	}
-	if p.costsOthersTooMuch(r) {
+	if p.lossOfOthers > p.maxLossOfOthers(r) {
 		return true
 	}
 	return !r.IsRetry && estimate > r.Target && p.maxBacklog() > r.Target/deferBacklogDivisor
@@ -74,15 +75,14 @@
 	return longest
 }
 
-// costsOthersTooMuch reports whether a plan makes other requests lose too much,
-// compared with the expected value of its answer. The limit is higher for a
-// retry.
-func (p plan) costsOthersTooMuch(r Request) bool {
+// maxLossOfOthers returns the value that other requests may lose by a plan. It is
+// a part of the expected value of the plan's answer, and higher for a retry.
+func (p plan) maxLossOfOthers(r Request) float64 {
 	limit := r.value * max(minValueFraction, 1-lateLoss(p.prefillEnd, r))
 	if !r.IsRetry {
-		limit *= maxLossOfOthers
+		limit *= maxLossFraction
 	}
-	return p.lossOfOthers > limit
+	return limit
 }
 
 const (
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -69,6 +69,19 @@
 	Reservations []ident.Tokens
 	// Estimate is the expected time to the first event; zero if unknown.
 	Estimate time.Duration
+	// Load is the load that the choice is based on. It is also set if the request
+	// is rejected.
+	Load Load
+}
+
+// Load describes the load of the engines at which a prompt is placed.
+type Load struct {
+	// Backlog is the mean time until the prefill queues of the engines outside
+	// the interactive pool are empty.
+	Backlog time.Duration
+	// LossOfOthers is the value that other requests lose by the plan, and
+	// MaxLossOfOthers the most that they may lose. Both are zero without a plan.
+	LossOfOthers, MaxLossOfOthers float64
 }
 
 // ServiceState holds the endpoints of a service and the requests in flight, as
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -52,20 +52,23 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNoEndpoint
 	}
-	if costly(vs, r) {
-		return Choice{}, ErrCostly
+	load := Load{Backlog: meanBacklog(vs)}
+	if costly(vs, load.Backlog, r) {
+		return Choice{Load: load}, ErrCostly
 	}
 	best, ok := bestWithLocalMemory(vs, s, r)
 	if !ok {
 		best, ok = bestWithReservations(vs, s, r)
 	}
 	if !ok && r.Prompt > s.Engine.Memory*ident.Tokens(len(vs))/2 {
-		return Choice{}, ErrTooLarge
+		return Choice{Load: load}, ErrTooLarge
 	}
 	if !ok {
-		return Choice{}, ErrFull
+		return Choice{Load: load}, ErrFull
 	}
+	load.LossOfOthers, load.MaxLossOfOthers = best.lossOfOthers, best.maxLossOfOthers(r)
 	c := best.choice()
+	c.Load = load
 	if best.shouldDefer(c.Estimate, r) {
 		return c, ErrDeferred
 	}
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -143,7 +143,7 @@
 	for n := range engines {
 		x.unreservedEngines.Add(n)
 	}
-	return outcome{result: unreserved, reason: "memory could not be reserved"}
+	return outcome{result: unreserved, reason: errUnreserved.Error()}
 }
 
 // connect takes an idle link from the pool or dials a new one. A request that
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -47,6 +47,9 @@
 // while they ran the request.
 const errCrashesEndpoints = errors.ConstError("request has broken the connections to several endpoints")
 
+// errUnreserved means that engines did not reserve the memory for a prompt.
+const errUnreserved = errors.ConstError("memory could not be reserved")
+
 // exchange is the state of one request of a caller across all its sends to
 // endpoints.
 type exchange struct {
@@ -68,8 +71,9 @@
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
 	// estimate is the time to the first event that the last placement
-	// predicted.
+	// predicted, load the load that it was based on.
 	estimate time.Duration
+	load     place.Load
 	// failedReservations counts the placements for which memory could not be
 	// reserved.
 	failedReservations int
@@ -226,8 +230,12 @@
 // the caller sees a truncated response.
 func (x *exchange) reject(status int, retryAfter time.Duration, reason string) {
 	e := x.server.requestLog(false).Str("request", x.reqHeader.ID).Int("status", status).Str("why", reason).
-		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Int64("prompt", int64(x.reqHeader.Prompt)).Dur("estimate", x.estimate)
+		Dur("after", time.Since(x.arrived)).Int("sends", x.sends).Int64("prompt", int64(x.reqHeader.Prompt)).Dur("estimate", x.estimate).Dur("retryAfter", retryAfter)
+	if x.reqHeader.Prompt > 0 {
+		e = e.Dur("backlog", x.load.Backlog).Float64("loss", x.load.LossOfOthers).Float64("maxLoss", x.load.MaxLossOfOthers)
+	}
 	if x.route != nil {
+		e = e.Dur("waited", x.waitedBefore())
 		e = e.Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", clock.Now().Sub(x.server.Feeds.CatalogConfirmedAt()))
 	}
 	e.Msg("gate: refused")
@@ -301,7 +309,7 @@
 		Suspect:  func(n ident.EndpointName) bool { return s.endpointHealth.isSuspect(n, now) },
 		Random:   random,
 	}, r)
-	x.estimate = c.Estimate
+	x.estimate, x.load = c.Estimate, c.Load
 	return c, r, err
 }
 
@@ -338,6 +346,10 @@
 // rejectUnplaced ends a request that is not sent to any further endpoint. err is
 // the reason.
 func (x *exchange) rejectUnplaced(err error, retryAfter time.Duration) {
+	if errors.Is(err, place.ErrFull) && x.failedReservations > 0 {
+		err = errUnreserved
+	}
+	x.countRejection(err, x.isRetry())
 	switch {
 	case x.headerSent:
 		x.reject(0, 0, "stream not resumed: "+err.Error())
@@ -345,7 +357,7 @@
 		x.reject(504, 0, "no response before the deadline")
 	case x.possibleRuns > 0:
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
-	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrCostly) || errors.Is(err, place.ErrDeferred):
+	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrCostly) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
 		x.reject(503, retryAfter, err.Error())
 	default:
 		x.reject(503, retrySoon, err.Error())
--- a/internal/trans/gate/lines_test.go
+++ b/internal/trans/gate/lines_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/place"
 )
 
 // logBuffer collects log lines. It is safe for concurrent use.
@@ -51,3 +55,64 @@
 	test.Eq(t, any("not-sent"), m["result"])
 	test.LessEq(t, m["after"].(float64), m["took"].(float64))
 }
+
+// The log line and the metrics of a rejected prompt tell its size, the reason and
+// the load. A refused reservation is not reported like engines that are full.
+func TestRejectedPromptsAreReportedBySizeAndReason(t *testing.T) {
+	cases := []struct {
+		why    string
+		prompt string
+		length string
+	}{
+		{why: errUnreserved.Error(), prompt: "150000", length: "256k"},
+		{why: place.ErrFull.Error(), prompt: "250000", length: "256k"},
+	}
+	for _, tc := range cases {
+		e := newEndpoint(t, "a", streams(1, 2, true))
+		es := []*scriptedEndpoint{e}
+		for _, n := range []string{"b", "c", "d", "e", "f"} {
+			es = append(es, e.alias(n))
+		}
+		r := newRig(t, es...)
+		for _, e := range es {
+			r.reserver.full[e.name+"m"] = true
+		}
+		l := &logBuffer{}
+		r.server.Logger = zerolog.New(l)
+		must.Eq(t, 503, r.do(request("POST", "/stream/", "r1", "x", "Prompt: "+tc.prompt)).status)
+		m := l.firstLine(t, "gate: refused")
+		test.Eq(t, any(tc.why), m["why"])
+		for _, field := range []string{"prompt", "backlog", "loss", "maxLoss", "retryAfter", "waited"} {
+			test.MapContainsKey(t, m, field)
+		}
+		test.Eq(t, 1, counterValue(t, r.server, "laburnum_rejections_total", tc.length, tc.why))
+		test.Eq(t, 1, counterValue(t, r.server, "laburnum_prompts_total", tc.length, "503"))
+	}
+}
+
+// counterValue returns the value of a server's counter with the given values
+// among those of its labels.
+func counterValue(t *testing.T, s *Server, name string, values ...string) float64 {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	s.Register(registry)
+	families, err := registry.Gather()
+	must.NoError(t, err)
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			var found []string
+			for _, p := range m.GetLabel() {
+				if slices.Contains(values, p.GetValue()) {
+					found = append(found, p.GetValue())
+				}
+			}
+			if len(found) == len(values) {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,17 +15,19 @@
 // metrics holds the Prometheus metrics of a Server.
 type metrics struct {
 	requests     *prometheus.CounterVec
+	prompts      *prometheus.CounterVec
+	rejections   *prometheus.CounterVec
 	sends        *prometheus.CounterVec
 	timeToFirst  *prometheus.HistogramVec
 	omittedLines prometheus.Counter
 }
 
-// lengthClasses are the classes of prompt sizes that label latencies.
+// lengthClasses are the classes of prompt sizes that label metrics.
 var lengthClasses = []struct {
 	upTo ident.Tokens
 	name string
 }{
-	{0, "none"}, {8_000, "8k"}, {32_000, "32k"}, {128_000, "128k"}, {1 << 40, "more"},
+	{0, "none"}, {8_000, "8k"}, {32_000, "32k"}, {128_000, "128k"}, {256_000, "256k"}, {512_000, "512k"}, {math.MaxInt64, "more"},
 }
 
 func lengthClass(n ident.Tokens) string {
@@ -40,6 +44,12 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_requests_total", Help: "Requests by kind and by status; cut is an answer that was broken off, left a caller who left.",
 		}, []string{"kind", "outcome"}),
+		prompts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_prompts_total", Help: "Prompts by length and by status; cut and left as in laburnum_requests_total.",
+		}, []string{"length", "outcome"}),
+		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_rejections_total", Help: "Requests that this node rejected without a placement, by length of the prompt and by reason; retry is true if the caller had waited or an endpoint had been tried.",
+		}, []string{"length", "why", "retry"}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_sends_total", Help: "Sends to endpoints by result.",
 		}, []string{"result"}),
@@ -56,7 +66,7 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.sends, m.timeToFirst, m.omittedLines,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.sends, m.timeToFirst, m.omittedLines,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
 		gauge("laburnum_nodes", "Nodes known, this one included.", func() float64 { return float64(s.NodeCount()) }),
@@ -95,7 +105,11 @@
 // countRequestEnd counts a request that has ended. label is the status, "cut" if
 // the response was truncated, or "left" if the caller disconnected.
 func (x *exchange) countRequestEnd(label string) {
-	x.server.getMetrics().requests.WithLabelValues(x.routeKind(), label).Inc()
+	m := x.server.getMetrics()
+	m.requests.WithLabelValues(x.routeKind(), label).Inc()
+	if x.reqHeader.Prompt > 0 {
+		m.prompts.WithLabelValues(lengthClass(x.reqHeader.Prompt), label).Inc()
+	}
 }
 
 func (x *exchange) routeKind() string {
@@ -105,6 +119,11 @@
 	return x.route.Kind.String()
 }
 
+// countRejection counts a request that could not be placed.
+func (x *exchange) countRejection(reason error, isRetry bool) {
+	x.server.getMetrics().rejections.WithLabelValues(lengthClass(x.reqHeader.Prompt), reason.Error(), strconv.FormatBool(isRetry)).Inc()
+}
+
 // observeLatency records the time to the first event or to the response
 // header.
 func (x *exchange) observeLatency(latency time.Duration) {
