--- a/internal/lab/passes/passes_test.go
+++ b/internal/lab/passes/passes_test.go
@@ -116,3 +116,35 @@
 	}
 	Run(c)
 }
+
+// Load patterns: the bursts on the large deployment, at the users' rates and a
+// quarter above. Guards against admission that refuses the largest prompts of a
+// kind while it serves the others: the largest tenth, and the fifth below it, must
+// be served at least half as often as the whole kind.
+func TestLargestPromptsAreNotStarved(t *testing.T) {
+	cases := []struct {
+		name string
+		load float64
+	}{
+		{"users' rates", 1},
+		{"a quarter more", 1.25},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var sizes SizeResults
+			for seed := range uint64(2) {
+				w := LargeWorkload(seed + 1)
+				w.UpdateDelay = 15 * time.Millisecond
+				for i := range w.Kinds {
+					w.Kinds[i].Rate *= c.load
+				}
+				longest := Run(w)[len(w.Kinds)-1]
+				sizes.add(longest.Sizes)
+			}
+			all := sizes.All().ServedShare()
+			test.GreaterEq(t, all/2, sizes[NextFifth].ServedShare())
+			test.GreaterEq(t, all/2, sizes[LargestTenth].ServedShare())
+		})
+	}
+}
