place: count a delayed prompt once in the loss by a plan

Cause: the loss of others was summed over the parts that a plan delays. Change: admission counts each delayed prompt once. Result: TestDelayedPromptCountsOnce failed before (the sum was three times the loss).

--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -53,14 +53,13 @@
 }
 
 // shouldDefer reports whether a caller who tolerates pauses should retry later,
-// when less prefill is queued. That is so if the plan costs other requests too
-// much, or, for a first try, if the prompt would miss its target because of the
-// backlog.
-func (p plan) shouldDefer(estimate time.Duration, r Request) bool {
+// when less prefill is queued. That is so if other requests would lose too much,
+// or, for a first try, if the prompt would miss its target because of the backlog.
+func (p plan) shouldDefer(load Load, estimate time.Duration, r Request) bool {
 	if !r.toleratesPauses() {
 		return false
 	}
-	if p.lossOfOthers > p.maxLossOfOthers(r) {
+	if load.LossOfOthers > load.MaxLossOfOthers {
 		return true
 	}
 	return !r.IsRetry && estimate > r.Target && p.maxBacklog() > r.Target/deferBacklogDivisor
@@ -75,6 +74,27 @@
 	return longest
 }
 
+// lossByDelay returns the value that the requests in flight lose by a plan. Each
+// prompt counts once, however many of its parts are delayed, since they are
+// delayed at the same time. plan.lossOfOthers, by which plans are compared, counts
+// it for each part.
+func (p plan) lossByDelay(requests int, r Request) float64 {
+	part := split(r.Prompt, len(p.helpers)+1)
+	loss := p.primary.stallLoss(part)
+	losses := make([]float64, requests)
+	for _, h := range p.helpers {
+		if h.decoding > 0 {
+			loss += h.stallLoss(part)
+			continue
+		}
+		h.queue.addLosses(losses, h.prefillTime(part))
+	}
+	for _, l := range losses {
+		loss += l
+	}
+	return loss
+}
+
 // maxLossOfOthers returns the value that other requests may lose by a plan. It is
 // a part of the expected value of the plan's answer, and higher for a retry.
 func (p plan) maxLossOfOthers(r Request) float64 {
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -122,9 +122,9 @@
 			}
 		}
 	}
-	for _, w := range s.InFlight {
+	for i, w := range s.InFlight {
 		if !w.Writing && w.Prompt > 0 {
-			addPrefill(byName, w, s.Now)
+			addPrefill(byName, i, w, s.Now)
 		}
 	}
 	factor := delayFactor(len(vs))
@@ -151,14 +151,15 @@
 	}
 }
 
-// addPrefill adds the parts of a prompt to the queues of its engines.
-func addPrefill(byName map[ident.EndpointName]*engineView, w works.Request, now time.Time) {
+// addPrefill adds the parts of a prompt to the queues of its engines. i is the
+// index of its request.
+func addPrefill(byName map[ident.EndpointName]*engineView, i int, w works.Request, now time.Time) {
 	p := split(w.Prompt, len(w.Helpers)+1)
 	at := -now.Sub(w.Since)
 	lossRate := delayLossRate(w)
 	if v := byName[w.First]; v != nil {
 		t := v.prefillTime(p)
-		pending := pendingPart{left: t, lossRate: lossRate}
+		pending := pendingPart{request: i, left: t, lossRate: lossRate}
 		if len(w.Helpers) == 0 {
 			// A prompt without helpers that isn't being decoded yet still waits for
 			// this engine, however long ago it was sent. So at least a quarter of its
@@ -170,7 +171,7 @@
 	for _, h := range w.Helpers {
 		if v := byName[h]; v != nil {
 			v.helpedPrompts++
-			v.queue.addForOther(pendingPart{left: v.prefillTime(p), lossRate: lossRate}, at)
+			v.queue.addForOther(pendingPart{request: i, left: v.prefillTime(p), lossRate: lossRate}, at)
 		}
 	}
 }
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -66,10 +66,10 @@
 	if !ok {
 		return Choice{Load: load}, ErrFull
 	}
-	load.LossOfOthers, load.MaxLossOfOthers = best.lossOfOthers, best.maxLossOfOthers(r)
+	load.LossOfOthers, load.MaxLossOfOthers = best.lossByDelay(len(s.InFlight), r), best.maxLossOfOthers(r)
 	c := best.choice()
 	c.Load = load
-	if best.shouldDefer(c.Estimate, r) {
+	if best.shouldDefer(load, c.Estimate, r) {
 		return c, ErrDeferred
 	}
 	if r.TimeLeft > 0 && c.Estimate > r.TimeLeft*firstEventPercent/100 {
--- a/internal/coord/place/queue.go
+++ b/internal/coord/place/queue.go
@@ -4,6 +4,8 @@
 
 // pendingPart is a part of a prompt that an engine has not prefilled yet.
 type pendingPart struct {
+	// request is the index of the prompt's request in ServiceState.InFlight.
+	request int
 	// left is the prefill time left; minLeft is the least that is counted for it
 	// in the backlog.
 	left, minLeft time.Duration
@@ -94,6 +96,19 @@
 	return sum
 }
 
+// addLosses sets, for each queued prompt, the value that it loses by a delay of t
+// if that is more than its loss by delays at other engines. losses is indexed like
+// ServiceState.InFlight.
+func (q *prefillQueue) addLosses(losses []float64, t time.Duration) {
+	for _, parts := range [][]pendingPart{q.forOthers, q.own} {
+		for _, p := range parts {
+			if p.left > 0 {
+				losses[p.request] = max(losses[p.request], p.lossRate*t.Seconds())
+			}
+		}
+	}
+}
+
 // delayLoss returns the value that the queued prompts lose if all of them are
 // delayed by t.
 func (q *prefillQueue) delayLoss(t time.Duration) float64 {
--- a/internal/coord/place/queue_test.go
+++ b/internal/coord/place/queue_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/shoenig/test"
+
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 func TestNewestPartsForOthersArePrefilledFirst(t *testing.T) {
@@ -28,3 +31,15 @@
 	test.Less(t, 0.4, delayFactor(23))
 	test.Positive(t, delayFactor(1))
 }
+
+// A plan that delays several parts of a prompt delays them at the same time. Guards
+// against a loss that grows with the number of helpers, so that large prompts, which
+// use the most, look as if they cost others many times over.
+func TestDelayedPromptCountsOnce(t *testing.T) {
+	helpers := []ident.EndpointName{"b", "c", "d"}
+	queued := works.Request{First: "a", Prompt: 300_000, Share: 300_000, Gap: time.Second, Target: time.Second, Helpers: helpers, Since: time.Unix(1000, 0)}
+	vs := engineViews(testState(5, queued))
+	p := newPlan(vs[4], vs[1:4], longRequest)
+	t1 := vs[1].prefillTime(split(longRequest.Prompt, 4)).Seconds()
+	test.InDelta(t, delayLossRate(queued)*t1, p.lossByDelay(1, longRequest), 1e-6)
+}
