place: defer prompts of all sizes at about the same load

Cause: two rules of admission went by size. A prompt of more than 8 to 32 engine seconds was refused whatever its caller had waited. And others might lose a fraction of the value of its answer, which grows slower than the work: with the same queues a retry of 100,000 tokens was deferred from 77 queued prompts on, one of 300,000 from 7 and one of 600,000 from 1. Change: no limit on the size; what others may lose grows with the prefill time. A long prompt is deferred by that also if its caller tolerates no pauses. Why it works: loss and bound grow alike with the size, so the load decides. Result: TestPromptsOfAllSizesAreDeferredAtAboutTheSameLoad failed before (77 against 1, now 77 against 56). In TestChooseRejects a prompt beyond the memory of all engines now gets ErrTooLarge, which names the reason, in place of ErrCostly, which is gone.

--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -3,23 +3,20 @@
 import "time"
 
 const (
-	// The limit on a prompt's prefill time falls linearly from
-	// maxPrefillAtLowBacklog to maxPrefillAtHighBacklog as the mean backlog grows
-	// from lowBacklog to highBacklog.
-	lowBacklog  = 150 * time.Millisecond
-	highBacklog = 500 * time.Millisecond
-	// These limit the time that the prefill of a prompt takes on one engine. The
-	// attention pairs make that time grow with the square of the prompt's size,
-	// so one of the largest prompts displaces many others.
-	maxPrefillAtLowBacklog  = 32 * time.Second
-	maxPrefillAtHighBacklog = 8 * time.Second
-	// minValueFraction is the least fraction of its value that a late answer
-	// counts for.
-	minValueFraction = 0.02
-	// maxLossFraction bounds the loss that a prompt may cause to other requests,
-	// as a fraction of its own expected value. A retry may cause a loss of up to
-	// its whole expected value.
-	maxLossFraction = 0.6
+	// maxLossPerSecond bounds the value that other requests may lose by a prompt,
+	// for each second that its prefill takes on one engine. The bound grows with
+	// the work, like the loss itself, and not with the value of the answer. So
+	// prompts of all sizes are deferred at about the same load.
+	maxLossPerSecond = 2.0
+	// minLossFraction is the least fraction of the bound that applies to a prompt
+	// that will be late.
+	minLossFraction = 0.05
+	// firstTryFraction is the fraction of the bound that applies to the first try
+	// of a prompt.
+	firstTryFraction = 0.6
+	// longPrefill is the prefill time on one engine above which a prompt is
+	// deferred even if its caller does not tolerate pauses.
+	longPrefill = 8 * time.Second
 	// A request that is expected to miss its target is deferred only if the
 	// backlog is more than the target divided by deferBacklogDivisor: if the
 	// request would be late even without the backlog, waiting doesn't help.
@@ -27,7 +24,7 @@
 )
 
 // meanBacklog returns the mean backlog of the engines outside the interactive
-// pool. Without such engines, it is highBacklog.
+// pool, or zero if there are none.
 func meanBacklog(vs []*engineView) time.Duration {
 	var sum time.Duration
 	n := time.Duration(0)
@@ -38,25 +35,15 @@
 		sum += v.backlog
 		n++
 	}
-	if n == 0 {
-		return highBacklog
-	}
-	return sum / n
-}
-
-// costly reports whether the prefill time of a prompt exceeds the limit at the
-// mean backlog of the engines.
-func costly(vs []*engineView, backlog time.Duration, r Request) bool {
-	load := ramp(backlog, lowBacklog, highBacklog)
-	limit := maxPrefillAtLowBacklog - time.Duration(load*float64(maxPrefillAtLowBacklog-maxPrefillAtHighBacklog))
-	return vs[0].prefillTime(split(r.Prompt, 1)) > limit
+	return sum / max(1, n)
 }
 
-// shouldDefer reports whether a caller who tolerates pauses should retry later,
-// when less prefill is queued. That is so if other requests would lose too much,
-// or, for a first try, if the prompt would miss its target because of the backlog.
+// shouldDefer reports whether the caller should retry later, when less prefill is
+// queued. That is so if other requests would lose too much, or, for a first try, if
+// the prompt would miss its target because of the backlog. Callers who don't
+// tolerate pauses are deferred only if their prompt is long.
 func (p plan) shouldDefer(load Load, estimate time.Duration, r Request) bool {
-	if !r.toleratesPauses() {
+	if !r.toleratesPauses() && p.prefillOnOneEngine(r) <= longPrefill {
 		return false
 	}
 	if load.LossOfOthers > load.MaxLossOfOthers {
@@ -95,12 +82,19 @@
 	return loss
 }
 
-// maxLossOfOthers returns the value that other requests may lose by a plan. It is
-// a part of the expected value of the plan's answer, and higher for a retry.
-func (p plan) maxLossOfOthers(r Request) float64 {
-	limit := r.value * max(minValueFraction, 1-lateLoss(p.prefillEnd, r))
+// prefillOnOneEngine returns the time that one engine would take to prefill the
+// whole prompt.
+func (p plan) prefillOnOneEngine(r Request) time.Duration {
+	return p.primary.prefillTime(split(r.Prompt, 1))
+}
+
+// maxLossByDelay returns the value that the requests in flight may lose by a plan.
+// It grows with the prefill time of the prompt, falls the later its answer is
+// expected, and is higher for a retry.
+func (p plan) maxLossByDelay(r Request) float64 {
+	limit := maxLossPerSecond * p.prefillOnOneEngine(r).Seconds() * max(minLossFraction, 1-lateLoss(p.prefillEnd, r))
 	if !r.IsRetry {
-		limit *= maxLossFraction
+		limit *= firstTryFraction
 	}
 	return limit
 }
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -26,9 +26,6 @@
 	// ErrDeferred means that the caller should retry later, when less prefill is
 	// queued at the engines.
 	ErrDeferred = errors.ConstError("too much prefill is queued")
-	// ErrCostly means that the prefill time of the prompt exceeds the limit,
-	// which depends on the backlog of the engines.
-	ErrCostly = errors.ConstError("prompt is too large for the load")
 	// ErrTooLarge means that the prompt can't be placed and exceeds half of the
 	// memory of all engines together.
 	ErrTooLarge = errors.ConstError("prompt is too large")
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -53,9 +53,6 @@
 		return Choice{}, ErrNoEndpoint
 	}
 	load := Load{Backlog: meanBacklog(vs)}
-	if costly(vs, load.Backlog, r) {
-		return Choice{Load: load}, ErrCostly
-	}
 	best, ok := bestWithLocalMemory(vs, s, r)
 	if !ok {
 		best, ok = bestWithReservations(vs, s, r)
@@ -66,7 +63,7 @@
 	if !ok {
 		return Choice{Load: load}, ErrFull
 	}
-	load.LossOfOthers, load.MaxLossOfOthers = best.lossByDelay(len(s.InFlight), r), best.maxLossOfOthers(r)
+	load.LossOfOthers, load.MaxLossOfOthers = best.lossByDelay(len(s.InFlight), r), best.maxLossByDelay(r)
 	c := best.choice()
 	c.Load = load
 	if best.shouldDefer(load, c.Estimate, r) {
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -357,7 +357,7 @@
 		x.reject(504, 0, "no response before the deadline")
 	case x.possibleRuns > 0:
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
-	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrCostly) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
+	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
 		x.reject(503, retryAfter, err.Error())
 	default:
 		x.reject(503, retrySoon, err.Error())
