http1: read all Connection fields of a message

Cause: only the first of several Connection fields was read. Fields that a later one lists were forwarded to endpoints, and a response whose close stood in a later one put its link back into the pool, where the next request met a closing connection. Change: all Connection fields count. Result: TestAllConnectionFieldsAreRead and the case of TestResponses failed before.

--- a/internal/trans/http1/head.go
+++ b/internal/trans/http1/head.go
@@ -134,11 +134,10 @@
 var unforwardedFields = []string{"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
 
 // EndToEnd calls f for each field that is forwarded: all but unforwardedFields
-// and those that the Connection field lists.
+// and those that a Connection field lists.
 func (h *Head) EndToEnd(f func(Field)) {
-	listed, n := h.Get("Connection")
 	for _, field := range h.Fields {
-		if isUnforwarded(field) || n > 0 && HasToken(listed, string(field.Name)) {
+		if isUnforwarded(field) || h.connectionHas(string(field.Name)) {
 			continue
 		}
 		f(field)
@@ -154,6 +153,16 @@
 	return false
 }
 
+// connectionHas reports whether any Connection field contains a token.
+func (h *Head) connectionHas(token string) bool {
+	for _, f := range h.Fields {
+		if f.Is("Connection") && HasToken(f.Value, token) {
+			return true
+		}
+	}
+	return false
+}
+
 // HasToken reports whether a comma-separated list contains a token, ignoring
 // case.
 func HasToken(list []byte, token string) bool {
--- a/internal/trans/http1/http1_test.go
+++ b/internal/trans/http1/http1_test.go
@@ -32,6 +32,7 @@
 		{"without content", "HTTP/1.1 204 No Content\r\n\r\n", "GET", 204, None, false, "", false},
 		{"after an interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", "POST", 200, Sized, false, "", false},
 		{"with Connection: close", "HTTP/1.1 200 OK\r\nConnection: x, close\r\nContent-Length: 0\r\n\r\n", "GET", 200, Sized, true, "", false},
+		{"with close in a later Connection field", "HTTP/1.1 200 OK\r\nConnection: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "GET", 200, Sized, true, "", false},
 		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", "GET", 200, Sized, true, "", false},
 		{"no status line", "hello\r\n\r\n", "GET", 0, 0, false, "", true},
 		{"status out of range", "HTTP/1.1 999 No\r\n\r\n", "GET", 0, 0, false, "", true},
@@ -91,6 +92,17 @@
 	test.Eq(t, "A: 1\r\nC: 3\r\n", string(b))
 }
 
+// Guards against reading only the first of several Connection fields: the fields that
+// a later one lists must not be forwarded either, and its close counts.
+func TestAllConnectionFieldsAreRead(t *testing.T) {
+	r, err := ReadRequest(reader("GET / HTTP/1.1\r\nHost: a\r\nConnection: keep-alive\r\nX: 1\r\nY: 2\r\nConnection: x, Close\r\n\r\n"), 4096)
+	must.NoError(t, err)
+	test.True(t, r.Close)
+	var b []byte
+	r.EndToEnd(func(f Field) { b = f.Append(b) })
+	test.Eq(t, "Host: a\r\nY: 2\r\n", string(b))
+}
+
 // FuzzRequest checks that an accepted request reads the same after it has been
 // written again, so that an endpoint can't read two requests where the node
 // read one.
--- a/internal/trans/http1/messg.go
+++ b/internal/trans/http1/messg.go
@@ -51,8 +51,7 @@
 	if r.Framing == UntilClose {
 		r.Framing = None
 	}
-	c, _ := h.Get("Connection")
-	r.Close = HasToken(c, "close")
+	r.Close = h.connectionHas("close")
 	e, _ := h.Get("Expect")
 	r.ExpectContinue = HasToken(e, "100-continue")
 	return r, nil
@@ -135,7 +134,6 @@
 	if method == "HEAD" || r.Status == 204 || r.Status == 304 {
 		r.Framing = None
 	}
-	c, _ := r.Get("Connection")
-	r.Close = HasToken(c, "close") || r.Framing == UntilClose || r.StartLine[7] == '0'
+	r.Close = r.connectionHas("close") || r.Framing == UntilClose || r.StartLine[7] == '0'
 	return nil
 }
