gate: take a retry from the budget only if an endpoint is left

Cause: after a refusal, a retry was taken from the shared budget before the node looked whether an endpoint is left to send to. If all had refused, the budget paid for nothing, and later requests that could be retried were answered 503. Change: the budget is asked last, as it is after other failures. Result: TestRefusalByTheLastEndpointTakesNoRetry failed before.

--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -386,7 +386,7 @@
 	case notSent:
 		return false
 	case refused:
-		if canRetry && s.takeRetry(x.service.Name) && !x.allTried() {
+		if canRetry && !x.allTried() && s.takeRetry(x.service.Name) {
 			return false
 		}
 	default:
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -404,3 +404,13 @@
 	test.NoError(t, res.err)
 	test.Eq(t, event(1)+event(2)+event(3), res.body)
 }
+
+// Guards against a refusal that uses up the retry budget although no endpoint is left
+// to retry at.
+func TestRefusalByTheLastEndpointTakesNoRetry(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", refuses(503)))
+	// The budget allows one retry.
+	r.server.Budget = Budget{Window: 10 * time.Second, Extra: 2}
+	test.Eq(t, 503, r.do(request("GET", "/safe/", "r1", "")).status)
+	test.True(t, r.server.takeRetry("plain"))
+}
