gate: a whole body with an incomplete last event is no strike

Cause: a stream whose body ended as its framing says, but whose last event lacked the empty line, was taken for a connection that the endpoint broke under the request. After three such answers, the request was rejected as one that crashes endpoints. Change: the end of a sized or chunked body is no broken connection. The answer still does not look complete to the caller.

--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -414,3 +415,16 @@
 	test.Eq(t, 503, r.do(request("GET", "/safe/", "r1", "")).status)
 	test.True(t, r.server.takeRetry("plain"))
 }
+
+// A body that is whole but whose last event lacks its empty line is no broken
+// connection. Guards against strikes for it, after which the request would be
+// rejected as one that crashes endpoints.
+func TestIncompleteLastEventIsNoStrike(t *testing.T) {
+	e := newEndpoint(t, "e", raw(streamHead+chunked(event(1), "id: 2\ndata: e2\n")+lastChunk, true))
+	r := newRig(t, e)
+	var strikes atomic.Int32
+	r.server.AnnounceStrike = func(strik.Strike) { strikes.Add(1) }
+	res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.Error(t, res.err, test.Sprint("the answer must not look complete"))
+	test.Eq(t, 0, strikes.Load())
+}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -67,7 +67,10 @@
 			return o, !res.Close
 		}
 		if err != nil {
-			o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "stream truncated: "+err.Error()
+			// io.EOF is the end of the body. Unless the end of the connection marks it,
+			// the endpoint did not break off.
+			bodyEnded := err == io.EOF && res.Framing != http1.UntilClose
+			o.result, o.connBroken, o.reason = unanswered, isConnBroken(err) && !bodyEnded, "stream truncated: "+err.Error()
 			return o, false
 		}
 	}
