place: tell callers at once that a prompt can never be placed

Cause: a prompt counted as too large above half of the memory of all engines. But it is stored in pieces, one an engine, at most 17, on engines outside the interactive pool. Prompts between these bounds were rejected as if the engines were full, with a time to come back, again and again; the largest of them on 78 engines from 1,785,000 tokens on. Change: ErrTooLarge goes by the pieces and the engines there are, and the response has no Retry-After. TestRejectedPromptsAreReportedBySizeAndReason has a case for each of the three reasons, and checks Retry-After.

--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -26,8 +26,8 @@
 	// ErrDeferred means that the caller should retry later, when less prefill is
 	// queued at the engines.
 	ErrDeferred = errors.ConstError("too much prefill is queued")
-	// ErrTooLarge means that the prompt can't be placed and exceeds half of the
-	// memory of all engines together.
+	// ErrTooLarge means that the engines can't store the prompt even if they are
+	// idle.
 	ErrTooLarge = errors.ConstError("prompt is too large")
 )
 
--- a/internal/coord/place/pool.go
+++ b/internal/coord/place/pool.go
@@ -44,8 +44,12 @@
 	}
 	perEngine := targetRequests(s.Engine)
 	size := (count+perEngine-1)/perEngine + poolSpare
-	maxSize := len(vs) - (len(vs)+outsidePoolDivisor-1)/outsidePoolDivisor
 	for _, v := range vs {
-		v.interactive = v.rank < min(size, maxSize)
+		v.interactive = v.rank < min(size, maxPoolSize(len(vs)))
 	}
 }
+
+// maxPoolSize returns the largest size of the interactive pool.
+func maxPoolSize(engines int) int {
+	return engines - (engines+outsidePoolDivisor-1)/outsidePoolDivisor
+}
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -48,6 +48,9 @@
 func choosePrompt(s ServiceState, r Request) (Choice, error) {
 	r.value = answerValue(r.Prompt)
 	vs := engineViews(s)
+	if len(vs) > 0 && isTooLarge(s.Engine, len(vs), r) {
+		return Choice{}, ErrTooLarge
+	}
 	vs = slices.DeleteFunc(vs, func(v *engineView) bool { return r.Tried.Has(v.endpoint.Name) })
 	if len(vs) == 0 {
 		return Choice{}, ErrNoEndpoint
@@ -57,9 +60,6 @@
 	if !ok {
 		best, ok = bestWithReservations(vs, s, r)
 	}
-	if !ok && r.Prompt > s.Engine.Memory*ident.Tokens(len(vs))/2 {
-		return Choice{Load: load}, ErrTooLarge
-	}
 	if !ok {
 		return Choice{Load: load}, ErrFull
 	}
--- a/internal/coord/place/prompt_test.go
+++ b/internal/coord/place/prompt_test.go
@@ -184,3 +184,26 @@
 	}
 	test.LessEq(t, 2*least, most)
 }
+
+// Guards against callers who are told to come back with a prompt that can never be
+// placed: each engine outside the interactive pool holds at most one piece of it.
+func TestPromptsBeyondTheEnginesAreTooLarge(t *testing.T) {
+	cases := []struct {
+		engines int
+		prompt  ident.Tokens
+		want    error
+	}{
+		{78, 1_700_000, nil},
+		{78, 1_800_000, ErrTooLarge},
+		{4, 310_000, nil},
+		{4, 320_000, ErrTooLarge},
+		{1, 310_000, ErrTooLarge},
+		{0, 310_000, ErrNoEndpoint},
+	}
+	for _, c := range cases {
+		r := longRequest
+		r.Prompt, r.TimeLeft = c.prompt, time.Hour
+		_, err := Choose(testState(c.engines), r)
+		test.ErrorIs(t, err, c.want, test.Sprint(c.engines, c.prompt))
+	}
+}
--- a/internal/coord/place/reserve.go
+++ b/internal/coord/place/reserve.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -16,8 +17,7 @@
 // one. The primary engine stores one piece; the other engines reserve memory
 // for theirs before the request is sent.
 func bestWithReservations(vs []*engineView, s ServiceState, r Request) (plan, bool) {
-	maxPiece := vs[0].spec.Memory / maxPieceDivisor
-	n := int((r.Prompt + maxPiece - 1) / maxPiece)
+	n := pieces(s.Engine, r.Prompt)
 	if n < 2 || n > maxHelpers+1 {
 		return plan{}, false
 	}
@@ -44,6 +44,21 @@
 	return withExtraHelpers(best, vs, s, r), true
 }
 
+// pieces returns the number of engines that store a prompt which is too large for
+// one.
+func pieces(e *topol.Engine, prompt ident.Tokens) int {
+	maxPiece := e.Memory / maxPieceDivisor
+	return int((prompt + maxPiece - 1) / maxPiece)
+}
+
+// isTooLarge reports whether a prompt is too large for this number of engines, even
+// if all of them are idle. The interactive pool has at least poolSpare of them.
+func isTooLarge(e *topol.Engine, engines int, r Request) bool {
+	outsidePool := engines - min(poolSpare, maxPoolSize(engines))
+	fitsOne := r.Prompt+r.Output <= e.Memory*memoryPercent/100
+	return !fitsOne && pieces(e, r.Prompt) > min(maxHelpers+1, outsidePool)
+}
+
 // withExtraHelpers adds helpers that prefill a part but reserve no memory, in
 // the number with the lowest cost.
 func withExtraHelpers(base plan, vs []*engineView, s ServiceState, r Request) plan {
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -359,6 +359,9 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
 		x.reject(503, retryAfter, err.Error())
+	case errors.Is(err, place.ErrTooLarge):
+		// Coming back doesn't help the caller.
+		x.reject(503, 0, err.Error())
 	default:
 		x.reject(503, retrySoon, err.Error())
 	}
--- a/internal/trans/gate/lines_test.go
+++ b/internal/trans/gate/lines_test.go
@@ -14,6 +14,8 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // logBuffer collects log lines. It is safe for concurrent use.
@@ -63,9 +65,14 @@
 		why    string
 		prompt string
 		length string
+		// filled is set if the engines' memory is in use.
+		filled bool
+		// returns is set if the caller is told when to come back.
+		returns bool
 	}{
-		{why: errUnreserved.Error(), prompt: "150000", length: "256k"},
-		{why: place.ErrFull.Error(), prompt: "250000", length: "256k"},
+		{why: errUnreserved.Error(), prompt: "150000", length: "256k", returns: true},
+		{why: place.ErrFull.Error(), prompt: "50000", length: "128k", filled: true, returns: true},
+		{why: place.ErrTooLarge.Error(), prompt: "250000", length: "256k"},
 	}
 	for _, tc := range cases {
 		e := newEndpoint(t, "a", streams(1, 2, true))
@@ -76,10 +83,15 @@
 		r := newRig(t, es...)
 		for _, e := range es {
 			r.reserver.full[e.name+"m"] = true
+			if tc.filled {
+				r.server.InFlight.Put(works.Request{Node: "n2", ID: works.ID(len(r.server.InFlight.All())), First: ident.EndpointName(e.name + "m"), Share: 90_000, Writing: true})
+			}
 		}
 		l := &logBuffer{}
 		r.server.Logger = zerolog.New(l)
-		must.Eq(t, 503, r.do(request("POST", "/stream/", "r1", "x", "Prompt: "+tc.prompt)).status)
+		res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: "+tc.prompt))
+		must.Eq(t, 503, res.status)
+		test.Eq(t, tc.returns, res.header.Get("Retry-After") != "", test.Sprint(tc.why))
 		m := l.firstLine(t, "gate: refused")
 		test.Eq(t, any(tc.why), m["why"])
 		for _, field := range []string{"prompt", "backlog", "loss", "maxLoss", "retryAfter", "waited"} {
