--- a/internal/trans/front/front_test.go
+++ b/internal/trans/front/front_test.go
@@ -3,12 +3,22 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/serve"
 )
 
 func TestParseTimeLimit(t *testing.T) {
@@ -67,6 +77,35 @@
 	}
 }
 
+// Guards against a bare cut, or a request read from the body, after a
+// Content-Length that makes no sense.
+func TestAbsurdContentLengthIsRejected(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &Server{Core: &serve.Core{Metrics: serve.NewMetrics(prometheus.NewRegistry()), Ring: trace.NewRing("n", &trace.Clock{}, 100)}, Logger: zerolog.Nop(), HasConfig: func() bool { return false }}
+	s.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Run(ctx, l)
+	defer s.Stop(ctx)
+	for _, length := range []string{"99999999999999999999", "9223372036854775808", "-1", "-99999999999999999999", "+3", "abc", "3 4", "0x10", ""} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		must.NoError(t, err)
+		defer c.Close()
+		must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: "+length+"\r\n\r\nGET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+		must.NoError(t, err)
+		br := bufio.NewReader(c)
+		res, err := http.ReadResponse(br, nil)
+		must.NoError(t, err, must.Sprint(length))
+		test.Eq(t, 400, res.StatusCode, test.Sprint(length))
+		_, err = io.Copy(io.Discard, res.Body)
+		test.NoError(t, err, test.Sprint(length))
+		_, err = br.ReadByte()
+		test.ErrorIs(t, err, io.EOF, test.Sprint(length))
+	}
+}
+
 // FuzzHeaders checks that no header of a caller makes the parsing panic or
 // return malformed values.
 func FuzzHeaders(f *testing.F) {
