--- a/internal/trans/conns/pool.go
+++ b/internal/trans/conns/pool.go
@@ -43,7 +43,6 @@
 	writer   *bufio.Writer
 	openedAt time.Time
 	lastUsed time.Time
-	reused   bool
 }
 
 // get returns an idle connection that is still open, or a new one. If fresh is
@@ -64,7 +63,6 @@
 	if !ok {
 		return nil
 	}
-	c.reused = true
 	return c
 }
 
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -88,7 +88,6 @@
 	lastEvent string
 	// keepConn is set while the caller's connection can carry another request.
 	keepConn bool
-	done     chan struct{}
 
 	mu                 sync.Mutex
 	callerDisconnected bool
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -85,7 +85,6 @@
 	scripts  []script
 	received []receivedRequest
 	conns    int
-	ended    int
 }
 
 // script answers a request on a connection. It returns false to close the
@@ -183,9 +182,6 @@
 	for {
 		req, err := http1.ReadRequest(br, 64<<10)
 		if err != nil {
-			e.mu.Lock()
-			e.ended++
-			e.mu.Unlock()
 			return
 		}
 		body, err := http1.ReadBody(br, req.Framing, req.Length, 8<<20)
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -318,7 +318,7 @@
 	}
 	s.inFlightCount.Add(1)
 	defer s.inFlightCount.Add(-1)
-	x := &exchange{server: s, caller: c, request: req, arrived: arrived, done: make(chan struct{})}
+	x := &exchange{server: s, caller: c, request: req, arrived: arrived}
 	if req.ExpectContinue && req.Framing != http1.None {
 		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -32,8 +32,6 @@
 type Link struct {
 	net.Conn
 	Reader *bufio.Reader
-	// Reused is set if the link has carried a request before.
-	Reused bool
 	// IdleTimeout is how long the link may stay unused before it is closed, so
 	// that it is not used when the endpoint may be closing it.
 	IdleTimeout time.Duration
@@ -55,7 +53,6 @@
 	if !ok {
 		return nil
 	}
-	l.Reused = true
 	return l
 }
 
