--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -88,7 +88,6 @@
 	lastEvent string
 	// keepConn is set while the caller's connection can carry another request.
 	keepConn bool
-	done     chan struct{}
 
 	mu                 sync.Mutex
 	callerDisconnected bool
@@ -359,6 +358,9 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
 		x.reject(503, retryAfter, err.Error())
+	case errors.Is(err, place.ErrTooLarge):
+		// Coming back doesn't help the caller.
+		x.reject(503, 0, err.Error())
 	default:
 		x.reject(503, retrySoon, err.Error())
 	}
@@ -386,7 +388,7 @@
 	case notSent:
 		return false
 	case refused:
-		if canRetry && s.takeRetry(x.service.Name) && !x.allTried() {
+		if canRetry && !x.allTried() && s.takeRetry(x.service.Name) {
 			return false
 		}
 	default:
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -404,3 +405,26 @@
 	test.NoError(t, res.err)
 	test.Eq(t, event(1)+event(2)+event(3), res.body)
 }
+
+// Guards against a refusal that uses up the retry budget although no endpoint is left
+// to retry at.
+func TestRefusalByTheLastEndpointTakesNoRetry(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", refuses(503)))
+	// The budget allows one retry.
+	r.server.Budget = Budget{Window: 10 * time.Second, Extra: 2}
+	test.Eq(t, 503, r.do(request("GET", "/safe/", "r1", "")).status)
+	test.True(t, r.server.takeRetry("plain"))
+}
+
+// A body that is whole but whose last event lacks its empty line is no broken
+// connection. Guards against strikes for it, after which the request would be
+// rejected as one that crashes endpoints.
+func TestIncompleteLastEventIsNoStrike(t *testing.T) {
+	e := newEndpoint(t, "e", raw(streamHead+chunked(event(1), "id: 2\ndata: e2\n")+lastChunk, true))
+	r := newRig(t, e)
+	var strikes atomic.Int32
+	r.server.AnnounceStrike = func(strik.Strike) { strikes.Add(1) }
+	res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.Error(t, res.err, test.Sprint("the answer must not look complete"))
+	test.Eq(t, 0, strikes.Load())
+}
