gate: failing test that a caller's own limit is no wait

On the grown Grozs site first tries of season-review arrive with 0 to 2.2 s less time left than the route's timeout; the node takes that for time waited, so it shortens the target and treats most first tries as retries.

--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -428,3 +429,21 @@
 	test.Error(t, res.err, test.Sprint("the answer must not look complete"))
 	test.Eq(t, 0, strikes.Load())
 }
+
+// Callers set time limits of their own. Guards against taking a limit below the
+// route's timeout for time that the caller has waited: the target of a first try then
+// counts as missed, and its prompt is placed and rejected as if it were late.
+func TestShortCallerLimitLeavesTheTarget(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", streams(1, 2, true)))
+	c := testCatalog()
+	c.Version++
+	for i := range c.Routes {
+		c.Routes[i].Timeout, c.Routes[i].Target = 2*time.Hour, time.Hour
+	}
+	c.Index()
+	r.server.Feeds.UpdateCatalog(c)
+	sent := make(chan works.Request, 1)
+	r.server.AnnounceStart = func(w works.Request) { sent <- w }
+	must.Eq(t, 200, r.do(request("POST", "/stream/", "r1", "x", "Prompt: 1000")).status)
+	test.Greater(t, time.Hour/2, (<-sent).Target)
+}
