--- a/internal/coord/extra/extra_test.go
+++ b/internal/coord/extra/extra_test.go
@@ -31,7 +31,7 @@
 
 func TestNodesTogetherStayWithinTheBudget(t *testing.T) {
 	// In every window, the retries of all nodes are within what the users allow.
-	// Requests come in bursts with pauses of up to two windows between them.
+	// Requests and retries come at rates that change, with pauses of up to 5 s.
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 8).Draw(t, "nodes")
 		extra := rapid.IntRange(0, 120).Draw(t, "extra")
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -80,8 +80,7 @@
 	LateFirst, LateGap int
 	// MaxCredit is the credit if all prompts had been answered in time.
 	MaxCredit, EarnedCredit float64
-	// Sizes holds the results by the size of the prompt, the smallest prompts
-	// first.
+	// Sizes holds the results by size class.
 	Sizes SizeResults
 	// MeanTimeToFirstEvent is counted from the arrival. MeanEstimateError is the
 	// mean absolute error of the time to the first event that was estimated at
@@ -120,10 +119,9 @@
 	kind      *Kind
 	kindIndex int
 	// arrivedAt is the time of the first attempt to place the prompt. isRetry is
-	// set once that attempt has been refused, refused once the retry has been too.
+	// set once that attempt has been refused.
 	arrivedAt time.Duration
 	isRetry   bool
-	refused   bool
 	tokens    ident.Tokens
 	node      int
 	// attemptAt is the time of the latest attempt.
@@ -346,7 +344,6 @@
 func (s *simulation) retryOrRefuse(q *prompt, after time.Duration, answerEvents int) {
 	if q.isRetry || after >= q.kind.Deadline/2 {
 		s.results[q.kindIndex].Refused++
-		q.refused = true
 		return
 	}
 	q.isRetry = true
--- a/internal/lab/passes/sizes.go
+++ b/internal/lab/passes/sizes.go
@@ -18,7 +18,7 @@
 
 // SizeResult counts the prompts of a size class.
 type SizeResult struct {
-	Requests, Refused, Served int
+	Requests, Served int
 }
 
 // ServedShare returns the share of the prompts that were answered, also late.
@@ -26,11 +26,10 @@
 
 func (r *SizeResult) add(b SizeResult) {
 	r.Requests += b.Requests
-	r.Refused += b.Refused
 	r.Served += b.Served
 }
 
-// SizeResults holds the results of the prompts of one kind by size class.
+// SizeResults holds the results of the prompts of one kind, indexed by SizeClass.
 type SizeResults [sizeClasses]SizeResult
 
 // All returns the results of all sizes together.
@@ -55,9 +54,6 @@
 	for i, q := range sorted {
 		r := &rs[classOfRank(i, len(sorted))]
 		r.Requests++
-		if q.refused {
-			r.Refused++
-		}
 		if q.served() {
 			r.Served++
 		}
