node: count the appends to the log

Cause: laburnum_log_appends_total was registered and never incremented. Change: the log client reports each append that the service has confirmed. Result: TestAppendsToTheLogAreCounted failed before (no counter above zero).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,6 +184,7 @@
 		Ledger: n.ledger, Logger: n.Logger, Metrics: serve.NewMetrics(n.registry),
 		Alive: n.mesh.Alive, Rank: n.mesh.Rank, LogRetention: s.LogRetention,
 	}
+	n.log.OnAppend = n.core.Metrics.Appends.Inc
 	n.core.Seed(uint64(n.boot))
 	n.reservations.Table = n.core.Table
 	n.front = &front.Server{Core: n.core, Node: s.Name, Logger: n.Logger, HasConfig: n.config.Ready}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -235,6 +236,19 @@
 	}
 }
 
+// Guards against a counter of appends that stays at zero.
+func TestAppendsToTheLogAreCounted(t *testing.T) {
+	f := startFleet(t)
+	must.Eq(t, http.StatusCreated, book(f, 0, "counted").status)
+	res, err := http.Get("http://" + f.AdminAddrs()[0] + "/metrics")
+	must.NoError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	// The claim of the booking is one append at least.
+	test.RegexMatch(t, regexp.MustCompile(`(?m)^laburnum_log_appends_total [1-9]`), string(body))
+}
+
 func TestRequestsWithoutBodyUseNoBodyMemory(t *testing.T) {
 	f := startFleet(t)
 	v, err := f.Patch(json.RawMessage(`{"Limits":{"BodyBytes":4096,"MemoryBytes":4096}}`), 1)
--- a/internal/trans/platf/platf.go
+++ b/internal/trans/platf/platf.go
@@ -40,6 +40,9 @@
 type Log struct {
 	Address string
 	Pools   *conns.Pools
+	// OnAppend is called after each append that the service has confirmed; nil
+	// for none.
+	OnAppend func()
 }
 
 var _ messg.Log = (*Log)(nil)
@@ -51,6 +54,9 @@
 	defer cancel()
 	var out struct{ Offset ident.Offset }
 	err := call(ctx, l.Pools.Get(l.Address), fasthttp.MethodPost, "/streams/"+string(s), data, &out)
+	if err == nil && l.OnAppend != nil {
+		l.OnAppend()
+	}
 	return out.Offset, errors.Annotate(err, "append to log")
 }
 
