place, extra: compute the load only where it decides or is reported

Cause: reading the change once more: the loss by delay and the mean backlog were computed for each short prompt, which is never deferred; a formula of the usable memory stood twice; comments on the load and on the time waited said more than is so. Change: loss only for prompts that may be deferred, backlog only for rejected ones; usableMemory; sort.Search in place of a search with a comparison that is never equal; comments, help text and line breaks. No decision changes.

--- a/internal/coord/extra/extra.go
+++ b/internal/coord/extra/extra.go
@@ -5,7 +5,7 @@
 package extra
 
 import (
-	"slices"
+	"sort"
 	"time"
 )
 
@@ -77,13 +77,7 @@
 
 // indexAfter returns the index of the first request after t.
 func (b *Budget) indexAfter(t time.Time) int {
-	i, _ := slices.BinarySearchFunc(b.requests, t, func(r, t time.Time) int {
-		if r.After(t) {
-			return 1
-		}
-		return -1
-	})
-	return i
+	return sort.Search(len(b.requests), func(i int) bool { return b.requests[i].After(t) })
 }
 
 func dropBefore(ts []time.Time, before time.Time) []time.Time {
--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -38,18 +38,20 @@
 	return sum / max(1, n)
 }
 
+// deferrable reports whether a request may be deferred: its caller tolerates pauses,
+// or its prompt is long.
+func (p plan) deferrable(r Request) bool {
+	return r.toleratesPauses() || p.prefillOnOneEngine(r) > longPrefill
+}
+
 // shouldDefer reports whether the caller should retry later, when less prefill is
 // queued. That is so if other requests would lose too much, or, for a first try, if
-// the prompt would miss its target because of the backlog. Callers who don't
-// tolerate pauses are deferred only if their prompt is long.
-func (p plan) shouldDefer(load Load, estimate time.Duration, r Request) bool {
-	if !r.toleratesPauses() && p.prefillOnOneEngine(r) <= longPrefill {
-		return false
-	}
-	if load.LossOfOthers > load.MaxLossOfOthers {
+// the prompt would miss its target because of the backlog.
+func (p plan) shouldDefer(c Choice, r Request) bool {
+	if c.Load.LossOfOthers > c.Load.MaxLossOfOthers {
 		return true
 	}
-	return !r.IsRetry && estimate > r.Target && p.maxBacklog() > r.Target/deferBacklogDivisor
+	return !r.IsRetry && c.Estimate > r.Target && p.maxBacklog() > r.Target/deferBacklogDivisor
 }
 
 // maxBacklog returns the longest backlog of the plan's engines.
@@ -61,10 +63,10 @@
 	return longest
 }
 
-// lossByDelay returns the value that the requests in flight lose by a plan. Each
-// prompt counts once, however many of its parts are delayed, since they are
-// delayed at the same time. plan.lossOfOthers, by which plans are compared, counts
-// it for each part.
+// lossByDelay returns the value that the requests in flight lose by a plan; requests
+// is their number. Each prompt counts once, however many of its parts are delayed,
+// since they are delayed at the same time. plan.lossOfOthers, by which plans are
+// compared, counts it for each part.
 func (p plan) lossByDelay(requests int, r Request) float64 {
 	part := split(r.Prompt, len(p.helpers)+1)
 	loss := p.primary.stallLoss(part)
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -94,9 +94,12 @@
 
 // fits reports whether the engine has memory for n more tokens.
 func (v *engineView) fits(n ident.Tokens) bool {
-	return v.usedTokens+n <= v.spec.Memory*memoryPercent/100
+	return v.usedTokens+n <= usableMemory(v.spec)
 }
 
+// usableMemory returns the KV memory that prompts and answers may use.
+func usableMemory(e *topol.Engine) ident.Tokens { return e.Memory * memoryPercent / 100 }
+
 // engineViews returns the state of all engines that are not leaving, sorted by
 // name.
 func engineViews(s ServiceState) []*engineView {
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -66,18 +66,19 @@
 	Reservations []ident.Tokens
 	// Estimate is the expected time to the first event; zero if unknown.
 	Estimate time.Duration
-	// Load is the load that the choice is based on. It is also set if the request
-	// is rejected.
+	// Load tells why a prompt was rejected.
 	Load Load
 }
 
-// Load describes the load of the engines at which a prompt is placed.
+// Load describes the load of the engines when a prompt was placed or rejected.
 type Load struct {
 	// Backlog is the mean time until the prefill queues of the engines outside
-	// the interactive pool are empty.
+	// the interactive pool are empty. It is set only if the prompt is rejected.
 	Backlog time.Duration
-	// LossOfOthers is the value that other requests lose by the plan, and
-	// MaxLossOfOthers the most that they may lose. Both are zero without a plan.
+	// LossOfOthers is the value that other requests lose by the choice, and
+	// MaxLossOfOthers the most that they may lose, in the unit of the costs of
+	// plans. Both are zero if no engines were found or if the prompt is of a kind
+	// that is never deferred.
 	LossOfOthers, MaxLossOfOthers float64
 }
 
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -55,19 +55,29 @@
 	if len(vs) == 0 {
 		return Choice{}, ErrNoEndpoint
 	}
-	load := Load{Backlog: meanBacklog(vs)}
+	c, err := chooseFrom(vs, s, r)
+	if err != nil {
+		c.Load.Backlog = meanBacklog(vs)
+	}
+	return c, err
+}
+
+// chooseFrom returns the best choice among the engines, or why there is none that
+// the request should take now.
+func chooseFrom(vs []*engineView, s ServiceState, r Request) (Choice, error) {
 	best, ok := bestWithLocalMemory(vs, s, r)
 	if !ok {
 		best, ok = bestWithReservations(vs, s, r)
 	}
 	if !ok {
-		return Choice{Load: load}, ErrFull
+		return Choice{}, ErrFull
 	}
-	load.LossOfOthers, load.MaxLossOfOthers = best.lossByDelay(len(s.InFlight), r), best.maxLossByDelay(r)
 	c := best.choice()
-	c.Load = load
-	if best.shouldDefer(load, c.Estimate, r) {
-		return c, ErrDeferred
+	if best.deferrable(r) {
+		c.Load.LossOfOthers, c.Load.MaxLossOfOthers = best.lossByDelay(len(s.InFlight), r), best.maxLossByDelay(r)
+		if best.shouldDefer(c, r) {
+			return c, ErrDeferred
+		}
 	}
 	if r.TimeLeft > 0 && c.Estimate > r.TimeLeft*firstEventPercent/100 {
 		return c, ErrLate
--- a/internal/coord/place/queue_test.go
+++ b/internal/coord/place/queue_test.go
@@ -40,6 +40,6 @@
 	queued := works.Request{First: "a", Prompt: 300_000, Share: 300_000, Gap: time.Second, Target: time.Second, Helpers: helpers, Since: time.Unix(1000, 0)}
 	vs := engineViews(testState(5, queued))
 	p := newPlan(vs[4], vs[1:4], longRequest)
-	t1 := vs[1].prefillTime(split(longRequest.Prompt, 4)).Seconds()
-	test.InDelta(t, delayLossRate(queued)*t1, p.lossByDelay(1, longRequest), 1e-6)
+	delay := vs[1].prefillTime(split(longRequest.Prompt, 4)).Seconds()
+	test.InDelta(t, delayLossRate(queued)*delay, p.lossByDelay(1, longRequest), 1e-6)
 }
--- a/internal/coord/place/reserve.go
+++ b/internal/coord/place/reserve.go
@@ -55,7 +55,7 @@
 // if all of them are idle. The interactive pool has at least poolSpare of them.
 func isTooLarge(e *topol.Engine, engines int, r Request) bool {
 	outsidePool := engines - min(poolSpare, maxPoolSize(engines))
-	fitsOne := r.Prompt+r.Output <= e.Memory*memoryPercent/100
+	fitsOne := r.Prompt+r.Output <= usableMemory(e)
 	return !fitsOne && pieces(e, r.Prompt) > min(maxHelpers+1, outsidePool)
 }
 
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -234,8 +234,7 @@
 		e = e.Dur("backlog", x.load.Backlog).Float64("loss", x.load.LossOfOthers).Float64("maxLoss", x.load.MaxLossOfOthers)
 	}
 	if x.route != nil {
-		e = e.Dur("waited", x.waitedBefore())
-		e = e.Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", clock.Now().Sub(x.server.Feeds.CatalogConfirmedAt()))
+		e = e.Dur("waited", x.waitedBefore()).Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", clock.Now().Sub(x.server.Feeds.CatalogConfirmedAt()))
 	}
 	e.Msg("gate: refused")
 	if x.headerSent {
@@ -319,7 +318,8 @@
 
 // waitedBefore estimates how long the caller waited before this request
 // arrived: the route's timeout minus the time left that the caller stated, or
-// zero if it stated none.
+// zero if it stated none. For a caller whose own limit is shorter than the timeout,
+// that is too long.
 func (x *exchange) waitedBefore() time.Duration {
 	if x.reqHeader.TimeLeft <= 0 {
 		return 0
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -48,7 +48,7 @@
 			Name: "laburnum_prompts_total", Help: "Prompts by length and by status; cut and left as in laburnum_requests_total.",
 		}, []string{"length", "outcome"}),
 		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "laburnum_rejections_total", Help: "Requests that this node rejected without a placement, by length of the prompt and by reason; retry is true if the caller had waited or an endpoint had been tried.",
+			Name: "laburnum_rejections_total", Help: "Requests that could not be placed, by length of the prompt and by reason; retry is true if the caller had clearly less time left than the route's timeout, or if the request had been sent.",
 		}, []string{"length", "why", "retry"}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_sends_total", Help: "Sends to endpoints by result.",
