sync: log each configuration that a peer sends, and each request without an answer

The lines of a node did not show what a transfer between nodes is: its bytes, its time, from whom it came, what gave it up, and the decoding.

--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -145,8 +145,12 @@
 	}
 	st, err := s.mesh.FetchState(address, args)
 	if err != nil {
+		s.logger.Info().Err(err).Str("peer", address).Uint64("version", uint64(args.Version)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: a peer did not answer a request for its state")
 		return false
 	}
+	if len(st.Raw) > 0 {
+		s.logger.Info().Str("peer", address).Uint64("version", uint64(st.Version)).Int("bytes", len(st.Raw)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: received a configuration")
+	}
 	return s.applyState(st, sentAt)
 }
 
@@ -154,11 +158,13 @@
 // whether it was fresh. sentAt is the time of the request.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) bool {
 	if len(st.Raw) > 0 {
+		began := clock.Now()
 		c, err := s.decode(st.Raw)
 		if err != nil {
-			s.logger.Error().Err(err).Msg("news: cannot decode the configuration of a peer")
+			s.logger.Error().Err(err).Msg("sync: cannot decode the configuration of a peer")
 			return false
 		}
+		s.logger.Info().Uint64("version", uint64(st.Version)).Dur("after", clock.Now().Sub(began)).Msg("sync: decoded a configuration")
 		s.feeds.UpdateCatalog(c)
 	}
 	if st.Listed && len(st.Endpoints) > 0 {
