--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -26,6 +26,7 @@
 type testNode struct {
 	*stateSync
 	works *works.Table
+	link  *link
 }
 
 // decodeVersion decodes a configuration that consists of its version alone.
@@ -43,13 +44,13 @@
 	for _, name := range names {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
-		p := &testNode{works: &works.Table{}}
+		p := &testNode{works: &works.Table{}, link: newLink(l)}
 		m := &share.Mesh{Self: relay.Member{Name: ident.NodeName(name), Address: l.Addr().String()}, InFlight: p.works, Logger: zerolog.Nop()}
 		m.OnFailed, m.OnStruck = func([]ident.EndpointName) {}, func([]strik.Strike) {}
 		m.Init(ctx)
 		p.stateSync = &stateSync{feeds: &feeds.Feeds{Logger: zerolog.Nop()}, mesh: m, decode: decodeVersion, logger: zerolog.Nop()}
 		m.State = p.state
-		go func() { m.Run(ctx, l); ended <- struct{}{} }()
+		go func() { m.Run(ctx, p.link); ended <- struct{}{} }()
 		ps = append(ps, p)
 	}
 	t.Cleanup(func() {
