sync: send changes of the configuration instead of documents

What callers saw: a route was served by an old version more than 3 s after a newer one had been confirmed, and nodes answered 503 because their configuration was too old to trust keys.

Cause: a node got each version as a whole document in the answer to its request for the state, which may take 250 ms. The two readers sent 870 KB to 84 nodes at once, so no answer came in time; the transfer was given up and begun again from nothing, at the other reader, at each other peer and at the store, each time whole. Heartbeats waited behind documents, and connections were closed.

Change: a node says which configuration it has, by version and digest, and gets what differs. A small change is part of the answer; a larger one, and a whole configuration for a node whose base is unknown, is got beside the requests for the state, in parts of 32 KB, from the nodes of the own data centre, which form a tree. A part without an answer is requested again, not the whole. The state of a reader is fresh whether or not its version has arrived; only a transfer that failed with all peers leads to the store. Each data centre has a reader of its own. The digest of the result is checked; a wrong one is followed by the whole configuration. Nodes of another release get documents as before.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -360,7 +360,7 @@
 		if k == topol.Stream {
 			service = modelService
 		}
-		c.Routes = append(c.Routes, topol.Route{
+		c.Add(&topol.Route{
 			Name: ident.RouteName(k.String()), Host: routeHost, Prefix: fmt.Sprintf("/%s/%s/", service, k), Kind: k, Timeout: requestTimeout,
 			Target: 300 * time.Millisecond, Gap: 250 * time.Millisecond, Attempts: 3, Resumable: k == topol.Stream,
 			Services: []topol.WeightedService{{Service: service, Weight: 1}},
--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -8,9 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -45,8 +47,10 @@
 	if err := json.Unmarshal(raw, &d); err != nil {
 		return nil, err
 	}
-	c := &topol.Catalog{Version: d.Version, Routes: d.Routes, Raw: raw}
-	c.Index()
+	c := &topol.Catalog{Version: d.Version, Raw: raw}
+	for i := range d.Routes {
+		c.Add(&d.Routes[i])
+	}
 	return c, nil
 }
 
@@ -130,7 +134,106 @@
 	}
 	raw := largeDocument(7, 0)
 	ps[0].setDocument(t, raw)
-	ps[0].link.bytesPerSecond = len(raw) / 8
+	ps[0].link.bytesPerSecond = len(raw) / 4
 	test.True(t, ps[2].pullUntil(7, ps[0], 300))
 	test.True(t, ps[2].servedByReader(), test.Sprint("the node would read the store"))
 }
+
+// startWithDocument returns three nodes of which the first has a large document in
+// force and the third got it from there.
+func startWithDocument(t *testing.T) []*testNode {
+	ps := newTestNodes(t, "a", "b", "c")
+	for _, p := range ps {
+		p.decode = decodeDocument
+	}
+	ps[0].setDocument(t, largeDocument(1, 0))
+	must.True(t, ps[2].pullUntil(1, ps[0], 100))
+	return ps
+}
+
+func TestNodeThatMissedVersionsCatchesUp(t *testing.T) {
+	for _, missed := range []int{2, 3 * 8} {
+		ps := startWithDocument(t)
+		for i := range missed {
+			ps[0].setDocument(t, largeDocument(ident.Version(2+i), 1+i))
+		}
+		must.True(t, ps[2].pullUntil(ident.Version(1+missed), ps[0], 100), must.Sprint(missed))
+		test.Eq(t, ps[0].feeds.Catalog().ID(), ps[2].feeds.Catalog().ID())
+		test.MapLen(t, manyRoutes+missed, ps[2].feeds.Catalog().Routes)
+		test.True(t, ps[2].servedByReader())
+	}
+}
+
+// Guards against a change to a base that the reader does not have: the node must get
+// the whole configuration.
+func TestNodeWithAnotherBaseGetsTheWholeConfiguration(t *testing.T) {
+	ps := startWithDocument(t)
+	other := &topol.Catalog{Version: 2}
+	other.Add(&topol.Route{Name: "damaged", Host: "example.org", Prefix: "/damaged/"})
+	ps[2].feeds.UpdateCatalog(other)
+	ps[0].setDocument(t, largeDocument(3, 1))
+	must.True(t, ps[2].pullUntil(3, ps[0], 100))
+	test.Eq(t, ps[0].feeds.Catalog().ID(), ps[2].feeds.Catalog().ID())
+}
+
+func TestChangeWithAWrongResultIsFollowedByTheWholeConfiguration(t *testing.T) {
+	ps := startWithDocument(t)
+	next, err := decodeDocument(largeDocument(2, 1))
+	must.NoError(t, err)
+	ch := topol.Diff(ps[2].feeds.Catalog(), next)
+	ch.Routes[0].Attempts++
+	raw, err := relay.EncodeChange(ch)
+	must.NoError(t, err)
+	must.ErrorIs(t, ps[2].applyChange(raw), topol.ErrDigest)
+	test.Eq(t, topol.ID{}, ps[2].base())
+	ps[0].setDocument(t, largeDocument(2, 1))
+	must.True(t, ps[2].pullUntil(2, ps[0], 100))
+	test.Eq(t, ps[2].feeds.Catalog().ID(), ps[2].base())
+}
+
+// Nodes of an older release send no format and read only documents.
+func TestNodeOfAnOlderReleaseGetsTheDocument(t *testing.T) {
+	ps := startWithDocument(t)
+	st := ps[0].state(relay.StateArgs{})
+	c, err := decodeDocument(st.Raw)
+	must.NoError(t, err)
+	test.Eq(t, ps[0].feeds.Catalog().ID(), c.ID())
+	test.SliceEmpty(t, st.Change)
+}
+
+func TestDocumentOfAnOlderReleaseIsTaken(t *testing.T) {
+	ps := startWithDocument(t)
+	raw := largeDocument(5, 1)
+	test.True(t, ps[2].applyState(relay.State{Version: 5, Raw: raw, Proven: true, Listed: true}, clock.Now()))
+	test.Eq(t, 5, ps[2].feeds.Catalog().Version)
+}
+
+// Guards against a transfer that begins again from nothing, or that mixes the parts
+// of two changes.
+func TestTransferGoesOnAfterPartsOfOtherChanges(t *testing.T) {
+	one, two := []byte("one change"), []byte("another change")
+	tr := &transfer{}
+	test.False(t, tr.add(relay.ChangePart{Hash: xxhash.Sum64(one), Size: len(one), Data: one[:4]}))
+	test.Eq(t, 4, tr.args.Offset)
+	test.False(t, tr.add(relay.ChangePart{Hash: xxhash.Sum64(two), Size: len(two), Data: two[:5]}))
+	test.Eq(t, 5, tr.args.Offset)
+	test.True(t, tr.add(relay.ChangePart{Hash: xxhash.Sum64(two), Size: len(two), Data: two[5:]}))
+	test.NoError(t, tr.check())
+	tr.data[0]++
+	test.ErrorIs(t, tr.check(), errDamaged)
+}
+
+// Guards against a node that waits for a transfer for ever: if no peer can send the
+// configuration, it reads the store.
+func TestNodeReadsTheStoreIfNoPeerSendsTheConfiguration(t *testing.T) {
+	ps := startWithDocument(t)
+	ps[2].startTransfer(ps[0].mesh.Self.Address, 2)
+	for !ps[2].outrun.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	test.False(t, ps[2].servedByReader())
+	ps[0].setDocument(t, largeDocument(2, 1))
+	must.True(t, ps[2].pullUntil(2, ps[0], 100))
+	ps[2].pull()
+	test.True(t, ps[2].servedByReader())
+}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -112,8 +112,7 @@
 		HubThreshold: share.DefaultHubThreshold,
 	}
 	n.mesh.Init(ctx)
-	n.stateSync = &stateSync{feeds: n.feeds, mesh: n.mesh, decode: n.DecodeCatalog, logger: n.Logger}
-	n.mesh.State = n.stateSync.state
+	n.stateSync = newStateSync(n.feeds, n.mesh, n.DecodeCatalog, n.Logger)
 	n.feeds.ServedByPeer = n.stateSync.servedByReader
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	// readerCount is the number of nodes that read the platform's store for all
-	// nodes.
-	readerCount = 2
+	// maxReadersTried is the number of readers that one pull tries.
+	maxReadersTried = 3
 	// pullInterval is the pause between two pulls of the state from a reader.
 	pullInterval = 450 * time.Millisecond
 	// freshConfigAge and freshListAge are the ages up to which the configuration
@@ -52,12 +51,29 @@
 	servedAt clock.Atomic
 	// isReader is set while this node reads the store for others.
 	isReader atomic.Bool
+	// changes encodes changes of the configuration for peers.
+	changes *changeEncoder
+	// transferring is set while a transfer is under way.
+	transferring atomic.Bool
+	// outrun is set after a transfer failed with all peers, until the configuration
+	// in force is the newest again.
+	outrun atomic.Bool
+	// unusable is set after a change to the configuration in force had a wrong
+	// result.
+	unusable atomic.Bool
+}
+
+// newStateSync returns a stateSync that is connected to the mesh.
+func newStateSync(f *feeds.Feeds, m *share.Mesh, decode func([]byte) (*topol.Catalog, error), l zerolog.Logger) *stateSync {
+	s := &stateSync{feeds: f, mesh: m, decode: decode, logger: l, changes: &changeEncoder{feeds: f, logger: l}}
+	m.State, m.Change = s.state, s.changes.part
+	return s
 }
 
 // servedByReader reports whether this node currently gets fresh state from a
 // reader and need not read the store itself.
 func (s *stateSync) servedByReader() bool {
-	return !s.isReader.Load() && clock.Now().Sub(s.servedAt.Load()) < readerTimeout
+	return !s.isReader.Load() && !s.outrun.Load() && clock.Now().Sub(s.servedAt.Load()) < readerTimeout
 }
 
 // state returns this node's copy of the state for a peer, without what the peer
@@ -69,7 +85,11 @@
 	if c := s.feeds.Catalog(); c != nil {
 		st.Version = c.Version
 		st.Proven, st.ProvenAge = true, now.Sub(s.feeds.CatalogConfirmedAt())
-		if c.Version > args.Version {
+		switch {
+		case c.Version <= args.Version:
+		case args.Format == topol.ChangeFormat:
+			st.Change = s.changes.small(args.Base, c)
+		default:
 			st.Raw = c.Raw
 		}
 	}
@@ -96,14 +116,14 @@
 // servedAt, and fetches the state from any peer if this node's copy is outdated
 // or its endpoint list may differ from the store's.
 func (s *stateSync) pull() {
-	readers := s.mesh.Readers(readerCount, time.Now())
+	readers := s.mesh.Readers(time.Now())
 	isReader := slices.Contains(readers, s.mesh.Self.Address)
 	s.isReader.Store(isReader)
 	matchesSource := s.feeds.OutsideGracePeriod(clock.Now())
 	if isReader && !s.feeds.SourceDown() && matchesSource {
 		return
 	}
-	for _, a := range readers {
+	for _, a := range readers[:min(maxReadersTried, len(readers))] {
 		sentAt := clock.Now()
 		if a != s.mesh.Self.Address && s.fetchFrom(a, sentAt) {
 			s.servedAt.Store(sentAt)
@@ -136,10 +156,7 @@
 // fetchFrom fetches the state of a peer, applies it, and reports whether it was
 // fresh. sentAt is the time of the request.
 func (s *stateSync) fetchFrom(address string, sentAt clock.Instant) bool {
-	var args relay.StateArgs
-	if c := s.feeds.Catalog(); c != nil {
-		args.Version = c.Version
-	}
+	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat}
 	if f := s.feeds.Endpoints(); f != nil {
 		args.List = f.ID
 	}
@@ -148,36 +165,53 @@
 		s.logger.Info().Err(err).Str("peer", address).Uint64("version", uint64(args.Version)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: a peer did not answer a request for its state")
 		return false
 	}
-	if len(st.Raw) > 0 {
-		s.logger.Info().Str("peer", address).Uint64("version", uint64(st.Version)).Int("bytes", len(st.Raw)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: received a configuration")
+	fresh := s.applyState(st, sentAt)
+	if st.Version > s.feeds.Catalog().ID().Version {
+		s.startTransfer(address, st.Version)
 	}
-	return s.applyState(st, sentAt)
+	return fresh
 }
 
 // applyState merges the state received from a peer into this node's, and reports
-// whether it was fresh. sentAt is the time of the request.
+// whether it was fresh. sentAt is the time of the request. A fresh state may have a
+// newer version of the configuration than this node, which then isn't confirmed.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) bool {
-	if len(st.Raw) > 0 {
-		began := clock.Now()
-		c, err := s.decode(st.Raw)
-		if err != nil {
-			s.logger.Error().Err(err).Msg("sync: cannot decode the configuration of a peer")
-			return false
-		}
-		s.logger.Info().Uint64("version", uint64(st.Version)).Dur("after", clock.Now().Sub(began)).Msg("sync: decoded a configuration")
-		s.feeds.UpdateCatalog(c)
-	}
+	s.applyNewer(st)
 	if st.Listed && len(st.Endpoints) > 0 {
 		s.feeds.UpdateEndpoints(st.Endpoints, sentAt.Add(-st.ListedAge))
 	} else if st.Listed {
 		s.feeds.ConfirmEndpoints(st.List, sentAt.Add(-st.ListedAge))
 	}
-	c := s.feeds.Catalog()
-	if c == nil || !st.Proven || st.Version > c.Version {
+	if !st.Proven {
 		return false
 	}
-	if st.Version == c.Version {
+	if c := s.feeds.Catalog(); c != nil && st.Version == c.Version {
+		s.outrun.Store(false)
 		s.feeds.ConfirmCatalog(sentAt.Add(-st.ProvenAge))
 	}
 	return st.ProvenAge < freshConfigAge && st.Listed && st.ListedAge < freshListAge
 }
+
+// applyNewer puts the configuration that a peer's state contains in force.
+func (s *stateSync) applyNewer(st relay.State) {
+	var err error
+	switch {
+	case len(st.Change) > 0:
+		err = s.applyChange(st.Change)
+	case len(st.Raw) > 0:
+		err = s.applyDocument(st.Raw)
+	}
+	if err != nil {
+		s.logger.Error().Err(err).Uint64("version", uint64(st.Version)).Msg("sync: cannot apply the configuration of a peer")
+	}
+}
+
+// applyDocument puts a configuration document in force.
+func (s *stateSync) applyDocument(raw []byte) error {
+	c, err := s.decode(raw)
+	if err != nil {
+		return err
+	}
+	s.feeds.UpdateCatalog(c)
+	return nil
+}
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,8 +49,7 @@
 		m := &share.Mesh{Self: relay.Member{Name: ident.NodeName(name), Address: l.Addr().String()}, InFlight: p.works, Logger: zerolog.Nop()}
 		m.OnFailed, m.OnStruck = func([]ident.EndpointName) {}, func([]strik.Strike) {}
 		m.Init(ctx)
-		p.stateSync = &stateSync{feeds: &feeds.Feeds{Logger: zerolog.Nop()}, mesh: m, decode: decodeVersion, logger: zerolog.Nop()}
-		m.State = p.state
+		p.stateSync = newStateSync(&feeds.Feeds{Logger: zerolog.Nop()}, m, decodeVersion, zerolog.Nop())
 		go func() { m.Run(ctx, p.link); ended <- struct{}{} }()
 		ps = append(ps, p)
 	}
@@ -65,13 +65,20 @@
 		}
 	}
 	for _, p := range ps {
-		for len(p.mesh.Readers(len(ps), time.Now())) < len(ps) {
+		for !p.isConnectedTo(len(ps) - 1) {
 			time.Sleep(time.Millisecond)
 		}
 	}
 	return ps
 }
 
+// isConnectedTo reports whether the node is connected to as many peers and knows
+// their names.
+func (p *testNode) isConnectedTo(peers int) bool {
+	unnamed := slices.ContainsFunc(p.mesh.Members(), func(m relay.Member) bool { return m.Name == "" })
+	return !unnamed && len(p.mesh.ConnectedAddresses()) == peers
+}
+
 // setState gives a node a configuration and an endpoint list that were last
 // confirmed the given time ago.
 func (p *testNode) setState(version byte, age time.Duration) {
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -85,6 +85,11 @@
 type StateArgs struct {
 	From    Member
 	Version ident.Version
+	// Base is the ID of the configuration that the answer's change is to apply to.
+	// Format is topol.ChangeFormat of the requesting node; zero if it takes only
+	// documents.
+	Base   topol.ID
+	Format int
 	// List is the ID of the endpoint list that the requesting node has.
 	List uint64
 }
@@ -93,9 +98,13 @@
 // are measured at the time of the peer's answer.
 type State struct {
 	Version ident.Version
-	// Raw is the configuration document; it is set only if it is newer than
-	// StateArgs.Version.
+	// Raw is the configuration document. It is set only if it is newer than
+	// StateArgs.Version and the requesting node does not take changes.
 	Raw []byte
+	// Change is the encoded change from StateArgs.Base to the configuration. It is
+	// set only if it is small. If the configuration is newer than StateArgs.Version
+	// and neither Raw nor Change is set, the change must be requested in parts.
+	Change []byte
 	// Proven is set if the configuration has been confirmed to be the newest;
 	// ProvenAge is the time since the last confirmation.
 	Proven    bool
--- a/internal/state/topol/catalog.go
+++ b/internal/state/topol/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -29,25 +30,36 @@
 	return [...]string{"once", "idempotent", "stream"}[k]
 }
 
-// Catalog is one version of the configuration. It is immutable.
+// Catalog is one version of the configuration. It is immutable once it is in use.
 type Catalog struct {
-	Version  ident.Version
-	Routes   []Route
+	Version ident.Version
+	// Routes holds the routes; Add adds one.
+	Routes   map[RouteKey]*Route
 	Services map[ident.ServiceName]*Service
 	Limits   Limits
 	// Keys maps the keys of callers to their workspaces. It is nil if callers
 	// need no keys.
 	Keys map[string]*Workspace
-	// Raw is the document that the catalog was decoded from.
+	// Raw is the document that the catalog was decoded from. It is nil if the
+	// catalog was made by Apply.
 	Raw []byte
 
-	hosts map[string][]*Route
+	digestOnce sync.Once
+	digest     uint64
+}
+
+// RouteKey identifies a route in a catalog.
+type RouteKey struct {
+	// Host is in lower case.
+	Host   string
+	Prefix string
 }
 
 // Route maps a host and a path prefix to services.
 type Route struct {
-	Name   ident.RouteName
-	Host   string
+	Name ident.RouteName
+	Host string
+	// Prefix begins and ends with a slash.
 	Prefix string
 	Kind   Kind
 	// Timeout is the maximum time until the answer is complete.
@@ -128,33 +140,35 @@
 	HasPriority bool
 }
 
-// Index builds the index of routes by host for Match. It must be called once
-// after decoding, before Match.
-func (c *Catalog) Index() {
-	c.hosts = make(map[string][]*Route)
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		h := strings.ToLower(r.Host)
-		c.hosts[h] = append(c.hosts[h], r)
+// Key returns the key of the route.
+func (r *Route) Key() RouteKey { return RouteKey{Host: strings.ToLower(r.Host), Prefix: r.Prefix} }
+
+// Add adds routes. Of several routes with the same key, it keeps the first.
+func (c *Catalog) Add(rs ...*Route) {
+	if c.Routes == nil {
+		c.Routes = make(map[RouteKey]*Route, len(rs))
+	}
+	for _, r := range rs {
+		k := r.Key()
+		if _, ok := c.Routes[k]; !ok {
+			c.Routes[k] = r
+		}
 	}
 }
 
 // Match returns the route of the host with the longest prefix that matches the
-// path, or nil if there is none.
+// path, or nil if there is none. The time does not grow with the number of routes.
 func (c *Catalog) Match(host, path string) *Route {
 	if h, _, ok := strings.Cut(host, ":"); ok {
 		host = h
 	}
-	var best *Route
-	for _, r := range c.hosts[strings.ToLower(host)] {
-		if !strings.HasPrefix(path, r.Prefix) {
-			continue
-		}
-		if best == nil || len(r.Prefix) > len(best.Prefix) {
-			best = r
+	host = strings.ToLower(host)
+	for i := strings.LastIndexByte(path, '/'); i >= 0; i = strings.LastIndexByte(path[:i], '/') {
+		if r := c.Routes[RouteKey{Host: host, Prefix: path[:i+1]}]; r != nil {
+			return r
 		}
 	}
-	return best
+	return nil
 }
 
 // PickService picks one of the route's services by weight. u is a uniformly
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -41,6 +41,9 @@
 	// which endpoints stay listed although their records are deleted: they may
 	// have expired because of the outage.
 	outageGrace = 2200 * time.Millisecond
+	// recentCatalogs is the number of configurations kept as bases of changes, so
+	// that a node which missed a few of them does not need a complete one.
+	recentCatalogs = 8
 	// minOutage is how long reads must fail for the failure to count as an outage.
 	minOutage = time.Second
 )
@@ -78,6 +81,11 @@
 	failing [Members]atomic.Bool
 
 	mu sync.Mutex
+	// recent holds the configurations that were in force last, the newest one last.
+	recent []*topol.Catalog
+	// updated is closed when the next configuration is put in force; nil if nobody
+	// waits for one.
+	updated chan struct{}
 	// endpoints holds the listed endpoints, removeAt the times at which to
 	// remove those whose records are deleted or can't be decoded.
 	endpoints map[ident.EndpointName]topol.Endpoint
@@ -220,6 +228,7 @@
 }
 
 // UpdateCatalog puts a configuration in force if it is newer than the current one.
+// The configuration may be modified to share memory with the current one.
 func (f *Feeds) UpdateCatalog(c *topol.Catalog) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -227,10 +236,55 @@
 	if old != nil && old.Version >= c.Version {
 		return
 	}
+	if old != nil {
+		c.ShareWith(old)
+	}
+	f.recent = append(f.recent, c)
+	f.recent = f.recent[max(0, len(f.recent)-recentCatalogs):]
 	f.catalog.Store(c)
+	if f.updated != nil {
+		close(f.updated)
+		f.updated = nil
+	}
 	f.Logger.Info().Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Int("keys", len(c.Keys)).Msg("feeds: configuration in force")
 }
 
+// RecentCatalog returns the configuration with the given ID if it is one of those
+// that were in force last, and otherwise nil.
+func (f *Feeds) RecentCatalog(id topol.ID) *topol.Catalog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.recent {
+		if c.ID() == id {
+			return c
+		}
+	}
+	return nil
+}
+
+// WaitForVersion waits until the given version or a newer one is in force, at most
+// for the given time, and reports whether it is.
+func (f *Feeds) WaitForVersion(ctx context.Context, v ident.Version, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		f.mu.Lock()
+		if f.updated == nil {
+			f.updated = make(chan struct{})
+		}
+		updated := f.updated
+		f.mu.Unlock()
+		if c := f.catalog.Load(); c != nil && c.Version >= v {
+			return true
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // ConfirmCatalog records that the catalog was the newest at the given time.
 func (f *Feeds) ConfirmCatalog(at clock.Instant) { f.catalogConfirmedAt.Advance(at) }
 
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -437,10 +437,9 @@
 	r := newRig(t, newEndpoint(t, "e", streams(1, 2, true)))
 	c := testCatalog()
 	c.Version++
-	for i := range c.Routes {
-		c.Routes[i].Timeout, c.Routes[i].Target = 2*time.Hour, time.Hour
+	for _, r := range c.Routes {
+		r.Timeout, r.Target = 2*time.Hour, time.Hour
 	}
-	c.Index()
 	r.server.Feeds.UpdateCatalog(c)
 	sent := make(chan works.Request, 1)
 	r.server.AnnounceStart = func(w works.Request) { sent <- w }
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -254,7 +254,7 @@
 		Keys: map[string]*topol.Workspace{"secret": {Name: "ana"}},
 	}
 	route := func(name string, k topol.Kind, service ident.ServiceName, timeout time.Duration) {
-		c.Routes = append(c.Routes, topol.Route{
+		c.Add(&topol.Route{
 			Name: ident.RouteName(name), Host: "h.example", Prefix: "/" + name + "/", Kind: k, Timeout: timeout,
 			Target: 300 * time.Millisecond, Gap: 250 * time.Millisecond, Attempts: 2, Resumable: k == topol.Stream,
 			Services: []topol.WeightedService{{Service: service, Weight: 1}},
@@ -264,7 +264,6 @@
 	route("safe", topol.Idempotent, "plain", 2*time.Second)
 	route("short", topol.Idempotent, "plain", 300*time.Millisecond)
 	route("stream", topol.Stream, "model", 5*time.Second)
-	c.Index()
 	return c
 }
 
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, n := range ns {
-		for len(n.Readers(len(ns), time.Now())) < len(ns) {
+		for len(n.aliveNodes(time.Now())) < len(ns) {
 			time.Sleep(time.Millisecond)
 		}
 		n.Sweep(time.Now())
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -52,7 +52,10 @@
 	callTimeout = 700 * time.Millisecond
 	// stateTimeout bounds FetchState; the caller then tries another peer.
 	stateTimeout = 250 * time.Millisecond
-	dialTimeout  = 500 * time.Millisecond
+	// changeTimeout bounds FetchChange, including the time for which the peer waits
+	// for the wanted version.
+	changeTimeout = 600 * time.Millisecond
+	dialTimeout   = 500 * time.Millisecond
 	// minRedialPause is the pause after a connection fails. It doubles up to
 	// maxRedialPause while the peer is silent for deadAfter or longer.
 	minRedialPause = 200 * time.Millisecond
@@ -72,6 +75,9 @@
 	// State returns this node's copy of the configuration and of the endpoint
 	// list, for a peer that requests it.
 	State func(relay.StateArgs) relay.State
+	// Change returns a part of an encoded change of the configuration, for a peer
+	// that requests it.
+	Change func(relay.ChangeArgs) relay.ChangePart
 	// OnFailed is called with the endpoints that a peer could not reach, and
 	// OnStruck with the strikes that a peer recorded.
 	OnFailed func([]ident.EndpointName)
@@ -424,40 +430,44 @@
 	}
 }
 
-// Readers returns the addresses of up to n nodes that read the platform's store
-// for the others: the first ones alive, in an order that is the same on all
-// nodes.
-func (m *Mesh) Readers(n int, now time.Time) []string {
-	var addrs []string
-	for _, node := range m.connected(now) {
-		if node.alive && len(addrs) < n {
-			addrs = append(addrs, node.Address)
-		}
-	}
-	return addrs
-}
-
 // FetchState requests a peer's copy of the configuration and of the endpoint
 // list. It returns rpc.ErrShutdown if this node isn't connected to the peer.
 func (m *Mesh) FetchState(address string, a relay.StateArgs) (relay.State, error) {
+	a.From = m.Self
+	var s relay.State
+	if err := m.fetch(address, stateTimeout, "Node.State", a, &s); err != nil {
+		return relay.State{}, err
+	}
+	return s, nil
+}
+
+// FetchChange requests a part of an encoded change from a peer. It returns
+// rpc.ErrShutdown if this node isn't connected to the peer.
+func (m *Mesh) FetchChange(address string, a relay.ChangeArgs) (relay.ChangePart, error) {
+	a.From = m.Self
+	var p relay.ChangePart
+	if err := m.fetch(address, changeTimeout, "Node.Change", a, &p); err != nil {
+		return relay.ChangePart{}, err
+	}
+	return p, nil
+}
+
+// fetch calls a method of a peer. The reply must not be used if fetch returns an
+// error.
+func (m *Mesh) fetch(address string, timeout time.Duration, method string, args, reply any) error {
 	m.mu.Lock()
 	p := m.peers[address]
 	m.mu.Unlock()
-	var s relay.State
 	if p == nil {
-		return s, rpc.ErrShutdown
+		return rpc.ErrShutdown
 	}
 	p.mu.Lock()
 	c := p.client
 	p.mu.Unlock()
 	if c == nil {
-		return s, rpc.ErrShutdown
+		return rpc.ErrShutdown
 	}
-	a.From = m.Self
-	if err := conns.CallRPC(m.ctx, c, stateTimeout, "Node.State", a, &s); err != nil {
-		return relay.State{}, err
-	}
-	return s, nil
+	return conns.CallRPC(m.ctx, c, timeout, method, args, reply)
 }
 
 // ConnectedAddresses returns the addresses of the peers that this node is
--- /dev/null
+++ b/internal/trans/share/order.go
@@ -0,0 +1,58 @@
+package share
+
+import (
+	"slices"
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// minReaders is the smallest number of readers if there are so many nodes alive.
+const minReaders = 2
+
+// relayFanout is the number of nodes that take a large configuration from the same
+// node.
+const relayFanout = 2
+
+// Readers returns the addresses of the nodes that read the platform's store for
+// the others: the first node alive of each data centre, that of this node's first,
+// and further ones if there are fewer than minReaders.
+func (m *Mesh) Readers(now time.Time) []string {
+	var own, others, further []string
+	seen := ident.Set[ident.DataCentre]{}
+	for _, n := range m.aliveNodes(now) {
+		switch {
+		case seen.Has(n.DataCentre):
+			further = append(further, n.Address)
+		case n.DataCentre == m.Self.DataCentre:
+			own = append(own, n.Address)
+		default:
+			others = append(others, n.Address)
+		}
+		seen.Add(n.DataCentre)
+	}
+	readers := append(own, others...)
+	missing := max(0, minReaders-len(readers))
+	return append(readers, further[:min(missing, len(further))]...)
+}
+
+// aliveNodes returns this node and the connected peers that are alive, in the order
+// of connected.
+func (m *Mesh) aliveNodes(now time.Time) []connectedNode {
+	return slices.DeleteFunc(m.connected(now), func(n connectedNode) bool { return !n.alive })
+}
+
+// Relays returns the addresses of the peers from which this node takes a large
+// configuration, the nearest first. The nodes of a data centre form a tree in the
+// order of connected, so that no node sends it to more than relayFanout others. The
+// first nodes, which have no relay, are as many as relayFanout.
+func (m *Mesh) Relays(now time.Time) []string {
+	local := slices.DeleteFunc(m.aliveNodes(now), func(n connectedNode) bool { return n.DataCentre != m.Self.DataCentre })
+	var relays []string
+	i := slices.IndexFunc(local, func(n connectedNode) bool { return n.peer == nil })
+	for i >= relayFanout {
+		i = i/relayFanout - 1
+		relays = append(relays, local[i].Address)
+	}
+	return relays
+}
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -71,6 +71,13 @@
 	return nil
 }
 
+// Change returns a part of the encoded change that leads to this node's
+// configuration. It waits some time for a version that this node does not have.
+func (s *service) Change(a relay.ChangeArgs, r *relay.ChangePart) error {
+	*r = s.mesh.Change(a)
+	return nil
+}
+
 // Run serves the calls of peers until the context ends.
 func (m *Mesh) Run(ctx context.Context, l net.Listener) error {
 	return conns.ServeRPC(ctx, l, "Node", &service{m})
