--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -43,6 +43,8 @@
 type Response struct {
 	Status int
 	Header fasthttp.ResponseHeader
+	// ReadTimeout bounds each Read. If it is zero, only the context does.
+	ReadTimeout time.Duration
 
 	ctx  context.Context
 	pool *Pool
@@ -115,6 +117,9 @@
 // Read reads the body. It returns ErrTruncated if reading fails before the end of
 // the body.
 func (r *Response) Read(b []byte) (int, error) {
+	if r.ReadTimeout > 0 {
+		r.SetReadDeadline(time.Now().Add(r.ReadTimeout))
+	}
 	n, err := r.body.Read(b)
 	if err == io.EOF {
 		r.atEOF = true
