--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -64,6 +64,10 @@
 	// FaultAddress is the address of the endpoint at fault, if that isn't the
 	// one that responded.
 	FaultAddress string
+	// Limit is the number of requests per second that the endpoint accepts from
+	// all nodes together. It is valid only if HasLimit is set.
+	Limit    float64
+	HasLimit bool
 }
 
 // LoadReport is the load that an engine reports when a node asks for it.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -175,6 +176,9 @@
 	if err != nil {
 		return outcome{result: unanswered, connBroken: isConnBroken(err), reason: "read response: " + err.Error()}, false
 	}
+	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
+		a.server.observeLimit(a.choice.Primary, header, time.Now())
+	}
 	o := outcome{status: res.Status, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
 	if k, n := res.Get("Keep-Alive"); n > 0 {
 		a.applyKeepAlive(string(k))
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -124,6 +124,7 @@
 	pools          links.Pools
 	endpointHealth endpointHealth
 	strikes        strikes
+	endpointLimits endpointLimits
 	logLimiter     logLimiter
 	metrics        *metrics
 	// metricsOnce guards the creation of metrics.
