gate: keep within the limits that endpoints name

What callers and operators saw: an endpoint in need named the rate of requests that it accepts from all nodes together, and got as many as before.

Change: a node that sees a limit in a response tells its peers at once. Few nodes, chosen by a hash over those alive, then send to the endpoint: as many as the rate has requests a second, one at least, each with an equal part and evenly spaced, so the sum is the rate itself. A node that is new to a part waits one interval first; one that reaches less than half of the others takes an equal part of all known nodes. All sends count, those tried again too. Limited engines help no others. Requests go to other endpoints, or are rejected at once with the time until the next one fits. A response without the field ends the limit everywhere; holders repeat it each second meanwhile, so that new nodes know it and one without a holder is forgotten after 10 s.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -118,9 +118,10 @@
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
 		AnnounceStart: n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
-		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceFailure: n.mesh.AnnounceFailure,
+		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes,
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerStrikes
+	n.mesh.Limits, n.mesh.OnLimits = n.gate.Limits, n.gate.AddPeerLimits
 	for _, a := range s.Seeds {
 		n.mesh.AddPeer(a)
 	}
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -48,6 +49,7 @@
 		p := &testNode{works: &works.Table{}, link: newLink(l)}
 		m := &share.Mesh{Self: relay.Member{Name: ident.NodeName(name), Address: l.Addr().String()}, InFlight: p.works, Logger: zerolog.Nop()}
 		m.OnFailed, m.OnStruck = func([]ident.EndpointName) {}, func([]strik.Strike) {}
+		m.Limits, m.OnLimits = func() []quota.Limit { return nil }, func([]quota.Limit) {}
 		m.Init(ctx)
 		p.stateSync = newStateSync(&feeds.Feeds{Logger: zerolog.Nop()}, m, decodeVersion, zerolog.Nop())
 		go func() { m.Run(ctx, p.link); ended <- struct{}{} }()
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
@@ -32,6 +33,12 @@
 	Age    time.Duration
 }
 
+// AgedLimit is the limit of an endpoint with its age instead of its time.
+type AgedLimit struct {
+	Limit quota.Limit
+	Age   time.Duration
+}
+
 // Update carries the latest changes at one node to its peers.
 type Update struct {
 	From Member
@@ -48,6 +55,8 @@
 	// Struck lists the strikes that the node recorded: in each, an endpoint broke
 	// the connection of a request in flight.
 	Struck []AgedStrike
+	// Limits lists the limits that endpoints named, or that have ended.
+	Limits []AgedLimit
 	// Reach selects the nodes to which the receiver forwards the update.
 	// Forwarded holds updates of other nodes that the sender forwards.
 	Reach     Scope
@@ -70,7 +79,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Limits) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -67,6 +68,9 @@
 	service   *topol.Service
 	workspace *topol.Workspace
 
+	// limited are the endpoints of the service that name limits, as of the last
+	// placement.
+	limited limitedEndpoints
 	// tried holds the endpoints to which the request is not sent again,
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
@@ -271,6 +275,10 @@
 			x.rejectUnplaced(err, place.RetryAfter(c, r))
 			return
 		}
+		if !x.server.endpointLimits.take(c.Primary, time.Now()) {
+			// Another request has just taken its place.
+			continue
+		}
 		x.server.endpointHealth.recordChosen(c.Primary.Name, time.Now())
 		o := x.send(c)
 		if x.isCallerDisconnected() {
@@ -289,6 +297,7 @@
 func (x *exchange) choose() (place.Choice, place.Request, error) {
 	s := x.server
 	now := time.Now()
+	x.limited = limitedEndpoints{}
 	if x.crashesEndpoints(now) {
 		return place.Choice{}, place.Request{}, errCrashesEndpoints
 	}
@@ -296,21 +305,33 @@
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
+	candidates := endpoints.ByService[x.service.Name]
+	x.limited = s.endpointLimits.among(candidates, now)
 	r := place.Request{
 		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Target: x.remainingTarget(now), Gap: x.route.Gap, IsRetry: x.isRetry(),
-		TimeLeft: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.tried, Full: x.unreservedEngines,
+		TimeLeft: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.excluded(), Full: x.unreservedEngines,
 	}
 	c, err := place.Choose(place.ServiceState{
-		Now: now, Endpoints: endpoints.ByService[x.service.Name], Engine: x.service.Engine,
+		Now: now, Endpoints: candidates, Engine: x.service.Engine,
 		InFlight: s.InFlight.All(),
 		Avoid:    func(n ident.EndpointName) bool { return s.endpointHealth.isAvoided(n, now) },
-		Suspect:  func(n ident.EndpointName) bool { return s.endpointHealth.isSuspect(n, now) },
+		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
 		Random:   random,
 	}, r)
 	x.estimate, x.load = c.Estimate, c.Load
 	return c, r, err
 }
 
+// excluded returns the endpoints that the request may not be sent to now.
+func (x *exchange) excluded() ident.Set[ident.EndpointName] {
+	if len(x.limited.atLimit) == 0 {
+		return x.tried
+	}
+	all := maps.Clone(x.tried)
+	maps.Copy(all, x.limited.atLimit)
+	return all
+}
+
 // isRetry reports whether the request has already been sent, or was probably
 // rejected by a node before: its caller has waited for longer than
 // minEarlierWait.
@@ -348,6 +369,9 @@
 	if errors.Is(err, place.ErrFull) && x.failedReservations > 0 {
 		err = errUnreserved
 	}
+	if errors.Is(err, place.ErrNoEndpoint) && len(x.limited.atLimit) > 0 {
+		err = errLimited
+	}
 	x.countRejection(err, x.isRetry())
 	switch {
 	case x.headerSent:
@@ -358,6 +382,8 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
 		x.reject(503, retryAfter, err.Error())
+	case errors.Is(err, errLimited):
+		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
 	case errors.Is(err, place.ErrTooLarge):
 		// Coming back doesn't help the caller.
 		x.reject(503, 0, err.Error())
@@ -401,11 +427,12 @@
 	return true
 }
 
-// allTried reports whether all endpoints of the service have been tried,
-// except those that are leaving.
+// allTried reports whether all endpoints of the service have been tried or are at
+// their limits, except those that are leaving.
 func (x *exchange) allTried() bool {
+	excluded := x.excluded()
 	for _, e := range x.server.Feeds.Endpoints().ByService[x.service.Name] {
-		if !e.Leaving && !x.tried.Has(e.Name) {
+		if !e.Leaving && !excluded.Has(e.Name) {
 			return false
 		}
 	}
--- a/internal/trans/gate/limit.go
+++ b/internal/trans/gate/limit.go
@@ -5,28 +5,110 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// endpointLimits holds the limits that endpoints name. It is safe for concurrent use.
+// nodesAge is how long the nodes that share limits are taken to be the same.
+const nodesAge = 200 * time.Millisecond
+
+// errLimited means that endpoints which could serve the request accept no more
+// requests now.
+const errLimited = errors.ConstError("endpoints are at the limits that they name")
+
+// endpointLimits holds the limits that endpoints name. It is safe for concurrent
+// use.
 type endpointLimits struct {
 	// count is the number of endpoints that have named a limit.
 	count atomic.Int64
 
 	mu    sync.Mutex
 	table quota.Table
+	// nodes are those of nodesAt, which findNodes returned.
+	findNodes func(now time.Time) quota.Nodes
+	nodes     quota.Nodes
+	nodesAt   time.Time
+}
+
+// limitTable returns the limits that endpoints name. They are created at the first
+// call: peers may tell of limits before Run.
+func (s *Server) limitTable() *endpointLimits {
+	s.limitsOnce.Do(func() {
+		l := &s.endpointLimits
+		l.findNodes, l.table.Share = s.Nodes, l.share
+	})
+	return &s.endpointLimits
 }
 
-func (l *endpointLimits) record(x quota.Limit) bool {
+// share returns the part of a rate that this node may use. The caller holds l.mu.
+func (l *endpointLimits) share(k quota.Key, rate float64) float64 {
+	if now := time.Now(); now.Sub(l.nodesAt) > nodesAge {
+		l.nodes, l.nodesAt = l.findNodes(now), now
+	}
+	return l.nodes.Share(k, rate)
+}
+
+func (l *endpointLimits) record(x quota.Limit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed := l.table.Record(x)
+	changed := l.table.Record(x, now)
 	l.count.Store(int64(l.table.Len()))
 	return changed
 }
 
+// take reports whether a request may be sent to an endpoint now, and if so counts
+// it.
+func (l *endpointLimits) take(e *topol.Endpoint, now time.Time) bool {
+	if l.count.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Take(limitKey(e), now)
+}
+
+// limitedEndpoints are the endpoints of a service that name limits.
+type limitedEndpoints struct {
+	// all are all of them, atLimit those that may not get a request of this node
+	// now.
+	all, atLimit ident.Set[ident.EndpointName]
+	// wait is the shortest time until one of those in atLimit may get a request, of
+	// this node or of another.
+	wait time.Duration
+}
+
+// among returns the endpoints of a list that name limits.
+func (l *endpointLimits) among(es []*topol.Endpoint, now time.Time) limitedEndpoints {
+	var found limitedEndpoints
+	if l.count.Load() == 0 {
+		return found
+	}
+	found.all, found.atLimit = ident.Set[ident.EndpointName]{}, ident.Set[ident.EndpointName]{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range es {
+		if e.Leaving || !l.table.Limited(limitKey(e)) {
+			continue
+		}
+		found.all.Add(e.Name)
+		wait, ok := l.table.Wait(limitKey(e), now)
+		if ok && wait == 0 {
+			continue
+		}
+		if len(found.atLimit) == 0 || wait < found.wait {
+			found.wait = wait
+		}
+		found.atLimit.Add(e.Name)
+	}
+	return found
+}
+
+func limitKey(e *topol.Endpoint) quota.Key { return quota.Key{Endpoint: e.Name, Born: e.Born} }
+
 // observeLimit records the limit in the header of an endpoint's response, or that
 // there is none.
 func (s *Server) observeLimit(e *topol.Endpoint, h relay.ResponseHeader, now time.Time) {
@@ -34,9 +116,46 @@
 		return
 	}
 	l := quota.Limit{Key: limitKey(e), Rate: h.Limit, Ended: !h.HasLimit, ObservedAt: now}
-	if s.endpointLimits.record(l) {
+	if s.limitTable().record(l, now) {
 		s.Logger.Info().Str("endpoint", string(e.Name)).Float64("limit", l.Rate).Bool("ended", l.Ended).Msg("gate: endpoint changed its limit")
+		s.AnnounceLimits(l)
 	}
 }
 
-func limitKey(e *topol.Endpoint) quota.Key { return quota.Key{Endpoint: e.Name, Born: e.Born} }
+// AddPeerLimits records limits of endpoints that a peer knows.
+func (s *Server) AddPeerLimits(ls []quota.Limit) {
+	now := time.Now()
+	for _, l := range ls {
+		if s.limitTable().record(l, now) {
+			s.Logger.Info().Str("endpoint", string(l.Endpoint)).Float64("limit", l.Rate).Bool("ended", l.Ended).Msg("gate: a peer told of the limit of an endpoint")
+		}
+	}
+}
+
+// Limits returns the limits of endpoints, for a new peer.
+func (s *Server) Limits() []quota.Limit {
+	s.endpointLimits.mu.Lock()
+	defer s.endpointLimits.mu.Unlock()
+	return s.endpointLimits.table.Limits()
+}
+
+// refreshLimits drops the limits of endpoints that are gone, and repeats to the
+// peers those that this node holds on their behalf.
+func (s *Server) refreshLimits(now time.Time) {
+	endpoints := s.Feeds.Endpoints()
+	if endpoints == nil || s.endpointLimits.count.Load() == 0 {
+		return
+	}
+	exists := func(k quota.Key) bool {
+		e := endpoints.ByName[k.Endpoint]
+		return e != nil && limitKey(e) == k
+	}
+	l := s.limitTable()
+	l.mu.Lock()
+	held := l.table.Refresh(now, exists)
+	l.count.Store(int64(l.table.Len()))
+	l.mu.Unlock()
+	if len(held) > 0 {
+		s.AnnounceLimits(held...)
+	}
+}
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -68,6 +68,7 @@
 	m := s.getMetrics()
 	r.MustRegister(m.requests, m.prompts, m.rejections, m.sends, m.timeToFirst, m.omittedLines,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
+		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
 		gauge("laburnum_nodes", "Nodes known, this one included.", func() float64 { return float64(s.NodeCount()) }),
 		gauge("laburnum_configuration_version", "Version in force.", func() float64 {
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -61,7 +62,11 @@
 	_, signed := h.Get("Signed")
 	_, notRun := h.Get("Not-Run")
 	fault, _ := h.Get("Fault")
-	return relay.ResponseHeader{ID: string(id), Signed: signed > 0, NotRun: notRun > 0 || status == 421, FaultAddress: string(fault)}
+	limit, _ := h.Get("Limit")
+	rate, err := strconv.ParseFloat(string(limit), 64)
+	return relay.ResponseHeader{
+		ID: string(id), Signed: signed > 0, NotRun: notRun > 0 || status == 421, FaultAddress: string(fault), Limit: rate, HasLimit: err == nil,
+	}
 }
 
 // receivedRequest is a request as an endpoint received it.
@@ -288,7 +293,10 @@
 		Dialect: testDialect{}, Reserver: r.reserver, Feeds: f, InFlight: &works.Table{}, Node: "n1", DataCentre: "a", Logger: zerolog.Nop(),
 		StrictRevocation: true, MaxConfigAge: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, GracePeriod: 8 * time.Second,
 		AnnounceStart: func(works.Request) {}, AnnounceDecoding: func(works.ID) {}, AnnounceEnd: func(works.ID) {}, NodeCount: func() int { return 1 },
-		AnnounceStrike: func(strik.Strike) {}, AnnounceFailure: func(ident.EndpointName) {},
+		AnnounceStrike: func(strik.Strike) {}, AnnounceFailure: func(ident.EndpointName) {}, AnnounceLimits: func(...quota.Limit) {},
+		Nodes: func(time.Time) quota.Nodes {
+			return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1"}, Known: 1}
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l, err := Listen(ctx, "127.0.0.1:0")
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/coord/extra"
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/delay"
@@ -115,6 +116,11 @@
 	// endpoint that failed.
 	AnnounceStrike  func(strik.Strike)
 	AnnounceFailure func(ident.EndpointName)
+	// AnnounceLimits informs the peers of limits that endpoints named or that have
+	// ended.
+	AnnounceLimits func(...quota.Limit)
+	// Nodes returns the nodes that share the limits of endpoints.
+	Nodes func(now time.Time) quota.Nodes
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
@@ -125,8 +131,10 @@
 	endpointHealth endpointHealth
 	strikes        strikes
 	endpointLimits endpointLimits
-	logLimiter     logLimiter
-	metrics        *metrics
+	// limitsOnce guards the creation of endpointLimits.
+	limitsOnce sync.Once
+	logLimiter logLimiter
+	metrics    *metrics
 	// metricsOnce guards the creation of metrics.
 	metricsOnce  sync.Once
 	retryBudgets retryBudgets
@@ -221,6 +229,7 @@
 func (s *Server) sweep(ctx context.Context) {
 	delay.Every(ctx, sweepInterval, func(now time.Time) {
 		s.strikes.expire(now)
+		s.refreshLimits(now)
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
 			return endpoints == nil || endpoints.ByAddress[addr] != nil
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -6,6 +6,7 @@
 	"net/rpc"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
@@ -23,8 +25,15 @@
 type node struct {
 	*Mesh
 	stop context.CancelFunc
+	// onLimits and limits are used by the mesh if they are set.
+	onLimits atomic.Pointer[func([]quota.Limit)]
+	limits   atomic.Pointer[[]quota.Limit]
 }
 
+func (n *node) setOnLimits(f func([]quota.Limit)) { n.onLimits.Store(&f) }
+
+func (n *node) setLimits(ls []quota.Limit) { n.limits.Store(&ls) }
+
 // start runs nodes that are connected to each other. The first letter of a name
 // is the node's data centre.
 func start(t *testing.T, names ...string) []*node {
@@ -38,10 +47,22 @@
 			InFlight: &works.Table{}, Logger: zerolog.Nop(), HubThreshold: 3,
 			OnFailed: func([]ident.EndpointName) {}, OnStruck: func([]strik.Strike) {},
 		}
-		m.Init(ctx)
 		done := make(chan struct{})
+		n := &node{Mesh: m, stop: func() { cancel(); <-done }}
+		m.Limits = func() []quota.Limit {
+			if ls := n.limits.Load(); ls != nil {
+				return *ls
+			}
+			return nil
+		}
+		m.OnLimits = func(ls []quota.Limit) {
+			if f := n.onLimits.Load(); f != nil {
+				(*f)(ls)
+			}
+		}
+		m.Init(ctx)
 		go func() { m.Run(ctx, l); close(done) }()
-		ns = append(ns, &node{m, func() { cancel(); <-done }})
+		ns = append(ns, n)
 		t.Cleanup(cancel)
 	}
 	for _, n := range ns {
@@ -156,6 +177,30 @@
 	late.waitForRequest(7, "a4", true)
 }
 
+// Guards against LIMIT: all nodes, also those that start later, must know the limit
+// that an endpoint named to one of them, and how old that is.
+func TestLimitsReachAllNodes(t *testing.T) {
+	limit := quota.Limit{Key: quota.Key{Endpoint: "e", Born: 5}, Rate: 1.7}
+	ns := start(t, "a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1")
+	told := make(chan quota.Limit, 100)
+	for _, n := range ns {
+		n.setOnLimits(func(ls []quota.Limit) { told <- ls[0] })
+	}
+	limit.ObservedAt = time.Now().Add(-time.Second)
+	ns[3].AnnounceLimits(limit)
+	for range len(ns) - 1 {
+		got := <-told
+		test.Eq(t, limit.Key, got.Key)
+		test.Eq(t, limit.Rate, got.Rate)
+		test.GreaterEq(t, time.Second, time.Since(got.ObservedAt))
+	}
+	ns[0].setLimits([]quota.Limit{limit})
+	late := start(t, "a5")[0]
+	late.setOnLimits(func(ls []quota.Limit) { told <- ls[0] })
+	ns[0].AddPeer(late.Self.Address)
+	test.Eq(t, limit.Key, (<-told).Key)
+}
+
 func TestHubCandidateIsContactedAtOnce(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/delay"
@@ -78,10 +79,14 @@
 	// Change returns a part of an encoded change of the configuration, for a peer
 	// that requests it.
 	Change func(relay.ChangeArgs) relay.ChangePart
-	// OnFailed is called with the endpoints that a peer could not reach, and
-	// OnStruck with the strikes that a peer recorded.
+	// Limits returns the limits of endpoints that this node knows, for a new peer.
+	Limits func() []quota.Limit
+	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
+	// with the strikes that a peer recorded, and OnLimits with the limits of
+	// endpoints that a peer knows.
 	OnFailed func([]ident.EndpointName)
 	OnStruck func([]strik.Strike)
+	OnLimits func([]quota.Limit)
 
 	// isHub is set if this node is a hub, delaysNonUrgent if hubs are in use.
 	isHub, delaysNonUrgent atomic.Bool
@@ -201,6 +206,21 @@
 	m.announce(true, func(u *relay.Update) { u.Struck = append(u.Struck, relay.AgedStrike{Strike: s}) })
 }
 
+// AnnounceLimits informs the peers of limits that endpoints named or that have
+// ended.
+func (m *Mesh) AnnounceLimits(ls ...quota.Limit) {
+	m.announce(true, func(u *relay.Update) { u.Limits = append(u.Limits, agedLimits(ls)...) })
+}
+
+// agedLimits returns limits in the form for an update whose ages are not set yet.
+func agedLimits(ls []quota.Limit) []relay.AgedLimit {
+	as := make([]relay.AgedLimit, len(ls))
+	for i, l := range ls {
+		as[i].Limit = l
+	}
+	return as
+}
+
 func (m *Mesh) announce(urgent bool, add func(*relay.Update)) {
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
@@ -347,6 +367,7 @@
 	p.client = client
 	p.pending = p.mesh.ownRequests(p.direct)
 	p.pending.Forwarded = others
+	p.pending.Limits = agedLimits(p.mesh.Limits())
 }
 
 // ownRequests returns an update with all requests in flight of this node, or an
@@ -402,6 +423,10 @@
 		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
 		u.Struck[i].Strike.At = time.Time{}
 	}
+	for i := range u.Limits {
+		u.Limits[i].Age = now.Sub(u.Limits[i].Limit.ObservedAt)
+		u.Limits[i].Limit.ObservedAt = time.Time{}
+	}
 }
 
 // call makes a call that ends after callTimeout at the latest. If it times out,
--- a/internal/trans/share/order.go
+++ b/internal/trans/share/order.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -42,6 +43,15 @@
 	return slices.DeleteFunc(m.connected(now), func(n connectedNode) bool { return !n.alive })
 }
 
+// Nodes returns the nodes that share the limits of endpoints.
+func (m *Mesh) Nodes(now time.Time) quota.Nodes {
+	nodes := quota.Nodes{Self: m.Self.Name, Known: m.NodeCount()}
+	for _, n := range m.aliveNodes(now) {
+		nodes.Alive = append(nodes.Alive, n.Name)
+	}
+	return nodes
+}
+
 // Relays returns the addresses of the peers from which this node takes a large
 // configuration, the nearest first. The nodes of a data centre form a tree in the
 // order of connected, so that no node sends it to more than relayFanout others. The
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/trans/conns"
@@ -62,6 +63,14 @@
 	if len(ss) > 0 {
 		m.OnStruck(ss)
 	}
+	var ls []quota.Limit
+	for i := range u.Limits {
+		u.Limits[i].Limit.ObservedAt = now.Add(-u.Limits[i].Age)
+		ls = append(ls, u.Limits[i].Limit)
+	}
+	if len(ls) > 0 {
+		m.OnLimits(ls)
+	}
 }
 
 // State returns this node's copy of the configuration and of the endpoint list.
