feeds: notice that the store lost records

Cause: the store may come back from a copy some seconds old. Offsets go back and are given out again. A node kept its offset: it waited until the log had grown past it, and never saw the records that had got the same offsets. Its own member record was gone, so that new nodes could not find it.

Change: the era in each response of the store (Store-Era) is read. If it rises, a node reads the newest record of each key again and registers again; nodes that read through a peer learn of the era from it. Endpoints get the grace period that they have after an outage: they stay listed, and leaving ones stay so, until they have written their records again. A read of offsets that the store does not have (410) was handled already. Whether a reader serves a node is now told for each stream, so that only the endpoints, not the configuration, are read by all nodes while readers are in a grace period.

--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -138,7 +138,7 @@
 	ps[0].setDocument(t, raw)
 	ps[0].link.bytesPerSecond = len(raw) / 4
 	test.True(t, ps[2].pullUntil(7, ps[0], 300))
-	test.True(t, ps[2].servedByReader(), test.Sprint("the node would read the store"))
+	test.True(t, ps[2].servedByReader(feeds.Configuration), test.Sprint("the node would read the store"))
 }
 
 // startWithDocument returns three nodes of which the first has a large document in
@@ -162,7 +162,7 @@
 		must.True(t, ps[2].pullUntil(ident.Version(1+missed), ps[0], 100), must.Sprint(missed))
 		test.Eq(t, ps[0].feeds.Catalog().ID(), ps[2].feeds.Catalog().ID())
 		test.MapLen(t, manyRoutes+missed, ps[2].feeds.Catalog().Routes)
-		test.True(t, ps[2].servedByReader())
+		test.True(t, ps[2].servedByReader(feeds.Configuration))
 	}
 }
 
@@ -206,7 +206,7 @@
 func TestDocumentOfAnOlderReleaseIsTaken(t *testing.T) {
 	ps := startWithDocument(t)
 	raw := largeDocument(5, 1)
-	test.True(t, ps[2].applyState(relay.State{Version: 5, Raw: raw, Proven: true, Listed: true}, clock.Now()))
+	test.Eq(t, freshStreams{true, true}, ps[2].applyState(relay.State{Version: 5, Raw: raw, Proven: true, Listed: true}, clock.Now()))
 	test.Eq(t, 5, ps[2].feeds.Catalog().Version)
 }
 
@@ -256,9 +256,9 @@
 	for !ps[2].outrun.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	test.False(t, ps[2].servedByReader())
+	test.False(t, ps[2].servedByReader(feeds.Configuration))
 	ps[0].setDocument(t, largeDocument(2, 1))
 	must.True(t, ps[2].pullUntil(2, ps[0], 100))
 	ps[2].pull()
-	test.True(t, ps[2].servedByReader())
+	test.True(t, ps[2].servedByReader(feeds.Configuration))
 }
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -91,7 +91,7 @@
 		g.Go(func() error { n.serveMetrics(ctx); return nil })
 	}
 	g.Go(func() error { return n.feeds.Run(ctx) })
-	g.Go(func() error { n.register(ctx); return nil })
+	g.Go(func() error { n.keepRegistered(ctx); return nil })
 	g.Go(func() error { n.stateSync.run(ctx); return nil })
 	if !s.Bootstrap {
 		g.Go(func() error { n.findOrphans(ctx); return nil })
@@ -165,21 +165,34 @@
 	return err
 }
 
+// keepRegistered registers this node as a member, and again each time the store has
+// lost records, until the context ends.
+func (n *Node) keepRegistered(ctx context.Context) {
+	for ctx.Err() == nil {
+		era := n.register(ctx)
+		for ctx.Err() == nil && n.feeds.Era() <= era {
+			delay.For(ctx, registerRetryPause)
+		}
+	}
+}
+
 // register adds this node to the list of members in the store and adds the other
-// members as peers. It retries until both succeed.
-func (n *Node) register(ctx context.Context) {
+// members as peers. It retries until both succeed, and returns the era in which the
+// record was written.
+func (n *Node) register(ctx context.Context) uint64 {
 	r := feeds.Record{Key: string(n.Settings.Name), Value: []byte(n.Settings.PeerAddress)}
 	for ctx.Err() == nil {
-		err := n.Source.Put(ctx, feeds.Members, r)
+		era, err := n.Source.Put(ctx, feeds.Members, r)
 		if err == nil {
 			err = n.addPeers(ctx)
 		}
 		if err == nil {
-			return
+			return era
 		}
 		n.Logger.Warn().Err(err).Msg("node: registration as a member failed, will retry")
 		delay.For(ctx, registerRetryPause)
 	}
+	return 0
 }
 
 // addPeers adds the members listed in the store as peers.
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -46,9 +46,10 @@
 	decode func(raw []byte) (*topol.Catalog, error)
 	logger zerolog.Logger
 
-	// servedAt is when the last request was sent that a reader answered with
-	// fresh state; zero after a pull that got no such answer.
-	servedAt clock.Atomic
+	// servedAt is, for the configuration and for the endpoints, when the last
+	// request was sent that a reader answered with fresh state; zero after a pull
+	// that got no such answer.
+	servedAt [feeds.Members]clock.Atomic
 	// isReader is set while this node reads the store for others.
 	isReader atomic.Bool
 	// changes holds encoded changes of the configuration for peers.
@@ -70,17 +71,20 @@
 	return s
 }
 
-// servedByReader reports whether this node currently gets fresh state from a
-// reader and need not read the store itself.
-func (s *stateSync) servedByReader() bool {
-	return !s.isReader.Load() && !s.outrun.Load() && clock.Now().Sub(s.servedAt.Load()) < readerTimeout
+// servedByReader reports whether this node currently gets a fresh copy of a stream
+// from a reader and need not read that from the store itself.
+func (s *stateSync) servedByReader(st feeds.Stream) bool {
+	if s.isReader.Load() || st == feeds.Configuration && s.outrun.Load() {
+		return false
+	}
+	return clock.Now().Sub(s.servedAt[st].Load()) < readerTimeout
 }
 
 // state returns this node's copy of the state for a peer, without what the peer
 // already has. It leaves out an endpoint list that may hold endpoints which
 // disappeared during an outage of the store.
 func (s *stateSync) state(args relay.StateArgs) relay.State {
-	var st relay.State
+	st := relay.State{Era: s.feeds.Era()}
 	now := clock.Now()
 	if c := s.feeds.Catalog(); c != nil {
 		st.Version = c.Version
@@ -112,9 +116,9 @@
 }
 
 // pull fetches the state from a reader, unless this node is a reader whose own
-// copy is in step with the store. If no reader has fresh state, pull clears
-// servedAt, and fetches the state from any peer if this node's copy is outdated
-// or its endpoint list may differ from the store's.
+// copy is in step with the store. If no reader has a fresh copy of a stream, pull
+// clears its servedAt, and fetches the state from any peer if this node's copy is
+// outdated or its endpoint list may differ from the store's.
 func (s *stateSync) pull() {
 	readers := s.mesh.Readers(time.Now())
 	isReader := slices.Contains(readers, s.mesh.Self.Address)
@@ -123,19 +127,46 @@
 	if isReader && !s.feeds.SourceDown() && matchesSource {
 		return
 	}
+	var served freshness
 	for _, a := range readers[:min(maxReadersTried, len(readers))] {
+		if a == s.mesh.Self.Address {
+			continue
+		}
 		sentAt := clock.Now()
-		if a != s.mesh.Self.Address && s.fetchFrom(a, sentAt) {
-			s.servedAt.Store(sentAt)
-			return
+		served.add(s.fetchFrom(a, sentAt), sentAt)
+		if served.all() {
+			break
 		}
 	}
-	s.servedAt.Store(0)
-	if s.outdated() || !matchesSource {
+	for i := range s.servedAt {
+		s.servedAt[i].Store(served[i])
+	}
+	if !served.all() && (s.outdated() || !matchesSource) {
 		s.fetchFromAny()
 	}
 }
 
+// freshStreams tells of which streams a peer has a fresh copy.
+type freshStreams [feeds.Members]bool
+
+func (f freshStreams) all() bool { return !slices.Contains(f[:], false) }
+
+// freshness holds, for the configuration and for the endpoints, when the request was
+// sent that was answered with a fresh copy; zero if there was no such answer.
+type freshness [feeds.Members]clock.Instant
+
+// add records the answer to a request that was sent at the given time.
+func (f *freshness) add(fresh freshStreams, sentAt clock.Instant) {
+	for i, is := range fresh {
+		if is && f[i] == 0 {
+			f[i] = sentAt
+		}
+	}
+}
+
+// all reports whether there are fresh copies of all streams.
+func (f *freshness) all() bool { return !slices.Contains(f[:], 0) }
+
 // outdated reports whether this node's state is older than it can be while pulls
 // from a reader succeed.
 func (s *stateSync) outdated() bool {
@@ -147,15 +178,15 @@
 // until one of them has fresh state.
 func (s *stateSync) fetchFromAny() {
 	for _, a := range s.mesh.ConnectedAddresses() {
-		if s.fetchFrom(a, clock.Now()) {
+		if fresh := s.fetchFrom(a, clock.Now()); fresh.all() {
 			return
 		}
 	}
 }
 
-// fetchFrom fetches the state of a peer, applies it, and reports whether it was
-// fresh. sentAt is the time of the request.
-func (s *stateSync) fetchFrom(address string, sentAt clock.Instant) bool {
+// fetchFrom fetches the state of a peer, applies it, and reports which streams it
+// had a fresh copy of. sentAt is the time of the request.
+func (s *stateSync) fetchFrom(address string, sentAt clock.Instant) (fresh freshStreams) {
 	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat}
 	if f := s.feeds.Endpoints(); f != nil {
 		args.List = f.ID
@@ -163,9 +194,9 @@
 	st, err := s.mesh.FetchState(address, args)
 	if err != nil {
 		s.logger.Info().Err(err).Str("peer", address).Uint64("version", uint64(args.Version)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: a peer did not answer a request for its state")
-		return false
+		return fresh
 	}
-	fresh := s.applyState(st, sentAt)
+	fresh = s.applyState(st, sentAt)
 	if st.Version > s.feeds.Catalog().ID().Version {
 		s.startTransfer(address, st.Version)
 	}
@@ -173,23 +204,24 @@
 }
 
 // applyState merges the state received from a peer into this node's, and reports
-// whether it was fresh. sentAt is the time of the request. A fresh state may have a
-// newer version of the configuration than this node, which then isn't confirmed.
-func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) bool {
+// which streams it has a fresh copy of. sentAt is the time of the request. A fresh
+// state may have a newer version of the configuration than this node, which then
+// isn't confirmed.
+func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
+	s.feeds.ObserveEra(st.Era)
 	s.applyNewer(st)
 	if st.Listed && len(st.Endpoints) > 0 {
 		s.feeds.UpdateEndpoints(st.Endpoints, sentAt.Add(-st.ListedAge))
 	} else if st.Listed {
 		s.feeds.ConfirmEndpoints(st.List, sentAt.Add(-st.ListedAge))
 	}
-	if !st.Proven {
-		return false
-	}
-	if c := s.feeds.Catalog(); c != nil && st.Version == c.Version {
+	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
 		s.outrun.Store(false)
 		s.feeds.ConfirmCatalog(sentAt.Add(-st.ProvenAge))
 	}
-	return st.ProvenAge < freshConfigAge && st.Listed && st.ListedAge < freshListAge
+	fresh[feeds.Configuration] = st.Proven && st.ProvenAge < freshConfigAge
+	fresh[feeds.Endpoints] = st.Listed && st.ListedAge < freshListAge
+	return fresh
 }
 
 // applyNewer puts the configuration that a peer's state contains in force.
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -98,11 +98,11 @@
 	ps[3].pull()
 	must.NotNil(t, ps[3].feeds.Catalog())
 	test.Eq(t, 7, ps[3].feeds.Catalog().Version)
-	test.True(t, ps[3].servedByReader())
+	test.True(t, ps[3].servedByReader(feeds.Configuration))
 	test.MapLen(t, 1, ps[3].feeds.Endpoints().ByName)
 	// The fetched state must not look fresher than it was at the reader.
 	test.LessEq(t, sentAt.Add(-400*time.Millisecond), ps[3].feeds.CatalogConfirmedAt())
-	test.False(t, ps[0].servedByReader(), test.Sprint("a reader reads the store itself"))
+	test.False(t, ps[0].servedByReader(feeds.Configuration), test.Sprint("a reader reads the store itself"))
 }
 
 func TestNodeIsNotServedByReaderWithOldState(t *testing.T) {
@@ -110,7 +110,7 @@
 	ps[0].setState(7, time.Minute)
 	ps[1].setState(7, time.Minute)
 	ps[2].pull()
-	test.False(t, ps[2].servedByReader())
+	test.False(t, ps[2].servedByReader(feeds.Configuration))
 	test.Eq(t, 7, ps[2].feeds.Catalog().Version, test.Sprint("old state is better than none"))
 }
 
@@ -153,8 +153,8 @@
 	return feeds.Page{}, errors.New("unreachable")
 }
 
-func (unreachableSource) Put(context.Context, feeds.Stream, feeds.Record) error {
-	return errors.New("unreachable")
+func (unreachableSource) Put(context.Context, feeds.Stream, feeds.Record) (uint64, error) {
+	return 0, errors.New("unreachable")
 }
 
 func TestReaderWithoutStoreFetchesFromOtherReader(t *testing.T) {
@@ -170,7 +170,7 @@
 	ps[0].pull()
 	must.NotNil(t, ps[0].feeds.Catalog())
 	test.Eq(t, 7, ps[0].feeds.Catalog().Version)
-	test.False(t, ps[0].servedByReader(), test.Sprint("it still tries the store"))
+	test.False(t, ps[0].servedByReader(feeds.Configuration), test.Sprint("it still tries the store"))
 	cancel()
 	<-ended
 }
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -106,6 +106,8 @@
 // State is a peer's copy of the configuration and of the endpoint list. Ages
 // are measured at the time of the peer's answer.
 type State struct {
+	// Era is the highest era of the platform's store that the peer knows.
+	Era     uint64
 	Version ident.Version
 	// Raw is the configuration document. It is set only if it is newer than
 	// StateArgs.Version and the requesting node does not take changes.
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -64,10 +64,11 @@
 	Source  Source
 	Decoder Decoder
 	Logger  zerolog.Logger
-	// ServedByPeer reports whether another node currently reads the source for
-	// this one. Nil means never.
-	ServedByPeer func() bool
+	// ServedByPeer reports whether another node currently reads a stream for this
+	// one. Nil means never.
+	ServedByPeer func(Stream) bool
 
+	era     atomic.Uint64
 	catalog atomic.Pointer[topol.Catalog]
 	list    atomic.Pointer[EndpointList]
 	// catalogConfirmedAt is when the catalog was last confirmed to be the newest.
@@ -90,8 +91,8 @@
 	// remove those whose records are deleted or can't be decoded.
 	endpoints map[ident.EndpointName]topol.Endpoint
 	removeAt  map[ident.EndpointName]clock.Instant
-	// recoveredAt is when the source answered again after an outage; zero if
-	// there was none or its grace period was ended by endGrace.
+	// recoveredAt is when the source answered again after an outage, or when it lost
+	// records; zero if neither happened or the grace period was ended by endGrace.
 	recoveredAt clock.Instant
 }
 
@@ -111,7 +112,13 @@
 func (f *Feeds) OutsideGracePeriod(now clock.Instant) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.recoveredAt == 0 || now.Sub(f.recoveredAt) >= outageGrace
+	return !f.inGracePeriod(now)
+}
+
+// inGracePeriod reports whether a grace period is in progress. The caller holds
+// f.mu.
+func (f *Feeds) inGracePeriod(now clock.Instant) bool {
+	return f.recoveredAt > 0 && now.Sub(f.recoveredAt) < outageGrace
 }
 
 // SourceDown reports whether the last read of the configuration or of the
@@ -136,24 +143,24 @@
 // with complete set if they are the newest records of all keys.
 type applyFunc func(rs []Record, complete bool, at clock.Instant)
 
-// follow reads one stream until the context ends. If the source no longer keeps
-// the records at its offset, it starts again with the newest record of each key.
+// follow reads one stream until the context ends. If the source no longer has the
+// records at its offset, it starts again with the newest record of each key.
 func (f *Feeds) follow(ctx context.Context, s Stream, wait, interval time.Duration, apply applyFunc) {
-	next := ident.Offset(-1)
+	c := cursor{next: unknownOffset}
 	var failedSince clock.Instant
 	retryPause := minRetryPause
 	for ctx.Err() == nil {
-		if f.ServedByPeer != nil && f.ServedByPeer() {
+		if f.ServedByPeer != nil && f.ServedByPeer(s) {
 			// State received from a peer has no offset in the stream.
-			next = -1
+			c.next = unknownOffset
 			delay.For(ctx, peerCheckInterval)
 			continue
 		}
 		at := clock.Now()
-		page, err := f.read(ctx, s, next, wait)
+		page, err := f.read(ctx, s, c.next, wait)
 		if errors.Is(err, ErrTrimmed) {
-			f.Logger.Info().Str("stream", s.String()).Int64("from", int64(next)).Msg("feeds: offset is no longer kept, reading the newest record of each key")
-			next = -1
+			f.Logger.Info().Str("stream", s.String()).Int64("from", int64(c.next)).Msg("feeds: source has no records at the offset, reading the newest record of each key")
+			c.next = unknownOffset
 			continue
 		}
 		if err != nil {
@@ -171,14 +178,21 @@
 			f.recordRecovery(s, at, at.Sub(failedSince))
 		}
 		failedSince = 0
-		if page.Next < next {
-			// An earlier page reached further, so this one shows an old state and
-			// confirms nothing.
+		if c.isNewEra(page) {
+			f.recordLoss(s, page.Era, at)
+		}
+		switch c.advance(page) {
+		case readAgain:
+			continue
+		case outdated:
 			delay.For(ctx, minRetryPause)
 			continue
+		case newest:
+			apply(page.Records, true, at)
+		case further:
+			apply(page.Records, false, at)
 		}
-		apply(page.Records, next < 0, at)
-		next = page.Next
+		f.ObserveEra(page.Era)
 		delay.For(ctx, f.pause(s, interval))
 	}
 }
@@ -191,6 +205,31 @@
 	return interval
 }
 
+// recordLoss records that the source lost records. If they were those of endpoints,
+// the grace period begins: the endpoints write theirs again.
+func (f *Feeds) recordLoss(s Stream, era uint64, at clock.Instant) {
+	f.Logger.Warn().Str("stream", s.String()).Uint64("era", era).Msg("feeds: source lost records, reading the newest record of each key")
+	if s != Endpoints {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recoveredAt = at
+}
+
+// ObserveEra records an era of the source, which this node or a peer read.
+func (f *Feeds) ObserveEra(era uint64) {
+	for {
+		old := f.era.Load()
+		if era <= old || f.era.CompareAndSwap(old, era) {
+			return
+		}
+	}
+}
+
+// Era returns the highest era of the source that this node knows, see Page.Era.
+func (f *Feeds) Era() uint64 { return f.era.Load() }
+
 // recordRecovery records that reads of a stream succeed again. If those of the
 // endpoints failed for at least minOutage, the grace period begins.
 func (f *Feeds) recordRecovery(s Stream, at clock.Instant, outage time.Duration) {
@@ -205,7 +244,7 @@
 }
 
 func (f *Feeds) read(ctx context.Context, s Stream, next ident.Offset, wait time.Duration) (Page, error) {
-	if next < 0 {
+	if next == unknownOffset {
 		return f.Source.Newest(ctx, s)
 	}
 	return f.Source.Read(ctx, s, next, wait)
@@ -318,6 +357,10 @@
 	}
 	delete(f.removeAt, n)
 	old, ok := f.endpoints[n]
+	if ok && old.Leaving && old.Born == e.Born && f.inGracePeriod(at) {
+		// The source may show the endpoint as it was before it began to leave.
+		e.Leaving = true
+	}
 	if ok && old == e {
 		return false
 	}
@@ -338,7 +381,7 @@
 		return
 	}
 	due := at
-	if f.recoveredAt > 0 && at.Sub(f.recoveredAt) < outageGrace {
+	if f.inGracePeriod(at) {
 		due = f.recoveredAt.Add(outageGrace)
 	}
 	f.removeAt[n] = due
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -234,7 +234,7 @@
 	return s.next(ctx, "read")
 }
 
-func (s *scriptedSource) Put(context.Context, Stream, Record) error { return nil }
+func (s *scriptedSource) Put(context.Context, Stream, Record) (uint64, error) { return 0, nil }
 
 func TestRetriesBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -254,6 +254,46 @@
 	})
 }
 
+// Guards against a node that waits until the source has as many records again as
+// before it lost some, and that misses those with offsets given out again.
+func TestFollowReadsTheNewestAfterALoss(t *testing.T) {
+	page := func(era uint64, next ident.Offset, rs ...Record) func() (Page, error) {
+		return func() (Page, error) { return Page{Records: rs, Next: next, Era: era}, nil }
+	}
+	s := &scriptedSource{responses: []func() (Page, error){
+		page(1, 5, record("config", "1")), page(1, 6, record("config", "2")),
+		// The records 4 to 6 are lost, and 4 to 7 are given out again.
+		page(2, 7, record("config", "3")), page(2, 7, record("config", "4")),
+	}}
+	f := newFeeds()
+	f.Source = s
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.follow(ctx, Configuration, 0, 0, f.applyConfig); close(done) }()
+	for f.Catalog() == nil || f.Catalog().Version < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	must.SliceLen(t, 5, s.calls)
+	test.Eq(t, []string{"newest", "read", "read", "newest", "read"}, s.calls)
+	test.Eq(t, 2, f.Era())
+}
+
+// After the source lost records, it may lack endpoints or show them as they were
+// before they began to leave, until they write their records again.
+func TestEndpointsStayAsTheyWereAfterALoss(t *testing.T) {
+	f := newFeeds()
+	f.applyEndpoints([]Record{record("a", "s up"), record("b", "s leaving"), record("c", "s up")}, true, at(0))
+	f.recordLoss(Endpoints, 2, at(time.Second))
+	f.applyEndpoints([]Record{record("b", "s up"), record("c", "s up")}, true, at(time.Second))
+	test.Eq(t, "a b- c", f.names("s"))
+	f.applyEndpoints([]Record{record("a", "s up"), record("c", "s leaving")}, false, at(2*time.Second))
+	test.Eq(t, "a b- c-", f.names("s"))
+	f.applyEndpoints([]Record{record("b", "s up")}, false, at(4*time.Second))
+	test.Eq(t, "a b c-", f.names("s"), test.Sprint("the endpoint says so after the grace period"))
+}
+
 func TestFollowReadsTheNewestAfterATrim(t *testing.T) {
 	page := func(next ident.Offset, rs ...Record) func() (Page, error) {
 		return func() (Page, error) { return Page{Records: rs, Next: next}, nil }
--- a/internal/trans/feeds/source.go
+++ b/internal/trans/feeds/source.go
@@ -46,6 +46,10 @@
 	// Next is the offset to read from next: that after the newest record of the
 	// stream, or after the last one of the page if more follow.
 	Next ident.Offset
+	// Era counts how often the source lost records that it had acknowledged. Each
+	// time, offsets go back and are given out again. Zero means that the source
+	// doesn't tell.
+	Era uint64
 }
 
 // Source is a client of the platform's store, which holds the streams.
@@ -56,8 +60,8 @@
 	// waits for some for at most the given time. It returns ErrTrimmed if the
 	// store no longer keeps the records at the offset.
 	Read(ctx context.Context, s Stream, from ident.Offset, wait time.Duration) (Page, error)
-	// Put writes a record.
-	Put(ctx context.Context, s Stream, r Record) error
+	// Put writes a record and returns the era of the source, see Page.Era.
+	Put(ctx context.Context, s Stream, r Record) (era uint64, err error)
 }
 
 // Decoder decodes the records of a deployment.
