feeds: go on in the stream where the state of a peer ends

Change: a reader tells where the stream goes on after its configuration, and a node reads from there; it reads the newest records only if the store lost or deleted what follows. Reading one stream is a type of its own, follower.

Result: TestFollowGoesOnAfterTheStateOfAPeer; before, the first call was "newest" in each case.

--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -86,7 +86,11 @@
 func (s *stateSync) state(args relay.StateArgs) relay.State {
 	st := relay.State{Era: s.feeds.Era()}
 	now := clock.Now()
+	// The position is read before the configuration, so that it isn't behind a newer
+	// one.
+	position := s.feeds.ConfigPosition()
 	if c := s.feeds.Catalog(); c != nil {
+		st.ConfigEra, st.ConfigNext = position.Era, position.Next
 		st.Version = c.Version
 		st.Proven, st.ProvenAge = true, now.Sub(s.feeds.CatalogConfirmedAt())
 		switch {
@@ -217,6 +221,7 @@
 	}
 	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
 		s.outrun.Store(false)
+		s.feeds.SetConfigPosition(feeds.Position{Era: st.ConfigEra, Next: st.ConfigNext})
 		s.feeds.ConfirmCatalog(sentAt.Add(-st.ProvenAge))
 	}
 	fresh[feeds.Configuration] = st.Proven && st.ProvenAge < freshConfigAge
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -120,6 +120,10 @@
 	// ProvenAge is the time since the last confirmation.
 	Proven    bool
 	ProvenAge time.Duration
+	// ConfigEra and ConfigNext are the position in the platform's store after the
+	// configuration; ConfigEra is zero if it isn't known.
+	ConfigEra  uint64
+	ConfigNext ident.Offset
 	// Listed is set if the peer has an endpoint list and is outside the grace
 	// period after an outage of the store. List is the ID of the list, ListedAge
 	// the time since it was last confirmed to be the newest. Endpoints is left
--- a/internal/trans/feeds/cursor.go
+++ b/internal/trans/feeds/cursor.go
@@ -6,11 +6,21 @@
 // key.
 const unknownOffset ident.Offset = -1
 
-// cursor is a position in a stream.
+// Position is a position in a stream. It is valid in one era of the source only.
+type Position struct {
+	// Era is zero if the position is not known.
+	Era  uint64
+	Next ident.Offset
+}
+
+// cursor follows a stream.
 type cursor struct {
 	next ident.Offset
-	// era is the era of the source at the last page; zero before the first one.
+	// era is the era of the source at the last page; zero if it is not known.
 	era uint64
+	// resumed is set until the first page after a position that this node did not
+	// read itself.
+	resumed bool
 }
 
 // pageKind says what to do with a page of records.
@@ -35,6 +45,7 @@
 // advance moves the cursor behind a page.
 func (c *cursor) advance(p Page) pageKind {
 	lost := c.isNewEra(p)
+	c.resumed = false
 	if p.Era != 0 {
 		c.era = p.Era
 	}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -10,12 +10,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"laburnumstack.org/laburnum/internal/state/clock"
-	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -77,6 +75,9 @@
 	// the newest.
 	endpointsConfirmedAt clock.Atomic
 
+	// configAt is where to read on after the configuration in force.
+	configAt atomic.Pointer[Position]
+
 	// failing is set for each stream whose last read failed. The Members stream,
 	// the last one, is not followed.
 	failing [Members]atomic.Bool
@@ -134,67 +135,13 @@
 // Run reads the configuration and the endpoints until the context ends.
 func (f *Feeds) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { f.follow(ctx, Configuration, configWait, 0, f.applyConfig); return nil })
-	g.Go(func() error { f.follow(ctx, Endpoints, 0, endpointsInterval, f.applyEndpoints); return nil })
-	return g.Wait()
-}
-
-// applyFunc applies records that were the newest at the given time. It is called
-// with complete set if they are the newest records of all keys.
-type applyFunc func(rs []Record, complete bool, at clock.Instant)
-
-// follow reads one stream until the context ends. If the source no longer has the
-// records at its offset, it starts again with the newest record of each key.
-func (f *Feeds) follow(ctx context.Context, s Stream, wait, interval time.Duration, apply applyFunc) {
-	c := cursor{next: unknownOffset}
-	var failedSince clock.Instant
-	retryPause := minRetryPause
-	for ctx.Err() == nil {
-		if f.ServedByPeer != nil && f.ServedByPeer(s) {
-			// State received from a peer has no offset in the stream.
-			c.next = unknownOffset
-			delay.For(ctx, peerCheckInterval)
-			continue
-		}
-		at := clock.Now()
-		page, err := f.read(ctx, s, c.next, wait)
-		if errors.Is(err, ErrTrimmed) {
-			f.Logger.Info().Str("stream", s.String()).Int64("from", int64(c.next)).Msg("feeds: source has no records at the offset, reading the newest record of each key")
-			c.next = unknownOffset
-			continue
-		}
-		if err != nil {
-			if failedSince == 0 && ctx.Err() == nil {
-				failedSince = at
-				f.Logger.Warn().Err(err).Str("stream", s.String()).Msg("feeds: reading the source failed")
-			}
-			f.failing[s].Store(true)
-			delay.For(ctx, retryPause)
-			retryPause = min(2*retryPause, maxRetryPause)
-			continue
-		}
-		retryPause = minRetryPause
-		if failedSince > 0 {
-			f.recordRecovery(s, at, at.Sub(failedSince))
-		}
-		failedSince = 0
-		if c.isNewEra(page) {
-			f.recordLoss(s, page.Era, at)
-		}
-		switch c.advance(page) {
-		case readAgain:
-			continue
-		case outdated:
-			delay.For(ctx, minRetryPause)
-			continue
-		case newest:
-			apply(page.Records, true, at)
-		case further:
-			apply(page.Records, false, at)
-		}
-		f.ObserveEra(page.Era)
-		delay.For(ctx, f.pause(s, interval))
+	for _, w := range []*follower{
+		{feeds: f, stream: Configuration, wait: configWait, apply: f.applyConfig},
+		{feeds: f, stream: Endpoints, interval: endpointsInterval, apply: f.applyEndpoints},
+	} {
+		g.Go(func() error { w.run(ctx); return nil })
 	}
+	return g.Wait()
 }
 
 // pause returns the time until the next read of a stream.
@@ -205,6 +152,23 @@
 	return interval
 }
 
+// SetConfigPosition records where the stream goes on after the configuration in
+// force, so that this node need not read it whole if it has to follow the stream
+// itself. It ignores a position that is not known.
+func (f *Feeds) SetConfigPosition(p Position) {
+	if p.Era > 0 {
+		f.configAt.Store(&p)
+	}
+}
+
+// ConfigPosition returns the position last recorded by SetConfigPosition.
+func (f *Feeds) ConfigPosition() Position {
+	if p := f.configAt.Load(); p != nil {
+		return *p
+	}
+	return Position{}
+}
+
 // recordLoss records that the source lost records. If they were those of endpoints,
 // the grace period begins: the endpoints write theirs again.
 func (f *Feeds) recordLoss(s Stream, era uint64, at clock.Instant) {
@@ -243,13 +207,6 @@
 	f.recoveredAt = at
 }
 
-func (f *Feeds) read(ctx context.Context, s Stream, next ident.Offset, wait time.Duration) (Page, error) {
-	if next == unknownOffset {
-		return f.Source.Newest(ctx, s)
-	}
-	return f.Source.Read(ctx, s, next, wait)
-}
-
 func (f *Feeds) applyConfig(rs []Record, _ bool, at clock.Instant) {
 	for _, r := range rs {
 		c, err := f.Decoder.Catalog(r)
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -246,7 +247,7 @@
 		f.Source = s
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go f.follow(ctx, Endpoints, 0, endpointsInterval, f.applyEndpoints)
+		go (&follower{feeds: f, stream: Endpoints, interval: endpointsInterval, apply: f.applyEndpoints}).run(ctx)
 		// Calls are made after 0 s, 0.25 s, 0.75 s, and then each second.
 		time.Sleep(9*time.Second + 800*time.Millisecond)
 		synctest.Wait()
@@ -269,7 +270,7 @@
 	f.Source = s
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { f.follow(ctx, Configuration, 0, 0, f.applyConfig); close(done) }()
+	go func() { (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx); close(done) }()
 	for f.Catalog() == nil || f.Catalog().Version < 4 {
 		time.Sleep(time.Millisecond)
 	}
@@ -280,6 +281,51 @@
 	test.Eq(t, 2, f.Era())
 }
 
+// Guards against CONFIG: a node that has to follow the stream itself, as many do at
+// the same time if readers fail, must not read the whole configuration.
+func TestFollowGoesOnAfterTheStateOfAPeer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pages []func() (Page, error)
+		calls []string
+	}{
+		{"same era", []func() (Page, error){func() (Page, error) { return Page{Next: 9, Era: 2}, nil }}, []string{"read", "read"}},
+		{"other era", []func() (Page, error){
+			func() (Page, error) { return Page{Next: 9, Era: 3}, nil },
+			func() (Page, error) { return Page{Next: 4, Era: 3, Records: []Record{record("config", "7")}}, nil },
+		}, []string{"read", "newest", "read"}},
+		{"no longer kept", []func() (Page, error){
+			func() (Page, error) { return Page{}, ErrTrimmed },
+			func() (Page, error) { return Page{Next: 9, Era: 2, Records: []Record{record("config", "7")}}, nil },
+		}, []string{"read", "newest", "read"}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &scriptedSource{responses: c.pages}
+			f := newFeeds()
+			f.Source = s
+			var served atomic.Bool
+			served.Store(true)
+			f.ServedByPeer = func(Stream) bool { return served.Load() }
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx)
+			synctest.Wait()
+			f.UpdateCatalog(&topol.Catalog{Version: 7})
+			f.SetConfigPosition(Position{Era: 2, Next: 9})
+			f.SetConfigPosition(Position{})
+			time.Sleep(2 * peerCheckInterval)
+			synctest.Wait()
+			test.SliceEmpty(t, s.calls)
+			served.Store(false)
+			time.Sleep(2 * peerCheckInterval)
+			synctest.Wait()
+			test.Eq(t, c.calls, s.calls, test.Sprint(c.name))
+			test.Eq(t, 7, f.Catalog().Version)
+			test.Positive(t, f.CatalogConfirmedAt())
+		})
+	}
+}
+
 // After the source lost records, it may lack endpoints or show them as they were
 // before they began to leave, until they write their records again.
 func TestEndpointsStayAsTheyWereAfterALoss(t *testing.T) {
@@ -309,7 +355,7 @@
 	f.Source = s
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { f.follow(ctx, Configuration, 0, 0, f.applyConfig); close(done) }()
+	go func() { (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx); close(done) }()
 	for f.Catalog() == nil || f.Catalog().Version < 4 {
 		time.Sleep(time.Millisecond)
 	}
--- /dev/null
+++ b/internal/trans/feeds/follow.go
@@ -0,0 +1,120 @@
+package feeds
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/delay"
+)
+
+// applyFunc applies records that were the newest at the given time. It is called
+// with complete set if they are the newest records of all keys.
+type applyFunc func(rs []Record, complete bool, at clock.Instant)
+
+// follower reads one stream. The fields up to apply are set before run.
+type follower struct {
+	feeds  *Feeds
+	stream Stream
+	// wait bounds the wait for a record in a read, interval is the pause between
+	// two reads.
+	wait, interval time.Duration
+	apply          applyFunc
+
+	cursor cursor
+	// failedSince is when the first of the last reads failed; zero if the last one
+	// succeeded.
+	failedSince clock.Instant
+	retryPause  time.Duration
+}
+
+// run reads the stream until the context ends.
+func (w *follower) run(ctx context.Context) {
+	w.restart()
+	w.retryPause = minRetryPause
+	for ctx.Err() == nil {
+		if served := w.feeds.ServedByPeer; served != nil && served(w.stream) {
+			w.restart()
+			delay.For(ctx, peerCheckInterval)
+			continue
+		}
+		at := clock.Now()
+		page, err := w.read(ctx)
+		switch {
+		case errors.Is(err, ErrTrimmed):
+			w.feeds.Logger.Info().Str("stream", w.stream.String()).Int64("from", int64(w.cursor.next)).Msg("feeds: source has no records at the offset, reading the newest record of each key")
+			w.cursor.next = unknownOffset
+		case err != nil:
+			w.fail(ctx, err, at)
+		default:
+			w.succeed(at)
+			delay.For(ctx, w.handle(page, at))
+		}
+	}
+}
+
+// restart begins anew after the state that this node got otherwise, for example from
+// a peer: where that is known to end in the stream, and else with the newest record
+// of each key.
+func (w *follower) restart() {
+	w.cursor = cursor{next: unknownOffset}
+	if p := w.feeds.configAt.Load(); p != nil && w.stream == Configuration {
+		w.cursor = cursor{next: p.Next, era: p.Era, resumed: true}
+	}
+}
+
+func (w *follower) read(ctx context.Context) (Page, error) {
+	switch {
+	case w.cursor.next == unknownOffset:
+		return w.feeds.Source.Newest(ctx, w.stream)
+	case w.cursor.resumed:
+		// The state must be confirmed at once.
+		return w.feeds.Source.Read(ctx, w.stream, w.cursor.next, 0)
+	default:
+		return w.feeds.Source.Read(ctx, w.stream, w.cursor.next, w.wait)
+	}
+}
+
+// fail handles the failure of a read that began at the given time.
+func (w *follower) fail(ctx context.Context, err error, at clock.Instant) {
+	if w.failedSince == 0 && ctx.Err() == nil {
+		w.failedSince = at
+		w.feeds.Logger.Warn().Err(err).Str("stream", w.stream.String()).Msg("feeds: reading the source failed")
+	}
+	w.feeds.failing[w.stream].Store(true)
+	delay.For(ctx, w.retryPause)
+	w.retryPause = min(2*w.retryPause, maxRetryPause)
+}
+
+// succeed handles the success of a read that began at the given time.
+func (w *follower) succeed(at clock.Instant) {
+	w.retryPause = minRetryPause
+	if w.failedSince > 0 {
+		w.feeds.recordRecovery(w.stream, at, at.Sub(w.failedSince))
+	}
+	w.failedSince = 0
+}
+
+// handle handles a page, whose read began at the given time, and returns the pause
+// before the next read.
+func (w *follower) handle(p Page, at clock.Instant) time.Duration {
+	f := w.feeds
+	if w.cursor.isNewEra(p) {
+		f.recordLoss(w.stream, p.Era, at)
+	}
+	f.ObserveEra(p.Era)
+	kind := w.cursor.advance(p)
+	switch kind {
+	case readAgain:
+		return 0
+	case outdated:
+		return minRetryPause
+	}
+	w.apply(p.Records, kind == newest, at)
+	if w.stream == Configuration {
+		f.SetConfigPosition(Position{Era: w.cursor.era, Next: w.cursor.next})
+	}
+	return f.pause(w.stream, w.interval)
+}
