gate: bound what is read of an endpoint whose bytes are no answer

Cause: an endpoint in trouble may send bytes that are no answer without end. Interim responses, and the body of a response to another request, were read until the deadline of the request. Bodies were bounded by 16 MB each, which a few of them make more than the memory of a small node, and a body of a stated length was allocated at once.

Change: 16 interim responses and 64 KB of a skipped body at the most; all buffered bodies of a node together may take an eighth of its memory, and grow as bytes arrive.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -40,6 +40,9 @@
 	// memoryPercent is the soft memory limit of the Go runtime as a percentage of
 	// Settings.MemoryMB.
 	memoryPercent = 60
+	// bufferDivisor divides Settings.MemoryMB; the result bounds the buffered
+	// responses of endpoints.
+	bufferDivisor = 8
 )
 
 // Node is one gateway process. The exported fields are set before Run.
@@ -117,7 +120,8 @@
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
-		AnnounceStart: n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
+		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
+		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes,
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerStrikes
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,10 +23,8 @@
 const (
 	// connectTimeout bounds the dialing of a new connection.
 	connectTimeout = 300 * time.Millisecond
-	// maxResponseHeader and maxResponseBody bound an endpoint's response in
-	// bytes.
+	// maxResponseHeader bounds the header of an endpoint's response in bytes.
 	maxResponseHeader = 32 << 10
-	maxResponseBody   = 16 << 20
 	// maxInlineBody is the largest body in bytes that is written together with
 	// the header before the response is read. Larger bodies are written while
 	// the response is read.
@@ -313,7 +310,7 @@
 		if res.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, http1.NewBodyReader(a.link.Reader, res.Framing, res.Length)); err != nil {
+		if err := skipBody(a.link.Reader, res); err != nil {
 			return nil, relay.ResponseHeader{}, err
 		}
 	}
@@ -327,7 +324,8 @@
 // request.
 func (a *attempt) relayResponse(res *http1.Response, header relay.ResponseHeader, o outcome) (outcome, bool) {
 	a.setReadDeadline(a.deadline)
-	body, err := http1.ReadBody(a.link.Reader, res.Framing, res.Length, maxResponseBody)
+	body, buffer, err := a.server.readBody(a.link.Reader, res)
+	defer buffer.release()
 	if err != nil {
 		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
 		if header.NotRun {
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -103,6 +103,9 @@
 	StrictRevocation bool
 	MaxConfigAge     time.Duration
 	Budget           Budget
+	// MaxBufferedBytes bounds the bytes of endpoints' responses that the node holds
+	// at one time; zero means no bound.
+	MaxBufferedBytes int64
 	// GracePeriod is the time between the stop signal and the end of the
 	// process.
 	GracePeriod time.Duration
@@ -146,6 +149,8 @@
 	drainStart atomic.Int64
 	// inFlightCount counts the requests of callers that this node serves.
 	inFlightCount atomic.Int64
+	// bufferedBytes counts the bytes of endpoints' responses that the node holds.
+	bufferedBytes atomic.Int64
 	openConns     atomic.Int64
 
 	mu    sync.Mutex
--- a/internal/trans/http1/messg.go
+++ b/internal/trans/http1/messg.go
@@ -92,10 +92,14 @@
 	Length int64
 }
 
+// maxInterimResponses is the largest number of interim responses that ReadResponse
+// skips.
+const maxInterimResponses = 16
+
 // ReadResponse reads and checks the header of the response to a request with
 // the given method. It skips interim responses.
 func ReadResponse(br *bufio.Reader, limit int, method string) (*Response, error) {
-	for {
+	for range maxInterimResponses + 1 {
 		h, err := ReadHead(br, limit)
 		if err != nil {
 			return nil, err
@@ -109,6 +113,7 @@
 		}
 		return r, r.setFraming(method)
 	}
+	return nil, errors.Annotate(ErrMalformed, "too many interim responses")
 }
 
 func (r *Response) parseStatusLine() error {
