gate: count only events as progress of a stream

Cause: each byte of a stream moved the time after which another endpoint goes on with it. Bytes that form no event kept the caller waiting until the request's deadline, and the stream was then cut off.

Change: the wait for an event counts from the last one, or from the first bytes after a silence.

Result: TestStreamIsResumedElsewhereIfBytesAreNoEvents failed before, cut off after the first of three events, and passes.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -219,16 +219,16 @@
 // passes, another endpoint is tried if possible.
 func (a *attempt) headerDeadline() time.Time {
 	if a.route.Kind == topol.Stream {
-		return a.waitDeadline(max(3*a.choice.Estimate, a.route.Target) + streamSlack)
+		return a.waitDeadline(time.Now(), max(3*a.choice.Estimate, a.route.Target)+streamSlack)
 	}
-	return a.waitDeadline(a.route.Target)
+	return a.waitDeadline(time.Now(), a.route.Target)
 }
 
-// waitDeadline returns the end of a wait after which another endpoint is
-// tried. It is the request's deadline if that is earlier or if no other
-// endpoint may run the request.
-func (a *attempt) waitDeadline(wait time.Duration) time.Time {
-	t := time.Now().Add(wait)
+// waitDeadline returns the end of a wait that began at the given time, after which
+// another endpoint is tried. It is the request's deadline if that is earlier or if
+// no other endpoint may run the request.
+func (a *attempt) waitDeadline(began time.Time, wait time.Duration) time.Time {
+	t := began.Add(wait)
 	if !a.canRunElsewhere() || a.deadline.Before(t) {
 		return a.deadline
 	}
--- a/internal/trans/gate/endless_test.go
+++ b/internal/trans/gate/endless_test.go
@@ -51,3 +51,31 @@
 		test.Eq(t, 0, r.server.bufferedBytes.Load(), test.Sprint(c.name))
 	}
 }
+// Guards against a wait that is counted from no moment: an event may arrive in pieces.
+func TestEventInPiecesIsForwarded(t *testing.T) {
+	first := event(1) + event(2)[:4]
+	whole := raw(streamHead+chunked(first, event(2)[4:])+lastChunk, true)
+	slow := func(c net.Conn, g receivedRequest) bool {
+		io.WriteString(c, strings.ReplaceAll(streamHead, "%ID", g.field("Id"))+chunked(first))
+		time.Sleep(50 * time.Millisecond)
+		io.WriteString(c, chunked(event(2)[4:])+lastChunk)
+		return true
+	}
+	for _, s := range []script{whole, slow} {
+		e := newEndpoint(t, "e", s)
+		res := newRig(t, e, e.alias("f")).do(request("POST", "/stream/", "r1", "", "Prompt: 1000"))
+		test.Eq(t, event(1)+event(2), res.body)
+		test.SliceLen(t, 1, e.requests())
+	}
+}
+
+// Guards against bytes of no event that keep a stream waiting: only events count as
+// progress.
+func TestStreamIsResumedElsewhereIfBytesAreNoEvents(t *testing.T) {
+	garbage := endless(streamHead+chunked(event(1)), chunked("x"), 20*time.Millisecond)
+	e := newEndpoint(t, "e", garbage, streams(2, 3, true))
+	r := newRig(t, e, e.alias("f"))
+	res := r.do(request("POST", "/stream/", "r1", "", "Prompt: 1000"))
+	test.NoError(t, res.err)
+	test.Eq(t, event(1)+event(2)+event(3), res.body)
+}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -15,7 +15,7 @@
 	initialStreamBuffer = 2 << 10
 	// maxEventSize bounds one event in bytes.
 	maxEventSize = 1 << 20
-	// If a stream is silent for gapFactor times the route's Gap, and for at
+	// If a stream has no event for gapFactor times the route's Gap, and for at
 	// least minGapTimeout, another endpoint is tried; see gapDeadline.
 	gapFactor     = 3
 	minGapTimeout = 1600 * time.Millisecond
@@ -29,9 +29,14 @@
 	buf := make([]byte, 0, initialStreamBuffer)
 	awaitingFirst := true
 	var lastForwarded time.Time
+	// waitingSince is when the wait for the rest of the next event began.
+	var waitingSince time.Time
 	for {
 		if !awaitingFirst {
-			a.setReadDeadline(a.gapDeadline())
+			if len(buf) == 0 {
+				waitingSince = time.Now()
+			}
+			a.setReadDeadline(a.gapDeadline(waitingSince))
 		}
 		if len(buf) == cap(buf) {
 			if len(buf) >= maxEventSize {
@@ -49,7 +54,7 @@
 			if !awaitingFirst {
 				o.maxGap = max(o.maxGap, now.Sub(lastForwarded))
 			}
-			lastForwarded = now
+			lastForwarded, waitingSince = now, now
 			if awaitingFirst && end > 0 {
 				awaitingFirst = false
 				o.timeToFirst = time.Since(a.startedAt)
@@ -76,11 +81,11 @@
 	}
 }
 
-// gapDeadline returns the read deadline for the next event. If it passes, another
-// endpoint is tried. If no other endpoint may run the request, it is the
-// request's deadline: silence alone doesn't end a stream.
-func (a *attempt) gapDeadline() time.Time {
-	return a.waitDeadline(max(minGapTimeout, gapFactor*a.route.Gap))
+// gapDeadline returns the read deadline for an event if the wait for it began at the
+// given time. If it passes, another endpoint is tried. If no other endpoint may run the
+// request, it is the request's deadline: silence alone doesn't end a stream.
+func (a *attempt) gapDeadline(last time.Time) time.Time {
+	return a.waitDeadline(last, max(minGapTimeout, gapFactor*a.route.Gap))
 }
 
 // forwardEvents writes events to the caller, preceded by the response header
