sync: let readers take newer versions from each other

Change: a reader that is in step with the store also asks another reader, with each pull, for a newer version. It takes the version, but confirms nothing.

--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -206,7 +206,7 @@
 func TestDocumentOfAnOlderReleaseIsTaken(t *testing.T) {
 	ps := startWithDocument(t)
 	raw := largeDocument(5, 1)
-	test.Eq(t, freshStreams{true, true}, ps[2].applyState(relay.State{Version: 5, Raw: raw, Proven: true, Listed: true}, clock.Now()))
+	ps[2].applyNewer(ps[0].mesh.Self.Address, relay.State{Version: 5, Raw: raw})
 	test.Eq(t, 5, ps[2].feeds.Catalog().Version)
 }
 
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// pull fetches the state from a reader, unless this node is a reader whose own
-// copy is in step with the store. If no reader has a fresh copy of a stream, pull
+// pull fetches the state from a reader. If this node is a reader whose own copy is
+// in step with the store, it only takes a newer version of the configuration. If no reader has a fresh copy of a stream, pull
 // clears its servedAt, and fetches the state from any peer if this node's copy is
 // outdated or its endpoint list may differ from the store's.
 func (s *stateSync) pull() {
@@ -129,6 +129,7 @@
 	s.isReader.Store(isReader)
 	matchesSource := s.feeds.OutsideGracePeriod(clock.Now())
 	if isReader && !s.feeds.SourceDown() && matchesSource {
+		s.takeNewerVersion(readers)
 		return
 	}
 	var served freshness
@@ -150,6 +151,18 @@
 	}
 }
 
+// takeNewerVersion takes a version of the configuration that another reader got
+// earlier. It confirms nothing: this node reads the store itself.
+func (s *stateSync) takeNewerVersion(readers []string) {
+	i := slices.IndexFunc(readers, func(a string) bool { return a != s.mesh.Self.Address })
+	if i < 0 {
+		return
+	}
+	if st, ok := s.fetchState(readers[i], clock.Now()); ok {
+		s.applyNewer(readers[i], st)
+	}
+}
+
 // freshStreams tells of which streams a peer has a fresh copy.
 type freshStreams [feeds.Members]bool
 
@@ -191,6 +204,16 @@
 // fetchFrom fetches the state of a peer, applies it, and reports which streams it
 // had a fresh copy of. sentAt is the time of the request.
 func (s *stateSync) fetchFrom(address string, sentAt clock.Instant) (fresh freshStreams) {
+	st, ok := s.fetchState(address, sentAt)
+	if !ok {
+		return fresh
+	}
+	s.applyNewer(address, st)
+	return s.applyState(st, sentAt)
+}
+
+// fetchState fetches the state of a peer, and reports whether it got it.
+func (s *stateSync) fetchState(address string, sentAt clock.Instant) (relay.State, bool) {
 	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat}
 	if f := s.feeds.Endpoints(); f != nil {
 		args.List = f.ID
@@ -198,13 +221,9 @@
 	st, err := s.mesh.FetchState(address, args)
 	if err != nil {
 		s.logger.Info().Err(err).Str("peer", address).Uint64("version", uint64(args.Version)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: a peer did not answer a request for its state")
-		return fresh
-	}
-	fresh = s.applyState(st, sentAt)
-	if st.Version > s.feeds.Catalog().ID().Version {
-		s.startTransfer(address, st.Version)
+		return relay.State{}, false
 	}
-	return fresh
+	return st, true
 }
 
 // applyState merges the state received from a peer into this node's, and reports
@@ -213,7 +232,6 @@
 // isn't confirmed.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
 	s.feeds.ObserveEra(st.Era)
-	s.applyNewer(st)
 	if st.Listed && len(st.Endpoints) > 0 {
 		s.feeds.UpdateEndpoints(st.Endpoints, sentAt.Add(-st.ListedAge))
 	} else if st.Listed {
@@ -229,8 +247,9 @@
 	return fresh
 }
 
-// applyNewer puts the configuration that a peer's state contains in force.
-func (s *stateSync) applyNewer(st relay.State) {
+// applyNewer puts the configuration that a peer's state contains in force, or starts
+// to get it if it is newer and not contained.
+func (s *stateSync) applyNewer(peer string, st relay.State) {
 	var err error
 	switch {
 	case len(st.Change) > 0:
@@ -241,6 +260,9 @@
 	if err != nil {
 		s.logger.Error().Err(err).Uint64("version", uint64(st.Version)).Msg("sync: cannot apply the configuration of a peer")
 	}
+	if st.Version > s.feeds.Catalog().ID().Version {
+		s.startTransfer(peer, st.Version)
+	}
 }
 
 // applyDocument puts a configuration document in force.
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -105,6 +105,18 @@
 	test.False(t, ps[0].servedByReader(feeds.Configuration), test.Sprint("a reader reads the store itself"))
 }
 
+// Guards against a data centre that is late because the store answers its reader
+// late: a reader takes newer versions from the others.
+func TestReaderTakesNewerVersionFromOtherReader(t *testing.T) {
+	ps := newTestNodes(t, "a", "b", "c")
+	ps[0].setState(7, time.Minute)
+	ps[1].setState(8, 0)
+	confirmed := ps[0].feeds.CatalogConfirmedAt()
+	ps[0].pull()
+	test.Eq(t, 8, ps[0].feeds.Catalog().Version)
+	test.Eq(t, confirmed, ps[0].feeds.CatalogConfirmedAt(), test.Sprint("it reads the store itself"))
+}
+
 func TestNodeIsNotServedByReaderWithOldState(t *testing.T) {
 	ps := newTestNodes(t, "a", "b", "c")
 	ps[0].setState(7, time.Minute)
--- a/internal/trans/gate/endless_test.go
+++ b/internal/trans/gate/endless_test.go
@@ -51,6 +51,7 @@
 		test.Eq(t, 0, r.server.bufferedBytes.Load(), test.Sprint(c.name))
 	}
 }
+
 // Guards against a wait that is counted from no moment: an event may arrive in pieces.
 func TestEventInPiecesIsForwarded(t *testing.T) {
 	first := event(1) + event(2)[:4]
