node: append newer usage after a repeated batch

Noted fault: a flush after an append without an answer repeated the old batch only. The last flush of a node that stops left newer rows unwritten, and the bill lacked them. TestFlushAppendsNewerUsageAfterAnUnansweredBatch failed before (a row was left) and passes.

--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -45,19 +45,27 @@
 }
 
 // flush appends the usage collected since the last batch. If the append of that
-// batch was not acknowledged, flush instead repeats the batch unchanged, so that
-// it counts once.
+// batch was not acknowledged, flush first repeats the batch unchanged, so that it
+// counts once.
 func (u *usageWriter) flush(ctx context.Context) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.unacked == nil {
-		rows := u.ledger.Take()
-		if len(rows) == 0 {
-			return nil
+	if u.unacked != nil {
+		if err := u.appendBatch(ctx); err != nil {
+			return err
 		}
-		u.seq++
-		u.unacked = &ledgr.Batch{Node: u.node, Boot: u.runID, Seq: u.seq, Rows: rows}
 	}
+	rows := u.ledger.Take()
+	if len(rows) == 0 {
+		return nil
+	}
+	u.seq++
+	u.unacked = &ledgr.Batch{Node: u.node, Boot: u.runID, Seq: u.seq, Rows: rows}
+	return u.appendBatch(ctx)
+}
+
+// appendBatch appends the batch that is not acknowledged. The caller holds u.mu.
+func (u *usageWriter) appendBatch(ctx context.Context) error {
 	raw, err := json.Marshal(u.unacked)
 	if err != nil {
 		return errors.Trace(err)
