retry: take a retry from the budget only if it is made

Noted fault, seen by reading: each failed attempt took a retry from the budget, also where the request may not be sent again, has no time left or no endpoint: the callers of Decide asked the budget for its argument. So bookings whose answers were lost spent the budget of idempotent requests.

Decide now asks the budget itself, last. The cases of TestDecide count what is taken. The test can't be run on the code before, where Decide took a boolean.

--- a/internal/coord/retry/retry.go
+++ b/internal/coord/retry/retry.go
@@ -63,8 +63,9 @@
 	Delivered bool
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
-	// WithinBudget is true if the retry budget allows another attempt.
-	WithinBudget bool
+	// TakeRetry takes a retry from the budget and reports whether the budget allows
+	// it. It is called only if nothing else prevents another attempt.
+	TakeRetry func() bool
 }
 
 // Decision is the action and its delay, or the outcome if the request is given
@@ -79,7 +80,7 @@
 // random number in [0,1).
 func Decide(in Input, jitter float64) Decision {
 	out := outcome(in)
-	if !repeatable(in) || in.Attempts >= maxAttempts || in.TimeLeft < minAttemptTime || !in.WithinBudget {
+	if !repeatable(in) || in.Attempts >= maxAttempts || in.TimeLeft < minAttemptTime || !in.TakeRetry() {
 		return Decision{Action: GiveUp, Outcome: out}
 	}
 	d := Decision{Action: Restart, Delay: delay(in.Attempts, jitter)}
--- a/internal/coord/retry/retry_test.go
+++ b/internal/coord/retry/retry_test.go
@@ -28,14 +28,17 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			in := c.in
-			in.WithinBudget = true
+			taken := 0
+			in.TakeRetry = func() bool { taken++; return true }
 			if in.TimeLeft == 0 {
 				in.TimeLeft = time.Second
 			}
 			d := retry.Decide(in, 0.5)
 			test.Eq(t, c.action, d.Action)
 			test.Eq(t, c.outcome, d.Outcome)
-			in.WithinBudget = false
+			// Guards against a budget that is spent on retries which are never made.
+			test.Eq(t, d.Action != retry.GiveUp, taken == 1, test.Sprint("retries taken from the budget: ", taken))
+			in.TakeRetry = func() bool { return false }
 			test.Eq(t, retry.GiveUp, retry.Decide(in, 0.5).Action)
 		})
 	}
--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -168,7 +168,7 @@
 	}
 	d := retry.Decide(retry.Input{
 		Failure: kind, Idempotent: t.idempotent, Attempts: t.attempts,
-		TimeLeft: t.req.Remaining(), WithinBudget: t.core.Budget.TakeRetry(),
+		TimeLeft: t.req.Remaining(), TakeRetry: t.core.Budget.TakeRetry,
 	}, t.core.jitter())
 	if d.Action == retry.GiveUp {
 		return endpointFailure(err, t.outcome(), t.attempts)
--- a/internal/trans/serve/recover.go
+++ b/internal/trans/serve/recover.go
@@ -36,10 +36,13 @@
 			return f
 		}
 	}
+	if errors.Is(err, route.ErrNoEndpoint) {
+		return endpointFailure(err, a.outcome(), a.attempts)
+	}
 	in := retry.Input{Failure: kind, Idempotent: true, Attempts: a.attempts, Delivered: a.nextIndex > 0, TimeLeft: a.req.Remaining()}
-	in.WithinBudget = a.core.Budget.TakeRetry()
+	in.TakeRetry = a.core.Budget.TakeRetry
 	d := retry.Decide(in, a.core.jitter())
-	if d.Action == retry.GiveUp || errors.Is(err, route.ErrNoEndpoint) {
+	if d.Action == retry.GiveUp {
 		return endpointFailure(err, a.outcome(), a.attempts)
 	}
 	a.recordRetry(d.Action, err)
