claims: count items that are being appended as queued

Noted fault: a node that stops waits until all its claims are appended, but an append under way did not count. The process could end before it: a booking that was answered became unknown. Also, a queue that was taken after the context had ended was lost. TestItemsBeingAppendedCountAsQueued failed before (0 in place of 1 item) and passes.

--- a/internal/trans/claims/claimer.go
+++ b/internal/trans/claims/claimer.go
@@ -45,6 +45,8 @@
 	table       *claim.Table
 	queue       []claim.Item
 	flushSignal chan struct{}
+	// appending is the number of items whose append is under way.
+	appending int
 	// waiters are the channels on which calls of Claim receive their results.
 	waiters map[ident.AttemptID]chan claim.Result
 	// running holds this node's attempts that won their key and have not
@@ -194,12 +196,11 @@
 	return !c.failingSince.IsZero() && time.Since(c.failingSince) > downAfter
 }
 
-// QueueLen returns the number of queued items. Items whose append is under way
-// don't count.
+// QueueLen returns the number of items that are not appended yet.
 func (c *Claimer) QueueLen() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue)
+	return len(c.queue) + c.appending
 }
 
 // Stats returns the number of keys in the table and the number of successful
@@ -282,16 +283,20 @@
 // the append may have taken effect nevertheless, but applying an item twice has
 // no further effect.
 func (c *Claimer) flush(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	c.mu.Lock()
 	items := c.queue
-	c.queue = nil
+	c.queue, c.appending = nil, len(items)
 	c.mu.Unlock()
-	if len(items) == 0 || ctx.Err() != nil {
+	if len(items) == 0 {
 		return false
 	}
 	raw, err := json.Marshal(claim.Record{Holder: c.Holder, Items: items})
 	if err != nil {
 		c.Logger.Error().Err(err).Msg("claims: cannot encode record, dropping its items")
+		c.requeue(nil)
 		return true
 	}
 	_, err = c.Log.Append(ctx, messg.ClaimStream, raw)
@@ -299,6 +304,7 @@
 	if err == nil {
 		c.mu.Lock()
 		c.appends++
+		c.appending = 0
 		c.mu.Unlock()
 		return true
 	}
@@ -307,8 +313,8 @@
 	return true
 }
 
-// requeue puts items back at the head of the queue, except for claims that
-// were abandoned in the meantime.
+// requeue puts the items whose append has ended back at the head of the queue,
+// except for claims that were abandoned in the meantime.
 func (c *Claimer) requeue(items []claim.Item) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -319,5 +325,5 @@
 		}
 		kept = append(kept, it)
 	}
-	c.queue = append(kept, c.queue...)
+	c.queue, c.appending = append(kept, c.queue...), 0
 }
