claims: forget abandoned claims that were settled

Noted fault: an attempt whose caller did not wait for its claim stayed in the table of abandoned attempts for ever, also when its claim had been read and its key released. TestAbandonedClaimThatWonIsReleasedAndForgotten failed before (one left) and passes; it is also the first test of the release itself. Stats and Table.Len, which nothing called, go.

--- a/internal/state/claim/table.go
+++ b/internal/state/claim/table.go
@@ -120,9 +120,6 @@
 	return *e, true
 }
 
-// Len returns the number of keys in the table.
-func (t *Table) Len() int { return len(t.entries) }
-
 // removeForgotten removes keys that count as never claimed.
 func (t *Table) removeForgotten() {
 	n := 0
--- a/internal/trans/claims/claimer.go
+++ b/internal/trans/claims/claimer.go
@@ -63,8 +63,6 @@
 	// failingSince is when calls to the log began to fail; zero if the last
 	// one succeeded.
 	failingSince time.Time
-	// appends counts the successful appends.
-	appends int64
 }
 
 // Init prepares the claimer; it is called once before Run.
@@ -203,14 +201,6 @@
 	return len(c.queue) + c.appending
 }
 
-// Stats returns the number of keys in the table and the number of successful
-// appends.
-func (c *Claimer) Stats() (keys int, appends int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Len(), c.appends
-}
-
 func (c *Claimer) recordLogResult(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -259,7 +249,9 @@
 		w <- result
 		return
 	}
-	if key, ok := c.abandoned[result.Attempt]; ok && result.Won {
+	key, ok := c.abandoned[result.Attempt]
+	delete(c.abandoned, result.Attempt)
+	if ok && result.Won {
 		c.enqueue(claim.Item{Op: claim.Release, Key: key, Attempt: result.Attempt, Request: result.Entry.Request})
 	}
 }
@@ -303,7 +295,6 @@
 	c.recordLogResult(err)
 	if err == nil {
 		c.mu.Lock()
-		c.appends++
 		c.appending = 0
 		c.mu.Unlock()
 		return true
