sync: send changes of the list of endpoints instead of the list

Cause, the one of the incident CONFIG elsewhere: when one endpoint changed, each node got the whole list, 69 KB for 2,000 endpoints and one node. With 5,600 endpoints a list takes a good part of the 250 ms of an answer, for each change, from one reader to each node of its data centre.

Change: readers keep the last eight lists; a node gets what differs from its own, and checks the ID of the result. Nodes of older releases get whole lists.

--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -127,6 +127,35 @@
 	test.Less(t, 16<<10, ps[0].link.sent.Load()-before, test.Sprint("bytes sent for one more route"))
 }
 
+// manyEndpoints returns a long list of endpoints, of which the first n are leaving.
+func manyEndpoints(leaving int) []topol.Endpoint {
+	es := make([]topol.Endpoint, 2000)
+	for i := range es {
+		es[i] = topol.Endpoint{Name: ident.EndpointName(fmt.Sprintf("i-%08x", i*7919)), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), Slots: 8, Leaving: i < leaving}
+	}
+	return es
+}
+
+// Guards against the cause of CONFIG elsewhere: each change of one endpoint was sent
+// to each node as the whole list.
+func TestChangeOfOneEndpointMovesFewBytes(t *testing.T) {
+	ps := newTestNodes(t, "a", "b", "c")
+	ps[0].setState(1, 0)
+	for i := range 4 {
+		before := ps[0].link.sent.Load()
+		ps[0].feeds.UpdateEndpoints(manyEndpoints(i), clock.Now())
+		ps[2].pull()
+		must.Eq(t, ps[0].feeds.Endpoints().ID, ps[2].feeds.Endpoints().ID)
+		if i > 0 {
+			test.Less(t, 8<<10, ps[0].link.sent.Load()-before, test.Sprint("bytes sent for one endpoint"))
+		}
+	}
+	es := manyEndpoints(3)
+	ps[0].feeds.UpdateEndpoints(es[1:], clock.Now())
+	ps[2].pull()
+	must.MapLen(t, len(es)-1, ps[2].feeds.Endpoints().ByName)
+}
+
 // Guards against CONFIG: a configuration that took longer to send than a reader's
 // answer may take never arrived, and the node turned to the store.
 func TestLargeConfigurationArrivesOverASlowLink(t *testing.T) {
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -62,6 +62,9 @@
 	// unusable is set after a change to the configuration in force had a wrong
 	// result.
 	unusable atomic.Bool
+	// listUnusable is set after a change to the list of endpoints had a wrong base or
+	// result, until this node has a whole list.
+	listUnusable atomic.Bool
 }
 
 // newStateSync returns a stateSync that is connected to the mesh.
@@ -101,11 +104,13 @@
 			st.Raw = c.Raw
 		}
 	}
-	if snapshot := s.feeds.Snapshot(); snapshot.List != nil && s.feeds.OutsideGracePeriod(now) {
-		st.Listed, st.ListedAge, st.List = true, now.Sub(snapshot.At), snapshot.List.ID
-		if snapshot.List.ID != args.List {
-			st.Endpoints = snapshot.Endpoints
-		}
+	base := args.List
+	if args.Format != topol.ChangeFormat && base != s.feeds.Endpoints().ListID() {
+		base = 0
+	}
+	if c, confirmedAt := s.feeds.ChangeFrom(base); c != nil && s.feeds.OutsideGracePeriod(now) {
+		st.Listed, st.ListedAge, st.List = true, now.Sub(confirmedAt), c.Result
+		st.Endpoints, st.ListBase, st.Removed = c.Put, c.Base, c.Removed
 	}
 	return st
 }
@@ -215,8 +220,8 @@
 // fetchState fetches the state of a peer, and reports whether it got it.
 func (s *stateSync) fetchState(address string, sentAt clock.Instant) (relay.State, bool) {
 	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat}
-	if f := s.feeds.Endpoints(); f != nil {
-		args.List = f.ID
+	if !s.listUnusable.Load() {
+		args.List = s.feeds.Endpoints().ListID()
 	}
 	st, err := s.mesh.FetchState(address, args)
 	if err != nil {
@@ -232,10 +237,8 @@
 // isn't confirmed.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
 	s.feeds.ObserveEra(st.Era)
-	if st.Listed && len(st.Endpoints) > 0 {
-		s.feeds.UpdateEndpoints(st.Endpoints, sentAt.Add(-st.ListedAge))
-	} else if st.Listed {
-		s.feeds.ConfirmEndpoints(st.List, sentAt.Add(-st.ListedAge))
+	if st.Listed {
+		s.applyList(st, sentAt.Add(-st.ListedAge))
 	}
 	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
 		s.outrun.Store(false)
@@ -247,6 +250,24 @@
 	return fresh
 }
 
+// applyList merges the endpoint list of a peer into this node's. at is when the peer
+// last confirmed it to be the newest.
+func (s *stateSync) applyList(st relay.State, at clock.Instant) {
+	switch {
+	case len(st.Endpoints) == 0 && len(st.Removed) == 0:
+		s.feeds.ConfirmEndpoints(st.List, at)
+	case st.ListBase == 0:
+		s.feeds.UpdateEndpoints(st.Endpoints, at)
+		s.listUnusable.Store(false)
+	default:
+		err := s.feeds.ChangeEndpoints(&feeds.ListChange{Base: st.ListBase, Result: st.List, Put: st.Endpoints, Removed: st.Removed}, at)
+		s.listUnusable.Store(err != nil)
+		if err != nil {
+			s.logger.Error().Err(err).Uint64("base", st.ListBase).Msg("sync: cannot apply the endpoints of a peer")
+		}
+	}
+}
+
 // applyNewer puts the configuration that a peer's state contains in force, or starts
 // to get it if it is newer and not contained.
 func (s *stateSync) applyNewer(peer string, st relay.State) {
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -132,4 +132,10 @@
 	ListedAge time.Duration
 	List      uint64
 	Endpoints []topol.Endpoint
+	// ListBase is the ID of the list that Endpoints and Removed are a change of:
+	// Endpoints then holds what was added or changed, and Removed what was removed.
+	// It is zero if Endpoints is the whole list. Only nodes of the same
+	// topol.ChangeFormat get changes.
+	ListBase uint64
+	Removed  []ident.EndpointName
 }
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -42,20 +38,12 @@
 	// recentCatalogs is the number of configurations kept as bases of changes, so
 	// that a node which missed a few of them does not need a complete one.
 	recentCatalogs = 8
+	// recentLists is the number of endpoint lists kept as bases of changes.
+	recentLists = 8
 	// minOutage is how long reads must fail for the failure to count as an outage.
 	minOutage = time.Second
 )
 
-// EndpointList is an immutable list of endpoints with indexes.
-type EndpointList struct {
-	// ID is a hash of the content of the list.
-	ID        uint64
-	ByService map[ident.ServiceName][]*topol.Endpoint
-	ByName    map[ident.EndpointName]*topol.Endpoint
-	// ByAddress maps an address to the newest endpoint that has it.
-	ByAddress map[string]*topol.Endpoint
-}
-
 // Feeds follows the configuration and the list of endpoints in a source. The
 // exported fields must be set before Run.
 type Feeds struct {
@@ -92,6 +80,8 @@
 	// remove those whose records are deleted or can't be decoded.
 	endpoints map[ident.EndpointName]topol.Endpoint
 	removeAt  map[ident.EndpointName]clock.Instant
+	// recentLists holds the last lists of endpoints, the newest one last.
+	recentLists []*EndpointList
 	// recoveredAt is when the source answered again after an outage, or when it lost
 	// records; zero if neither happened or the grace period was ended by endGrace.
 	recoveredAt clock.Instant
@@ -271,177 +261,3 @@
 
 // ConfirmCatalog records that the catalog was the newest at the given time.
 func (f *Feeds) ConfirmCatalog(at clock.Instant) { f.catalogConfirmedAt.Advance(at) }
-
-func (f *Feeds) applyEndpoints(rs []Record, complete bool, at clock.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	seen := ident.Set[ident.EndpointName]{}
-	changed := complete
-	for _, r := range rs {
-		seen.Add(ident.EndpointName(r.Key))
-		changed = f.applyEndpoint(r, at) || changed
-	}
-	if complete {
-		for n := range f.endpoints {
-			if !seen.Has(n) {
-				f.scheduleRemoval(n, at)
-			}
-		}
-	}
-	changed = f.removeDue(at) || changed
-	f.endpointsConfirmedAt.Advance(at)
-	if changed {
-		f.publish()
-	}
-}
-
-// applyEndpoint applies one record and reports whether the list changed.
-func (f *Feeds) applyEndpoint(r Record, at clock.Instant) bool {
-	n := ident.EndpointName(r.Key)
-	if f.endpoints == nil {
-		f.endpoints = map[ident.EndpointName]topol.Endpoint{}
-		f.removeAt = map[ident.EndpointName]clock.Instant{}
-	}
-	if r.Value == nil {
-		f.scheduleRemoval(n, at)
-		return false
-	}
-	e, err := f.Decoder.Endpoint(r)
-	if err != nil {
-		f.Logger.Warn().Err(err).Str("endpoint", r.Key).Msg("feeds: cannot decode endpoint record")
-		f.scheduleRemoval(n, at)
-		return false
-	}
-	delete(f.removeAt, n)
-	old, ok := f.endpoints[n]
-	if ok && old.Leaving && old.Born == e.Born && f.inGracePeriod(at) {
-		// The source may show the endpoint as it was before it began to leave.
-		e.Leaving = true
-	}
-	if ok && old == e {
-		return false
-	}
-	f.endpoints[n] = e
-	if !ok || old.Leaving != e.Leaving || old.Address != e.Address || old.Born != e.Born {
-		f.Logger.Info().Str("endpoint", r.Key).Str("address", e.Address).Str("service", string(e.Service)).Bool("leaving", e.Leaving).Bool("new", !ok).Msg("feeds: endpoint added or changed")
-	}
-	return true
-}
-
-// scheduleRemoval marks an endpoint for removal by removeDue: at once, or at the
-// end of the grace period after an outage.
-func (f *Feeds) scheduleRemoval(n ident.EndpointName, at clock.Instant) {
-	if _, ok := f.endpoints[n]; !ok {
-		return
-	}
-	if _, ok := f.removeAt[n]; ok {
-		return
-	}
-	due := at
-	if f.inGracePeriod(at) {
-		due = f.recoveredAt.Add(outageGrace)
-	}
-	f.removeAt[n] = due
-}
-
-// removeDue removes the endpoints whose removal is due and reports whether there
-// were any.
-func (f *Feeds) removeDue(at clock.Instant) bool {
-	changed := false
-	for n, due := range f.removeAt {
-		if due > at {
-			continue
-		}
-		f.Logger.Info().Str("endpoint", string(n)).Msg("feeds: endpoint removed")
-		delete(f.removeAt, n)
-		delete(f.endpoints, n)
-		changed = true
-	}
-	return changed
-}
-
-func (f *Feeds) publish() {
-	list := &EndpointList{
-		ByService: map[ident.ServiceName][]*topol.Endpoint{},
-		ByName:    make(map[ident.EndpointName]*topol.Endpoint, len(f.endpoints)),
-		ByAddress: make(map[string]*topol.Endpoint, len(f.endpoints)),
-	}
-	h := xxhash.New()
-	for _, n := range slices.Sorted(maps.Keys(f.endpoints)) {
-		e := f.endpoints[n]
-		fmt.Fprintf(h, "%+v\n", e)
-		list.ByName[n] = &e
-		list.ByService[e.Service] = append(list.ByService[e.Service], &e)
-		if other, ok := list.ByAddress[e.Address]; !ok || other.Born < e.Born {
-			list.ByAddress[e.Address] = &e
-		}
-	}
-	list.ID = h.Sum64()
-	f.list.Store(list)
-}
-
-// Snapshot is the list of endpoints at one moment.
-type Snapshot struct {
-	// List is nil if there is no list yet.
-	List *EndpointList
-	// Endpoints holds the endpoints of List, in no particular order.
-	Endpoints []topol.Endpoint
-	// At is when the list was last confirmed to be the newest.
-	At clock.Instant
-}
-
-// Snapshot returns the current list of endpoints, for peers.
-func (f *Feeds) Snapshot() Snapshot {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return Snapshot{List: f.list.Load(), Endpoints: slices.Collect(maps.Values(f.endpoints)), At: f.EndpointsConfirmedAt()}
-}
-
-// ConfirmEndpoints records that a peer had the list with the given ID as the
-// newest at the given time, which may end the grace period, see endGrace. It does
-// nothing if this node has another list.
-func (f *Feeds) ConfirmEndpoints(id uint64, at clock.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := f.list.Load()
-	if list == nil || list.ID != id {
-		return
-	}
-	f.endpointsConfirmedAt.Advance(at)
-	f.endGrace(at)
-}
-
-// endGrace ends the grace period after an outage if a peer read the source after
-// it answered this node again: the outage then affected this node only. The
-// caller holds f.mu.
-func (f *Feeds) endGrace(at clock.Instant) {
-	if f.recoveredAt == 0 || at <= f.recoveredAt {
-		return
-	}
-	f.recoveredAt = 0
-	for n := range f.removeAt {
-		f.removeAt[n] = at
-	}
-	if f.removeDue(at) {
-		f.publish()
-	}
-}
-
-// UpdateEndpoints replaces the list of endpoints by that of a peer if the peer's
-// is newer; at is when the peer last confirmed its list to be the newest. Even if
-// it isn't newer, it may end the grace period, see endGrace.
-func (f *Feeds) UpdateEndpoints(es []topol.Endpoint, at clock.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endGrace(at)
-	if at <= f.EndpointsConfirmedAt() {
-		return
-	}
-	f.endpoints = make(map[ident.EndpointName]topol.Endpoint, len(es))
-	f.removeAt = map[ident.EndpointName]clock.Instant{}
-	for _, e := range es {
-		f.endpoints[e.Name] = e
-	}
-	f.endpointsConfirmedAt.Advance(at)
-	f.publish()
-}
