soak: losses of the store, limits of endpoints, large configurations

They are drawn from a stream of their own, so that the other faults of a seed stay the same (--basic-faults). A limited endpoint counts the requests that arrive.

--- a/cmd/laburnumlab/soak.go
+++ b/cmd/laburnumlab/soak.go
@@ -17,16 +17,17 @@
 // Soak runs nodes as processes, injects faults into the nodes, the store and the
 // endpoints, and checks the guarantees given to callers.
 type Soak struct {
-	Program   string        `long:"program" required:"true" description:"path of the node's executable"`
-	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
-	Seeds     int           `long:"seeds" default:"1" description:"number of seeds"`
-	For       time.Duration `long:"for" default:"20s" description:"duration of the faults"`
-	Calm      time.Duration `long:"calm" default:"3s" description:"fault-free time before and after the faults"`
-	Nodes     int           `long:"nodes" default:"4" description:"number of nodes"`
-	Endpoints int           `long:"endpoints" default:"5" description:"number of endpoints of each service"`
-	Callers   int           `long:"callers" default:"24" description:"number of callers"`
-	Dir       string        `long:"dir" description:"parent directory of each seed's settings and logs, which are kept if the seed fails"`
-	Quiet     bool          `long:"quiet" description:"don't print each fault"`
+	Program     string        `long:"program" required:"true" description:"path of the node's executable"`
+	Seed        uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds       int           `long:"seeds" default:"1" description:"number of seeds"`
+	For         time.Duration `long:"for" default:"20s" description:"duration of the faults"`
+	Calm        time.Duration `long:"calm" default:"3s" description:"fault-free time before and after the faults"`
+	Nodes       int           `long:"nodes" default:"4" description:"number of nodes"`
+	Endpoints   int           `long:"endpoints" default:"5" description:"number of endpoints of each service"`
+	BasicFaults bool          `long:"basic-faults" description:"no losses of the store, limits of endpoints and large configurations"`
+	Callers     int           `long:"callers" default:"24" description:"number of callers"`
+	Dir         string        `long:"dir" description:"parent directory of each seed's settings and logs, which are kept if the seed fails"`
+	Quiet       bool          `long:"quiet" description:"don't print each fault"`
 }
 
 func init() {
@@ -75,6 +76,7 @@
 	s := &soak.Soak{
 		Program: program, Deployment: stand.Deployment{}, Dir: dir, Seed: seed, FaultTime: c.For, FaultFreeTime: c.Calm,
 		Nodes: c.Nodes, Endpoints: c.Endpoints, Callers: c.Callers, Bounds: soak.UserBounds(), Output: out,
+		StateFaults: !c.BasicFaults,
 	}
 	r, err := s.Run(ctx)
 	if err != nil {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -14,6 +14,7 @@
 //   - exit: a node doesn't exit on its own.
 //   - gone: a run ends soon after its caller closed the connection.
 //   - late: a request ends within its timeout.
+//   - limit: an endpoint that names a limit gets hardly more requests.
 //   - lost: a graceful shutdown cuts no request off.
 //   - mixed: a response has the content that belongs to its request, and a valid
 //     key and route are accepted.
@@ -34,7 +35,7 @@
 
 // timedRules are the rules that depend on time limits. On a busy machine, they can
 // be violated even if the nodes are correct.
-var timedRules = ident.SetOf("late", "gone", "drain", "served", "lost", "stop", "revoked")
+var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked")
 
 // IsTimed reports whether the guarantee depends on a time limit, so that it can be
 // violated on a busy machine even if the nodes are correct.
--- a/internal/lab/soak/codec.go
+++ b/internal/lab/soak/codec.go
@@ -59,6 +59,9 @@
 	// SetNotRun sets the fields of a response of an endpoint that does not run the
 	// request.
 	SetNotRun(h http.Header, id string)
+	// SetLimit sets the field of a response in which an endpoint names the number of
+	// requests per second that it accepts from all nodes together.
+	SetLimit(h http.Header, rate float64)
 }
 
 // Store simulates a platform's store of configuration and endpoint records. As an
@@ -69,6 +72,9 @@
 	Put(st feeds.Stream, key string, value []byte)
 	// Trim deletes all records but the newest of each key.
 	Trim(st feeds.Stream)
+	// Lose removes the last n records of each stream, as if they had never been
+	// written. Their offsets are given out again.
+	Lose(n int)
 }
 
 // NodeConfig describes a node of the deployment.
--- a/internal/lab/soak/endpoints.go
+++ b/internal/lab/soak/endpoints.go
@@ -33,12 +33,15 @@
 	return nil
 }
 
+// endpointName returns the name of the nth endpoint that was started.
+func endpointName(n int64) ident.EndpointName { return ident.EndpointName(fmt.Sprintf("e%d", n)) }
+
 // newEndpoint returns the record of an endpoint that is about to start. Each start
 // gets a new name.
 func (s *Soak) newEndpoint(e *endpointServer, service ident.ServiceName) topol.Endpoint {
 	n := s.endpointCounter.Add(1)
 	return topol.Endpoint{
-		Name: ident.EndpointName(fmt.Sprintf("e%d", n)), Service: service, Address: e.proxy.Address(),
+		Name: endpointName(n), Service: service, Address: e.proxy.Address(),
 		DataCentre: dataCentres[int(n)%len(dataCentres)], Slots: endpointSlots, Born: time.Now().UnixMilli(),
 	}
 }
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -55,14 +55,26 @@
 	LapseEndpoint
 	// ChangeKeys adds a key and revokes the one that was the newest before.
 	ChangeKeys
-	// faultCount is the number of kinds.
+	// faultCount is the number of kinds that Plan draws.
 	faultCount
 )
 
+// Kinds of faults that planState draws.
+const (
+	// LoseRecords makes the store lose the last records of all streams. They are
+	// written again within maxRewriteDelay.
+	LoseRecords FaultKind = faultCount + 1 + iota
+	// LimitEndpoint makes an endpoint name a limit for limitTime.
+	LimitEndpoint
+	// GrowConfig adds many routes to the configuration and changes the keys.
+	GrowConfig
+)
+
 var faultNames = [...]string{
 	"kill node", "stop node", "pause node", "reload node", "kill all nodes", "cut store", "silence store",
 	"lose store's answers", "delay store", "store down", "trim store", "reset endpoint", "silence endpoint",
 	"delay endpoint", "crash endpoint", "replace endpoint", "lapse endpoint", "change keys",
+	"", "store loses records", "limit endpoint", "grow configuration",
 }
 
 // String returns the name of a fault for reports.
@@ -96,8 +108,10 @@
 	// meanFaultInterval is the mean time between the starts of two faults.
 	// minFaultDuration and maxFaultDuration limit ScheduledFault.Duration.
 	meanFaultInterval = 900 * time.Millisecond
-	minFaultDuration  = 200 * time.Millisecond
-	maxFaultDuration  = 5 * time.Second
+	// meanStateFaultInterval is that of planState.
+	meanStateFaultInterval = 4 * time.Second
+	minFaultDuration       = 200 * time.Millisecond
+	maxFaultDuration       = 5 * time.Second
 )
 
 // Plan draws the faults of a run at random. Faults may overlap. The same seed and
@@ -120,6 +134,20 @@
 	}
 }
 
+// planState draws faults of the state that nodes share: of the store, of the limits
+// that endpoints name, and of the size of the configuration.
+func planState(seed uint64, span time.Duration) []ScheduledFault {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var faults []ScheduledFault
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.ExpFloat64() * float64(meanStateFaultInterval))
+		if at >= span {
+			return faults
+		}
+		faults = append(faults, ScheduledFault{At: at, Kind: LoseRecords + FaultKind(r.IntN(3)), Index: r.IntN(1 << 16)})
+	}
+}
+
 // pickFault returns the kind whose range of weights contains position, which is at
 // least zero and below the sum of all weights.
 func pickFault(position int) FaultKind {
@@ -143,8 +171,13 @@
 	switch f.Kind {
 	case StopNode:
 		disturbance.IsGracefulShutdown = true
-	case KillAll, StoreDown, TrimStore, ResetEndpoint, SilenceEndpoint, DelayEndpoint, CrashEndpoint, LapseEndpoint:
+	case KillAll, StoreDown, TrimStore, ResetEndpoint, SilenceEndpoint, DelayEndpoint, CrashEndpoint, LapseEndpoint, LoseRecords:
 		disturbance.Node = ""
+	case LimitEndpoint:
+		s.limitEndpoint(ctx, e)
+		return nil
+	case GrowConfig:
+		return s.growConfig()
 	case ReplaceEndpoint:
 		return s.replaceEndpoint(ctx, e)
 	case ChangeKeys:
@@ -170,6 +203,8 @@
 	case TrimStore:
 		s.store.Trim(feeds.Configuration)
 		s.store.Trim(feeds.Endpoints)
+	case LoseRecords:
+		return s.loseRecords(ctx, f.Index)
 	case ResetEndpoint:
 		e.proxy.Reset()
 	case SilenceEndpoint, DelayEndpoint:
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/state/delay"
@@ -41,6 +42,8 @@
 	// replaceLock is held by a fault that stops the endpoint and starts another in
 	// its place.
 	replaceLock sync.Mutex
+	// limit is the period in which the endpoint names a limit; nil if it names none.
+	limit atomic.Pointer[limitPeriod]
 
 	mu       sync.Mutex
 	record   topol.Endpoint
@@ -93,6 +96,10 @@
 func (s *endpointServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := s.codec.ParseEndpointRequest(r.Header)
 	self := s.endpoint()
+	if l := s.limit.Load(); l != nil && req.Endpoint == self.Name && self.Name == l.endpoint {
+		l.recordArrival(time.Now())
+		s.codec.SetLimit(w.Header(), limitRate)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -60,6 +61,9 @@
 	// callers.
 	Endpoints, Callers int
 	Bounds             Bounds
+	// StateFaults adds faults of the state that nodes share to those of the seed:
+	// losses of the store, limits of endpoints and large configurations.
+	StateFaults bool
 	// Output gets a line for each fault.
 	Output io.Writer
 
@@ -73,6 +77,8 @@
 	mu      sync.Mutex
 	version ident.Version
 	keys    []string
+	// addedRoutes is the number of routes that GrowConfig has added.
+	addedRoutes int
 }
 
 // Result holds the counts of requests and faults of a test, and the violations.
@@ -91,6 +97,10 @@
 	s.journal = NewJournal()
 	g, ctx := errgroup.WithContext(ctx)
 	faults := Plan(s.Seed, s.FaultTime)
+	if s.StateFaults {
+		faults = append(faults, planState(s.Seed, s.FaultTime)...)
+		slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return cmp.Compare(a.At, b.At) })
+	}
 	var faultFreeSince time.Time
 	err := s.setUp(ctx, g)
 	defer s.terminateNodes()
@@ -330,6 +340,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += ident.Version(1 + rand.IntN(3))
+	return s.putConfig()
+}
+
+// rewriteConfig writes the newest version of the configuration again.
+func (s *Soak) rewriteConfig() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putConfig()
+}
+
+// putConfig writes the configuration to the store. The caller holds s.mu.
+func (s *Soak) putConfig() error {
 	b, err := s.Deployment.EncodeCatalog(s.catalog())
 	if err != nil {
 		return err
@@ -366,5 +388,8 @@
 			Services: []topol.WeightedService{{Service: service, Weight: 1}},
 		})
 	}
+	for i := range s.addedRoutes {
+		c.Add(addedRoute(i))
+	}
 	return c
 }
