share: read the name of a removed node under its lock

Noted fault: forget read the name while a call of that node could write it. TestNodeIsRemovedWhileItIsHeardOf fails before with the race detector and passes.

--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -305,7 +305,10 @@
 	m.mu.Lock()
 	delete(m.peers, p.address)
 	m.mu.Unlock()
-	m.Logger.Info().Str("peer", string(p.Name)).Str("address", p.address).Err(err).Msg("share: removed a silent node")
+	p.mu.Lock()
+	name := p.Name
+	p.mu.Unlock()
+	m.Logger.Info().Str("peer", string(name)).Str("address", p.address).Err(err).Msg("share: removed a silent node")
 }
 
 // connectAndSend connects to the peer and sends updates until a call fails or the
--- a/internal/trans/share/order_test.go
+++ b/internal/trans/share/order_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
@@ -77,3 +78,24 @@
 		test.LessEq(t, relayFanout, c, test.Sprint(n))
 	}
 }
+
+// Guards against a torn name in the log: a node may be heard of while it is removed.
+func TestNodeIsRemovedWhileItIsHeardOf(t *testing.T) {
+	m := newConnectedMesh(t, "a1", "a2")
+	m.Logger = zerolog.Nop()
+	p := m.peers["a2"]
+	heard := make(chan struct{})
+	go func() {
+		for range 1000 {
+			p.mu.Lock()
+			p.Member = relay.Member{Name: "a2", Address: "a2", DataCentre: "a"}
+			p.mu.Unlock()
+		}
+		close(heard)
+	}()
+	for range 1000 {
+		m.forget(p, nil)
+	}
+	<-heard
+	test.MapEmpty(t, m.peers)
+}
