sync: split off what is applied, confirm no older version with a newer time

The time of the last confirmation was read after the configuration, so that an older version could be sent with the time of a newer one. It is read before. Names tell what is needed after a failure; requests without an answer are logged at debug level, since a node that is cut off has several a second.

--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -282,7 +282,7 @@
 func TestNodeReadsTheStoreIfNoPeerSendsTheConfiguration(t *testing.T) {
 	ps := startWithDocument(t)
 	ps[2].startTransfer(ps[0].mesh.Self.Address, 2)
-	for !ps[2].outrun.Load() {
+	for !ps[2].transferFailed.Load() {
 		time.Sleep(time.Millisecond)
 	}
 	test.False(t, ps[2].servedByReader(feeds.Configuration))
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -56,15 +56,12 @@
 	changes *changeStore
 	// transferring is set while a transfer is under way.
 	transferring atomic.Bool
-	// outrun is set after a transfer failed with all peers, until the configuration
+	// transferFailed is set after a transfer failed with all peers, until the configuration
 	// in force is the newest again.
-	outrun atomic.Bool
-	// unusable is set after a change to the configuration in force had a wrong
-	// result.
-	unusable atomic.Bool
-	// listUnusable is set after a change to the list of endpoints had a wrong base or
-	// result, until this node has a whole list.
-	listUnusable atomic.Bool
+	transferFailed atomic.Bool
+	// needsWhole is set if a change had a wrong result: the next one must be the whole
+	// configuration, or the whole list of endpoints.
+	needsWhole, needsWholeList atomic.Bool
 }
 
 // newStateSync returns a stateSync that is connected to the mesh.
@@ -77,7 +74,7 @@
 // servedByReader reports whether this node currently gets a fresh copy of a stream
 // from a reader and need not read that from the store itself.
 func (s *stateSync) servedByReader(st feeds.Stream) bool {
-	if s.isReader.Load() || st == feeds.Configuration && s.outrun.Load() {
+	if s.isReader.Load() || st == feeds.Configuration && s.transferFailed.Load() {
 		return false
 	}
 	return clock.Now().Sub(s.servedAt[st].Load()) < readerTimeout
@@ -89,13 +86,13 @@
 func (s *stateSync) state(args relay.StateArgs) relay.State {
 	st := relay.State{Era: s.feeds.Era()}
 	now := clock.Now()
-	// The position is read before the configuration, so that it isn't behind a newer
-	// one.
-	position := s.feeds.ConfigPosition()
+	// Position and time are read before the configuration, so that they aren't those
+	// of a newer one.
+	position, provenAt := s.feeds.ConfigPosition(), s.feeds.CatalogConfirmedAt()
 	if c := s.feeds.Catalog(); c != nil {
 		st.ConfigEra, st.ConfigNext = position.Era, position.Next
 		st.Version = c.Version
-		st.Proven, st.ProvenAge = true, now.Sub(s.feeds.CatalogConfirmedAt())
+		st.Proven, st.ProvenAge = true, now.Sub(provenAt)
 		switch {
 		case c.Version <= args.Version:
 		case args.Format == topol.ChangeFormat:
@@ -124,10 +121,11 @@
 	}
 }
 
-// pull fetches the state from a reader. If this node is a reader whose own copy is
-// in step with the store, it only takes a newer version of the configuration. If no reader has a fresh copy of a stream, pull
-// clears its servedAt, and fetches the state from any peer if this node's copy is
-// outdated or its endpoint list may differ from the store's.
+// pull fetches the state from a reader. If this node is a reader whose own copy is in
+// step with the store, it only takes a newer version of the configuration. If no
+// reader has a fresh copy of a stream, pull clears its servedAt, and fetches the state
+// from any peer if this node's copy is outdated or its endpoint list may differ from
+// the store's.
 func (s *stateSync) pull() {
 	readers := s.mesh.Readers(time.Now())
 	isReader := slices.Contains(readers, s.mesh.Self.Address)
@@ -220,78 +218,13 @@
 // fetchState fetches the state of a peer, and reports whether it got it.
 func (s *stateSync) fetchState(address string, sentAt clock.Instant) (relay.State, bool) {
 	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat}
-	if !s.listUnusable.Load() {
+	if !s.needsWholeList.Load() {
 		args.List = s.feeds.Endpoints().ListID()
 	}
 	st, err := s.mesh.FetchState(address, args)
 	if err != nil {
-		s.logger.Info().Err(err).Str("peer", address).Uint64("version", uint64(args.Version)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: a peer did not answer a request for its state")
+		s.logger.Debug().Err(err).Str("peer", address).Uint64("version", uint64(args.Version)).Dur("after", clock.Now().Sub(sentAt)).Msg("sync: a peer did not answer a request for its state")
 		return relay.State{}, false
 	}
 	return st, true
 }
-
-// applyState merges the state received from a peer into this node's, and reports
-// which streams it has a fresh copy of. sentAt is the time of the request. A fresh
-// state may have a newer version of the configuration than this node, which then
-// isn't confirmed.
-func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
-	s.feeds.ObserveEra(st.Era)
-	if st.Listed {
-		s.applyList(st, sentAt.Add(-st.ListedAge))
-	}
-	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
-		s.outrun.Store(false)
-		s.feeds.SetConfigPosition(feeds.Position{Era: st.ConfigEra, Next: st.ConfigNext})
-		s.feeds.ConfirmCatalog(sentAt.Add(-st.ProvenAge))
-	}
-	fresh[feeds.Configuration] = st.Proven && st.ProvenAge < freshConfigAge
-	fresh[feeds.Endpoints] = st.Listed && st.ListedAge < freshListAge
-	return fresh
-}
-
-// applyList merges the endpoint list of a peer into this node's. at is when the peer
-// last confirmed it to be the newest.
-func (s *stateSync) applyList(st relay.State, at clock.Instant) {
-	switch {
-	case len(st.Endpoints) == 0 && len(st.Removed) == 0:
-		s.feeds.ConfirmEndpoints(st.List, at)
-	case st.ListBase == 0:
-		s.feeds.UpdateEndpoints(st.Endpoints, at)
-		s.listUnusable.Store(false)
-	default:
-		err := s.feeds.ChangeEndpoints(&feeds.ListChange{Base: st.ListBase, Result: st.List, Put: st.Endpoints, Removed: st.Removed}, at)
-		s.listUnusable.Store(err != nil)
-		if err != nil {
-			s.logger.Error().Err(err).Uint64("base", st.ListBase).Msg("sync: cannot apply the endpoints of a peer")
-		}
-	}
-}
-
-// applyNewer puts the configuration that a peer's state contains in force, or starts
-// to get it if it is newer and not contained.
-func (s *stateSync) applyNewer(peer string, st relay.State) {
-	var err error
-	switch {
-	case len(st.Change) > 0:
-		err = s.applyChange(st.Change)
-	case len(st.Raw) > 0:
-		err = s.applyDocument(st.Raw)
-	}
-	if err != nil {
-		s.logger.Error().Err(err).Uint64("version", uint64(st.Version)).Msg("sync: cannot apply the configuration of a peer")
-	}
-	if st.Version > s.feeds.Catalog().ID().Version {
-		s.startTransfer(peer, st.Version)
-	}
-}
-
-// applyDocument puts a configuration document in force.
-func (s *stateSync) applyDocument(raw []byte) error {
-	c, err := s.decode(raw)
-	if err != nil {
-		return err
-	}
-	s.feeds.UpdateCatalog(c)
-	return nil
-}
--- a/internal/node/edge/transfer.go
+++ b/internal/node/edge/transfer.go
@@ -8,7 +8,6 @@
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
-	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -56,7 +55,7 @@
 			}
 		}
 		s.changes.abandon(t.change)
-		s.outrun.Store(true)
+		s.transferFailed.Store(true)
 	}()
 }
 
@@ -114,32 +113,3 @@
 	t.change, t.args.Hash, t.args.Offset = nil, 0, 0
 	return errDamaged
 }
-
-// base returns the ID of the configuration that changes are to apply to: that in
-// force, or none after a change to it had a wrong result.
-func (s *stateSync) base() topol.ID {
-	if s.unusable.Load() {
-		return topol.ID{}
-	}
-	return s.feeds.Catalog().ID()
-}
-
-// applyChange puts the result of an encoded change in force. If it has another
-// digest than it should, the next change is requested as a complete configuration.
-func (s *stateSync) applyChange(raw []byte) error {
-	ch, err := relay.DecodeChange(raw)
-	if err != nil {
-		return err
-	}
-	old := s.feeds.Catalog()
-	if old != nil && old.Version >= ch.Result.Version {
-		return nil
-	}
-	c, err := old.Apply(ch)
-	s.unusable.Store(errors.Is(err, topol.ErrDigest))
-	if err != nil {
-		return err
-	}
-	s.feeds.UpdateCatalog(c)
-	return nil
-}
