gate: let nodes without a share use what others leave

If all endpoints of a service name limits, the other nodes rejected all its requests, although the shares were not used up.

Change: a node that has no other endpoint for a request asks a node with a share for a permit, which is taken out of that share. A permit that is denied tells the time until the next one, which the caller gets.

--- a/internal/coord/quota/quota.go
+++ b/internal/coord/quota/quota.go
@@ -85,21 +85,33 @@
 // Len returns the number of endpoints that have named a limit.
 func (t *Table) Len() int { return len(t.entries) }
 
+// Knows reports whether anything is known of the limit of an endpoint.
+func (t *Table) Knows(k Key) bool { return t.entries[k] != nil }
+
 // Limited reports whether an endpoint names a limit.
 func (t *Table) Limited(k Key) bool {
 	e := t.entries[k]
 	return e != nil && !e.Ended
 }
 
+// Rate returns the rate that an endpoint names, in requests per second and at least
+// minRate, and whether it names one.
+func (t *Table) Rate(k Key) (float64, bool) {
+	if !t.Limited(k) {
+		return 0, false
+	}
+	return max(t.entries[k].Rate, minRate), true
+}
+
 // Wait returns how long this node must wait before it may send a request to an
 // endpoint. It returns false if other nodes use the whole limit; the time is then
 // that between two requests of all nodes.
 func (t *Table) Wait(k Key, now time.Time) (time.Duration, bool) {
-	if !t.Limited(k) {
+	rate, limited := t.Rate(k)
+	if !limited {
 		return 0, true
 	}
 	e := t.entries[k]
-	rate := max(e.Rate, minRate)
 	share := t.Share(k, rate)
 	if share > 0 && e.share <= 0 {
 		// Another node may have just sent a request.
--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -23,26 +23,35 @@
 	Known int
 }
 
-// Share returns the part of the rate of an endpoint that this node may use. The
-// users of a rate are the nodes with the highest hashes, so that all nodes choose
-// the same ones. A node that can't reach most of the others takes an equal part,
-// which is within the rate whatever the others do.
+// Share returns the part of the rate of an endpoint that this node may use. A node
+// that can't reach most of the others takes an equal part, which is within the rate
+// whatever the others do.
 func (n Nodes) Share(k Key, rate float64) float64 {
-	if 2*len(n.Alive) < n.Known {
+	if n.isCutOff() {
 		return rate / float64(n.Known)
 	}
-	users := int(min(max(1, rate/minShare), float64(len(n.Alive))))
-	hashes := make([]uint64, len(n.Alive))
-	for i, a := range n.Alive {
-		hashes[i] = rank(k, a)
-	}
-	slices.SortFunc(hashes, func(a, b uint64) int { return cmp.Compare(b, a) })
-	if rank(k, n.Self) < hashes[users-1] {
+	users := n.Users(k, rate)
+	if !slices.Contains(users, n.Self) {
 		return 0
 	}
-	return rate / float64(users)
+	return rate / float64(len(users))
 }
 
+// Users returns the nodes that have a share of the rate of an endpoint: those with
+// the highest hashes, so that all nodes choose the same ones. It returns none if this
+// node can't reach most of the others.
+func (n Nodes) Users(k Key, rate float64) []ident.NodeName {
+	if n.isCutOff() {
+		return nil
+	}
+	names := slices.Clone(n.Alive)
+	slices.SortFunc(names, func(a, b ident.NodeName) int { return cmp.Compare(rank(k, b), rank(k, a)) })
+	return names[:int(min(max(1, rate/minShare), float64(len(names))))]
+}
+
+// isCutOff reports whether this node reaches less than half of the nodes.
+func (n Nodes) isCutOff() bool { return 2*len(n.Alive) < n.Known }
+
 func rank(k Key, n ident.NodeName) uint64 {
 	return xxhash.Sum64String(string(k.Endpoint) + "\x00" + string(n))
 }
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -39,6 +39,20 @@
 	Age   time.Duration
 }
 
+// PermitArgs asks a node that has a share of the limit of an endpoint for the
+// permission to send one request there.
+type PermitArgs struct {
+	From Member
+	Key  quota.Key
+}
+
+// Permit is the answer to PermitArgs. Wait is the time until there may be another one;
+// it is set only if Granted is not.
+type Permit struct {
+	Granted bool
+	Wait    time.Duration
+}
+
 // Update carries the latest changes at one node to its peers.
 type Update struct {
 	From Member
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -71,6 +71,8 @@
 	// limited are the endpoints of the service that name limits, as of the last
 	// placement.
 	limited limitedEndpoints
+	// permitted is the endpoint for which the request has a permit of another node.
+	permitted ident.EndpointName
 	// tried holds the endpoints to which the request is not sent again,
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
@@ -271,11 +273,14 @@
 func (x *exchange) forward() {
 	for {
 		c, r, err := x.choose()
+		if errors.Is(err, place.ErrNoEndpoint) && len(x.limited.atLimit) > 0 && x.fetchPermit() {
+			continue
+		}
 		if err != nil {
 			x.rejectUnplaced(err, place.RetryAfter(c, r))
 			return
 		}
-		if !x.server.endpointLimits.take(c.Primary, time.Now()) {
+		if !x.takeLimit(c.Primary) {
 			// Another request has just taken its place.
 			continue
 		}
@@ -307,6 +312,7 @@
 	}
 	candidates := endpoints.ByService[x.service.Name]
 	x.limited = s.endpointLimits.among(candidates, now)
+	delete(x.limited.atLimit, x.permitted)
 	r := place.Request{
 		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Target: x.remainingTarget(now), Gap: x.route.Gap, IsRetry: x.isRetry(),
 		TimeLeft: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.excluded(), Full: x.unreservedEngines,
--- a/internal/trans/gate/limit.go
+++ b/internal/trans/gate/limit.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,6 +140,78 @@
 	return s.endpointLimits.table.Limits()
 }
 
+// Permit takes a request to an endpoint out of this node's share of the endpoint's
+// limit, for a peer.
+func (s *Server) Permit(k quota.Key) relay.Permit {
+	l := s.limitTable()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if !l.table.Knows(k) {
+		// The peer knows more than this node.
+		return relay.Permit{Wait: retrySoon}
+	}
+	if l.table.Take(k, now) {
+		return relay.Permit{Granted: true}
+	}
+	wait, _ := l.table.Wait(k, now)
+	return relay.Permit{Wait: wait}
+}
+
+// user returns one of the nodes that have a share of the limit of an endpoint, at
+// random, or an empty name if there is no other one.
+func (l *endpointLimits) user(e *topol.Endpoint) ident.NodeName {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rate, limited := l.table.Rate(limitKey(e))
+	if !limited {
+		return ""
+	}
+	users := slices.DeleteFunc(l.nodes.Users(limitKey(e), rate), func(n ident.NodeName) bool { return n == l.nodes.Self })
+	if len(users) == 0 {
+		return ""
+	}
+	return users[int(random()*float64(len(users)))]
+}
+
+// fetchPermit asks for the permission to send the request to one of the endpoints
+// that are at their limits, if it can be sent to no other. It reports whether it got
+// one; otherwise it updates the time after which the caller should retry.
+func (x *exchange) fetchPermit() bool {
+	s := x.server
+	for _, e := range s.Feeds.Endpoints().ByService[x.service.Name] {
+		if !x.limited.atLimit.Has(e.Name) || x.tried.Has(e.Name) {
+			continue
+		}
+		user := s.limitTable().user(e)
+		if user == "" {
+			continue
+		}
+		p, err := s.FetchPermit(user, limitKey(e))
+		switch {
+		case err != nil:
+			s.requestLog(false).Err(err).Str("request", x.reqHeader.ID).Str("peer", string(user)).Str("endpoint", string(e.Name)).Msg("gate: no answer to a request for a permit")
+		case p.Granted:
+			x.permitted = e.Name
+			return true
+		default:
+			x.limited.wait = min(x.limited.wait, p.Wait)
+		}
+		return false
+	}
+	return false
+}
+
+// takeLimit reports whether the request may be sent to an endpoint now, and if so
+// counts it. A permit of another node has been counted there.
+func (x *exchange) takeLimit(e *topol.Endpoint) bool {
+	if x.permitted == e.Name {
+		x.permitted = ""
+		return true
+	}
+	return x.server.endpointLimits.take(e, time.Now())
+}
+
 // refreshLimits drops the limits of endpoints that are gone, and repeats to the
 // peers those that this node holds on their behalf.
 func (s *Server) refreshLimits(now time.Time) {
--- a/internal/trans/gate/limit_test.go
+++ b/internal/trans/gate/limit_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -101,3 +103,53 @@
 	must.SliceLen(t, 1, r.server.Limits())
 	test.Eq(t, ident.EndpointName("ep"), r.server.Limits()[0].Endpoint)
 }
+
+// Guards against a node that rejects requests although another one, which has the
+// share of the limit, could still send some.
+func TestNodeWithoutShareAsksForAPermit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		permit relay.Permit
+		err    error
+		status int
+		retry  string
+	}{
+		{"granted", relay.Permit{Granted: true}, nil, 200, ""},
+		{"denied", relay.Permit{Wait: 1500 * time.Millisecond}, nil, 503, "1.50"},
+		{"no answer", relay.Permit{}, errors.New("no answer"), 503, "5.00"},
+	} {
+		e := newEndpoint(t, "e", names("0.2"))
+		r := newRig(t, e)
+		r.server.Nodes = func(time.Time) quota.Nodes {
+			return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1", "n2", "n3"}, Known: 3}
+		}
+		key := quota.Key{Endpoint: "ep"}
+		must.Eq(t, 0, r.server.Nodes(time.Now()).Share(key, 0.2), must.Sprint("another node has the share"))
+		var asked []ident.NodeName
+		r.server.FetchPermit = func(n ident.NodeName, k quota.Key) (relay.Permit, error) {
+			asked = append(asked, n)
+			test.Eq(t, key, k)
+			return c.permit, c.err
+		}
+		r.server.AddPeerLimits([]quota.Limit{{Key: key, Rate: 0.2, ObservedAt: time.Now()}})
+		res := r.do(request("POST", "/once/", "r1", ""))
+		test.Eq(t, c.status, res.status, test.Sprint(c.name))
+		test.Eq(t, c.retry, res.header.Get("Retry-After"), test.Sprint(c.name))
+		test.SliceLen(t, 1, asked)
+	}
+}
+
+func TestPermitsAreTakenOutOfTheShare(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", ok("yes")))
+	key := quota.Key{Endpoint: "ep"}
+	test.False(t, r.server.Permit(key).Granted, test.Sprint("nothing is known of a limit"))
+	r.server.AddPeerLimits([]quota.Limit{{Key: key, Rate: 1000, ObservedAt: time.Now()}})
+	time.Sleep(2 * time.Millisecond)
+	test.True(t, r.server.Permit(key).Granted)
+	r.server.AddPeerLimits([]quota.Limit{{Key: key, Rate: 0.2, ObservedAt: time.Now()}})
+	p := r.server.Permit(key)
+	test.False(t, p.Granted)
+	test.Between(t, 4*time.Second, p.Wait, 5*time.Second)
+	r.server.AddPeerLimits([]quota.Limit{{Key: key, Ended: true, ObservedAt: time.Now()}})
+	test.True(t, r.server.Permit(key).Granted)
+}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
@@ -294,6 +295,7 @@
 		StrictRevocation: true, MaxConfigAge: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, GracePeriod: 8 * time.Second,
 		AnnounceStart: func(works.Request) {}, AnnounceDecoding: func(works.ID) {}, AnnounceEnd: func(works.ID) {}, NodeCount: func() int { return 1 },
 		AnnounceStrike: func(strik.Strike) {}, AnnounceFailure: func(ident.EndpointName) {}, AnnounceLimits: func(...quota.Limit) {},
+		FetchPermit: func(ident.NodeName, quota.Key) (relay.Permit, error) { return relay.Permit{}, errors.New("no peer") },
 		Nodes: func(time.Time) quota.Nodes {
 			return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1"}, Known: 1}
 		},
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -124,6 +124,9 @@
 	AnnounceLimits func(...quota.Limit)
 	// Nodes returns the nodes that share the limits of endpoints.
 	Nodes func(now time.Time) quota.Nodes
+	// FetchPermit asks another node for the permission to send a request to an
+	// endpoint, out of that node's share of the endpoint's limit.
+	FetchPermit func(ident.NodeName, quota.Key) (relay.Permit, error)
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -56,6 +56,8 @@
 	// changeTimeout bounds FetchChange, including the time for which the peer waits
 	// for the wanted version.
 	changeTimeout = 600 * time.Millisecond
+	// permitTimeout bounds FetchPermit, for which a request waits.
+	permitTimeout = 150 * time.Millisecond
 	dialTimeout   = 500 * time.Millisecond
 	// minRedialPause is the pause after a connection fails. It doubles up to
 	// maxRedialPause while the peer is silent for deadAfter or longer.
@@ -79,6 +81,9 @@
 	// Change returns a part of an encoded change of the configuration, for a peer
 	// that requests it.
 	Change func(relay.ChangeArgs) relay.ChangePart
+	// Permit takes a request to an endpoint out of this node's share of the endpoint's
+	// limit, for a peer.
+	Permit func(quota.Key) relay.Permit
 	// Limits returns the limits of endpoints that this node knows, for a new peer.
 	Limits func() []quota.Limit
 	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
@@ -480,6 +485,26 @@
 	return p, nil
 }
 
+// FetchPermit asks a node for the permission to send one request to an endpoint. It
+// returns rpc.ErrShutdown if this node isn't connected to that node.
+func (m *Mesh) FetchPermit(n ident.NodeName, k quota.Key) (relay.Permit, error) {
+	var p relay.Permit
+	if err := m.fetch(m.addressOf(n), permitTimeout, "Node.Permit", relay.PermitArgs{From: m.Self, Key: k}, &p); err != nil {
+		return relay.Permit{}, err
+	}
+	return p, nil
+}
+
+// addressOf returns the address of a node, or an empty string if it isn't known.
+func (m *Mesh) addressOf(n ident.NodeName) string {
+	for _, o := range m.Members() {
+		if o.Name == n {
+			return o.Address
+		}
+	}
+	return ""
+}
+
 // fetch calls a method of a peer. The reply must not be used if fetch returns an
 // error.
 func (m *Mesh) fetch(address string, timeout time.Duration, method string, args, reply any) error {
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -87,6 +87,13 @@
 	return nil
 }
 
+// Permit grants the sending of one request to an endpoint with a limit, out of this
+// node's share.
+func (s *service) Permit(a relay.PermitArgs, r *relay.Permit) error {
+	*r = s.mesh.Permit(a.Key)
+	return nil
+}
+
 // Run serves the calls of peers until the context ends.
 func (m *Mesh) Run(ctx context.Context, l net.Listener) error {
 	return conns.ServeRPC(ctx, l, "Node", &service{m})
