--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -77,13 +77,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.build(ctx)
-	var ls [3]net.Listener
-	for i, a := range []string{s.CallerAddress, s.ReadyAddress, s.PeerAddress} {
-		l, err := gate.Listen(ctx, a)
-		if err != nil {
-			return errors.Annotatef(err, "listen on %s", a)
-		}
-		ls[i] = l
+	ls, err := listen(ctx, s.CallerAddress, s.ReadyAddress, s.PeerAddress)
+	if err != nil {
+		return err
 	}
 	n.Logger.Info().Str("callers", s.CallerAddress).Str("peers", s.PeerAddress).Strs("seeds", s.Seeds).Msg("node: started")
 	g, ctx := errgroup.WithContext(ctx)
@@ -100,11 +96,27 @@
 		g.Go(func() error { n.findOrphans(ctx); return nil })
 	}
 	g.Go(func() error { n.drain(ctx, stop); cancel(); return nil })
-	err := g.Wait()
+	err = g.Wait()
 	n.Logger.Info().Err(err).Msg("node: ended")
 	return err
 }
 
+// listen listens on all addresses, or on none if one of them fails.
+func listen(ctx context.Context, addrs ...string) ([]net.Listener, error) {
+	var ls []net.Listener
+	for _, a := range addrs {
+		l, err := gate.Listen(ctx, a)
+		if err != nil {
+			for _, open := range ls {
+				open.Close()
+			}
+			return nil, errors.Annotatef(err, "listen on %s", a)
+		}
+		ls = append(ls, l)
+	}
+	return ls, nil
+}
+
 // build creates the components of the node and connects them.
 func (n *Node) build(ctx context.Context) {
 	s := n.Settings
