--- /dev/null
+++ b/internal/trans/gate/outcome.go
@@ -0,0 +1,156 @@
+package gate
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/state/topol"
+)
+
+// rejectUnplaced ends a request that is not sent to any further endpoint. err is
+// the reason.
+func (x *exchange) rejectUnplaced(err error, retryAfter time.Duration) {
+	if errors.Is(err, place.ErrFull) && x.failedReservations > 0 {
+		err = errUnreserved
+	}
+	if errors.Is(err, place.ErrNoEndpoint) && len(x.limited.atLimit) > 0 {
+		err = errLimited
+	}
+	x.countRejection(err, x.isRetry())
+	switch {
+	case x.headerSent:
+		x.reject(0, 0, "stream not resumed: "+err.Error())
+	case x.possibleRuns > 0 && !time.Now().Before(x.deadline):
+		x.reject(504, 0, "no response before the deadline")
+	case x.possibleRuns > 0:
+		x.reject(502, 0, "no response, the request may have run: "+err.Error())
+	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
+		x.reject(503, retryAfter, err.Error())
+	case errors.Is(err, errLimited):
+		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
+	case errors.Is(err, place.ErrTooLarge):
+		// Coming back doesn't help the caller.
+		x.reject(503, 0, err.Error())
+	default:
+		x.reject(503, retrySoon, err.Error())
+	}
+}
+
+// handleOutcome decides whether the request is sent again. It returns true if
+// the request has ended.
+func (x *exchange) handleOutcome(c place.Choice, o outcome) bool {
+	s := x.server
+	now := time.Now()
+	x.recordOutcome(c, o, now)
+	if o.result == complete {
+		return true
+	}
+	if o.result == unreserved {
+		if x.failedReservations < maxReservationAttempts {
+			return false
+		}
+		x.rejectUnplaced(place.ErrFull, retryLater)
+		return true
+	}
+	x.tried.Add(c.Primary.Name)
+	canRetry := now.Before(x.deadline) && x.sends < maxSends
+	switch o.result {
+	case notSent:
+		return false
+	case refused:
+		if canRetry && !x.allTried() && s.takeRetry(x.service.Name) {
+			return false
+		}
+	default:
+		x.possibleRuns++
+		if canRetry && x.route.Repeatable() && x.possibleRuns < x.route.Attempts && !x.allTried() && s.takeRetry(x.service.Name) {
+			return false
+		}
+	}
+	x.respondWithOutcome(o, now)
+	return true
+}
+
+// allTried reports whether all endpoints of the service have been tried or are at
+// their limits, except those that are leaving.
+func (x *exchange) allTried() bool {
+	excluded := x.excluded()
+	for _, e := range x.server.Feeds.Endpoints().ByService[x.service.Name] {
+		if !e.Leaving && !excluded.Has(e.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// respondWithOutcome ends the request with the outcome of its last send.
+func (x *exchange) respondWithOutcome(o outcome, now time.Time) {
+	switch {
+	case x.headerSent:
+		x.reject(0, 0, "stream not resumed: "+o.reason)
+	case o.response != nil:
+		x.countRequestEnd(strconv.Itoa(o.status))
+		x.writeToCaller(o.response)
+	case o.result == refused:
+		x.reject(503, retrySoon, o.reason)
+	case !now.Before(x.deadline):
+		x.reject(504, 0, o.reason)
+	default:
+		x.reject(502, 0, o.reason)
+	}
+}
+
+// recordOutcome records the outcome of a send in the metrics, the log and the
+// health of the endpoint.
+func (x *exchange) recordOutcome(c place.Choice, o outcome, now time.Time) {
+	s := x.server
+	s.getMetrics().sends.WithLabelValues(o.result.String()).Inc()
+	s.requestLog(o.result == complete).Str("request", x.reqHeader.ID).Str("endpoint", string(c.Primary.Name)).Strs("helpers", endpointNames(c.Helpers)).
+		Str("result", o.result.String()).Str("why", o.reason).Dur("estimate", c.Estimate).Dur("first", o.timeToFirst).Dur("gap", o.maxGap).
+		Dur("took", now.Sub(o.startedAt)).Dur("after", now.Sub(x.arrived)).Int64("prompt", int64(x.reqHeader.Prompt)).
+		Str("route", string(x.route.Name)).Int("status", o.status).Msg("gate: sent")
+	if o.result == complete {
+		x.countRequestEnd(strconv.Itoa(o.status))
+		x.observeLatency(now.Sub(x.arrived) - now.Sub(o.startedAt) + o.timeToFirst)
+	}
+	switch {
+	case o.faultAddress != "":
+		x.recordFaultAt(o.faultAddress, now)
+	case o.result == complete:
+		s.endpointHealth.recordSuccess(c.Primary.Name)
+	case o.result == notSent || o.result == unanswered:
+		s.pools.Get(c.Primary.Address).CloseIdle()
+		if s.endpointHealth.recordFailure(c.Primary.Name, now) {
+			s.AnnounceFailure(c.Primary.Name)
+		}
+		if o.connBroken {
+			x.addStrike(c.Primary.Name, now)
+		}
+	case o.result == failed && x.service.Engine != nil:
+		s.endpointHealth.recordFailure(c.Primary.Name, now)
+	}
+}
+
+// recordFaultAt records a failure of the endpoint at addr, which another
+// endpoint named as the cause of a failure. The request is no longer sent to the
+// endpoint at addr.
+func (x *exchange) recordFaultAt(addr string, now time.Time) {
+	if e := x.server.Feeds.Endpoints().ByAddress[addr]; e != nil {
+		if x.server.endpointHealth.recordFailure(e.Name, now) {
+			x.server.AnnounceFailure(e.Name)
+		}
+		x.tried.Add(e.Name)
+	}
+}
+
+// endpointNames returns the names of endpoints for a log line.
+func endpointNames(es []*topol.Endpoint) []string {
+	ns := make([]string, len(es))
+	for i, e := range es {
+		ns[i] = string(e.Name)
+	}
+	return ns
+}
