sync: let few nodes stand in for the readers

Change: the first four nodes of a data centre stand in for its reader, 0.1 s after each other; the others after 3 s and more, one after the other, unless they get fresh state from one of these, or get no answer from any. A reader that recovers says so; nodes keep their list of endpoints for that time, as it does.

--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -14,11 +14,20 @@
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/internal/trans/share"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
-	// maxReadersTried is the number of readers that one pull tries.
+	// maxReadersTried is the number of readers that one pull tries before it tries
+	// the nodes that stand in for them.
 	maxReadersTried = 3
+	// The nodes of a data centre stand in for the readers in turn: the first
+	// firstTurns ones with firstTurnDelay between them, the others after
+	// laterTurnDelay, with laterTurnStep between them.
+	firstTurns     = 4
+	firstTurnDelay = 100 * time.Millisecond
+	laterTurnDelay = 3 * time.Second
+	laterTurnStep  = 200 * time.Millisecond
 	// pullInterval is the pause between two pulls of the state from a reader.
 	pullInterval = 450 * time.Millisecond
 	// freshConfigAge and freshListAge are the ages up to which the configuration
@@ -47,9 +56,11 @@
 	logger zerolog.Logger
 
 	// servedAt is, for the configuration and for the endpoints, when the last
-	// request was sent that a reader answered with fresh state; zero after a pull
-	// that got no such answer.
+	// request was sent that a reader answered with fresh state.
 	servedAt [feeds.Members]clock.Atomic
+	// turnAt is, for the same streams, when this node is to read the store itself,
+	// because no reader has a fresh copy; zero while one has.
+	turnAt [feeds.Members]clock.Atomic
 	// isReader is set while this node reads the store for others.
 	isReader atomic.Bool
 	// changes holds encoded changes of the configuration for peers.
@@ -71,13 +82,29 @@
 	return s
 }
 
-// servedByReader reports whether this node currently gets a fresh copy of a stream
-// from a reader and need not read that from the store itself.
+// servedByReader reports whether this node need not read a stream from the store
+// itself: it currently gets a fresh copy from a reader, or it is not yet its turn to
+// stand in for the readers.
 func (s *stateSync) servedByReader(st feeds.Stream) bool {
 	if s.isReader.Load() || st == feeds.Configuration && s.transferFailed.Load() {
 		return false
 	}
-	return clock.Now().Sub(s.servedAt[st].Load()) < readerTimeout
+	now := clock.Now()
+	if t := s.turnAt[st].Load(); t > 0 {
+		return now < t
+	}
+	return now.Sub(s.servedAt[st].Load()) < readerTimeout
+}
+
+// turnDelay returns how long a node waits after its last fresh copy until it reads the
+// store itself, by its rank in its data centre. The first nodes stand in for the
+// readers at once; most nodes would only add to the load of a store in trouble, and
+// get the state from the first ones if the store answers these.
+func turnDelay(rank int) time.Duration {
+	if rank < firstTurns {
+		return time.Duration(rank) * firstTurnDelay
+	}
+	return laterTurnDelay + time.Duration(rank-firstTurns)*laterTurnStep
 }
 
 // state returns this node's copy of the state for a peer, without what the peer
@@ -105,7 +132,9 @@
 	if args.Format != topol.ChangeFormat && base != s.feeds.Endpoints().ListID() {
 		base = 0
 	}
-	if c, confirmedAt := s.feeds.ChangeFrom(base); c != nil && s.feeds.OutsideGracePeriod(now) {
+	c, confirmedAt := s.feeds.ChangeFrom(base)
+	st.Recovering = c != nil && !s.feeds.OutsideGracePeriod(now)
+	if c != nil && !st.Recovering {
 		st.Listed, st.ListedAge, st.List = true, now.Sub(confirmedAt), c.Result
 		st.Endpoints, st.ListBase, st.Removed = c.Put, c.Base, c.Removed
 	}
@@ -123,9 +152,8 @@
 
 // pull fetches the state from a reader. If this node is a reader whose own copy is in
 // step with the store, it only takes a newer version of the configuration. If no
-// reader has a fresh copy of a stream, pull clears its servedAt, and fetches the state
-// from any peer if this node's copy is outdated or its endpoint list may differ from
-// the store's.
+// reader has a fresh copy of a stream, pull fetches the state from any peer if this
+// node's copy is outdated or its endpoint list may differ from the store's.
 func (s *stateSync) pull() {
 	readers := s.mesh.Readers(time.Now())
 	isReader := slices.Contains(readers, s.mesh.Self.Address)
@@ -135,22 +163,65 @@
 		s.takeNewerVersion(readers)
 		return
 	}
+	served := s.pullFrom(readers)
+	if !served.all() && (s.outdated() || !matchesSource) {
+		s.fetchFromAny()
+	}
+}
+
+// pullFrom fetches the state from the readers, and from the nodes that stand in for
+// them, until there is a fresh copy of each stream. If there is none of a stream, it
+// sets the turn of this node.
+func (s *stateSync) pullFrom(readers []string) freshness {
 	var served freshness
-	for _, a := range readers[:min(maxReadersTried, len(readers))] {
-		if a == s.mesh.Self.Address {
+	answered, recovering := false, clock.Instant(0)
+	backups, rank := s.mesh.Backups(time.Now())
+	tried := ident.SetOf(s.mesh.Self.Address)
+	for _, a := range append(readers[:min(maxReadersTried, len(readers))], backups...) {
+		if served.all() {
+			break
+		}
+		if tried.Has(a) {
 			continue
 		}
+		tried.Add(a)
 		sentAt := clock.Now()
-		served.add(s.fetchFrom(a, sentAt), sentAt)
-		if served.all() {
-			break
+		st, ok := s.fetchState(a, sentAt)
+		if !ok {
+			continue
+		}
+		answered = true
+		s.applyNewer(a, st)
+		served.add(s.applyState(st, sentAt), sentAt)
+		if st.Recovering {
+			recovering = sentAt
 		}
 	}
-	for i := range s.servedAt {
-		s.servedAt[i].Store(served[i])
+	if served[feeds.Endpoints] == 0 {
+		// The reader keeps the list of before the outage for a while, and so does this
+		// node.
+		served[feeds.Endpoints] = recovering
 	}
-	if !served.all() && (s.outdated() || !matchesSource) {
-		s.fetchFromAny()
+	if !answered {
+		rank = 0
+	}
+	s.setTurns(served, rank)
+	return served
+}
+
+// setTurns sets when this node is to read the streams of which no node has a fresh
+// copy. rank is the node's index in its data centre.
+func (s *stateSync) setTurns(served freshness, rank int) {
+	for i, at := range served {
+		switch {
+		case at > 0:
+			s.servedAt[i].Store(at)
+			s.turnAt[i].Store(0)
+		case rank == 0:
+			s.turnAt[i].Store(1)
+		case s.turnAt[i].Load() == 0:
+			s.turnAt[i].Store(clock.Now().Add(turnDelay(rank)))
+		}
 	}
 }
 
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -20,8 +20,8 @@
 	hubsPerDataCentre = 2
 	// hubCandidates is how many nodes of the whole deployment, and of a data
 	// centre, are watched closely (see peer.watched), so that one of them can
-	// take over as a hub or as a reader of the store. They are the first ones in
-	// the order of Mesh.connected.
+	// take over as a hub or as a reader of the store, or read it while the readers
+	// can't. They are the first ones in the order of Mesh.connected.
 	hubCandidates = 4
 )
 
--- a/internal/trans/share/order.go
+++ b/internal/trans/share/order.go
@@ -37,6 +37,22 @@
 	return append(readers, further[:min(missing, len(further))]...)
 }
 
+// Backups returns the addresses of the nodes that read the platform's store if no
+// reader can: the first nodes alive of this node's data centre. It also returns the
+// index of this node in the order of its data centre.
+func (m *Mesh) Backups(now time.Time) (addrs []string, rank int) {
+	local := m.localNodes(now)
+	for _, n := range local[:min(hubCandidates, len(local))] {
+		addrs = append(addrs, n.Address)
+	}
+	return addrs, slices.IndexFunc(local, func(n connectedNode) bool { return n.peer == nil })
+}
+
+// localNodes returns the nodes of aliveNodes in this node's data centre.
+func (m *Mesh) localNodes(now time.Time) []connectedNode {
+	return slices.DeleteFunc(m.aliveNodes(now), func(n connectedNode) bool { return n.DataCentre != m.Self.DataCentre })
+}
+
 // aliveNodes returns this node and the connected peers that are alive, in the order
 // of connected.
 func (m *Mesh) aliveNodes(now time.Time) []connectedNode {
@@ -57,7 +73,7 @@
 // order of connected, so that no node sends it to more than relayFanout others. The
 // first nodes, which have no relay, are as many as relayFanout.
 func (m *Mesh) Relays(now time.Time) []string {
-	local := slices.DeleteFunc(m.aliveNodes(now), func(n connectedNode) bool { return n.DataCentre != m.Self.DataCentre })
+	local := m.localNodes(now)
 	var relays []string
 	i := slices.IndexFunc(local, func(n connectedNode) bool { return n.peer == nil })
 	for i >= relayFanout {
