--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -58,8 +58,8 @@
 	// servedAt is, for the configuration and for the endpoints, when the last
 	// request was sent that a reader answered with fresh state.
 	servedAt [feeds.Members]clock.Atomic
-	// turnAt is, for the same streams, when this node is to read the store itself,
-	// because no reader has a fresh copy; zero while one has.
+	// turnAt is, for the same streams, when this node is to read the store itself
+	// because no node that it pulls from has a fresh copy; zero while one has.
 	turnAt [feeds.Members]clock.Atomic
 	// isReader is set while this node reads the store for others.
 	isReader atomic.Bool
@@ -67,8 +67,8 @@
 	changes *changeStore
 	// transferring is set while a transfer is under way.
 	transferring atomic.Bool
-	// transferFailed is set after a transfer failed with all peers, until the configuration
-	// in force is the newest again.
+	// transferFailed is set after a transfer failed with all peers, until the
+	// configuration in force is the newest again.
 	transferFailed atomic.Bool
 	// needsWhole is set if a change had a wrong result: the next one must be the whole
 	// configuration, or the whole list of endpoints.
@@ -96,8 +96,8 @@
 	return now.Sub(s.servedAt[st].Load()) < readerTimeout
 }
 
-// turnDelay returns how long a node waits after its last fresh copy until it reads the
-// store itself, by its rank in its data centre. The first nodes stand in for the
+// turnDelay returns how long a node waits until it reads the store itself, once no node
+// has a fresh copy, by its rank in its data centre. The first nodes stand in for the
 // readers at once; most nodes would only add to the load of a store in trouble, and
 // get the state from the first ones if the store answers these.
 func turnDelay(rank int) time.Duration {
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -138,16 +138,17 @@
 	// configuration; ConfigEra is zero if it isn't known.
 	ConfigEra  uint64
 	ConfigNext ident.Offset
-	// Listed is set if the peer has an endpoint list and is outside the grace
-	// period after an outage of the store. List is the ID of the list, ListedAge
-	// the time since it was last confirmed to be the newest. Endpoints is left
-	// empty if the requesting node already has that list.
-	Listed bool
-	// Recovering is set instead of Listed during the grace period.
+	// Recovering is set instead of Listed during the grace period after an outage of
+	// the store.
 	Recovering bool
-	ListedAge  time.Duration
-	List       uint64
-	Endpoints  []topol.Endpoint
+	// Listed is set if the peer has an endpoint list and is outside the grace
+	// period. List is the ID of the list, ListedAge the time since it was last
+	// confirmed to be the newest. Endpoints is left empty if the requesting node
+	// already has that list.
+	Listed    bool
+	ListedAge time.Duration
+	List      uint64
+	Endpoints []topol.Endpoint
 	// ListBase is the ID of the list that Endpoints and Removed are a change of:
 	// Endpoints then holds what was added or changed, and Removed what was removed.
 	// It is zero if Endpoints is the whole list. Only nodes of the same
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -2,7 +2,9 @@
 // announces which requests it sends to which endpoints, which endpoints it can't
 // reach, and which strikes it records, to its peers directly or through hubs.
 // Nodes that don't read the platform's store, or can't reach it, fetch the
-// configuration and the endpoint list from their peers.
+// configuration and the endpoint list, or what changed in them, from their peers.
+// Nodes also tell each other of the limits that endpoints name, and ask each other for
+// permits to send to such endpoints.
 package share
 
 import (
