sync: end a transfer whose base is no longer in force

Seen by reading: if another version was put in force during a transfer, the complete change did not apply, and the next peers' parts were added to it, so that all of them failed and the node read the store. Now the transfer ends and the next pull tells what the node lacks; a change that can't be applied is dropped before the next peer is asked. The test calls what did not exist before as a step of its own.

--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -256,6 +256,29 @@
 	test.SliceEmpty(t, tr.sync.changes.changes, test.Sprint("peers must not get a damaged change"))
 }
 
+// Guards against a node that turns to the store because a version came by another way
+// during a transfer, and against parts added to a change that could not be applied.
+func TestTransferOfAChangeThatDoesNotFitAnyMore(t *testing.T) {
+	ps := startWithDocument(t)
+	last, err := decodeDocument(largeDocument(3, 2))
+	must.NoError(t, err)
+	change, err := relay.EncodeChange(topol.Diff(ps[2].feeds.Catalog(), last))
+	must.NoError(t, err)
+	ps[2].setDocument(t, largeDocument(2, 1))
+	receive := func(data []byte) *transfer {
+		tr := &transfer{sync: ps[2].stateSync}
+		must.True(t, tr.add(relay.ChangePart{Hash: xxhash.Sum64(data), Size: len(data), Data: data}))
+		must.NoError(t, tr.check())
+		return tr
+	}
+	test.NoError(t, receive(change).apply())
+	test.Eq(t, 2, ps[2].feeds.Catalog().Version)
+	tr := receive([]byte("no change"))
+	test.ErrorIs(t, tr.apply(), relay.ErrChange)
+	test.Eq(t, 0, tr.args.Offset)
+	test.Nil(t, tr.change)
+}
+
 // Guards against each node of a tree waiting for the whole configuration before it
 // sends any of it, and against a tree that a node without it blocks.
 func TestPartsArePassedOnWhileTheyArrive(t *testing.T) {
--- a/internal/node/edge/transfer.go
+++ b/internal/node/edge/transfer.go
@@ -8,6 +8,7 @@
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -65,7 +66,7 @@
 	began := clock.Now()
 	err := t.receive(peer)
 	if err == nil {
-		err = t.sync.applyChange(t.change.data)
+		err = t.apply()
 	}
 	t.sync.logger.Info().Err(err).Str("peer", peer).Uint64("base", uint64(t.args.Base.Version)).Uint64("version", uint64(t.args.Wanted)).
 		Int("bytes", t.args.Offset).Dur("after", clock.Now().Sub(began)).Msg("sync: transfer of a configuration ended")
@@ -109,7 +110,26 @@
 	if xxhash.Sum64(t.change.data) == t.args.Hash {
 		return nil
 	}
+	t.drop()
+	return errDamaged
+}
+
+// apply puts the result of a complete change in force. It drops a change that can't be
+// applied. If another configuration was put in force during the transfer, it does
+// nothing: the next pull tells what this node lacks.
+func (t *transfer) apply() error {
+	err := t.sync.applyChange(t.change.data)
+	if errors.Is(err, topol.ErrOtherBase) {
+		return nil
+	}
+	if err != nil {
+		t.drop()
+	}
+	return err
+}
+
+// drop drops the parts received so far, so that the transfer begins anew.
+func (t *transfer) drop() {
 	t.sync.changes.abandon(t.change)
 	t.change, t.args.Hash, t.args.Offset = nil, 0, 0
-	return errDamaged
 }
