quota, feeds, claims: names and comments; one slow log for both tests

Constants no longer have the name of a field, the package comment of quota is true for low rates too, and the tests of late appends share their log. No code changes otherwise.

--- a/internal/coord/quota/quota.go
+++ b/internal/coord/quota/quota.go
@@ -1,6 +1,7 @@
 // Package quota divides the rates of requests that endpoints accept from all nodes
 // together between the nodes. Few nodes send to such an endpoint, so that the part of
-// each is not much below one request per second, and the parts add up to the rate.
+// each is at least one request per second if the rate suffices; the parts add up to
+// the rate.
 package quota
 
 import (
@@ -105,7 +106,8 @@
 
 // Wait returns how long this node must wait before it may send a request to an
 // endpoint. It returns false if other nodes use the whole limit; the time is then
-// that between two requests of all nodes.
+// that between two requests of all nodes. A node that has just got a share waits as
+// if it had sent a request at this moment.
 func (t *Table) Wait(k Key, now time.Time) (time.Duration, bool) {
 	rate, limited := t.Rate(k)
 	if !limited {
--- a/internal/trans/claims/claimer_test.go
+++ b/internal/trans/claims/claimer_test.go
@@ -11,9 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/lab/memlog"
-	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/claim"
-	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/trans/claims"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -148,35 +146,3 @@
 		test.Eq(t, 0, a.QueueLen())
 	})
 }
-
-// slowLog is a log whose appends take a second.
-type slowLog struct{ *memlog.Log }
-
-func (l slowLog) Append(ctx context.Context, s messg.StreamName, raw []byte) (ident.Offset, error) {
-	if !delay.For(ctx, time.Second) {
-		return 0, ctx.Err()
-	}
-	return l.Log.Append(ctx, s, raw)
-}
-
-// Guards against a node that stops while the last claims are being appended: bookings
-// that were answered would become unknown.
-func TestItemsBeingAppendedCountAsQueued(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := &claims.Claimer{Log: slowLog{&memlog.Log{}}, Holder: claim.Holder{Node: "a", Boot: 1}, Logger: zerolog.Nop()}
-		c.Init()
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { c.Run(ctx); close(done) }()
-		r, err := claimKey(c, 5*time.Second)
-		must.NoError(t, err)
-		c.Settle(claim.Done, r, key, &claim.Answer{Status: 201})
-		time.Sleep(500 * time.Millisecond)
-		synctest.Wait()
-		test.Eq(t, 1, c.QueueLen())
-		time.Sleep(time.Second)
-		test.Eq(t, 0, c.QueueLen())
-		cancel()
-		<-done
-	})
-}
--- a/internal/trans/claims/abandon_test.go
+++ b/internal/trans/claims/late_test.go
@@ -58,3 +58,26 @@
 		<-done
 	})
 }
+
+// Guards against a node that stops while the last claims are being appended: bookings
+// that were answered would become unknown.
+func TestItemsBeingAppendedCountAsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key := claim.Key{Workspace: "w", Name: "k"}
+		c := &Claimer{Log: lateLog{&memlog.Log{}}, Holder: claim.Holder{Node: "a", Boot: 1}, Logger: zerolog.Nop()}
+		c.Init()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { c.Run(ctx); close(done) }()
+		r, err := c.Claim(ctx, claim.Item{Key: key, Age: time.Hour})
+		must.NoError(t, err)
+		c.Settle(claim.Done, r, key, &claim.Answer{Status: 201})
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		test.Eq(t, 1, c.QueueLen())
+		time.Sleep(time.Second)
+		test.Eq(t, 0, c.QueueLen())
+		cancel()
+		<-done
+	})
+}
--- a/internal/trans/feeds/endpoints.go
+++ b/internal/trans/feeds/endpoints.go
@@ -138,7 +138,7 @@
 	list.ID = h.Sum64()
 	f.list.Store(list)
 	f.recentLists = append(f.recentLists, list)
-	f.recentLists = f.recentLists[max(0, len(f.recentLists)-recentLists):]
+	f.recentLists = f.recentLists[max(0, len(f.recentLists)-keptLists):]
 }
 
 // ListChange turns a list of endpoints into another one.
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -35,11 +35,11 @@
 	// which endpoints stay listed although their records are deleted: they may
 	// have expired because of the outage.
 	outageGrace = 2200 * time.Millisecond
-	// recentCatalogs is the number of configurations kept as bases of changes, so
+	// keptCatalogs is the number of configurations kept as bases of changes, so
 	// that a node which missed a few of them does not need a complete one.
-	recentCatalogs = 8
-	// recentLists is the number of endpoint lists kept as bases of changes.
-	recentLists = 8
+	keptCatalogs = 8
+	// keptLists is the number of endpoint lists kept as bases of changes.
+	keptLists = 8
 	// minOutage is how long reads must fail for the failure to count as an outage.
 	minOutage = time.Second
 )
@@ -227,7 +227,7 @@
 		c.ShareWith(old)
 	}
 	f.recent = append(f.recent, c)
-	f.recent = f.recent[max(0, len(f.recent)-recentCatalogs):]
+	f.recent = f.recent[max(0, len(f.recent)-keptCatalogs):]
 	f.catalog.Store(c)
 	if f.updated != nil {
 		close(f.updated)
