gate: log and count each strike with the parts of its prompt

Cause looked for: which of the hypotheses on the crashing parts holds can't be told from the lines of sends, which name neither strikes nor parts.

--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -23,6 +23,9 @@
 	// ExpectedOutput is the caller's estimate of the length of the answer; zero
 	// if the request doesn't state it.
 	ExpectedOutput ident.Tokens
+	// SharedParts are the parts of the prompt that other prompts may share, in the
+	// order of the prompt.
+	SharedParts []ident.PartID
 	// LastEvent is the ID of the event after which a stream is to resume.
 	LastEvent string
 }
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -19,6 +19,7 @@
 	rejections   *prometheus.CounterVec
 	sends        *prometheus.CounterVec
 	timeToFirst  *prometheus.HistogramVec
+	strikes      prometheus.Counter
 	omittedLines prometheus.Counter
 }
 
@@ -57,6 +58,9 @@
 			Name: "laburnum_first_seconds", Help: "Time to the answer, or to the first event of a stream.",
 			Buckets: []float64{.05, .1, .2, .3, .5, 1, 1.5, 3, 6, 12},
 		}, []string{"kind", "length"}),
+		strikes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_strikes_total", Help: "Requests whose connection an endpoint broke while it ran them.",
+		}),
 		omittedLines: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_log_lines_left_out_total", Help: "Lines that were not logged since there were too many.",
 		}),
@@ -66,7 +70,7 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.sends, m.timeToFirst, m.omittedLines,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.sends, m.timeToFirst, m.strikes, m.omittedLines,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"syscall"
@@ -88,9 +89,21 @@
 func (x *exchange) addStrike(n ident.EndpointName, now time.Time) {
 	s := strik.Strike{Digest: x.digest(), Endpoint: n, At: now}
 	x.server.strikes.add(s)
+	x.server.getMetrics().strikes.Inc()
+	x.server.requestLog(false).Str("request", x.reqHeader.ID).Str("endpoint", string(n)).Stringers("parts", partNames(x.reqHeader.SharedParts)).
+		Int("strikes", x.server.strikes.count(s.Digest, now)).Msg("gate: endpoint broke the connection of a request in flight")
 	x.server.AnnounceStrike(s)
 }
 
+// partNames returns parts for a log line.
+func partNames(ps []ident.PartID) []fmt.Stringer {
+	ns := make([]fmt.Stringer, len(ps))
+	for i, p := range ps {
+		ns[i] = p
+	}
+	return ns
+}
+
 // crashesEndpoints reports whether the request has so many strikes that it is
 // no longer sent to endpoints.
 func (x *exchange) crashesEndpoints(now time.Time) bool {
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"strconv"
 )
 
 // Names in a configuration or a deployment.
@@ -28,6 +29,12 @@
 // RequestID identifies a request of a caller.
 type RequestID string
 
+// PartID identifies the content of a part of a prompt, which other prompts may share.
+type PartID uint64
+
+// String returns the ID in hexadecimal.
+func (p PartID) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // PatchID identifies a configuration patch.
 type PatchID string
 
