gate, strik: no longer send prompts with a part that crashes endpoints

Cause: strikes are counted by a hash of the whole request, and no two of these requests are alike. Class: blame at a grain that the fault doesn't have. Change: each strike also counts against the shared parts of its prompt. A part is barred after three strikes in a row, each of a prompt that was sent after the one before, if no prompt with it has ended well since; what sound prompts share ends well all the time. Strikes, proofs and, for new peers, the states of parts go to all nodes. One node, the one with the highest hash, sends a prompt with a barred part as a trial: after 0.5 s, 8 s, 2 min and 34 min. The others are rejected with the time until then.

--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -44,9 +44,21 @@
 	if n.isCutOff() {
 		return nil
 	}
+	names := n.byRank(k)
+	return names[:int(min(max(1, rate/minShare), float64(len(names))))]
+}
+
+// byRank returns the nodes that are alive, those with the highest hashes first.
+func (n Nodes) byRank(k Key) []ident.NodeName {
 	names := slices.Clone(n.Alive)
 	slices.SortFunc(names, func(a, b ident.NodeName) int { return cmp.Compare(rank(k, b), rank(k, a)) })
-	return names[:int(min(max(1, rate/minShare), float64(len(names))))]
+	return names
+}
+
+// Leads reports whether this node is the one that acts on a subject for all nodes. It
+// isn't if it can't reach most of the others.
+func (n Nodes) Leads(subject string) bool {
+	return !n.isCutOff() && n.byRank(Key{Endpoint: ident.EndpointName(subject)})[0] == n.Self
 }
 
 // isCutOff reports whether this node reaches less than half of the nodes.
--- a/internal/coord/strik/strik.go
+++ b/internal/coord/strik/strik.go
@@ -1,5 +1,6 @@
-// Package strik counts the endpoint crashes during which a request was in
-// flight, so that a request that crashes endpoints is found and rejected.
+// Package strik counts the endpoint crashes during which a request, or a prompt with a
+// certain part, was in flight, so that requests that crash endpoints are found and
+// rejected.
 package strik
 
 import (
@@ -20,6 +21,12 @@
 	// Apart is true if the request was the only one with strikes at the endpoint,
 	// so that it is probably the cause of the crash. Only trans/serve sets it.
 	Apart bool
+	// Parts are the shared parts of the prompt, see Parts.
+	Parts []ident.PartID
+	// Took is the time from when the request was sent until the connection broke.
+	Took time.Duration
+	// Trial is set if the request was sent as a trial of its barred parts.
+	Trial bool
 }
 
 const (
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -134,9 +134,10 @@
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
 		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
-		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
+		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerStrikes
+	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
 	n.mesh.Permit = n.gate.Permit
 	n.mesh.Limits, n.mesh.OnLimits = n.gate.Limits, n.gate.AddPeerLimits
 	for _, a := range s.Seeds {
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -51,6 +51,7 @@
 		p := &testNode{works: &works.Table{}, link: newLink(l)}
 		m := &share.Mesh{Self: relay.Member{Name: ident.NodeName(name), Address: l.Addr().String()}, InFlight: p.works, Logger: zerolog.Nop()}
 		m.OnFailed, m.OnStruck = func([]ident.EndpointName) {}, func([]strik.Strike) {}
+		m.OnProofs, m.OnPartStates, m.PartStates = func([]strik.Proof) {}, func([]strik.PartState) {}, func() []strik.PartState { return nil }
 		m.Limits, m.OnLimits = func() []quota.Limit { return nil }, func([]quota.Limit) {}
 		m.Init(ctx)
 		p.stateSync = newStateSync(&feeds.Feeds{Logger: zerolog.Nop()}, m, decodeVersion, zerolog.Nop())
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -33,6 +33,19 @@
 	Age    time.Duration
 }
 
+// AgedProof is a proof with its age instead of its time.
+type AgedProof struct {
+	Proof strik.Proof
+	Age   time.Duration
+}
+
+// AgedPart is what a node knows of a part of prompts. Age replaces the time of its last
+// strike.
+type AgedPart struct {
+	State strik.PartState
+	Age   time.Duration
+}
+
 // AgedLimit is the limit of an endpoint with its age instead of its time.
 type AgedLimit struct {
 	Limit quota.Limit
@@ -69,6 +82,10 @@
 	// Struck lists the strikes that the node recorded: in each, an endpoint broke
 	// the connection of a request in flight.
 	Struck []AgedStrike
+	// Proofs lists the parts of prompts that the node has cleared of strikes, and Parts
+	// those under suspicion; the latter is set only in the first update to a peer.
+	Proofs []AgedProof
+	Parts  []AgedPart
 	// Limits lists the limits that endpoints named, or that have ended.
 	Limits []AgedLimit
 	// Reach selects the nodes to which the receiver forwards the update.
@@ -93,7 +110,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Limits) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -67,6 +67,9 @@
 	// response is the endpoint's refusal or error as the caller gets it if the
 	// request is not sent again.
 	response []byte
+	// whole is set if the endpoint answered with success and to the end, framed if the
+	// answer's end was marked by more than the end of the connection.
+	whole, framed bool
 	// connBroken is set if the endpoint broke the connection.
 	connBroken bool
 	// faultAddress is the address of another endpoint that caused the failure,
@@ -348,5 +351,6 @@
 	}
 	a.exchange.writeToCaller(full)
 	o.result = complete
+	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
 	return o, intact
 }
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -80,6 +80,8 @@
 	// predicted, load the load that it was based on.
 	estimate time.Duration
 	load     place.Load
+	// onTrial holds the barred parts of which the prompt is sent as a trial.
+	onTrial []ident.PartID
 	// failedReservations counts the placements for which memory could not be
 	// reserved.
 	failedReservations int
@@ -271,7 +273,12 @@
 // forward sends the request to endpoints until it has a response or is
 // rejected.
 func (x *exchange) forward() {
+	defer x.endTrial()
 	for {
+		if ok, wait := x.checkParts(time.Now()); !ok {
+			x.rejectUnplaced(errCrashesEndpoints, wait)
+			return
+		}
 		c, r, err := x.choose()
 		if errors.Is(err, place.ErrNoEndpoint) && len(x.limited.atLimit) > 0 && x.fetchPermit() {
 			continue
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -23,6 +23,8 @@
 	switch {
 	case x.headerSent:
 		x.reject(0, 0, "stream not resumed: "+err.Error())
+	case errors.Is(err, errCrashesEndpoints) && x.possibleRuns == 0:
+		x.reject(503, retryAfter, err.Error())
 	case x.possibleRuns > 0 && !time.Now().Before(x.deadline):
 		x.reject(504, 0, "no response before the deadline")
 	case x.possibleRuns > 0:
@@ -45,6 +47,7 @@
 	s := x.server
 	now := time.Now()
 	x.recordOutcome(c, o, now)
+	x.endTrial()
 	if o.result == complete {
 		return true
 	}
@@ -121,13 +124,16 @@
 		x.recordFaultAt(o.faultAddress, now)
 	case o.result == complete:
 		s.endpointHealth.recordSuccess(c.Primary.Name)
+		if o.whole {
+			x.recordEndedWell(o, c.Primary.Name)
+		}
 	case o.result == notSent || o.result == unanswered:
 		s.pools.Get(c.Primary.Address).CloseIdle()
 		if s.endpointHealth.recordFailure(c.Primary.Name, now) {
 			s.AnnounceFailure(c.Primary.Name)
 		}
 		if o.connBroken {
-			x.addStrike(c.Primary.Name, now)
+			x.addStrike(c.Primary.Name, o.startedAt, now)
 		}
 	case o.result == failed && x.service.Engine != nil:
 		s.endpointHealth.recordFailure(c.Primary.Name, now)
--- /dev/null
+++ b/internal/trans/gate/parts.go
@@ -0,0 +1,153 @@
+package gate
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// unframedProofDelay is how long an endpoint must stay without a failure after an
+	// answer that ended with its connection, so that the answer counts as ended well:
+	// a crash can look the same.
+	unframedProofDelay = 300 * time.Millisecond
+	// maxPartRetryAfter bounds the Retry-After of prompts with barred parts.
+	maxPartRetryAfter = time.Minute
+)
+
+// partStrikes finds the parts of prompts that crash endpoints. It is safe for
+// concurrent use.
+type partStrikes struct {
+	// count is the number of parts that have or had strikes.
+	count atomic.Int64
+
+	mu    sync.Mutex
+	table *strik.Parts
+}
+
+// update calls f with the table.
+func (p *partStrikes) update(f func(*strik.Parts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		p.table = strik.NewParts()
+	}
+	f(p.table)
+	p.count.Store(int64(p.table.Len()))
+}
+
+// addPartStrikes counts strikes against the parts of their prompts.
+func (s *Server) addPartStrikes(ss ...strik.Strike) {
+	var barred []ident.PartID
+	s.partStrikes.update(func(t *strik.Parts) {
+		for _, x := range ss {
+			barred = append(barred, t.Add(x)...)
+		}
+	})
+	for _, p := range barred {
+		s.Logger.Warn().Stringer("part", p).Msg("gate: prompts with a part that crashes endpoints are no longer sent")
+	}
+}
+
+// AddPeerPartStates adds what a peer knows of parts under suspicion.
+func (s *Server) AddPeerPartStates(ps []strik.PartState) {
+	s.partStrikes.update(func(t *strik.Parts) {
+		for _, p := range ps {
+			t.Merge(p)
+		}
+	})
+}
+
+// AddPeerProofs records parts of prompts that ended well at a peer.
+func (s *Server) AddPeerProofs(ps []strik.Proof) {
+	for _, p := range ps {
+		s.clearParts(p)
+	}
+}
+
+// PartStates returns the parts under suspicion, for a new peer.
+func (s *Server) PartStates() (ps []strik.PartState) {
+	s.partStrikes.update(func(t *strik.Parts) { ps = t.Suspects() })
+	return ps
+}
+
+// clearParts records that a prompt ended well. It returns the parts that were under
+// suspicion.
+func (s *Server) clearParts(p strik.Proof) (cleared []ident.PartID) {
+	if s.partStrikes.count.Load() == 0 {
+		return nil
+	}
+	s.partStrikes.update(func(t *strik.Parts) { cleared = t.EndWell(p) })
+	return cleared
+}
+
+// recordEndedWell records that the prompt was answered to its end by an endpoint, and
+// informs the peers if that clears one of its parts.
+func (x *exchange) recordEndedWell(o outcome, e ident.EndpointName) {
+	s := x.server
+	if len(x.reqHeader.SharedParts) == 0 || s.partStrikes.count.Load() == 0 {
+		return
+	}
+	p := strik.Proof{Parts: x.reqHeader.SharedParts, At: time.Now()}
+	record := func() {
+		if p.Parts = s.clearParts(p); len(p.Parts) > 0 {
+			s.AnnounceProof(p)
+		}
+	}
+	if o.framed {
+		record()
+		return
+	}
+	time.AfterFunc(unframedProofDelay, func() {
+		if !s.endpointHealth.isSuspect(e, time.Now()) {
+			record()
+		}
+	})
+}
+
+// checkParts reports whether the prompt has no barred part or may be sent as a trial of
+// them. Otherwise it returns the time until the next trial.
+func (x *exchange) checkParts(now time.Time) (ok bool, wait time.Duration) {
+	s := x.server
+	if len(x.reqHeader.SharedParts) == 0 || s.partStrikes.count.Load() == 0 || len(x.onTrial) > 0 {
+		return true, 0
+	}
+	var barred []ident.PartID
+	var due time.Time
+	s.partStrikes.update(func(t *strik.Parts) {
+		barred, due = t.Check(x.reqHeader.SharedParts)
+		if len(barred) > 0 && !now.Before(due) && s.Nodes(now).Leads(barred[0].String()) && t.StartTrial(barred) {
+			x.onTrial = barred
+		}
+	})
+	if len(barred) == 0 {
+		return true, 0
+	}
+	if len(x.onTrial) > 0 {
+		s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Msg("gate: prompt is sent as a trial of barred parts")
+		return true, 0
+	}
+	return false, min(maxPartRetryAfter, max(time.Second, due.Sub(now)))
+}
+
+// endTrial ends the trial that the prompt was sent as, if it was.
+func (x *exchange) endTrial() {
+	if len(x.onTrial) == 0 {
+		return
+	}
+	x.server.partStrikes.update(func(t *strik.Parts) { t.EndTrial(x.onTrial) })
+	x.onTrial = nil
+}
+
+// partNames returns parts for a log line.
+func partNames(ps []ident.PartID) []fmt.Stringer {
+	ns := make([]fmt.Stringer, len(ps))
+	for i, p := range ps {
+		ns[i] = p
+	}
+	return ns
+}
--- /dev/null
+++ b/internal/trans/gate/parts_test.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// strikesOf returns strikes in a row of a prompt with a part, of which the last was
+// recorded the given time ago.
+func strikesOf(p ident.PartID, n int, age time.Duration) (ss []strik.Strike) {
+	const took = 50 * time.Millisecond
+	for i := range n {
+		ss = append(ss, strik.Strike{Digest: strik.Digest(i), Endpoint: "x", Parts: []ident.PartID{p}, At: time.Now().Add(-age - time.Duration(n-i)*2*took), Took: took})
+	}
+	return ss
+}
+
+func prompt(id, parts string) string {
+	return request("POST", "/stream/", id, id, "Prompt: 100", "Parts: "+parts)
+}
+
+// Guards against BUDGET: prompts that are known to crash endpoints were sent, or their
+// callers were asked to come back at once.
+func TestPromptWithABarredPartIsRejected(t *testing.T) {
+	e := newEndpoint(t, "e", streams(1, 2, true))
+	r := newRig(t, e)
+	r.server.AddPeerStrikes(strikesOf(2, 3, 0))
+	res := r.do(prompt("r1", "1 2"))
+	test.Eq(t, 503, res.status)
+	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	test.GreaterEq(t, 1, after)
+	test.SliceEmpty(t, e.requests())
+	test.Eq(t, 200, r.do(prompt("r2", "1 3")).status)
+}
+
+// Guards against a part that was barred by chance and stays barred.
+func TestTrialClearsAPart(t *testing.T) {
+	e := newEndpoint(t, "e", streams(1, 2, true))
+	r := newRig(t, e)
+	proofs := make(chan strik.Proof, 10)
+	r.server.AnnounceProof = func(p strik.Proof) { proofs <- p }
+	r.server.AddPeerStrikes(strikesOf(2, 3, time.Second))
+	test.Eq(t, 200, r.do(prompt("r1", "1 2")).status)
+	test.Eq(t, []ident.PartID{2}, (<-proofs).Parts)
+	test.Eq(t, 200, r.do(prompt("r2", "1 2")).status)
+}
+
+// Guards against trials of all nodes at one time.
+func TestOneNodeSendsTrials(t *testing.T) {
+	e := newEndpoint(t, "e", streams(1, 2, true))
+	r := newRig(t, e)
+	names := []ident.NodeName{"n1", "n2", "n3", "n4"}
+	leads := 0
+	for _, n := range names {
+		nodes := quota.Nodes{Self: n, Alive: names, Known: len(names)}
+		if nodes.Leads(ident.PartID(2).String()) {
+			leads++
+		} else {
+			r.server.Nodes = func(time.Time) quota.Nodes { return nodes }
+		}
+	}
+	test.Eq(t, 1, leads)
+	r.server.AddPeerStrikes(strikesOf(2, 3, time.Second))
+	test.Eq(t, 503, r.do(prompt("r1", "1 2")).status)
+	test.SliceEmpty(t, e.requests())
+}
+
+// Guards against a failed trial after which the next one follows at once.
+func TestFailedTrialIsNotRepeated(t *testing.T) {
+	e := newEndpoint(t, "e", dropsConnection)
+	r := newRig(t, e, e.alias("f"), e.alias("g"))
+	r.server.AddPeerStrikes(strikesOf(2, 3, time.Second))
+	for i := range 5 {
+		r.do(prompt(strconv.Itoa(i), "1 2"))
+	}
+	test.SliceLen(t, 1, e.requests())
+}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -38,6 +38,10 @@
 	r.TimeLeft = time.Duration(ms) * time.Millisecond
 	n, _ := strconv.Atoi(get("Prompt"))
 	r.Prompt = ident.Tokens(n)
+	for _, p := range strings.Fields(get("Parts")) {
+		n, _ := strconv.Atoi(p)
+		r.SharedParts = append(r.SharedParts, ident.PartID(n))
+	}
 	return r, nil
 }
 
@@ -294,7 +298,7 @@
 		Dialect: testDialect{}, Reserver: r.reserver, Feeds: f, InFlight: &works.Table{}, Node: "n1", DataCentre: "a", Logger: zerolog.Nop(),
 		StrictRevocation: true, MaxConfigAge: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, GracePeriod: 8 * time.Second,
 		AnnounceStart: func(works.Request) {}, AnnounceDecoding: func(works.ID) {}, AnnounceEnd: func(works.ID) {}, NodeCount: func() int { return 1 },
-		AnnounceStrike: func(strik.Strike) {}, AnnounceFailure: func(ident.EndpointName) {}, AnnounceLimits: func(...quota.Limit) {},
+		AnnounceStrike: func(strik.Strike) {}, AnnounceProof: func(strik.Proof) {}, AnnounceFailure: func(ident.EndpointName) {}, AnnounceLimits: func(...quota.Limit) {},
 		FetchPermit: func(ident.NodeName, quota.Key) (relay.Permit, error) { return relay.Permit{}, errors.New("no peer") },
 		Nodes: func(time.Time) quota.Nodes {
 			return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1"}, Known: 1}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -115,9 +115,10 @@
 	AnnounceStart    func(works.Request)
 	AnnounceDecoding func(works.ID)
 	AnnounceEnd      func(works.ID)
-	// AnnounceStrike informs the peers of a strike, AnnounceFailure of an
-	// endpoint that failed.
+	// AnnounceStrike informs the peers of a strike, AnnounceProof of parts that are
+	// cleared of strikes, and AnnounceFailure of an endpoint that failed.
 	AnnounceStrike  func(strik.Strike)
+	AnnounceProof   func(strik.Proof)
 	AnnounceFailure func(ident.EndpointName)
 	// AnnounceLimits informs the peers of limits that endpoints named or that have
 	// ended.
@@ -136,6 +137,7 @@
 	pools          links.Pools
 	endpointHealth endpointHealth
 	strikes        strikes
+	partStrikes    partStrikes
 	endpointLimits endpointLimits
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -237,6 +239,7 @@
 func (s *Server) sweep(ctx context.Context) {
 	delay.Every(ctx, sweepInterval, func(now time.Time) {
 		s.strikes.expire(now)
+		s.partStrikes.update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -69,6 +69,7 @@
 		}
 		if ended {
 			o.result = complete
+			o.whole, o.framed = true, res.Framing != http1.UntilClose
 			return o, !res.Close
 		}
 		if err != nil {
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"syscall"
@@ -61,7 +60,10 @@
 }
 
 // AddPeerStrikes adds strikes that peers recorded.
-func (s *Server) AddPeerStrikes(ss []strik.Strike) { s.strikes.add(ss...) }
+func (s *Server) AddPeerStrikes(ss []strik.Strike) {
+	s.strikes.add(ss...)
+	s.addPartStrikes(ss...)
+}
 
 // AddPeerFailures records failures of endpoints that a peer announced.
 func (s *Server) AddPeerFailures(ns []ident.EndpointName) {
@@ -86,24 +88,16 @@
 
 // addStrike records a strike of the request: the endpoint's connection broke
 // while it ran the request.
-func (x *exchange) addStrike(n ident.EndpointName, now time.Time) {
-	s := strik.Strike{Digest: x.digest(), Endpoint: n, At: now}
+func (x *exchange) addStrike(n ident.EndpointName, sentAt, now time.Time) {
+	s := strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: len(x.onTrial) > 0}
 	x.server.strikes.add(s)
+	x.server.addPartStrikes(s)
 	x.server.getMetrics().strikes.Inc()
 	x.server.requestLog(false).Str("request", x.reqHeader.ID).Str("endpoint", string(n)).Stringers("parts", partNames(x.reqHeader.SharedParts)).
 		Int("strikes", x.server.strikes.count(s.Digest, now)).Msg("gate: endpoint broke the connection of a request in flight")
 	x.server.AnnounceStrike(s)
 }
 
-// partNames returns parts for a log line.
-func partNames(ps []ident.PartID) []fmt.Stringer {
-	ns := make([]fmt.Stringer, len(ps))
-	for i, p := range ps {
-		ns[i] = p
-	}
-	return ns
-}
-
 // crashesEndpoints reports whether the request has so many strikes that it is
 // no longer sent to endpoints.
 func (x *exchange) crashesEndpoints(now time.Time) bool {
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -211,7 +211,7 @@
 		if !local {
 			copied.Reach = relay.ScopeDataCentre
 		}
-		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Limits) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
+		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Limits) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
 	}
 }
 
@@ -220,6 +220,8 @@
 func copyOf(u relay.Update, r relay.Scope) relay.Update {
 	u.Began = slices.Clone(u.Began)
 	u.Struck = slices.Clone(u.Struck)
+	u.Proofs = slices.Clone(u.Proofs)
+	u.Parts = slices.Clone(u.Parts)
 	u.Limits = slices.Clone(u.Limits)
 	u.Reach = r
 	return u
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -28,6 +28,10 @@
 	// onLimits and limits are used by the mesh if they are set.
 	onLimits atomic.Pointer[func([]quota.Limit)]
 	limits   atomic.Pointer[[]quota.Limit]
+	// suspected are the parts that the node tells a new peer, parts and proofs what it
+	// has heard of.
+	suspected     atomic.Pointer[[]strik.PartState]
+	parts, proofs chan ident.PartID
 }
 
 func (n *node) setOnLimits(f func([]quota.Limit)) { n.onLimits.Store(&f) }
@@ -48,7 +52,15 @@
 			OnFailed: func([]ident.EndpointName) {}, OnStruck: func([]strik.Strike) {},
 		}
 		done := make(chan struct{})
-		n := &node{Mesh: m, stop: func() { cancel(); <-done }}
+		n := &node{Mesh: m, stop: func() { cancel(); <-done }, parts: make(chan ident.PartID, 100), proofs: make(chan ident.PartID, 100)}
+		m.PartStates = func() []strik.PartState {
+			if ps := n.suspected.Load(); ps != nil {
+				return *ps
+			}
+			return nil
+		}
+		m.OnPartStates = func(ps []strik.PartState) { n.parts <- ps[0].Part }
+		m.OnProofs = func(ps []strik.Proof) { n.proofs <- ps[0].Parts[0] }
 		m.Limits = func() []quota.Limit {
 			if ls := n.limits.Load(); ls != nil {
 				return *ls
@@ -79,6 +91,22 @@
 	return ns
 }
 
+// Guards against a node that starts, or was cut off, and sends prompts with parts that the
+// others know to crash endpoints.
+func TestNewNodeLearnsOfPartsUnderSuspicion(t *testing.T) {
+	ns := start(t, "a1", "a2", "b1", "b2")
+	ns[0].suspected.Store(&[]strik.PartState{{Part: 7, Strikes: 3, StruckAt: time.Now()}})
+	for _, o := range ns {
+		o.AnnounceProof(strik.Proof{Parts: []ident.PartID{8}, At: time.Now()})
+	}
+	for _, o := range ns {
+		test.Eq(t, 8, <-o.proofs)
+	}
+	newcomer := start(t, "a3")[0]
+	newcomer.AddPeer(ns[0].Self.Address)
+	test.Eq(t, 7, <-newcomer.parts)
+}
+
 // directDataCentres returns the data centres, one letter each, of the peers to
 // which the node sends its updates directly.
 func (n *node) directDataCentres() string {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -85,12 +85,18 @@
 	Permit func(quota.Key) relay.Permit
 	// Limits returns the limits of endpoints that this node knows, for a new peer.
 	Limits func() []quota.Limit
+	// PartStates returns the parts of prompts under suspicion that this node knows, for
+	// a new peer.
+	PartStates func() []strik.PartState
 	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
-	// with the strikes that a peer recorded, and OnLimits with the limits of
-	// endpoints that a peer knows.
-	OnFailed func([]ident.EndpointName)
-	OnStruck func([]strik.Strike)
-	OnLimits func([]quota.Limit)
+	// with the strikes that a peer recorded, OnProofs and OnPartStates with the parts of
+	// prompts that a peer cleared or suspects, and OnLimits with the limits of endpoints
+	// that a peer knows.
+	OnFailed     func([]ident.EndpointName)
+	OnStruck     func([]strik.Strike)
+	OnLimits     func([]quota.Limit)
+	OnProofs     func([]strik.Proof)
+	OnPartStates func([]strik.PartState)
 
 	// isHub is set if this node is a hub, delaysNonUrgent if hubs are in use.
 	isHub, delaysNonUrgent atomic.Bool
@@ -180,12 +186,27 @@
 	m.announce(true, func(u *relay.Update) { u.Struck = append(u.Struck, relay.AgedStrike{Strike: s}) })
 }
 
+// AnnounceProof informs the peers of parts that are cleared of strikes.
+func (m *Mesh) AnnounceProof(p strik.Proof) {
+	m.announce(true, func(u *relay.Update) { u.Proofs = append(u.Proofs, relay.AgedProof{Proof: p}) })
+}
+
 // AnnounceLimits informs the peers of limits that endpoints named or that have
 // ended.
 func (m *Mesh) AnnounceLimits(ls ...quota.Limit) {
 	m.announce(true, func(u *relay.Update) { u.Limits = append(u.Limits, agedLimits(ls)...) })
 }
 
+// agedParts returns states of parts in the form for an update whose ages are not set
+// yet.
+func agedParts(ss []strik.PartState) []relay.AgedPart {
+	as := make([]relay.AgedPart, len(ss))
+	for i, s := range ss {
+		as[i].State = s
+	}
+	return as
+}
+
 // agedLimits returns limits in the form for an update whose ages are not set yet.
 func agedLimits(ls []quota.Limit) []relay.AgedLimit {
 	as := make([]relay.AgedLimit, len(ls))
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -148,12 +148,14 @@
 // of the other nodes.
 func (p *peer) attach(client *rpc.Client) {
 	others := p.mesh.requestsOfOthers(p)
+	parts := agedParts(p.mesh.PartStates())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.client = client
 	p.pending = p.mesh.ownRequests(p.direct)
 	p.pending.Forwarded = others
 	p.pending.Limits = agedLimits(p.mesh.Limits())
+	p.pending.Parts = parts
 }
 
 // ownRequests returns an update with all requests in flight of this node, or an
@@ -209,6 +211,14 @@
 		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
 		u.Struck[i].Strike.At = time.Time{}
 	}
+	for i := range u.Proofs {
+		u.Proofs[i].Age = now.Sub(u.Proofs[i].Proof.At)
+		u.Proofs[i].Proof.At = time.Time{}
+	}
+	for i := range u.Parts {
+		u.Parts[i].Age = now.Sub(u.Parts[i].State.StruckAt)
+		u.Parts[i].State.StruckAt, u.Parts[i].State.EndedWellAt = time.Time{}, time.Time{}
+	}
 	for i := range u.Limits {
 		u.Limits[i].Age = now.Sub(u.Limits[i].Limit.ObservedAt)
 		u.Limits[i].Limit.ObservedAt = time.Time{}
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -63,6 +63,7 @@
 	if len(ss) > 0 {
 		m.OnStruck(ss)
 	}
+	m.applyParts(u, now)
 	var ls []quota.Limit
 	for i := range u.Limits {
 		u.Limits[i].Limit.ObservedAt = now.Add(-u.Limits[i].Age)
@@ -73,6 +74,26 @@
 	}
 }
 
+// applyParts applies what an update says of parts of prompts.
+func (m *Mesh) applyParts(u *relay.Update, now time.Time) {
+	var proofs []strik.Proof
+	for i := range u.Proofs {
+		u.Proofs[i].Proof.At = now.Add(-u.Proofs[i].Age)
+		proofs = append(proofs, u.Proofs[i].Proof)
+	}
+	if len(proofs) > 0 {
+		m.OnProofs(proofs)
+	}
+	var states []strik.PartState
+	for i := range u.Parts {
+		u.Parts[i].State.StruckAt = now.Add(-u.Parts[i].Age)
+		states = append(states, u.Parts[i].State)
+	}
+	if len(states) > 0 {
+		m.OnPartStates(states)
+	}
+}
+
 // State returns this node's copy of the configuration and of the endpoint list.
 func (s *service) State(a relay.StateArgs, r *relay.State) error {
 	s.mesh.markSeen(a.From)
