gate: an unframed stream without an event was broken off

What callers saw: an empty stream with status 200, and the endpoint got no strike. Cause: an answer without length and chunks that ended before its first event counted as complete, since nothing of an event was left over. Evidence: TestUnframedStreamThatIsBrokenOffIsResumed failed for that case before. Change: such a stream counts as broken off; it is resumed, and it is a strike. Result: the test passes.

--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -407,6 +407,33 @@
 	test.Eq(t, event(1)+event(2)+event(3), res.body)
 }
 
+// Guards against an answer without length and chunks that an endpoint broke off, and
+// that counts as complete: the caller got an empty stream, and the crash no strike.
+func TestUnframedStreamThatIsBrokenOffIsResumed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\nContent-Type: text/event-stream\r\n\r\n"
+	cases := []struct {
+		name  string
+		first string
+	}{
+		{"before the first event", head},
+		{"within the first event", head + "id: 1\nda"},
+		{"within a later event", head + event(1) + event(2) + "id: 3\n"},
+	}
+	want := event(1) + event(2) + event(3)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, "e", raw(c.first, false), raw(head+want, false))
+			r := newRig(t, e, e.alias("f"))
+			var strikes atomic.Int32
+			r.server.AnnounceStrike = func(strik.Strike) { strikes.Add(1) }
+			res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+			test.NoError(t, res.err)
+			test.Eq(t, want, res.body)
+			test.Eq(t, 1, strikes.Load())
+		})
+	}
+}
+
 // Guards against a refusal that uses up the retry budget although no endpoint is left
 // to retry at.
 func TestRefusalByTheLastEndpointTakesNoRetry(t *testing.T) {
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -48,7 +48,10 @@
 		n, err := body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		end := completeEventsEnd(buf)
-		ended := err == io.EOF && end == len(buf)
+		// A stream without events whose end only the end of the connection marks was
+		// broken off.
+		empty := awaitingFirst && end == 0 && res.Framing == http1.UntilClose
+		ended := err == io.EOF && end == len(buf) && !empty
 		if end > 0 || ended {
 			now := time.Now()
 			if !awaitingFirst {
