strik: strikes of one request alone bar no part

What callers would see: a request that crashes engines by itself, sent again by its caller, barred all its parts, also those that others share, until a trial cleared them. Cause: strikes counted whether or not they were of several requests. Evidence: TestStrikesOfOneRequestBarNoPart failed before. Change: a part is barred only after strikes of at least two requests. Also the states of all parts can be listed and merged with what cleared them, for the own interface.

--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -9,7 +9,8 @@
 
 const (
 	// maxPartStrikes is the number of strikes in a row at which prompts with a part are
-	// no longer sent to endpoints.
+	// no longer sent to endpoints, if they are of at least two requests: one that crashes
+	// several endpoints doesn't tell which of its parts is at fault.
 	maxPartStrikes = 3
 	// trialPause is the time from the last strike of a barred part until a prompt with
 	// it is sent as a trial. Each trial that crashes its endpoint makes it
@@ -35,6 +36,10 @@
 	// before it. Prompts that were in flight during the same crash, or during several
 	// at one time, count once.
 	Strikes int
+	// Request is the request of the first of these strikes, Several is set if another
+	// one is of another request.
+	Request Digest
+	Several bool
 	// FailedTrials counts those of the strikes that were trials of a barred part.
 	FailedTrials int
 	// StruckAt is when the last of these strikes was recorded, EndedWellAt when a prompt
@@ -50,7 +55,7 @@
 }
 
 // barred reports whether prompts with the part are not sent.
-func (s *PartState) barred() bool { return s.Strikes >= maxPartStrikes }
+func (s *PartState) barred() bool { return s.Strikes >= maxPartStrikes && s.Several }
 
 // trialDue returns when a prompt with the part may be sent as a trial. alone is set if
 // the prompt has no other barred part.
@@ -115,7 +120,11 @@
 			continue
 		}
 		was := st.barred()
+		if st.Strikes == 0 {
+			st.Request, st.Several = s.Digest, false
+		}
 		st.Strikes++
+		st.Several = st.Several || s.Digest != st.Request
 		st.StruckAt = s.At
 		if was && s.Trial {
 			st.FailedTrials++
@@ -214,13 +223,29 @@
 	return ss
 }
 
+// States returns the states of all parts, also of those that were cleared.
+func (t *Parts) States() []PartState {
+	ss := make([]PartState, 0, len(t.states))
+	for _, st := range t.states {
+		ss = append(ss, *st)
+	}
+	return ss
+}
+
 // Merge adds what a peer knows of a part.
 func (t *Parts) Merge(s PartState) {
 	st := t.state(s.Part)
+	if s.EndedWellAt.After(st.EndedWellAt) {
+		st.EndedWellAt = s.EndedWellAt
+		if !st.StruckAt.After(s.EndedWellAt) {
+			st.Strikes, st.FailedTrials = 0, 0
+		}
+	}
 	if s.StruckAt.Before(st.EndedWellAt) || s.Strikes < st.Strikes {
 		return
 	}
-	st.Strikes, st.FailedTrials = s.Strikes, max(st.FailedTrials, s.FailedTrials)
+	st.Several = s.Several || st.Several || st.Strikes > 0 && st.Request != s.Request
+	st.Strikes, st.FailedTrials, st.Request = s.Strikes, max(st.FailedTrials, s.FailedTrials), s.Request
 	if s.StruckAt.After(st.StruckAt) {
 		st.StruckAt = s.StruckAt
 	}
--- a/internal/coord/strik/parts_test.go
+++ b/internal/coord/strik/parts_test.go
@@ -26,7 +26,7 @@
 
 // crash returns the strike of a prompt that was sent and broken off at given times.
 func crash(sentMS, brokenMS int, ps ...ident.PartID) strik.Strike {
-	return strik.Strike{Parts: ps, At: at(brokenMS), Took: at(brokenMS).Sub(at(sentMS))}
+	return strik.Strike{Digest: strik.Digest(sentMS), Parts: ps, At: at(brokenMS), Took: at(brokenMS).Sub(at(sentMS))}
 }
 
 func barred(t *strik.Parts, ps ...ident.PartID) []ident.PartID {
@@ -56,6 +56,19 @@
 	test.SliceEmpty(t, barred(p, commonPart, rarePart))
 }
 
+// Guards against barring all parts of one request that crashes endpoints by itself.
+func TestStrikesOfOneRequestBarNoPart(t *testing.T) {
+	p := strik.NewParts()
+	for i := range 4 {
+		s := crash(i*300, i*300+200, commonPart, rarePart)
+		s.Digest = 7
+		p.Add(s)
+	}
+	test.SliceEmpty(t, barred(p, commonPart, rarePart))
+	p.Add(crash(1300, 1400, rarePart))
+	test.Eq(t, []ident.PartID{rarePart}, barred(p, commonPart, rarePart))
+}
+
 // Guards against a part that was barred by chance and never comes free, and against a part
 // that crashes endpoints in trial after trial.
 func TestTrials(t *testing.T) {
