serve, chat, peer: no longer send prompts with a message that crashes engines

Change: the messages of a chat but the last are its shared parts; strikes count against them as in trans/gate, strikes and proofs are announced to the peers, and heartbeats carry the states. The first node in the order of names sends trials.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 	n.claims = &claims.Claimer{Log: n.log, Holder: holder, Interval: claimInterval, Logger: n.Logger}
 	n.claims.Init()
 	n.health = &serve.Health{Engine: n.engineClient, Ring: n.ring}
-	n.strikes = serve.NewStrikes(n.mesh.AnnounceStrikes)
+	n.strikes = serve.NewStrikes(n.mesh.AnnounceStrikes, n.mesh.AnnounceProof)
 	n.reservations = &serve.Reservations{Log: n.log, Engine: n.engineClient, Holder: holder, Ring: n.ring, Logger: n.Logger, Alive: n.mesh.Alive}
 	n.reservations.Init()
 	n.elector = &leases.Elector{Log: n.log, Holder: holder, Length: leaseLength, Ring: n.ring, Logger: n.Logger}
@@ -204,6 +204,7 @@
 		ConfigReply:  func() messg.ConfigReply { return n.config.ConfigReply() },
 		ApplyConfig:  func(r messg.ConfigReply) { n.config.Restore(r.Snapshot) },
 		MergeStrikes: func(ss []strik.Strike) { n.strikes.Merge(ss) },
+		MergeProofs:  func(ps []strik.Proof) { n.strikes.MergeProofs(ps) },
 	}
 	n.mesh.Init()
 }
@@ -245,6 +246,7 @@
 func (n *Node) fillHeartbeat(h *messg.Heartbeat) {
 	h.Uses = n.core.Tally.Own()
 	h.Strikes = n.strikes.Recent(time.Now().Add(-strikeWindow))
+	h.Parts = n.strikes.PartStates()
 	h.Suspects = map[ident.EndpointName]int64{}
 	if t := n.core.Table(); t != nil {
 		for name, e := range t.Endpoints {
@@ -262,6 +264,7 @@
 func (n *Node) applyHeartbeat(h messg.Heartbeat) {
 	n.core.Tally.SetPeer(h.From.Name, h.Uses)
 	n.strikes.Merge(h.Strikes)
+	n.strikes.MergeParts(h.Parts)
 	n.strikes.SetSuspects(h.From.Name, h.Suspects)
 	if t := n.core.Table(); t != nil {
 		sum := n.strikes.Suspects()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -445,6 +445,35 @@
 	}
 }
 
+// Guards against prompts that share a message which crashes engines: no two of them are
+// alike, so each crashed some engines. Prompts that share only the other messages must be
+// answered.
+func TestMessageThatCrashesEnginesIsNoLongerSent(t *testing.T) {
+	f := startFleetOf(t, 11)
+	ask := func(i int, shared string) response {
+		text := `[{"role":"system","content":"common"},{"role":"user","content":"` + shared + `"},{"role":"user","content":"question ` + fmt.Sprint(i) + `"}]`
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":20,"messages":%s}`, f.Plan.Model, text)
+		return call(f, i%3, http.MethodPost, "/v1/chat/completions", body)
+	}
+	var last response
+	for i := range 12 {
+		last = ask(i, poisonText)
+		ask(i, "sound")
+	}
+	must.NoError(t, last.err)
+	test.Eq(t, "crashes-endpoints", last.errorBody(t).Code)
+	crashes := 0
+	for _, e := range f.Engines {
+		crashes += e.CrashCount()
+	}
+	test.LessEq(t, 5, crashes)
+	for i := range 6 {
+		r := ask(i, "sound")
+		must.NoError(t, r.err)
+		test.Eq(t, http.StatusOK, r.status, test.Sprint(string(r.body)))
+	}
+}
+
 func TestGracefulShutdownsFinishAllRequests(t *testing.T) {
 	f := startFleet(t)
 	const output = 150
--- a/internal/proto/chat/chat.go
+++ b/internal/proto/chat/chat.go
@@ -49,6 +49,9 @@
 	MaxTokens ident.Tokens
 	// Digest is a hash of the raw JSON of the messages or of the prompt text.
 	Digest uint64
+	// SharedParts identify the messages of a chat but the last one, together with the
+	// model; other prompts may share them.
+	SharedParts []ident.PartID
 	// Prefixes identifies the first 1, 2, 4, ... whole blocks of the same JSON,
 	// shortest first.
 	Prefixes []Prefix
@@ -106,9 +109,34 @@
 		MaxTokens: maxTokens,
 		Digest:    xxhash.Sum64(content),
 		Prefixes:  prefixes(content),
+
+		SharedParts: b.sharedParts(f),
 	}, nil
 }
 
+// maxSharedParts bounds the messages that SharedParts identifies.
+const maxSharedParts = 32
+
+// sharedParts returns the IDs of the first messages of a valid chat, without the last
+// one. A text is one part.
+func (b *body) sharedParts(f Form) []ident.PartID {
+	if f == Text {
+		return nil
+	}
+	var messages []json.RawMessage
+	if err := json.Unmarshal(b.Messages, &messages); err != nil {
+		return nil
+	}
+	var ids []ident.PartID
+	for _, m := range messages[:min(maxSharedParts, len(messages)-1)] {
+		d := xxhash.New()
+		d.WriteString(b.Model)
+		d.Write(m)
+		ids = append(ids, ident.PartID(d.Sum64()))
+	}
+	return ids
+}
+
 // rawContent validates the messages or the prompt text and returns its raw JSON.
 func (b *body) rawContent(f Form) ([]byte, error) {
 	if f == Text {
--- a/internal/proto/messg/peer.go
+++ b/internal/proto/messg/peer.go
@@ -18,6 +18,8 @@
 	Uses map[ident.WorkspaceName]tally.InFlight
 	// Strikes lists the sender's recent strikes.
 	Strikes []strik.Strike
+	// Parts lists what the sender knows of parts of prompts that may crash endpoints.
+	Parts []strik.PartState
 	// Suspects counts, by endpoint, the sender's suspect requests in flight. A
 	// request is suspect if an endpoint died earlier with it in flight.
 	Suspects map[ident.EndpointName]int64
@@ -38,11 +40,12 @@
 	Snapshot fold.Snapshot
 }
 
-// StrikeArgs announces new strikes to peers without waiting for the next
-// heartbeat.
+// StrikeArgs announces new strikes, and proofs that clear parts of prompts, to peers
+// without waiting for the next heartbeat.
 type StrikeArgs struct {
 	Stamp   trace.Stamp
 	Strikes []strik.Strike
+	Proofs  []strik.Proof
 }
 
 // Empty is an answer without fields.
--- a/internal/trans/peer/mesh.go
+++ b/internal/trans/peer/mesh.go
@@ -60,6 +60,8 @@
 	ApplyConfig func(messg.ConfigReply)
 	// MergeStrikes records strikes announced by a peer.
 	MergeStrikes func([]strik.Strike)
+	// MergeProofs records proofs announced by a peer.
+	MergeProofs func([]strik.Proof)
 
 	mu      sync.Mutex
 	members *membr.Table
@@ -260,7 +262,16 @@
 // caller who repeats a failed request at another node at once usually finds the
 // strikes recorded there.
 func (m *Mesh) AnnounceStrikes(ss []strik.Strike) {
-	args := messg.StrikeArgs{Stamp: m.Clock.Now(), Strikes: ss}
+	m.announce(messg.StrikeArgs{Stamp: m.Clock.Now(), Strikes: ss})
+}
+
+// AnnounceProof sends a proof that clears parts of prompts to the peers, as
+// AnnounceStrikes does.
+func (m *Mesh) AnnounceProof(p strik.Proof) {
+	m.announce(messg.StrikeArgs{Stamp: m.Clock.Now(), Proofs: []strik.Proof{p}})
+}
+
+func (m *Mesh) announce(args messg.StrikeArgs) {
 	var wg sync.WaitGroup
 	for _, e := range m.Members() {
 		if e.State == membr.Dead {
--- a/internal/trans/peer/serve.go
+++ b/internal/trans/peer/serve.go
@@ -27,10 +27,15 @@
 	return nil
 }
 
-// Strike records strikes announced by a peer.
+// Strike records strikes and proofs announced by a peer.
 func (s *service) Strike(a messg.StrikeArgs, _ *messg.Empty) error {
 	s.mesh.Clock.Observe(a.Stamp)
-	s.mesh.MergeStrikes(a.Strikes)
+	if len(a.Strikes) > 0 {
+		s.mesh.MergeStrikes(a.Strikes)
+	}
+	if len(a.Proofs) > 0 {
+		s.mesh.MergeProofs(a.Proofs)
+	}
 	return nil
 }
 
--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -41,6 +41,8 @@
 	// split is set if the prompt fits into no single engine and is prefilled
 	// on several.
 	split bool
+	// onTrial holds the barred parts of which the prompt is sent as a trial.
+	onTrial []ident.PartID
 	// mayHaveRun is set once an endpoint may have run the prompt.
 	mayHaveRun bool
 	// nextIndex is the index of the next token to read.
@@ -62,7 +64,12 @@
 		c.recordEvent(trace.Refused, r, "%d endpoints died with it in flight", n.All)
 		return nil, tooManyStrikesFailure(n, ident.NotRun)
 	}
+	if f := a.checkParts(ident.NotRun); f != nil {
+		c.recordEvent(trace.Refused, r, "%s: %s", f.Code, f.Message)
+		return nil, f
+	}
 	if f := a.admit(); f != nil {
+		a.endTrial()
 		c.recordEvent(trace.Refused, r, "%s: %s", f.Code, f.Message)
 		c.Ledger.Add(a.account(), r.Arrived, ledgr.Sum{Refusals: 1})
 		return nil, f
@@ -80,6 +87,29 @@
 	return a, nil
 }
 
+// checkParts returns a failure if the prompt has a part that crashes endpoints, unless it
+// may be sent as a trial: one node sends these.
+func (a *Answer) checkParts(outcome ident.Outcome) *Failure {
+	barred, due := a.core.Strikes.CheckParts(a.prompt.SharedParts)
+	if len(barred) == 0 || len(a.onTrial) > 0 {
+		return nil
+	}
+	wait := time.Until(due)
+	if i, _ := a.core.Rank(); i == 0 && wait <= 0 && a.core.Strikes.StartTrial(barred) {
+		a.onTrial = barred
+		return nil
+	}
+	return barredPartFailure(barred[0], max(busyRetryAfter, wait), outcome)
+}
+
+// endTrial ends the trial that the prompt was sent as, if it was.
+func (a *Answer) endTrial() {
+	if len(a.onTrial) > 0 {
+		a.core.Strikes.EndTrial(a.onTrial)
+		a.onTrial = nil
+	}
+}
+
 // digestOf returns a digest of a prompt and its workspace.
 func digestOf(r *Request, p *chat.Prompt) strik.Digest {
 	return strik.Digest(p.Digest ^ xxhash.Sum64String(string(r.Workspace)))
@@ -190,7 +220,9 @@
 	a.endAttempt(!complete)
 	if complete {
 		a.core.Strikes.Clear(a.digest)
+		a.core.Strikes.EndWell(a.prompt.SharedParts)
 	}
+	a.endTrial()
 	a.endTally()
 	s := ledgr.Sum{Requests: 1, GeneratedTokens: a.nextIndex, EndpointSeconds: a.endpointTime.Seconds()}
 	if a.mayHaveRun {
--- a/internal/trans/serve/failure.go
+++ b/internal/trans/serve/failure.go
@@ -84,6 +84,16 @@
 	}
 }
 
+func barredPartFailure(p ident.PartID, retryAfter time.Duration, outcome ident.Outcome) *Failure {
+	return &Failure{
+		Status:     fasthttp.StatusServiceUnavailable,
+		Code:       "crashes-endpoints",
+		Message:    fmt.Sprintf("prompts with the message %s crash endpoints", p),
+		Outcome:    outcome,
+		RetryAfter: retryAfter,
+	}
+}
+
 // failureKind classifies the error of a failed attempt. delivered is set if this
 // or an earlier attempt received a part of the answer. An error that doesn't show
 // whether the endpoint ran the request counts as Lost or Truncated.
--- a/internal/trans/serve/recover.go
+++ b/internal/trans/serve/recover.go
@@ -1,10 +1,13 @@
 package serve
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"laburnumstack.org/laburnum/internal/coord/retry"
 	"laburnumstack.org/laburnum/internal/coord/route"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/messg"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
@@ -32,7 +35,7 @@
 		return busyFailure("no-memory", "engines lack memory for the prompt")
 	}
 	for _, e := range t.endpoints() {
-		if f := a.attributeFailure(e, kind, err, onlySuspect); f != nil {
+		if f := a.attributeFailure(t, e, kind, err, onlySuspect); f != nil {
 			return f
 		}
 	}
@@ -66,8 +69,9 @@
 // if the endpoint refused the request, answered with an error status or is down,
 // excludes it from further attempts. If the endpoint died with the prompt in
 // flight, the prompt gets a strike; onlySuspect is set if it was the only suspect
-// there. attributeFailure returns a failure if the prompt has too many strikes.
-func (a *Answer) attributeFailure(e *table.Endpoint, kind retry.Failure, err error, onlySuspect bool) *Failure {
+// there. attributeFailure returns a failure if the prompt or one of its parts has too
+// many strikes.
+func (a *Answer) attributeFailure(t *attempt, e *table.Endpoint, kind retry.Failure, err error, onlySuspect bool) *Failure {
 	if errors.Is(err, messg.ErrLeaving) {
 		a.core.Health.RecordRefusal(e)
 	}
@@ -83,12 +87,17 @@
 	if kind == retry.NotSent {
 		return nil
 	}
-	n := a.core.Strikes.Add(a.digest, e.Name, onlySuspect)
+	now := time.Now()
+	n := a.core.Strikes.Add(strik.Strike{
+		Digest: a.digest, Endpoint: e.Name, At: now, Apart: onlySuspect,
+		Parts: a.prompt.SharedParts, Took: now.Sub(t.started), Trial: len(a.onTrial) > 0,
+	})
+	a.endTrial()
 	a.core.recordEvent(trace.Struck, a.req, "%s died with it in flight, strike %d, %d of them apart", e.Name, n.All, n.Apart)
 	if n.Exceeds(a.req.Table.Document.Limits.MaxStrikes) {
 		return tooManyStrikesFailure(n, ident.Unknown)
 	}
-	return nil
+	return a.checkParts(ident.Unknown)
 }
 
 // outcome returns the outcome to report to the caller if the prompt gets no
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -12,33 +12,37 @@
 // Strikes holds the strikes recorded by this node and received from the others.
 // It is safe for concurrent use.
 type Strikes struct {
-	// Share sends new strikes to the other nodes.
-	Share func([]strik.Strike)
+	// Share sends new strikes to the other nodes, ShareProof a proof that cleared parts
+	// of prompts.
+	Share      func([]strik.Strike)
+	ShareProof func(strik.Proof)
 
 	mu    sync.Mutex
 	table *strik.Table
-	// size is the number of requests with strikes; it is read without the
-	// lock.
-	size atomic.Int64
+	// parts counts the strikes against the shared parts of prompts.
+	parts *strik.Parts
+	// size is the number of requests with strikes, partCount that of parts; both are
+	// read without the lock.
+	size, partCount atomic.Int64
 	// suspects holds, for each other node, its number of suspect requests at
 	// each endpoint.
 	suspects map[ident.NodeName]map[ident.EndpointName]int64
 }
 
-// NewStrikes returns an empty Strikes that passes new strikes to share.
-func NewStrikes(share func([]strik.Strike)) *Strikes {
-	return &Strikes{Share: share, table: strik.New(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
+// NewStrikes returns an empty Strikes that passes new strikes and proofs to functions.
+func NewStrikes(share func([]strik.Strike), shareProof func(strik.Proof)) *Strikes {
+	return &Strikes{Share: share, ShareProof: shareProof, table: strik.New(), parts: strik.NewParts(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
 }
 
 // Add counts a strike against a request that was in flight at an endpoint that
-// died, and returns the request's strikes. onlySuspect is set if no other suspect
-// request was in flight there.
-func (s *Strikes) Add(d strik.Digest, e ident.EndpointName, onlySuspect bool) strik.Count {
-	k := strik.Strike{Digest: d, Endpoint: e, At: time.Now(), Apart: onlySuspect}
+// died, and returns the request's strikes.
+func (s *Strikes) Add(k strik.Strike) strik.Count {
 	s.mu.Lock()
 	isNew := s.table.Add(k)
-	n := s.table.Count(d, k.At)
+	n := s.table.Count(k.Digest, k.At)
 	s.size.Store(int64(s.table.Len()))
+	s.parts.Add(k)
+	s.partCount.Store(int64(s.parts.Len()))
 	s.mu.Unlock()
 	if isNew {
 		s.Share([]strik.Strike{k})
@@ -52,8 +56,85 @@
 	defer s.mu.Unlock()
 	for _, k := range ks {
 		s.table.Add(k)
+		s.parts.Add(k)
 	}
 	s.size.Store(int64(s.table.Len()))
+	s.partCount.Store(int64(s.parts.Len()))
+}
+
+// EndWell records that a prompt with the given shared parts was answered completely, and
+// shares that if it clears one of them.
+func (s *Strikes) EndWell(ps []ident.PartID) {
+	if len(ps) == 0 || s.partCount.Load() == 0 {
+		return
+	}
+	p := strik.Proof{Parts: ps, At: time.Now()}
+	s.mu.Lock()
+	p.Parts = s.parts.EndWell(p)
+	s.mu.Unlock()
+	if len(p.Parts) > 0 {
+		s.ShareProof(p)
+	}
+}
+
+// MergeProofs records the proofs received from another node.
+func (s *Strikes) MergeProofs(ps []strik.Proof) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range ps {
+		s.parts.EndWell(p)
+	}
+}
+
+// CheckParts returns the barred ones of some parts, and when a prompt with them may be
+// sent as a trial.
+func (s *Strikes) CheckParts(ps []ident.PartID) (barred []ident.PartID, trialDue time.Time) {
+	if len(ps) == 0 || s.partCount.Load() == 0 {
+		return nil, time.Time{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts.Check(ps)
+}
+
+// StartTrial reports whether a prompt with the given barred parts may be sent as a trial.
+// If so, EndTrial must be called after it.
+func (s *Strikes) StartTrial(barred []ident.PartID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts.StartTrial(barred)
+}
+
+// EndTrial ends a trial.
+func (s *Strikes) EndTrial(barred []ident.PartID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts.EndTrial(barred)
+}
+
+// PartStates returns what is known of parts of prompts, for the other nodes.
+func (s *Strikes) PartStates() []strik.PartState {
+	if s.partCount.Load() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts.Expire(time.Now())
+	s.partCount.Store(int64(s.parts.Len()))
+	return s.parts.States()
+}
+
+// MergeParts adds what another node knows of parts of prompts.
+func (s *Strikes) MergeParts(ps []strik.PartState) {
+	if len(ps) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range ps {
+		s.parts.Merge(p)
+	}
+	s.partCount.Store(int64(s.parts.Len()))
 }
 
 // Clear removes the strikes of a request that succeeded.
