gate: tell callers of requests that crash endpoints when they may come back

What callers saw: 503 with Retry-After of 0.2 s for a request that stays barred for minutes. Change: Retry-After is the time until the request has fewer strikes than bar it. Result: the test passes.

--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -284,7 +284,7 @@
 			continue
 		}
 		if err != nil {
-			x.rejectUnplaced(err, place.RetryAfter(c, r))
+			x.rejectUnplaced(err, x.retryAfter(err, c, r))
 			return
 		}
 		if !x.takeLimit(c.Primary) {
@@ -335,6 +335,15 @@
 	return c, r, err
 }
 
+// retryAfter returns the time after which the caller of a request that could not be
+// placed should retry.
+func (x *exchange) retryAfter(err error, c place.Choice, r place.Request) time.Duration {
+	if errors.Is(err, errCrashesEndpoints) {
+		return x.server.strikes.barredFor(x.digest(), time.Now())
+	}
+	return place.RetryAfter(c, r)
+}
+
 // excluded returns the endpoints that the request may not be sent to now.
 func (x *exchange) excluded() ident.Set[ident.EndpointName] {
 	if len(x.limited.atLimit) == 0 {
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -351,6 +352,20 @@
 	test.Greater(t, before, len(e.requests()))
 }
 
+// Guards against callers of a request that is known to crash endpoints who are asked to
+// come back at once.
+func TestRequestThatCrashesEndpointsIsToldToStayAway(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", dropsConnection), newEndpoint(t, "f", dropsConnection), newEndpoint(t, "g", dropsConnection))
+	for range 3 {
+		r.do(request("GET", "/safe/bad", "r1", ""))
+	}
+	res := r.do(request("GET", "/safe/bad", "r1", ""))
+	test.Eq(t, 503, res.status)
+	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	test.GreaterEq(t, 60, after)
+}
+
 func TestStrikesOfPeersCount(t *testing.T) {
 	e := newEndpoint(t, "e", dropsConnection, ok("yes"))
 	r := newRig(t, e)
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -44,6 +44,16 @@
 	return s.table.Count(d, now).All
 }
 
+// barredFor returns how long a request with at least maxStrikes strikes is not sent.
+func (s *strikes) barredFor(d strik.Digest, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return 0
+	}
+	return s.table.FallsBelow(d, maxStrikes, now).Sub(now)
+}
+
 // hasAny reports whether any request has strikes.
 func (s *strikes) hasAny() bool {
 	s.mu.Lock()
