share: list the limits for a new peer before its lock is taken

What could happen: a node that connects to a peer at the moment at which a request computes its share of a limit stops both for good. Cause: attach holds the peer's lock and waits for that of the limits, whose holder lists the nodes and waits for the lock of the peer. Found by reading, for the parts. Evidence: TestLimitsMayListTheNodes did not end before. Change: the limits are listed first. Result: the test passes with the race detector.

--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -91,6 +91,20 @@
 	return ns
 }
 
+// Guards against a deadlock: a new peer is told of the limits while its lock is held, and
+// whoever holds the lock of the limits waits for that of the peer to list the nodes.
+func TestLimitsMayListTheNodes(t *testing.T) {
+	n := start(t, "a1")[0]
+	told := make(chan struct{}, 10)
+	n.Limits = func() []quota.Limit {
+		n.Nodes(time.Now())
+		told <- struct{}{}
+		return nil
+	}
+	n.AddPeer(start(t, "a2")[0].Self.Address)
+	<-told
+}
+
 // Guards against a node that starts, or was cut off, and sends prompts with parts that the
 // others know to crash endpoints.
 func TestNewNodeLearnsOfPartsUnderSuspicion(t *testing.T) {
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -148,13 +148,14 @@
 // of the other nodes.
 func (p *peer) attach(client *rpc.Client) {
 	others := p.mesh.requestsOfOthers(p)
+	limits := agedLimits(p.mesh.Limits())
 	parts := agedParts(p.mesh.PartStates())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.client = client
 	p.pending = p.mesh.ownRequests(p.direct)
 	p.pending.Forwarded = others
-	p.pending.Limits = agedLimits(p.mesh.Limits())
+	p.pending.Limits = limits
 	p.pending.Parts = parts
 }
 
