--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -18,6 +18,7 @@
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/internal/trans/gate"
+	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/share"
 )
 
@@ -58,6 +59,8 @@
 	// ReadyPath is the path of the load balancer's readiness checks.
 	ReadyPath string
 	Logger    zerolog.Logger
+	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
+	DialEndpoint links.DialFunc
 
 	feeds     *feeds.Feeds
 	gate      *gate.Server
@@ -132,6 +135,7 @@
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
+		DialEndpoint:     n.DialEndpoint,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
 		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -128,6 +128,8 @@
 	// FetchPermit asks another node for the permission to send a request to an
 	// endpoint, out of that node's share of the endpoint's limit.
 	FetchPermit func(ident.NodeName, quota.Key) (relay.Permit, error)
+	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
+	DialEndpoint links.DialFunc
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
@@ -201,6 +203,7 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	s.conns = map[*callerConn]struct{}{}
 	s.startMillis = time.Now().UnixMilli()
+	s.pools.Dial = s.DialEndpoint
 	stop := context.AfterFunc(ctx, func() { l.Close(); s.closeAll() })
 	defer stop()
 	go s.sweep(ctx)
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -42,6 +42,7 @@
 // Pool holds the idle links to one address. It is safe for concurrent use.
 type Pool struct {
 	address string
+	dial    DialFunc
 
 	idle conns.IdleList[*Link]
 }
@@ -62,18 +63,32 @@
 
 // Dial opens a new link.
 func (p *Pool) Dial(ctx context.Context, timeout time.Duration) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.dial(ctx, p.address)
+	if err != nil {
+		return nil, err
+	}
+	return NewLink(c), nil
+}
+
+// NewLink returns a link over a connection.
+func NewLink(c net.Conn) *Link {
+	return &Link{Conn: c, Reader: bufio.NewReaderSize(c, readBufferBytes), IdleTimeout: defaultIdleTimeout}
+}
+
+// DialFunc opens a TCP connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial is the DialFunc that pools use by default.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout: timeout,
 		Control: conns.SetTCPUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
 	}
-	c, err := d.DialContext(ctx, "tcp", p.address)
-	if err != nil {
-		return nil, err
-	}
-	return &Link{Conn: c, Reader: bufio.NewReaderSize(c, readBufferBytes), IdleTimeout: defaultIdleTimeout}, nil
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // Put returns a link to the pool after its last response has been read to the
@@ -97,6 +112,10 @@
 
 // Pools holds one pool for each address. It is safe for concurrent use.
 type Pools struct {
+	// Dial opens connections; if it is nil, the function Dial does. It must be set
+	// before use.
+	Dial DialFunc
+
 	mu        sync.Mutex
 	byAddress map[string]*Pool
 }
@@ -110,7 +129,10 @@
 	}
 	p, ok := ps.byAddress[addr]
 	if !ok {
-		p = &Pool{address: addr}
+		p = &Pool{address: addr, dial: ps.Dial}
+		if p.dial == nil {
+			p.dial = Dial
+		}
 		ps.byAddress[addr] = p
 	}
 	return p
