gate, tunnel, reach: send over a peer where a node's own links are lost

Cause: a node had no way to an endpoint but its own links, and each send ended there. Class: one cut part decides by itself, although its peers see more. Change: where a connection fails, or takes over 100 ms, the node opens it over a peer: a tunnel to the peer's address for net/rpc, one hop, to listed endpoints only. All decisions stay with the node that sends. If the peer connects, the link is lost: later requests go over peers at once, and the link is checked each second. A node that hears nothing on any link while requests wait for 0.5 s tries three endpoints, itself and over peers; if only the peers reach them, waiting requests that may be repeated are sent again. Failures and strikes are announced only after a peer has not reached the endpoint either. Peers are chosen by load for each core, those of the data centre before others, and not if they are isolated themselves. The death of the peer can't look like the end of an answer, and is no strike; a booking under way then is not sent again.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -20,6 +20,7 @@
 	"laburnumstack.org/laburnum/internal/trans/gate"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/share"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
 
 const (
@@ -135,13 +136,16 @@
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
-		DialEndpoint:     n.DialEndpoint,
+		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, Helpers: n.mesh.Helpers,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
 		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerStrikes
 	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
+	n.mesh.Status = func() (isolated, leaving bool) { return n.gate.Isolated(), n.gate.Draining() }
+	tunnels := &tunnel.Server{Connect: n.gate.ConnectForPeer}
+	n.mesh.ServeTunnel = tunnels.Serve
 	n.mesh.Permit = n.gate.Permit
 	n.mesh.Limits, n.mesh.OnLimits = n.gate.Limits, n.gate.AddPeerLimits
 	for _, a := range s.Seeds {
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -18,6 +18,9 @@
 	// Cores is the CPU capacity of the node in cores, possibly fractional; zero
 	// if unknown.
 	Cores float64
+	// Isolated is set if the node has lost its links to the endpoints, Leaving if it
+	// is stopping. Both are of the moment at which the node sent them.
+	Isolated, Leaving bool
 }
 
 // AgedRequest is a request in flight at an endpoint. It carries the age of the
--- a/internal/state/works/works.go
+++ b/internal/state/works/works.go
@@ -114,6 +114,13 @@
 	return rs
 }
 
+// CountOf returns the number of requests of a node.
+func (t *Table) CountOf(n ident.NodeName) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byNode[n])
+}
+
 // All returns the requests of all nodes, oldest first.
 func (t *Table) All() []Request {
 	t.mu.Lock()
--- a/internal/trans/conns/rpc.go
+++ b/internal/trans/conns/rpc.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/rpc"
@@ -21,9 +22,16 @@
 	}
 }
 
+// Branch serves the accepted connections whose first byte is Preamble, instead of the
+// methods of net/rpc. It gets a reader of what follows the preamble.
+type Branch struct {
+	Preamble byte
+	Serve    func(context.Context, net.Conn, *bufio.Reader)
+}
+
 // ServeRPC serves the methods of a receiver under the given name until the context
 // ends. It then closes the accepted connections.
-func ServeRPC(ctx context.Context, l net.Listener, name string, receiver any) error {
+func ServeRPC(ctx context.Context, l net.Listener, name string, receiver any, branches ...Branch) error {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName(name, receiver); err != nil {
 		return err
@@ -42,7 +50,33 @@
 		open.Add(c)
 		go func() {
 			defer open.Remove(c)
-			srv.ServeConn(c)
+			serveConn(ctx, srv, c, branches)
 		}()
 	}
 }
+
+// serveConn serves a connection by the branch with its first byte, or else by net/rpc.
+func serveConn(ctx context.Context, srv *rpc.Server, c net.Conn, branches []Branch) {
+	r := bufio.NewReader(c)
+	first, err := r.Peek(1)
+	if err != nil {
+		c.Close()
+		return
+	}
+	for _, b := range branches {
+		if b.Preamble == first[0] {
+			r.Discard(1)
+			b.Serve(ctx, c, r)
+			return
+		}
+	}
+	srv.ServeConn(&readerConn{c, r})
+}
+
+// readerConn is a connection of which the first bytes are in a reader.
+type readerConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (c *readerConn) Read(b []byte) (int, error) { return c.reader.Read(b) }
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -17,6 +17,7 @@
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -72,6 +73,9 @@
 	whole, framed bool
 	// connBroken is set if the endpoint broke the connection.
 	connBroken bool
+	// linkLost is set if the send failed for reasons that lie between this node and the
+	// endpoint: its link is lost, or, with peerLost, the peer over which it went.
+	linkLost, peerLost bool
 	// faultAddress is the address of another endpoint that caused the failure,
 	// empty if there is none.
 	faultAddress string
@@ -92,6 +96,9 @@
 	pool       *links.Pool
 	inFlightID works.ID
 	startedAt  time.Time
+	// overPeer is set if the link is a tunnel over a peer, linkLost if the attempt was
+	// abandoned because its link is lost. exchange.mu guards linkLost.
+	overPeer, linkLost bool
 	// requestWritten is set once the whole request has been written.
 	requestWritten atomic.Bool
 }
@@ -100,7 +107,7 @@
 // caller.
 func (x *exchange) send(c place.Choice) outcome {
 	x.sends++
-	a := &attempt{exchange: x, choice: c, pool: x.server.pools.Get(c.Primary.Address), startedAt: time.Now()}
+	a := &attempt{exchange: x, choice: c, pool: x.server.pool(c.Primary.Address), startedAt: time.Now()}
 	o := a.run()
 	o.startedAt = a.startedAt
 	return o
@@ -126,9 +133,14 @@
 		a.link.Close()
 		return outcome{result: notSent, reason: "caller left"}
 	}
+	if !a.overPeer {
+		x.server.direct.add(a)
+		defer x.server.direct.remove(a)
+	}
 	o, intact := a.roundTrip()
 	x.setEndpointConn(nil)
-	if intact && a.requestWritten.Load() {
+	o.linkLost = o.result != complete && (a.isLinkLost() || o.peerLost)
+	if intact && a.requestWritten.Load() && !a.overPeer {
 		a.pool.Put(a.link, time.Now())
 	} else {
 		a.link.Close()
@@ -147,20 +159,26 @@
 	return outcome{result: unreserved, reason: errUnreserved.Error()}
 }
 
+func (a *attempt) isLinkLost() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.linkLost
+}
+
 // connect takes an idle link from the pool or dials a new one. A request that
 // may run only once always gets a new link: if the endpoint closed a reused
 // one, it would be unknown whether the request ran.
 func (a *attempt) connect() error {
-	now := time.Now()
-	if a.route.Repeatable() {
-		if a.link = a.pool.Take(now); a.link != nil {
+	e := a.choice.Primary
+	if a.route.Repeatable() && a.server.sendsDirectly(e) {
+		if a.link = a.pool.Take(time.Now()); a.link != nil {
 			return nil
 		}
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
 	defer cancel()
 	var err error
-	a.link, err = a.pool.Dial(ctx, connectTimeout)
+	a.link, a.overPeer, err = a.server.connectTo(ctx, e)
 	return err
 }
 
@@ -169,13 +187,14 @@
 func (a *attempt) roundTrip() (outcome, bool) {
 	a.link.SetWriteDeadline(a.deadline)
 	if err := a.writeRequest(); err != nil {
-		return outcome{result: unanswered, connBroken: isConnBroken(err), reason: "write: " + err.Error()}, false
+		return failedSend("write", err), false
 	}
 	a.setReadDeadline(a.headerDeadline())
 	res, header, err := a.readResponseHeader()
 	if err != nil {
-		return outcome{result: unanswered, connBroken: isConnBroken(err), reason: "read response: " + err.Error()}, false
+		return failedSend("read response", err), false
 	}
+	a.hear()
 	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
 	}
@@ -189,6 +208,18 @@
 	return a.relayResponse(res, header, o)
 }
 
+// failedSend returns the outcome of a send that ended with an error in the given step.
+func failedSend(step string, err error) outcome {
+	return outcome{result: unanswered, connBroken: isConnBroken(err), peerLost: errors.Is(err, tunnel.ErrPeerLost), reason: step + ": " + err.Error()}
+}
+
+// hear records that bytes arrived, if they came over a link of this node.
+func (a *attempt) hear() {
+	if !a.overPeer {
+		a.server.direct.hear()
+	}
+}
+
 // applyKeepAlive applies the timeout of a Keep-Alive field to the link.
 func (a *attempt) applyKeepAlive(field string) {
 	_, rest, ok := strings.Cut(field, "timeout=")
@@ -212,7 +243,7 @@
 func (a *attempt) setReadDeadline(t time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.callerDisconnected {
+	if a.callerDisconnected || a.linkLost {
 		t = expiredDeadline
 	}
 	a.link.SetReadDeadline(t)
@@ -331,6 +362,7 @@
 	defer buffer.release()
 	if err != nil {
 		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
+		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
 		if header.NotRun {
 			o.result = refused
 		}
--- /dev/null
+++ b/internal/trans/gate/direct_test.go
@@ -0,0 +1,198 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// cutRig is a rig whose node can lose its links to the endpoints, with a peer that
+// reaches them.
+type cutRig struct {
+	*rig
+	peer *rig
+	// lost is set while new links can't be opened.
+	lost atomic.Bool
+	// tunnels are the connections of tunnels that the peer accepted.
+	tunnels chan net.Conn
+	// announced counts the failures and strikes that the node announced.
+	announced atomic.Int32
+}
+
+func newCutRig(t *testing.T, es ...*scriptedEndpoint) *cutRig {
+	c := &cutRig{tunnels: make(chan net.Conn, 100)}
+	c.peer = newConfiguredRig(t, 0, func(s *Server) {
+		s.Helpers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
+	}, es...)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &tunnel.Server{Connect: c.peer.server.ConnectForPeer}
+	serve := func(ctx context.Context, conn net.Conn, r *bufio.Reader) {
+		c.tunnels <- conn
+		s.Serve(ctx, conn, r)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		conns.ServeRPC(ctx, l, "Node", c.peer.reserver, conns.Branch{Preamble: tunnel.Preamble, Serve: serve})
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	c.rig = newConfiguredRig(t, 0, func(s *Server) {
+		s.DialEndpoint = c.dialEndpoint
+		s.Helpers = func(time.Time) []reach.Peer {
+			return []reach.Peer{{Name: "n2", Address: l.Addr().String(), DataCentre: "a"}}
+		}
+		s.AnnounceFailure = func(ident.EndpointName) { c.announced.Add(1) }
+		s.AnnounceStrike = func(strik.Strike) { c.announced.Add(1) }
+	}, es...)
+	return c
+}
+
+func (c *cutRig) dialEndpoint(ctx context.Context, address string) (net.Conn, error) {
+	if c.lost.Load() {
+		return nil, syscall.ECONNREFUSED
+	}
+	return links.Dial(ctx, address)
+}
+
+// Nop makes fakeReserver a receiver for net/rpc.
+func (f *fakeReserver) Nop(struct{}, *struct{}) error { return nil }
+
+func TestRequestsGoOverAPeerWhileLinksAreLost(t *testing.T) {
+	e := newEndpoint(t, "e", streams(1, 3, true))
+	c := newCutRig(t, e)
+	c.lost.Store(true)
+	for range 5 {
+		res := c.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+		test.Eq(t, 200, res.status)
+		test.Eq(t, event(1)+event(2)+event(3), res.body)
+	}
+	test.SliceLen(t, 5, e.requests())
+	test.Eq(t, 5, len(c.tunnels))
+	test.Zero(t, c.announced.Load(), test.Sprint("the endpoint has not failed"))
+
+	c.lost.Store(false)
+	for c.server.direct.lostCount.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	test.Eq(t, 200, c.do(request("POST", "/stream/", "r1", "x", "Prompt: 100")).status)
+	test.Eq(t, 5, len(c.tunnels), test.Sprint("the link of the node is used again"))
+}
+
+// Guards against a booking that runs twice: the peer over which it was sent died.
+func TestBookingOverALostPeerIsNotSentAgain(t *testing.T) {
+	e := newEndpoint(t, "e", neverResponds)
+	c := newCutRig(t, e, e.alias("f"))
+	c.lost.Store(true)
+	go func() {
+		for len(e.requests()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		(<-c.tunnels).Close()
+	}()
+	test.Eq(t, 502, c.do(request("POST", "/once/", "r1", "x")).status)
+	test.SliceLen(t, 1, e.requests())
+	test.Zero(t, c.announced.Load(), test.Sprint("the endpoint is not at fault"))
+}
+
+// Guards against one node whose links break and that tells all others to avoid all
+// endpoints.
+func TestFailureOfOwnLinksIsNotAnnounced(t *testing.T) {
+	var c *cutRig
+	breaks := func(net.Conn, receivedRequest) bool {
+		c.lost.Store(true)
+		return false
+	}
+	e := newEndpoint(t, "e", breaks, ok("yes"))
+	c = newCutRig(t, e, e.alias("f"))
+	test.Eq(t, 200, c.do(request("GET", "/safe/", "r1", "")).status)
+	for c.server.direct.lostCount.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	test.Zero(t, c.announced.Load())
+}
+
+// Guards against a request that waits for its whole limit on a link that is lost without
+// a word.
+func TestRequestsOnSilentLinksAreSentAgain(t *testing.T) {
+	e := newEndpoint(t, "e", neverResponds, streams(1, 3, true))
+	c := newCutRig(t, e, e.alias("f"))
+	go func() {
+		for len(e.requests()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.lost.Store(true)
+	}()
+	res := c.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.Eq(t, 200, res.status)
+	test.Eq(t, silenceProbes+1, len(c.tunnels), test.Sprint("the others found out that the links are lost"))
+}
+
+// Guards against a peer that connects a node to any address, or sends over another peer.
+func TestPeerConnectsOnlyToEndpointsThatItReaches(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	cases := []struct {
+		name    string
+		request tunnel.Request
+		prepare func(*Server)
+		ok      bool
+	}{
+		{"listed endpoint", tunnel.Request{From: "n1", Endpoint: "ep", Address: e.address}, nil, true},
+		{"unknown node", tunnel.Request{From: "x", Endpoint: "ep", Address: e.address}, nil, false},
+		{"unknown endpoint", tunnel.Request{From: "n1", Endpoint: "x", Address: e.address}, nil, false},
+		{"another address", tunnel.Request{From: "n1", Endpoint: "ep", Address: "127.0.0.1:1"}, nil, false},
+		{"stopping node", tunnel.Request{From: "n1", Endpoint: "ep", Address: e.address}, func(s *Server) { s.drainFrom(time.Now().Add(-time.Minute)) }, false},
+		{"isolated node", tunnel.Request{From: "n1", Endpoint: "ep", Address: e.address}, func(s *Server) { s.direct.isolated.Store(true) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newConfiguredRig(t, 0, func(s *Server) {
+				s.Helpers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
+				if c.prepare != nil {
+					c.prepare(s)
+				}
+			}, e).server
+			conn, err := s.ConnectForPeer(context.Background(), c.request)
+			must.Eq(t, c.ok, err == nil)
+			if err != nil {
+				return
+			}
+			test.Eq(t, 1, s.InFlightCount(), test.Sprint("a graceful shutdown waits for it"))
+			conn.Close()
+			test.Eq(t, 0, s.InFlightCount())
+		})
+	}
+}
+
+// Guards against an endpoint that keeps working for a caller who has left.
+func TestCallerDisconnectEndsTheTunnel(t *testing.T) {
+	gone := make(chan struct{})
+	e := newEndpoint(t, "e", func(c net.Conn, _ receivedRequest) bool {
+		io.Copy(io.Discard, c)
+		close(gone)
+		return false
+	})
+	c := newCutRig(t, e)
+	c.lost.Store(true)
+	conn := c.dial()
+	io.WriteString(conn, request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	waitFor(t, func() bool { return len(e.requests()) == 1 })
+	conn.Close()
+	<-gone
+}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
@@ -127,19 +128,45 @@
 		if o.whole {
 			x.recordEndedWell(o, c.Primary.Name)
 		}
+	case o.linkLost:
 	case o.result == notSent || o.result == unanswered:
-		s.pools.Get(c.Primary.Address).CloseIdle()
-		if s.endpointHealth.recordFailure(c.Primary.Name, now) {
-			s.AnnounceFailure(c.Primary.Name)
-		}
-		if o.connBroken {
-			x.addStrike(c.Primary.Name, o.startedAt, now)
-		}
+		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil:
 		s.endpointHealth.recordFailure(c.Primary.Name, now)
 	}
 }
 
+// recordFailureAt records that an endpoint could not be reached or did not answer. The
+// peers are informed only if the endpoint is the cause, and not the link of this node.
+func (x *exchange) recordFailureAt(e *topol.Endpoint, o outcome, now time.Time) {
+	s := x.server
+	s.pool(e.Address).CloseIdle()
+	isNew := s.endpointHealth.recordFailure(e.Name, now)
+	var strike *strik.Strike
+	if o.connBroken {
+		strike = x.addStrike(e.Name, o.startedAt, now)
+	}
+	announce := func() {
+		if isNew {
+			s.AnnounceFailure(e.Name)
+		}
+		if strike != nil {
+			s.AnnounceStrike(*strike)
+		}
+	}
+	if o.result == notSent || len(s.Helpers(now)) == 0 {
+		announce()
+		return
+	}
+	if isNew || strike != nil {
+		go func() {
+			if s.verifyFailure(e) {
+				announce()
+			}
+		}()
+	}
+}
+
 // recordFaultAt records a failure of the endpoint at addr, which another
 // endpoint named as the cause of a failure. The request is no longer sent to the
 // endpoint at addr.
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -279,10 +280,14 @@
 
 func newRig(t *testing.T, es ...*scriptedEndpoint) *rig { return newRigWithConfigAge(t, 0, es...) }
 
-// newRigWithConfigAge returns a rig whose configuration was last confirmed the
-// given age ago. Each scripted endpoint NAME is listed twice: as the plain
-// endpoint NAMEp and as the engine NAMEm of a model.
 func newRigWithConfigAge(t *testing.T, age time.Duration, es ...*scriptedEndpoint) *rig {
+	return newConfiguredRig(t, age, func(*Server) {}, es...)
+}
+
+// newConfiguredRig returns a rig whose configuration was last confirmed the given age
+// ago, and whose server configure has set up. Each scripted endpoint NAME is listed twice: as the plain
+// endpoint NAMEp and as the engine NAMEm of a model.
+func newConfiguredRig(t *testing.T, age time.Duration, configure func(*Server), es ...*scriptedEndpoint) *rig {
 	var list []topol.Endpoint
 	for _, e := range es {
 		for _, s := range []ident.ServiceName{"plain", "model"} {
@@ -299,11 +304,13 @@
 		StrictRevocation: true, MaxConfigAge: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, GracePeriod: 8 * time.Second,
 		AnnounceStart: func(works.Request) {}, AnnounceDecoding: func(works.ID) {}, AnnounceEnd: func(works.ID) {}, NodeCount: func() int { return 1 },
 		AnnounceStrike: func(strik.Strike) {}, AnnounceProof: func(strik.Proof) {}, AnnounceFailure: func(ident.EndpointName) {}, AnnounceLimits: func(...quota.Limit) {},
+		AnnounceStatus: func() {}, Helpers: func(time.Time) []reach.Peer { return nil },
 		FetchPermit: func(ident.NodeName, quota.Key) (relay.Permit, error) { return relay.Permit{}, errors.New("no peer") },
 		Nodes: func(time.Time) quota.Nodes {
 			return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1"}, Known: 1}
 		},
 	}
+	configure(r.server)
 	ctx, cancel := context.WithCancel(context.Background())
 	l, err := Listen(ctx, "127.0.0.1:0")
 	must.NoError(t, err)
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -18,6 +18,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/extra"
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/delay"
@@ -128,6 +129,10 @@
 	// FetchPermit asks another node for the permission to send a request to an
 	// endpoint, out of that node's share of the endpoint's limit.
 	FetchPermit func(ident.NodeName, quota.Key) (relay.Permit, error)
+	// AnnounceStatus informs the peers that Isolated has changed, Helpers returns the
+	// peers over which requests can be sent.
+	AnnounceStatus func()
+	Helpers        func(now time.Time) []reach.Peer
 	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
 	DialEndpoint links.DialFunc
 	// NodeCount returns the number of known nodes, including this one.
@@ -140,6 +145,7 @@
 	endpointHealth endpointHealth
 	strikes        strikes
 	partStrikes    partStrikes
+	direct         directLinks
 	endpointLimits endpointLimits
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -203,10 +209,10 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	s.conns = map[*callerConn]struct{}{}
 	s.startMillis = time.Now().UnixMilli()
-	s.pools.Dial = s.DialEndpoint
 	stop := context.AfterFunc(ctx, func() { l.Close(); s.closeAll() })
 	defer stop()
 	go s.sweep(ctx)
+	go s.watchLinks(ctx)
 	for {
 		c, err := l.Accept()
 		if ctx.Err() != nil {
@@ -253,7 +259,10 @@
 
 // Drain starts the graceful shutdown: from now on, responses close the
 // caller's connection, and requests that may not finish in time are rejected.
-func (s *Server) Drain() { s.drainFrom(time.Now()) }
+func (s *Server) Drain() {
+	s.drainFrom(time.Now())
+	s.AnnounceStatus()
+}
 
 func (s *Server) drainFrom(t time.Time) {
 	s.drainStart.Store(t.UnixNano())
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -6,7 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"laburnumstack.org/laburnum/internal/trans/http1"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
 
 const (
@@ -46,6 +49,9 @@
 			buf = append(buf, 0)[:len(buf)]
 		}
 		n, err := body.Read(buf[len(buf):cap(buf)])
+		if n > 0 {
+			a.hear()
+		}
 		buf = buf[:len(buf)+n]
 		end := completeEventsEnd(buf)
 		// A stream without events whose end only the end of the connection marks was
@@ -80,6 +86,7 @@
 			// the endpoint did not break off.
 			bodyEnded := err == io.EOF && res.Framing != http1.UntilClose
 			o.result, o.connBroken, o.reason = unanswered, isConnBroken(err) && !bodyEnded, "stream truncated: "+err.Error()
+			o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
 			return o, false
 		}
 	}
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -98,14 +98,14 @@
 
 // addStrike records a strike of the request: the endpoint's connection broke
 // while it ran the request.
-func (x *exchange) addStrike(n ident.EndpointName, sentAt, now time.Time) {
+func (x *exchange) addStrike(n ident.EndpointName, sentAt, now time.Time) *strik.Strike {
 	s := strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: len(x.onTrial) > 0}
 	x.server.strikes.add(s)
 	x.server.addPartStrikes(s)
 	x.server.getMetrics().strikes.Inc()
 	x.server.requestLog(false).Str("request", x.reqHeader.ID).Str("endpoint", string(n)).Stringers("parts", partNames(x.reqHeader.SharedParts)).
 		Int("strikes", x.server.strikes.count(s.Digest, now)).Msg("gate: endpoint broke the connection of a request in flight")
-	x.server.AnnounceStrike(s)
+	return &s
 }
 
 // crashesEndpoints reports whether the request has so many strikes that it is
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -112,16 +112,13 @@
 
 // Pools holds one pool for each address. It is safe for concurrent use.
 type Pools struct {
-	// Dial opens connections; if it is nil, the function Dial does. It must be set
-	// before use.
-	Dial DialFunc
-
 	mu        sync.Mutex
 	byAddress map[string]*Pool
 }
 
-// Get returns the pool of an address.
-func (ps *Pools) Get(addr string) *Pool {
+// Get returns the pool of an address. A new one opens connections with dial; if that is
+// nil, with Dial.
+func (ps *Pools) Get(addr string, dial DialFunc) *Pool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	if ps.byAddress == nil {
@@ -129,10 +126,10 @@
 	}
 	p, ok := ps.byAddress[addr]
 	if !ok {
-		p = &Pool{address: addr, dial: ps.Dial}
-		if p.dial == nil {
-			p.dial = Dial
+		if dial == nil {
+			dial = Dial
 		}
+		p = &Pool{address: addr, dial: dial}
 		ps.byAddress[addr] = p
 	}
 	return p
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -8,7 +8,9 @@
 package share
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
@@ -17,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
@@ -85,6 +88,11 @@
 	Permit func(quota.Key) relay.Permit
 	// Limits returns the limits of endpoints that this node knows, for a new peer.
 	Limits func() []quota.Limit
+	// Status reports whether this node has lost its links to the endpoints, and whether
+	// it is stopping.
+	Status func() (isolated, leaving bool)
+	// ServeTunnel serves a tunnel of a peer; if it is nil, there are none.
+	ServeTunnel func(context.Context, net.Conn, *bufio.Reader)
 	// PartStates returns the parts of prompts under suspicion that this node knows, for
 	// a new peer.
 	PartStates func() []strik.PartState
@@ -149,7 +157,7 @@
 
 // Members returns the known nodes, including this one.
 func (m *Mesh) Members() []relay.Member {
-	ms := []relay.Member{m.Self}
+	ms := []relay.Member{m.self()}
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
 		ms = append(ms, p.Member)
@@ -191,6 +199,37 @@
 	m.announce(true, func(u *relay.Update) { u.Proofs = append(u.Proofs, relay.AgedProof{Proof: p}) })
 }
 
+// AnnounceStatus informs the peers that this node's status has changed.
+func (m *Mesh) AnnounceStatus() {
+	for _, p := range m.allPeers() {
+		p.wakeUp()
+	}
+}
+
+// self returns this node with its status.
+func (m *Mesh) self() relay.Member {
+	self := m.Self
+	if m.Status != nil {
+		self.Isolated, self.Leaving = m.Status()
+	}
+	return self
+}
+
+// Helpers returns the peers that are alive, over which this node may send requests.
+func (m *Mesh) Helpers(now time.Time) []reach.Peer {
+	var ps []reach.Peer
+	for _, n := range m.aliveNodes(now) {
+		if n.peer == nil {
+			continue
+		}
+		ps = append(ps, reach.Peer{
+			Name: n.Name, Address: n.Address, DataCentre: n.DataCentre, Cores: n.Cores, Isolated: n.Isolated, Leaving: n.Leaving,
+			Requests: m.InFlight.CountOf(n.Name),
+		})
+	}
+	return ps
+}
+
 // AnnounceLimits informs the peers of limits that endpoints named or that have
 // ended.
 func (m *Mesh) AnnounceLimits(ls ...quota.Limit) {
@@ -275,7 +314,7 @@
 // FetchState requests a peer's copy of the configuration and of the endpoint
 // list. It returns rpc.ErrShutdown if this node isn't connected to the peer.
 func (m *Mesh) FetchState(address string, a relay.StateArgs) (relay.State, error) {
-	a.From = m.Self
+	a.From = m.self()
 	var s relay.State
 	if err := m.fetch(address, stateTimeout, "Node.State", a, &s); err != nil {
 		return relay.State{}, err
@@ -286,7 +325,7 @@
 // FetchChange requests a part of an encoded change from a peer. It returns
 // rpc.ErrShutdown if this node isn't connected to the peer.
 func (m *Mesh) FetchChange(address string, a relay.ChangeArgs) (relay.ChangePart, error) {
-	a.From = m.Self
+	a.From = m.self()
 	var p relay.ChangePart
 	if err := m.fetch(address, changeTimeout, "Node.Change", a, &p); err != nil {
 		return relay.ChangePart{}, err
@@ -298,7 +337,7 @@
 // returns rpc.ErrShutdown if this node isn't connected to that node.
 func (m *Mesh) FetchPermit(n ident.NodeName, k quota.Key) (relay.Permit, error) {
 	var p relay.Permit
-	if err := m.fetch(m.addressOf(n), permitTimeout, "Node.Permit", relay.PermitArgs{From: m.Self, Key: k}, &p); err != nil {
+	if err := m.fetch(m.addressOf(n), permitTimeout, "Node.Permit", relay.PermitArgs{From: m.self(), Key: k}, &p); err != nil {
 		return relay.Permit{}, err
 	}
 	return p, nil
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -183,7 +183,7 @@
 	p.flushScheduled = false
 	u.Reach = p.scope
 	p.mu.Unlock()
-	u.From = p.mesh.Self
+	u.From = p.mesh.self()
 	now := time.Now()
 	setAges(&u, now)
 	for i := range u.Forwarded {
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -9,6 +9,7 @@
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
 
 // service holds the net/rpc methods that peers call.
@@ -117,5 +118,9 @@
 
 // Run serves the calls of peers until the context ends.
 func (m *Mesh) Run(ctx context.Context, l net.Listener) error {
-	return conns.ServeRPC(ctx, l, "Node", &service{m})
+	var branches []conns.Branch
+	if m.ServeTunnel != nil {
+		branches = append(branches, conns.Branch{Preamble: tunnel.Preamble, Serve: m.ServeTunnel})
+	}
+	return conns.ServeRPC(ctx, l, "Node", &service{m}, branches...)
 }
