links: dead links are found out when their probes say

What callers saw: requests under way on a link that hangs waited up to 10 s. Cause: TCP_USER_TIMEOUT of 10 s also decides when keep-alive probes give up, which were meant to do so after 3 s. Evidence: TestUserTimeoutIsThatOfTheProbes failed before: 10 s in place of 3 s. Change: links to endpoints have a timeout of their own, the time that the probes take. Result: the test passes; an endpoint that is silent for a second or so is not affected.

--- a/internal/trans/conns/pool.go
+++ b/internal/trans/conns/pool.go
@@ -100,15 +100,23 @@
 // SetTCPUserTimeout sets the socket option TCP_USER_TIMEOUT, which bounds how long
 // sent bytes may remain unacknowledged before the connection fails. It is a
 // Control function for net.Dialer and net.ListenConfig.
-func SetTCPUserTimeout(_, _ string, rc syscall.RawConn) error {
-	var err error
-	cerr := rc.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(tcpUserTimeout.Milliseconds()))
-	})
-	if cerr != nil {
-		return cerr
+func SetTCPUserTimeout(network, address string, rc syscall.RawConn) error {
+	return TCPUserTimeout(tcpUserTimeout)(network, address, rc)
+}
+
+// TCPUserTimeout returns a function as SetTCPUserTimeout with another timeout. It also
+// decides when keep-alive probes give up, whatever their count.
+func TCPUserTimeout(d time.Duration) func(network, address string, rc syscall.RawConn) error {
+	return func(_, _ string, rc syscall.RawConn) error {
+		var err error
+		cerr := rc.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(d.Milliseconds()))
+		})
+		if cerr != nil {
+			return cerr
+		}
+		return err
 	}
-	return err
 }
 
 // Pools holds one pool per address. It is safe for concurrent use.
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -83,7 +83,7 @@
 // Dial is the DialFunc that pools use by default.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
-		Control: conns.SetTCPUserTimeout,
+		Control: conns.TCPUserTimeout(probeIdle + probeCount*probeInterval),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
