platform, gate: orders to engines go over a peer where links are lost

What callers would see: a large prompt at a node without links is rejected, since its reservations fail although its sends would go over a peer. Change: the client of engines connects by the function that requests use.

--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/node/edge"
+	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/platform"
 	"laburnumstack.org/laburnum/platform/wire"
 )
@@ -100,6 +101,7 @@
 	n := &edge.Node{
 		Settings: s.Node, Source: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{},
 		DecodeCatalog: platform.DecodeCatalog, Dialect: platform.Dialect{}, Reserver: engines, Reporter: engines, ReadyPath: wire.ReadyPath, Logger: logger,
+		UseDialer: func(dial links.DialFunc) { engines.UseDialer(dial) },
 	}
 	if err := n.Run(sig.stop); err != nil {
 		logger.Error().Err(err).Msg("node: stopped because of an error")
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -60,6 +60,9 @@
 	// ReadyPath is the path of the load balancer's readiness checks.
 	ReadyPath string
 	Logger    zerolog.Logger
+	// UseDialer, if it is set, is called before the node runs with the function by which
+	// Reserver and Reporter should connect to endpoints.
+	UseDialer func(links.DialFunc)
 	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
 	DialEndpoint links.DialFunc
 
@@ -143,6 +146,9 @@
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerStrikes
 	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
+	if n.UseDialer != nil {
+		n.UseDialer(n.gate.DialListed)
+	}
 	n.mesh.Status = func() (isolated, leaving bool) { return n.gate.Isolated(), n.gate.Draining() }
 	tunnels := &tunnel.Server{Connect: n.gate.ConnectForPeer}
 	n.mesh.ServeTunnel = tunnels.Serve
--- a/internal/trans/conns/pool.go
+++ b/internal/trans/conns/pool.go
@@ -33,6 +33,8 @@
 // concurrent use.
 type Pool struct {
 	Address string
+	// Dial opens connections; if it is nil, the pool does.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	idle IdleList[*conn]
 }
@@ -67,8 +69,11 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval, Control: SetTCPUserTimeout}
-	nc, err := d.DialContext(ctx, "tcp", p.Address)
+	dial := p.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, p.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -82,6 +87,11 @@
 	}, nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval, Control: SetTCPUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // put adds a connection to the idle ones, or closes it if it can't be reused. The
 // last response on it must have been read completely.
 func (p *Pool) put(c *conn) {
@@ -121,6 +131,9 @@
 
 // Pools holds one pool per address. It is safe for concurrent use.
 type Pools struct {
+	// Dial is that of the pools. It is set before use.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	pools sync.Map
 }
 
@@ -129,6 +142,6 @@
 	if p, ok := ps.pools.Load(addr); ok {
 		return p.(*Pool)
 	}
-	p, _ := ps.pools.LoadOrStore(addr, &Pool{Address: addr})
+	p, _ := ps.pools.LoadOrStore(addr, &Pool{Address: addr, Dial: ps.Dial})
 	return p.(*Pool)
 }
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -178,6 +178,20 @@
 	return s.connectHedged(ctx, e)
 }
 
+// DialListed opens a connection to the endpoint at an address, as connectTo does, for
+// calls other than callers' requests.
+func (s *Server) DialListed(ctx context.Context, address string) (net.Conn, error) {
+	list := s.Feeds.Endpoints()
+	if list == nil || list.ByAddress[address] == nil {
+		return nil, errors.Errorf("no endpoint is listed at %s", address)
+	}
+	l, _, err := s.connectTo(ctx, list.ByAddress[address])
+	if err != nil {
+		return nil, err
+	}
+	return l.Conn, nil
+}
+
 // connectHedged opens a link to an endpoint. If that fails or takes longer than
 // hedgeDelay, it also tries over a peer.
 func (s *Server) connectHedged(ctx context.Context, e *topol.Endpoint) (*links.Link, bool, error) {
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -95,6 +95,24 @@
 	test.Eq(t, 5, len(c.tunnels), test.Sprint("the link of the node is used again"))
 }
 
+// Guards against reservations that fail at a node without links, although its prompts go
+// over a peer.
+func TestOrdersGoOverAPeerWhileLinksAreLost(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	c := newCutRig(t, e)
+	c.lost.Store(true)
+	conn, err := c.server.DialListed(context.Background(), e.address)
+	must.NoError(t, err)
+	defer conn.Close()
+	io.WriteString(conn, request("GET", "/order", "r1", ""))
+	res, err := readResponse(conn)
+	must.NoError(t, err)
+	test.Eq(t, "yes", res.body)
+	test.Eq(t, 1, len(c.tunnels))
+	_, err = c.server.DialListed(context.Background(), "127.0.0.1:1")
+	test.Error(t, err, test.Sprint("no endpoint has this address"))
+}
+
 // Guards against a booking that runs twice: the peer over which it was sent died.
 func TestBookingOverALostPeerIsNotSentAgain(t *testing.T) {
 	e := newEndpoint(t, "e", neverResponds)
