gate, avail: an endpoint that says it leaves gets no more requests

What callers would see: requests that end with an endpoint which has said in all its answers that it leaves; its record may say so later, or not at all. Cause: Server-Leaving was read nowhere. Change: what endpoints state about themselves is kept for their start (package avail), announced to the peers, and left out of placements; peers open no tunnels to them.

--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
@@ -51,6 +52,7 @@
 		p := &testNode{works: &works.Table{}, link: newLink(l)}
 		m := &share.Mesh{Self: relay.Member{Name: ident.NodeName(name), Address: l.Addr().String()}, InFlight: p.works, Logger: zerolog.Nop()}
 		m.OnFailed, m.OnStruck = func([]ident.EndpointName) {}, func([]strik.Strike) {}
+		m.Availability, m.OnAvailability = func() []avail.State { return nil }, func([]avail.State) {}
 		m.OnProofs, m.OnPartStates, m.PartStates = func([]strik.Proof) {}, func([]strik.PartState) {}, func() []strik.PartState { return nil }
 		m.Limits, m.OnLimits = func() []quota.Limit { return nil }, func([]quota.Limit) {}
 		m.Init(ctx)
--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -67,6 +67,11 @@
 	// FaultAddress is the address of the endpoint at fault, if that isn't the
 	// one that responded.
 	FaultAddress string
+	// Leaving is true if the endpoint states that it is leaving.
+	Leaving bool
+	// Rest is the time for which the endpoint states that it wants no requests; zero if
+	// it states none.
+	Rest time.Duration
 	// Limit is the number of requests per second that the endpoint accepts from
 	// all nodes together. It is valid only if HasLimit is set.
 	Limit    float64
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -55,6 +56,13 @@
 	Age   time.Duration
 }
 
+// AgedAvailability is what an endpoint stated, with the rest of its pause instead of the
+// time at which that ends.
+type AgedAvailability struct {
+	State avail.State
+	Rest  time.Duration
+}
+
 // PermitArgs asks a node that has a share of the limit of an endpoint for the
 // permission to send one request there.
 type PermitArgs struct {
@@ -91,6 +99,8 @@
 	Parts  []AgedPart
 	// Limits lists the limits that endpoints named, or that have ended.
 	Limits []AgedLimit
+	// Stated lists what endpoints stated about whether they accept requests.
+	Stated []AgedAvailability
 	// Reach selects the nodes to which the receiver forwards the update.
 	// Forwarded holds updates of other nodes that the sender forwards.
 	Reach     Scope
@@ -113,7 +123,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -197,6 +197,7 @@
 	a.hear()
 	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
+		a.server.observeAvailability(a.choice.Primary, header, time.Now())
 	}
 	o := outcome{status: res.Status, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
 	if k, n := res.Get("Keep-Alive"); n > 0 {
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -286,6 +286,9 @@
 	if e == nil || e.Address != r.Address || e.Leaving {
 		return nil, errors.New("endpoint is not listed at this address, or is leaving")
 	}
+	if ok, _ := s.availability.check(e, time.Now()); !ok {
+		return nil, errors.New("endpoint states that it wants no requests")
+	}
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
 	if err != nil {
 		return nil, err
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -317,7 +317,7 @@
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
-	candidates := endpoints.ByService[x.service.Name]
+	candidates := s.availability.accepting(endpoints.ByService[x.service.Name], now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
 	r := place.Request{
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -78,11 +78,12 @@
 	return true
 }
 
-// allTried reports whether all endpoints of the service have been tried or are at
-// their limits, except those that are leaving.
+// allTried reports whether all endpoints of the service that accept requests have been
+// tried or are at their limits.
 func (x *exchange) allTried() bool {
 	excluded := x.excluded()
-	for _, e := range x.server.Feeds.Endpoints().ByService[x.service.Name] {
+	all := x.server.Feeds.Endpoints().ByService[x.service.Name]
+	for _, e := range x.server.availability.accepting(all, time.Now()) {
 		if !e.Leaving && !excluded.Has(e.Name) {
 			return false
 		}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -68,10 +69,14 @@
 	_, signed := h.Get("Signed")
 	_, notRun := h.Get("Not-Run")
 	fault, _ := h.Get("Fault")
+	_, leaving := h.Get("Leaving")
+	rest, _ := h.Get("Retry-After")
+	seconds, _ := strconv.Atoi(string(rest))
 	limit, _ := h.Get("Limit")
 	rate, err := strconv.ParseFloat(string(limit), 64)
 	return relay.ResponseHeader{
 		ID: string(id), Signed: signed > 0, NotRun: notRun > 0 || status == 421, FaultAddress: string(fault), Limit: rate, HasLimit: err == nil,
+		Leaving: leaving > 0, Rest: time.Duration(seconds) * time.Second,
 	}
 }
 
@@ -304,7 +309,7 @@
 		StrictRevocation: true, MaxConfigAge: 30 * time.Second, Budget: Budget{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, GracePeriod: 8 * time.Second,
 		AnnounceStart: func(works.Request) {}, AnnounceDecoding: func(works.ID) {}, AnnounceEnd: func(works.ID) {}, NodeCount: func() int { return 1 },
 		AnnounceStrike: func(strik.Strike) {}, AnnounceProof: func(strik.Proof) {}, AnnounceFailure: func(ident.EndpointName) {}, AnnounceLimits: func(...quota.Limit) {},
-		AnnounceStatus: func() {}, Helpers: func(time.Time) []reach.Peer { return nil },
+		AnnounceAvailability: func(avail.State) {}, AnnounceStatus: func() {}, Helpers: func(time.Time) []reach.Peer { return nil },
 		FetchPermit: func(ident.NodeName, quota.Key) (relay.Permit, error) { return relay.Permit{}, errors.New("no peer") },
 		Nodes: func(time.Time) quota.Nodes {
 			return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1"}, Known: 1}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/extra"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
@@ -124,6 +125,8 @@
 	// AnnounceLimits informs the peers of limits that endpoints named or that have
 	// ended.
 	AnnounceLimits func(...quota.Limit)
+	// AnnounceAvailability informs the peers of what an endpoint stated.
+	AnnounceAvailability func(avail.State)
 	// Nodes returns the nodes that share the limits of endpoints.
 	Nodes func(now time.Time) quota.Nodes
 	// FetchPermit asks another node for the permission to send a request to an
@@ -146,6 +149,7 @@
 	strikes        strikes
 	partStrikes    partStrikes
 	direct         directLinks
+	availability   statedAvailability
 	endpointLimits endpointLimits
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -250,6 +254,7 @@
 		s.strikes.expire(now)
 		s.partStrikes.update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
+		s.expireAvailability(now)
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
 			return endpoints == nil || endpoints.ByAddress[addr] != nil
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
@@ -32,6 +33,8 @@
 	// has heard of.
 	suspected     atomic.Pointer[[]strik.PartState]
 	parts, proofs chan ident.PartID
+	// stated is what endpoints stated to peers.
+	stated chan avail.State
 }
 
 func (n *node) setOnLimits(f func([]quota.Limit)) { n.onLimits.Store(&f) }
@@ -52,7 +55,9 @@
 			OnFailed: func([]ident.EndpointName) {}, OnStruck: func([]strik.Strike) {},
 		}
 		done := make(chan struct{})
-		n := &node{Mesh: m, stop: func() { cancel(); <-done }, parts: make(chan ident.PartID, 100), proofs: make(chan ident.PartID, 100)}
+		n := &node{Mesh: m, stop: func() { cancel(); <-done }, parts: make(chan ident.PartID, 100), proofs: make(chan ident.PartID, 100), stated: make(chan avail.State, 100)}
+		m.Availability = func() []avail.State { return nil }
+		m.OnAvailability = func(ss []avail.State) { n.stated <- ss[0] }
 		m.PartStates = func() []strik.PartState {
 			if ps := n.suspected.Load(); ps != nil {
 				return *ps
@@ -105,6 +110,18 @@
 	<-told
 }
 
+func TestStatementsOfEndpointsReachAllNodes(t *testing.T) {
+	ns := start(t, "a1", "a2", "a3", "b1", "b2")
+	until := time.Now().Add(time.Minute)
+	ns[0].AnnounceAvailability(avail.State{Key: quota.Key{Endpoint: "e", Born: 3}, Leaving: true, RestUntil: until})
+	for _, n := range ns[1:] {
+		s := <-n.stated
+		test.Eq(t, quota.Key{Endpoint: "e", Born: 3}, s.Key)
+		test.True(t, s.Leaving)
+		test.Less(t, time.Second, s.RestUntil.Sub(until).Abs())
+	}
+}
+
 // Guards against a node that starts, or was cut off, and sends prompts with parts that the
 // others know to crash endpoints.
 func TestNewNodeLearnsOfPartsUnderSuspicion(t *testing.T) {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -96,6 +97,10 @@
 	// PartStates returns the parts of prompts under suspicion that this node knows, for
 	// a new peer.
 	PartStates func() []strik.PartState
+	// Availability returns what endpoints stated about whether they accept requests, for
+	// a new peer, and OnAvailability is called with what they stated to a peer.
+	Availability   func() []avail.State
+	OnAvailability func([]avail.State)
 	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
 	// with the strikes that a peer recorded, OnProofs and OnPartStates with the parts of
 	// prompts that a peer cleared or suspects, and OnLimits with the limits of endpoints
@@ -199,6 +204,11 @@
 	m.announce(true, func(u *relay.Update) { u.Proofs = append(u.Proofs, relay.AgedProof{Proof: p}) })
 }
 
+// AnnounceAvailability informs the peers of what an endpoint stated.
+func (m *Mesh) AnnounceAvailability(s avail.State) {
+	m.announce(true, func(u *relay.Update) { u.Stated = append(u.Stated, relay.AgedAvailability{State: s}) })
+}
+
 // AnnounceStatus informs the peers that this node's status has changed.
 func (m *Mesh) AnnounceStatus() {
 	for _, p := range m.allPeers() {
@@ -246,6 +256,16 @@
 	return as
 }
 
+// agedAvailability returns what endpoints stated in the form for an update whose ages
+// are not set yet.
+func agedAvailability(ss []avail.State) []relay.AgedAvailability {
+	as := make([]relay.AgedAvailability, len(ss))
+	for i, s := range ss {
+		as[i].State = s
+	}
+	return as
+}
+
 // agedLimits returns limits in the form for an update whose ages are not set yet.
 func agedLimits(ls []quota.Limit) []relay.AgedLimit {
 	as := make([]relay.AgedLimit, len(ls))
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -150,6 +150,7 @@
 	others := p.mesh.requestsOfOthers(p)
 	limits := agedLimits(p.mesh.Limits())
 	parts := agedParts(p.mesh.PartStates())
+	stated := agedAvailability(p.mesh.Availability())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.client = client
@@ -157,6 +158,7 @@
 	p.pending.Forwarded = others
 	p.pending.Limits = limits
 	p.pending.Parts = parts
+	p.pending.Stated = stated
 }
 
 // ownRequests returns an update with all requests in flight of this node, or an
@@ -220,6 +222,10 @@
 		u.Parts[i].Age = now.Sub(u.Parts[i].State.StruckAt)
 		u.Parts[i].State.StruckAt, u.Parts[i].State.EndedWellAt = time.Time{}, time.Time{}
 	}
+	for i := range u.Stated {
+		u.Stated[i].Rest = u.Stated[i].State.RestUntil.Sub(now)
+		u.Stated[i].State.RestUntil = time.Time{}
+	}
 	for i := range u.Limits {
 		u.Limits[i].Age = now.Sub(u.Limits[i].Limit.ObservedAt)
 		u.Limits[i].Limit.ObservedAt = time.Time{}
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
@@ -65,6 +66,7 @@
 		m.OnStruck(ss)
 	}
 	m.applyParts(u, now)
+	m.applyStated(u, now)
 	var ls []quota.Limit
 	for i := range u.Limits {
 		u.Limits[i].Limit.ObservedAt = now.Add(-u.Limits[i].Age)
@@ -95,6 +97,18 @@
 	}
 }
 
+// applyStated applies what endpoints stated about whether they accept requests.
+func (m *Mesh) applyStated(u *relay.Update, now time.Time) {
+	var states []avail.State
+	for i := range u.Stated {
+		u.Stated[i].State.RestUntil = now.Add(u.Stated[i].Rest)
+		states = append(states, u.Stated[i].State)
+	}
+	if len(states) > 0 {
+		m.OnAvailability(states)
+	}
+}
+
 // State returns this node's copy of the configuration and of the endpoint list.
 func (s *service) State(a relay.StateArgs, r *relay.State) error {
 	s.mesh.markSeen(a.From)
