gate: an endpoint that answers 503 with Retry-After gets no requests for that time

What callers would see: requests that are refused by an endpoint which has asked for rest, and whose retries draw on the budget of all. Cause: the field was passed on but never read. Change: the rest is kept and announced as what endpoints state about leaving. It is no failure of the endpoint. If all endpoints of a service rest, requests are rejected at once with the time until the first one wants some again.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -76,6 +76,8 @@
 	// linkLost is set if the send failed for reasons that lie between this node and the
 	// endpoint: its link is lost, or, with peerLost, the peer over which it went.
 	linkLost, peerLost bool
+	// rests is set if the endpoint stated that it wants no requests for a time.
+	rests bool
 	// faultAddress is the address of another endpoint that caused the failure,
 	// empty if there is none.
 	faultAddress string
@@ -199,7 +201,7 @@
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
 		a.server.observeAvailability(a.choice.Primary, header, time.Now())
 	}
-	o := outcome{status: res.Status, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
+	o := outcome{status: res.Status, rests: header.Rest > 0, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
 	if k, n := res.Get("Keep-Alive"); n > 0 {
 		a.applyKeepAlive(string(k))
 	}
--- a/internal/trans/gate/avail.go
+++ b/internal/trans/gate/avail.go
@@ -52,12 +52,26 @@
 	})
 }
 
+// shortestRest returns the time until the first of some endpoints that rest accepts requests
+// again, and whether there is any.
+func (a *statedAvailability) shortestRest(es []*topol.Endpoint, now time.Time) (shortest time.Duration, any bool) {
+	for _, e := range es {
+		if _, rest := a.check(e, now); rest > 0 && (!any || rest < shortest) {
+			shortest, any = rest, true
+		}
+	}
+	return shortest, any
+}
+
 // observeAvailability records what the header of an endpoint's response states.
 func (s *Server) observeAvailability(e *topol.Endpoint, h relay.ResponseHeader, now time.Time) {
-	if !h.Leaving {
+	if !h.Leaving && h.Rest == 0 {
 		return
 	}
 	st := avail.State{Key: limitKey(e), Leaving: h.Leaving}
+	if h.Rest > 0 {
+		st.RestUntil = now.Add(h.Rest)
+	}
 	if s.recordAvailability(st, now) {
 		s.AnnounceAvailability(st)
 	}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -48,6 +48,9 @@
 // while they ran the request.
 const errCrashesEndpoints = errors.ConstError("request has broken the connections to several endpoints")
 
+// errResting means that all endpoints which could serve the request want none for a time.
+const errResting = errors.ConstError("endpoints want no requests for a time")
+
 // errUnreserved means that engines did not reserve the memory for a prompt.
 const errUnreserved = errors.ConstError("memory could not be reserved")
 
@@ -332,14 +335,23 @@
 		Random:   random,
 	}, r)
 	x.estimate, x.load = c.Estimate, c.Load
+	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
+		if _, resting := s.availability.shortestRest(endpoints.ByService[x.service.Name], now); resting {
+			err = errResting
+		}
+	}
 	return c, r, err
 }
 
 // retryAfter returns the time after which the caller of a request that could not be
 // placed should retry.
 func (x *exchange) retryAfter(err error, c place.Choice, r place.Request) time.Duration {
-	if errors.Is(err, errCrashesEndpoints) {
+	switch {
+	case errors.Is(err, errCrashesEndpoints):
 		return x.server.strikes.barredFor(x.digest(), time.Now())
+	case errors.Is(err, errResting):
+		rest, _ := x.server.availability.shortestRest(x.server.Feeds.Endpoints().ByService[x.service.Name], time.Now())
+		return rest
 	}
 	return place.RetryAfter(c, r)
 }
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -32,6 +32,8 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved):
 		x.reject(503, retryAfter, err.Error())
+	case errors.Is(err, errResting):
+		x.reject(503, max(retrySoon/4, retryAfter), err.Error())
 	case errors.Is(err, errLimited):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
 	case errors.Is(err, place.ErrTooLarge):
@@ -132,7 +134,7 @@
 	case o.linkLost:
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
-	case o.result == failed && x.service.Engine != nil:
+	case o.result == failed && x.service.Engine != nil && !o.rests:
 		s.endpointHealth.recordFailure(c.Primary.Name, now)
 	}
 }
