gate: answers to probes, not connections, show whether a link works

What callers would see: a node whose new connections are accepted and then reset or hang, as before a proxy or a stateful filter, served nothing; and its strikes barred the first part of all prompts, so that the sound node of four served nothing either. Cause: a connection that could be opened counted as a working link, and each broken one as a crash of the endpoint. Class: one cut node speaks against the whole fleet. If only a peer gets bytes back, the link is lost; no failure is announced and no strike recorded. Lost links are restored by bytes alone.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -144,7 +144,7 @@
 		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
 	}
-	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerStrikes
+	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddStrikes
 	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
 	n.mesh.Availability, n.mesh.OnAvailability = n.gate.Availability, n.gate.AddPeerAvailability
 	if n.UseDialer != nil {
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -30,16 +30,15 @@
 	tunnelTimeout      = 300 * time.Millisecond
 	// maxPeersTried bounds the peers over which one connection is tried.
 	maxPeersTried = 3
-	// silenceProbes is the number of endpoints to which a node with silent links tries
-	// to connect.
+	// silenceProbes is the number of endpoints that a node with silent links probes.
 	silenceProbes = 3
+	// probeTimeout bounds a probe: a connection, a request and the first byte of the
+	// response.
+	probeTimeout = 300 * time.Millisecond
 )
 
-// Errors of connections to endpoints.
-const (
-	errNoPeer   = errors.ConstError("no peer to send over")
-	errLinkLost = errors.ConstError("the link to the endpoint is lost")
-)
+// errNoPeer means that there is no peer over which requests can be sent.
+const errNoPeer = errors.ConstError("no peer to send over")
 
 // directLinks tracks whether this node's links to the endpoints work. It is safe for
 // concurrent use.
@@ -148,19 +147,12 @@
 	}
 }
 
-// restoreLink records that this node reaches an endpoint, and keeps the new link.
-func (s *Server) restoreLink(e *topol.Endpoint, l *links.Link) {
-	s.pool(e.Address).Put(l, time.Now())
-	s.markReached(e)
-}
-
-// markReached records that this node reaches an endpoint.
-func (s *Server) markReached(e *topol.Endpoint) {
-	if s.direct.lostCount.Load() == 0 {
-		return
-	}
+// restoreLink records that bytes arrived over a link of this node to an endpoint.
+func (s *Server) restoreLink(e *topol.Endpoint) {
 	s.direct.hear()
-	s.updateLinks(func(r *reach.Links) { r.Restore(e.Name, s.endpointCount(), time.Now()) })
+	if s.direct.lostCount.Load() > 0 {
+		s.updateLinks(func(r *reach.Links) { r.Restore(e.Name, s.endpointCount(), time.Now()) })
+	}
 }
 
 // connectTo opens a link to an endpoint, over a peer if this node doesn't reach it.
@@ -170,9 +162,6 @@
 			return links.NewLink(c), true, nil
 		}
 		l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
-		if err == nil {
-			s.markReached(e)
-		}
 		return l, false, err
 	}
 	return s.connectHedged(ctx, e)
@@ -293,20 +282,29 @@
 	if err != nil {
 		return nil, err
 	}
-	s.direct.hear()
 	s.inFlightCount.Add(1)
-	return &countedConn{Conn: l.Conn, closed: func() { s.inFlightCount.Add(-1) }}, nil
+	return &peerConn{Conn: l.Conn, server: s}, nil
 }
 
-// countedConn calls closed when it is closed.
-type countedConn struct {
+// peerConn is a connection to an endpoint for a peer. It counts as a request in flight.
+type peerConn struct {
 	net.Conn
+	server *Server
 	once   sync.Once
-	closed func()
 }
 
-func (c *countedConn) Close() error {
-	c.once.Do(c.closed)
+// Read reads what the endpoint sent, which shows that the link works.
+func (c *peerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.server.direct.hear()
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *peerConn) Close() error {
+	c.once.Do(func() { c.server.inFlightCount.Add(-1) })
 	return c.Conn.Close()
 }
 
@@ -320,7 +318,7 @@
 	})
 }
 
-// checkLostLinks tries to connect over the lost links that are due.
+// checkLostLinks probes the lost links that are due.
 func (s *Server) checkLostLinks(ctx context.Context, now time.Time) {
 	list := s.Feeds.Endpoints()
 	if list == nil {
@@ -331,20 +329,10 @@
 		due = l.DueChecks(now, func(n ident.EndpointName) bool { return list.ByName[n] != nil })
 	})
 	for _, n := range due {
-		go s.tryLink(ctx, list.ByName[n])
+		go s.probeDirectly(ctx, list.ByName[n])
 	}
 }
 
-// tryLink connects to an endpoint and reports whether that succeeded.
-func (s *Server) tryLink(ctx context.Context, e *topol.Endpoint) bool {
-	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
-	if err != nil {
-		return false
-	}
-	s.restoreLink(e, l)
-	return true
-}
-
 // checkSilence starts a check whether the node is isolated if requests wait and no link
 // shows a sign of life.
 func (s *Server) checkSilence(ctx context.Context, now time.Time) {
@@ -377,24 +365,14 @@
 	return es
 }
 
-// checkIsolation tries to connect to endpoints and, if none can be reached, over peers. If
-// peers reach them, the requests that wait on links of this node are sent again.
+// checkIsolation probes endpoints. If only peers reach them, the requests that wait on
+// links of this node are sent again.
 func (s *Server) checkIsolation(ctx context.Context, es []*topol.Endpoint) {
-	var reached atomic.Bool
-	forEach(es, func(e *topol.Endpoint) {
-		if s.tryLink(ctx, e) {
-			reached.Store(true)
-		}
-	})
-	if reached.Load() {
-		return
+	var wg sync.WaitGroup
+	for _, e := range es {
+		wg.Go(func() { s.diagnose(ctx, e) })
 	}
-	forEach(es, func(e *topol.Endpoint) {
-		if c, err := s.dialOverPeer(ctx, e); err == nil {
-			c.Close()
-			s.loseLink(e)
-		}
-	})
+	wg.Wait()
 	if s.Isolated() {
 		for _, a := range s.direct.attempts() {
 			a.abandon()
@@ -402,15 +380,6 @@
 	}
 }
 
-// forEach calls f with all endpoints concurrently.
-func forEach(es []*topol.Endpoint, f func(*topol.Endpoint)) {
-	var wg sync.WaitGroup
-	for _, e := range es {
-		wg.Go(func() { f(e) })
-	}
-	wg.Wait()
-}
-
 // abandon ends an attempt over a lost link if the request can be sent again.
 func (a *attempt) abandon() {
 	if !a.canRunElsewhere() {
@@ -422,19 +391,93 @@
 	a.link.SetDeadline(expiredDeadline)
 }
 
-// verifyFailure finds out whether an endpoint that failed is down, or only the link of
-// this node is lost. Then the endpoint has failed for this node alone.
-func (s *Server) verifyFailure(e *topol.Endpoint) (down bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+// reachability is what probes of an endpoint show.
+type reachability int
+
+const (
+	// reachedDirectly means that the link of this node works.
+	reachedDirectly reachability = iota
+	// reachedOverPeer means that only peers reach the endpoint: the link is lost.
+	reachedOverPeer
+	// unreachable means that no probe was answered.
+	unreachable
+)
+
+// diagnose probes an endpoint over the link of this node and, if that isn't answered
+// within hedgeDelay, over peers. It records whether the link is lost. Calls for the same
+// endpoint at one time share the probes.
+func (s *Server) diagnose(ctx context.Context, e *topol.Endpoint) reachability {
+	r, _, _ := s.diagnoses.Do(string(e.Name), func() (any, error) { return s.probeAll(ctx, e), nil })
+	return r.(reachability)
+}
+
+func (s *Server) probeAll(ctx context.Context, e *topol.Endpoint) reachability {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout+hedgeDelay)
 	defer cancel()
-	l, overPeer, err := s.connectTo(ctx, e)
-	if err != nil {
-		return true
+	direct := make(chan bool, 1)
+	go func() { direct <- s.probeDirectly(ctx, e) }()
+	overPeer := make(chan bool, 1)
+	probePeers := func() { go func() { overPeer <- s.probeOverPeers(ctx, e) }() }
+	t := time.NewTimer(hedgeDelay)
+	defer t.Stop()
+	select {
+	case ok := <-direct:
+		if ok {
+			return reachedDirectly
+		}
+		probePeers()
+		direct <- false
+	case <-t.C:
+		probePeers()
 	}
-	if overPeer {
-		l.Close()
+	reachedByPeer := <-overPeer
+	if <-direct {
+		return reachedDirectly
+	}
+	if reachedByPeer {
+		s.loseLink(e)
+		return reachedOverPeer
+	}
+	return unreachable
+}
+
+// probeDirectly reports whether an endpoint answers a probe over a link of this node.
+func (s *Server) probeDirectly(ctx context.Context, e *topol.Endpoint) bool {
+	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
+	if err != nil || !s.probe(l.Conn, e) {
 		return false
 	}
-	s.restoreLink(e, l)
+	s.restoreLink(e)
 	return true
 }
+
+// probeOverPeers reports whether an endpoint answers a probe over one of the peers.
+func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) bool {
+	peers := reach.Order(s.Helpers(time.Now()), s.DataCentre, random)
+	peers = peers[:min(maxPeersTried, len(peers))]
+	answered := make(chan bool, len(peers))
+	for _, p := range peers {
+		go func() {
+			c, err := s.dialOver(ctx, p, e)
+			answered <- err == nil && s.probe(c, e)
+		}()
+	}
+	for range peers {
+		if <-answered {
+			return true
+		}
+	}
+	return false
+}
+
+// probe sends a probe and reports whether the endpoint sends anything back. It closes the
+// connection.
+func (s *Server) probe(c net.Conn, e *topol.Endpoint) bool {
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(probeTimeout))
+	if _, err := c.Write(s.Dialect.Probe(e)); err != nil {
+		return false
+	}
+	n, _ := c.Read(make([]byte, 1))
+	return n > 0
+}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -276,7 +276,7 @@
 // forward sends the request to endpoints until it has a response or is
 // rejected.
 func (x *exchange) forward() {
-	defer x.endTrial()
+	defer func() { x.server.endTrial(x.takeTrial()) }()
 	for {
 		if ok, wait := x.checkParts(time.Now()); !ok {
 			x.rejectUnplaced(errCrashesEndpoints, wait)
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -50,7 +51,7 @@
 	s := x.server
 	now := time.Now()
 	x.recordOutcome(c, o, now)
-	x.endTrial()
+	s.endTrial(x.takeTrial())
 	if o.result == complete {
 		return true
 	}
@@ -140,32 +141,36 @@
 }
 
 // recordFailureAt records that an endpoint could not be reached or did not answer. The
-// peers are informed only if the endpoint is the cause, and not the link of this node.
+// peers are informed, and the parts of the prompt get strikes, only if the endpoint is the
+// cause and not the link of this node.
 func (x *exchange) recordFailureAt(e *topol.Endpoint, o outcome, now time.Time) {
 	s := x.server
 	s.pool(e.Address).CloseIdle()
 	isNew := s.endpointHealth.recordFailure(e.Name, now)
 	var strike *strik.Strike
 	if o.connBroken {
-		strike = x.addStrike(e.Name, o.startedAt, now)
+		strike = x.newStrike(e.Name, o.startedAt, now)
 	}
-	announce := func() {
+	blame := func() {
 		if isNew {
 			s.AnnounceFailure(e.Name)
 		}
 		if strike != nil {
-			s.AnnounceStrike(*strike)
+			x.addStrike(*strike)
 		}
 	}
-	if o.result == notSent || len(s.Helpers(now)) == 0 {
-		announce()
-		return
-	}
-	if isNew || strike != nil {
+	switch {
+	case o.result == notSent || len(s.Helpers(now)) == 0:
+		blame()
+	case isNew || strike != nil:
+		trial := x.takeTrial()
 		go func() {
-			if s.verifyFailure(e) {
-				announce()
+			defer s.endTrial(trial)
+			if s.diagnose(context.Background(), e) == reachedOverPeer {
+				s.endpointHealth.recordSuccess(e.Name)
+				return
 			}
+			blame()
 		}()
 	}
 }
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -134,13 +134,19 @@
 	return false, min(maxPartRetryAfter, max(time.Second, due.Sub(now)))
 }
 
-// endTrial ends the trial that the prompt was sent as, if it was.
-func (x *exchange) endTrial() {
-	if len(x.onTrial) == 0 {
-		return
-	}
-	x.server.partStrikes.update(func(t *strik.Parts) { t.EndTrial(x.onTrial) })
+// takeTrial returns the barred parts of which the prompt was sent as a trial, and resets
+// them.
+func (x *exchange) takeTrial() []ident.PartID {
+	barred := x.onTrial
 	x.onTrial = nil
+	return barred
+}
+
+// endTrial ends the trial of some parts, after its outcome was recorded.
+func (s *Server) endTrial(barred []ident.PartID) {
+	if len(barred) > 0 {
+		s.partStrikes.update(func(t *strik.Parts) { t.EndTrial(barred) })
+	}
 }
 
 // partNames returns parts for a log line.
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -64,6 +64,13 @@
 	return b
 }
 
+func (testDialect) Probe(*topol.Endpoint) []byte {
+	return []byte("GET " + probePath + " HTTP/1.1\r\nHost: h.example\r\n\r\n")
+}
+
+// probePath is the path of probes, which scripted endpoints answer without a script.
+const probePath = "/probe"
+
 func (testDialect) ParseResponse(h *http1.Head, status int) relay.ResponseHeader {
 	id, _ := h.Get("Id")
 	_, signed := h.Get("Signed")
@@ -204,6 +211,10 @@
 		if err != nil {
 			return
 		}
+		if string(req.Target) == probePath {
+			io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		g := receivedRequest{req, string(body)}
 		e.mu.Lock()
 		s := e.scripts[min(len(e.received), len(e.scripts)-1)]
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/extra"
@@ -62,6 +63,9 @@
 	ForwardsField(f http1.Field, resumed bool) bool
 	// AppendFields appends the fields that a node adds to a forwarded request.
 	AppendFields(b []byte, h relay.ForwardHeader) []byte
+	// Probe returns a request that shows whether an endpoint can be reached. The endpoint
+	// runs nothing for it, and its response doesn't matter.
+	Probe(e *topol.Endpoint) []byte
 	// ParseResponse parses the header of an endpoint's response.
 	ParseResponse(h *http1.Head, status int) relay.ResponseHeader
 }
@@ -149,6 +153,7 @@
 	strikes        strikes
 	partStrikes    partStrikes
 	direct         directLinks
+	diagnoses      singleflight.Group
 	availability   statedAvailability
 	endpointLimits endpointLimits
 	// limitsOnce guards the creation of endpointLimits.
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// AddPeerStrikes adds strikes that peers recorded.
-func (s *Server) AddPeerStrikes(ss []strik.Strike) {
+// AddStrikes adds strikes that peers, or this node, recorded.
+func (s *Server) AddStrikes(ss []strik.Strike) {
 	s.strikes.add(ss...)
 	s.addPartStrikes(ss...)
 }
@@ -96,16 +96,20 @@
 	return strik.Digest(h.Sum64())
 }
 
-// addStrike records a strike of the request: the endpoint's connection broke
-// while it ran the request.
-func (x *exchange) addStrike(n ident.EndpointName, sentAt, now time.Time) *strik.Strike {
-	s := strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: len(x.onTrial) > 0}
-	x.server.strikes.add(s)
-	x.server.addPartStrikes(s)
-	x.server.getMetrics().strikes.Inc()
-	x.server.requestLog(false).Str("request", x.reqHeader.ID).Str("endpoint", string(n)).Stringers("parts", partNames(x.reqHeader.SharedParts)).
-		Int("strikes", x.server.strikes.count(s.Digest, now)).Msg("gate: endpoint broke the connection of a request in flight")
-	return &s
+// newStrike returns a strike of the request: the endpoint's connection broke while it ran
+// the request.
+func (x *exchange) newStrike(n ident.EndpointName, sentAt, now time.Time) *strik.Strike {
+	return &strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: len(x.onTrial) > 0}
+}
+
+// addStrike records a strike of the request and informs the peers.
+func (x *exchange) addStrike(k strik.Strike) {
+	s := x.server
+	s.AddStrikes([]strik.Strike{k})
+	s.AnnounceStrike(k)
+	s.getMetrics().strikes.Inc()
+	s.requestLog(false).Str("request", x.reqHeader.ID).Str("endpoint", string(k.Endpoint)).Stringers("parts", partNames(k.Parts)).
+		Int("strikes", s.strikes.count(k.Digest, k.At)).Msg("gate: endpoint broke the connection of a request in flight")
 }
 
 // crashesEndpoints reports whether the request has so many strikes that it is
