soak: cuts of single nodes, crashing parts, unframed streams, and statements of endpoints

Each proxy finds out which node owns a connection from the system's table of sockets, so that one node is cut from all endpoints while the others are not. Endpoints crash under prompts with a part, refuse with Retry-After, say that they leave, and send streams without length and chunks; stopped endpoints reset their connections, so that such a stream doesn't look complete.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -48,6 +48,8 @@
 	pickKey func() (key string, permanent bool)
 	// requestCounter is the number of requests of all callers.
 	requestCounter *atomic.Int64
+	// crashing is the part that some prompts have and that crashes endpoints.
+	crashing *atomic.Pointer[crashingPart]
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -107,6 +109,13 @@
 		service = modelService
 		r.Prompt, r.Events = ident.Tokens(1+rand.ExpFloat64()*meanPromptTokens), 1+rand.IntN(maxEvents)
 	}
+	crashing := ""
+	if p := c.crashing.Load(); p != nil && isPrompt(k) && rand.Float64() < partProbability {
+		crashing = p.id
+	}
+	if isPrompt(k) {
+		r.Parts = requestParts(r.ID, crashing)
+	}
 	path := requestPath(service, k, r.Events)
 	sentBody := requestBody(r.ID, path)
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.host+path, strings.NewReader(sentBody))
@@ -115,7 +124,7 @@
 		return
 	}
 	c.codec.SetCallerRequest(req.Header, r)
-	call := &Call{ID: r.ID, Kind: k, Key: r.Key, PermanentKey: permanent, Node: c.node, SentAt: time.Now(), Timeout: r.Timeout}
+	call := &Call{ID: r.ID, Kind: k, Key: r.Key, PermanentKey: permanent, Crashing: crashing != "", Node: c.node, SentAt: time.Now(), Timeout: r.Timeout}
 	c.journal.AddCall(call)
 	c.conn.SetDeadline(time.Now().Add(r.Timeout + requestTimeout))
 	err = req.Write(c.conn)
--- a/internal/lab/soak/codec.go
+++ b/internal/lab/soak/codec.go
@@ -16,6 +16,8 @@
 	Timeout time.Duration
 	// Prompt is the number of prompt tokens, or zero for plain requests.
 	Prompt ident.Tokens
+	// Parts are the IDs of the parts of the prompt, of which the last is its own.
+	Parts []string
 	// Events is the number of events that the endpoint streams, or zero for plain
 	// requests.
 	Events int
@@ -42,6 +44,8 @@
 	LastEvent int
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
+	// Parts are those of CallerRequest.
+	Parts []string
 }
 
 // Codec reads and writes the header fields of requests and responses in a
@@ -62,6 +66,12 @@
 	// SetLimit sets the field of a response in which an endpoint names the number of
 	// requests per second that it accepts from all nodes together.
 	SetLimit(h http.Header, rate float64)
+	// SetLeaving sets the field of a response in which an endpoint says that it is
+	// leaving.
+	SetLeaving(h http.Header)
+	// SetRest sets the field of a refusal in which an endpoint names the time for which
+	// it wants no requests.
+	SetRest(h http.Header, d time.Duration)
 }
 
 // Store simulates a platform's store of configuration and endpoint records. As an
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -70,11 +70,30 @@
 	GrowConfig
 )
 
+// Kinds of faults that planLinks draws.
+const (
+	// CutNodeReset resets the connections of a node to all endpoints, and those it opens.
+	CutNodeReset FaultKind = GrowConfig + 1 + iota
+	// CutNodeHang forwards no bytes between a node and all endpoints.
+	CutNodeHang
+	// CutNodeRefuse resets the connections that a node opens to endpoints.
+	CutNodeRefuse
+	// CrashByPart makes callers send prompts with a part that crashes endpoints.
+	CrashByPart
+	// RestEndpoint makes an endpoint refuse requests and ask for rest.
+	RestEndpoint
+	// StateLeaving makes an endpoint say in its answers that it is leaving.
+	StateLeaving
+	// linkFaultEnd is the end of the kinds that planLinks draws.
+	linkFaultEnd
+)
+
 var faultNames = [...]string{
 	"kill node", "stop node", "pause node", "reload node", "kill all nodes", "cut store", "silence store",
 	"lose store's answers", "delay store", "store down", "trim store", "reset endpoint", "silence endpoint",
 	"delay endpoint", "crash endpoint", "replace endpoint", "lapse endpoint", "change keys",
 	"", "store loses records", "limit endpoint", "grow configuration",
+	"cut node by resets", "cut node silently", "refuse new links of node", "crash by a part", "rest endpoint", "endpoint states leaving",
 }
 
 // String returns the name of a fault for reports.
@@ -108,7 +127,7 @@
 	// meanFaultInterval is the mean time between the starts of two faults.
 	// minFaultDuration and maxFaultDuration limit ScheduledFault.Duration.
 	meanFaultInterval = 900 * time.Millisecond
-	// meanStateFaultInterval is that of planState.
+	// meanStateFaultInterval is that of planState and of planLinks.
 	meanStateFaultInterval = 4 * time.Second
 	minFaultDuration       = 200 * time.Millisecond
 	maxFaultDuration       = 5 * time.Second
@@ -148,6 +167,20 @@
 	}
 }
 
+// planLinks draws faults of the links of single nodes to the endpoints, of parts of
+// prompts, and of what endpoints state about themselves.
+func planLinks(seed uint64, span time.Duration) []ScheduledFault {
+	r := rand.New(rand.NewPCG(seed, 3))
+	var faults []ScheduledFault
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.ExpFloat64() * float64(meanStateFaultInterval))
+		if at >= span {
+			return faults
+		}
+		faults = append(faults, ScheduledFault{At: at, Kind: CutNodeReset + FaultKind(r.IntN(int(linkFaultEnd-CutNodeReset))), Index: r.IntN(1 << 16)})
+	}
+}
+
 // pickFault returns the kind whose range of weights contains position, which is at
 // least zero and below the sum of all weights.
 func pickFault(position int) FaultKind {
@@ -178,6 +211,15 @@
 		return nil
 	case GrowConfig:
 		return s.growConfig()
+	case RestEndpoint:
+		s.restEndpoint(ctx, e)
+		return nil
+	case CrashByPart:
+		disturbance.Node = ""
+	case CutNodeReset, CutNodeHang, CutNodeRefuse:
+		disturbance.IsCut = true
+	case StateLeaving:
+		return s.stateLeaving(ctx, e)
 	case ReplaceEndpoint:
 		return s.replaceEndpoint(ctx, e)
 	case ChangeKeys:
@@ -200,6 +242,10 @@
 		s.disturbStore(ctx, ModeRefuse, f.Duration)
 	case CutStore, SilenceStore, LoseAnswers, DelayStore:
 		disturbProxy(ctx, n.storeProxy, proxyModes[f.Kind], f.Duration)
+	case CutNodeReset, CutNodeHang, CutNodeRefuse:
+		s.cutNode(ctx, n, f.Kind)
+	case CrashByPart:
+		s.crashByPart(ctx, f.Index)
 	case TrimStore:
 		s.store.Trim(feeds.Configuration)
 		s.store.Trim(feeds.Endpoints)
--- a/internal/lab/soak/journal.go
+++ b/internal/lab/soak/journal.go
@@ -21,6 +21,8 @@
 	Key  string
 	// PermanentKey is set if the key is never revoked.
 	PermanentKey bool
+	// Crashing is set if a part of the prompt crashes endpoints.
+	Crashing bool
 	// Node is the node that the request was sent to.
 	Node ident.NodeName
 	// SentAt is when the request was written, or until then, when the call was
@@ -64,6 +66,8 @@
 	// IsGracefulShutdown is set if the disturbance is the graceful shutdown of a
 	// node.
 	IsGracefulShutdown bool
+	// IsCut is set if the disturbance is a cut of the node from the endpoints.
+	IsCut bool
 }
 
 // Journal records the calls, their runs at endpoints, the disturbances, revoked
@@ -79,6 +83,7 @@
 	revokedAt  map[string]time.Time
 	departedAt map[ident.EndpointName]time.Time
 	violations []Violation
+	cuts       []cutPeriod
 }
 
 // NewJournal returns an empty journal.
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -41,6 +41,8 @@
 
 	// signalLock is held by a fault that sends signals to the process.
 	signalLock sync.Mutex
+	// cutLock is held by a fault that cuts the node from the endpoints.
+	cutLock sync.Mutex
 
 	mu     sync.Mutex
 	config NodeConfig
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -64,6 +64,9 @@
 	// StateFaults adds faults of the state that nodes share to those of the seed:
 	// losses of the store, limits of endpoints and large configurations.
 	StateFaults bool
+	// LinkFaults adds cuts of single nodes from all endpoints, parts of prompts that
+	// crash endpoints, and what endpoints state about themselves.
+	LinkFaults bool
 	// Output gets a line for each fault.
 	Output io.Writer
 
@@ -73,6 +76,8 @@
 	endpoints       []*endpointServer
 	endpointCounter atomic.Int64
 	requestCounter  atomic.Int64
+	// crashing is the part that crashes endpoints now; nil if there is none.
+	crashing atomic.Pointer[crashingPart]
 
 	mu      sync.Mutex
 	version ident.Version
@@ -99,8 +104,11 @@
 	faults := Plan(s.Seed, s.FaultTime)
 	if s.StateFaults {
 		faults = append(faults, planState(s.Seed, s.FaultTime)...)
-		slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return cmp.Compare(a.At, b.At) })
 	}
+	if s.LinkFaults {
+		faults = append(faults, planLinks(s.Seed, s.FaultTime)...)
+	}
+	slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return cmp.Compare(a.At, b.At) })
 	var faultFreeSince time.Time
 	err := s.setUp(ctx, g)
 	defer s.terminateNodes()
@@ -185,11 +193,13 @@
 func (s *Soak) setUpEndpoints(ctx context.Context, g *errgroup.Group) error {
 	for i := range 2 * s.Endpoints {
 		service := []ident.ServiceName{plainService, modelService}[i%2]
-		e := &endpointServer{codec: s.Deployment, journal: s.journal, workspace: workspace}
+		e := &endpointServer{codec: s.Deployment, journal: s.journal, workspace: workspace, crashing: &s.crashing}
+		e.onCrash = func(p *crashingPart) { s.crash(ctx, e, p) }
 		p, err := newProxy(ctx, g, e.target)
 		if err != nil {
 			return err
 		}
+		p.Owner = s.ownerOf
 		e.proxy = p
 		first := s.newEndpoint(e, service)
 		if err := e.start(first); err != nil {
@@ -289,7 +299,7 @@
 }
 
 func (s *Soak) newCaller() *caller {
-	return &caller{codec: s.Deployment, journal: s.journal, host: routeHost, pickNode: s.pickNode, pickKey: s.pickKey, requestCounter: &s.requestCounter}
+	return &caller{codec: s.Deployment, journal: s.journal, host: routeHost, pickNode: s.pickNode, pickKey: s.pickKey, requestCounter: &s.requestCounter, crashing: &s.crashing}
 }
 
 // pickNode returns the name and the address of a random node in rotation, or of any
--- /dev/null
+++ b/internal/lab/soak/stated.go
@@ -0,0 +1,191 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/delay"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// restTime is how long an endpoint refuses requests and asks for rest.
+	restTime = 4 * time.Second
+	// restSettleTime is the time after the first refusal from which on requests count,
+	// restAllowance how many of them each node may send.
+	restSettleTime = 500 * time.Millisecond
+	restAllowance  = 2
+	// partTime is how long prompts with a part that crashes endpoints are sent, and
+	// partProbability the share of them.
+	partTime        = 8 * time.Second
+	partProbability = 0.08
+	// toleratedCrashes is the number of crashes after which nodes must know the part, and
+	// maxLateArrivals how many prompts with it may reach endpoints later than SettleTime
+	// after that.
+	toleratedCrashes = 5
+	maxLateArrivals  = 3
+	// crashDowntime is how long an endpoint is down after such a crash.
+	crashDowntime = time.Second
+)
+
+// restPeriod is a time in which an endpoint refuses all requests with the time for which
+// it wants none. It is safe for concurrent use.
+type restPeriod struct {
+	endpoint ident.EndpointName
+	until    time.Time
+
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+func (r *restPeriod) recordArrival(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, now)
+}
+
+// late returns the number of requests that arrived after restSettleTime.
+func (r *restPeriod) late() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range r.arrivals {
+		if at.Sub(r.arrivals[0]) > restSettleTime && at.Before(r.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// restEndpoint injects RestEndpoint.
+func (s *Soak) restEndpoint(ctx context.Context, e *endpointServer) {
+	r := &restPeriod{endpoint: e.endpoint().Name, until: time.Now().Add(restTime)}
+	if !e.rest.CompareAndSwap(nil, r) {
+		return
+	}
+	delay.For(ctx, restTime)
+	e.rest.Store(nil)
+	if n := r.late(); n > restAllowance*len(s.nodes) {
+		s.journal.AddViolation("rest", "%s asked for rest and got %d requests later than %v after that", r.endpoint, n, restSettleTime)
+	}
+}
+
+// stateLeaving injects StateLeaving: the endpoint says in all its answers that it is
+// leaving, while its record stays as it is. Then another one takes its place.
+func (s *Soak) stateLeaving(ctx context.Context, e *endpointServer) error {
+	e.replaceLock.Lock()
+	defer e.replaceLock.Unlock()
+	name := e.endpoint().Name
+	e.statesLeaving.Store(true)
+	delay.For(ctx, s.Bounds.DrainDelay+extraServeTime)
+	s.store.Put(feeds.Endpoints, string(name), nil)
+	delay.For(ctx, s.Bounds.DrainDelay)
+	e.stop()
+	e.statesLeaving.Store(false)
+	return s.restartEndpoint(ctx, e)
+}
+
+// crashingPart is a part of prompts that crashes the endpoints which begin to answer them.
+// It is safe for concurrent use.
+type crashingPart struct {
+	id string
+
+	mu                sync.Mutex
+	crashes, arrivals []time.Time
+}
+
+func (p *crashingPart) recordArrival(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrivals = append(p.arrivals, now)
+}
+
+func (p *crashingPart) recordCrash(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes = append(p.crashes, now)
+}
+
+// late returns the number of arrivals later than settle after toleratedCrashes, and the
+// time of the first crash.
+func (p *crashingPart) late(settle time.Duration) (n int, first time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.crashes) < toleratedCrashes {
+		return 0, time.Time{}
+	}
+	limit := p.crashes[toleratedCrashes-1].Add(settle)
+	for _, at := range p.arrivals {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n, p.crashes[0]
+}
+
+// crashByPart injects CrashByPart: callers send prompts with a part that crashes endpoints.
+func (s *Soak) crashByPart(ctx context.Context, index int) {
+	p := &crashingPart{id: fmt.Sprintf("bad%x", index)}
+	if !s.crashing.CompareAndSwap(nil, p) {
+		return
+	}
+	delay.For(ctx, partTime)
+	s.crashing.Store(nil)
+	n, first := p.late(s.Bounds.SettleTime)
+	if n > maxLateArrivals && !s.journal.nodesRestarted(first) {
+		s.journal.AddViolation("part", "%d prompts with the part %s reached endpoints later than %v after %d crashes, %d in all", n, p.id, s.Bounds.SettleTime, toleratedCrashes, len(p.crashes))
+	}
+}
+
+// nodesRestarted reports whether all nodes were killed at one time since a time, after
+// which none of them knows what they knew.
+func (j *Journal) nodesRestarted(since time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, d := range j.disturbances {
+		if d.Kind == KillAll.String() && d.overlaps(since, time.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
+// crash stops an endpoint that began to answer a prompt with a crashing part, and starts it
+// again later.
+func (s *Soak) crash(ctx context.Context, e *endpointServer, p *crashingPart) {
+	if !e.replaceLock.TryLock() {
+		return
+	}
+	defer e.replaceLock.Unlock()
+	p.recordCrash(time.Now())
+	e.stop()
+	delay.For(ctx, crashDowntime)
+	if ctx.Err() != nil {
+		return
+	}
+	record := e.endpoint()
+	record.Born = time.Now().UnixMilli()
+	if err := e.start(record); err != nil {
+		s.journal.AddViolation("soak", "start an endpoint that crashed: %v", err)
+		return
+	}
+	if err := s.publishEndpoint(record); err != nil {
+		s.journal.AddViolation("soak", "publish an endpoint that crashed: %v", err)
+	}
+}
+
+// requestParts returns the parts of a prompt: one that all share, one that some share, the
+// given one if it isn't empty, and one of its own.
+func requestParts(id, crashing string) []string {
+	parts := []string{"a1", fmt.Sprintf("b%d", len(id)+int(id[len(id)-1])%8)}
+	if crashing != "" {
+		parts = append(parts, crashing)
+	}
+	return append(parts, "c"+id)
+}
+
+// isPrompt reports whether requests of a kind are prompts.
+func isPrompt(k topol.Kind) bool { return k == topol.Stream }
