--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -34,8 +35,8 @@
 	announced atomic.Int32
 }
 
-func newCutRig(t *testing.T, es ...*scriptedEndpoint) *cutRig {
-	c := &cutRig{tunnels: make(chan net.Conn, 100)}
+func newCutRig(t testing.TB, es ...*scriptedEndpoint) *cutRig {
+	c := &cutRig{tunnels: make(chan net.Conn, 1<<20)}
 	c.peer = newConfiguredRig(t, 0, func(s *Server) {
 		s.Helpers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
 	}, es...)
@@ -214,3 +215,21 @@
 	conn.Close()
 	<-gone
 }
+
+// BenchmarkShortRequest shows what sending over a peer costs a short request.
+func BenchmarkShortRequest(b *testing.B) {
+	for _, lost := range []bool{false, true} {
+		b.Run(fmt.Sprint("links lost ", lost), func(b *testing.B) {
+			c := newCutRig(b, newEndpoint(b, "e", ok("yes")))
+			c.lost.Store(lost)
+			conn := c.dial()
+			reader := bufio.NewReader(conn)
+			for b.Loop() {
+				io.WriteString(conn, request("GET", "/safe/", "r1", ""))
+				if res, err := readResponseFrom(reader); err != nil || res.status != 200 {
+					b.Fatal(res.status, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -173,7 +173,7 @@
 	return raw(text, whole)
 }
 
-func newEndpoint(t *testing.T, name string, scripts ...script) *scriptedEndpoint {
+func newEndpoint(t testing.TB, name string, scripts ...script) *scriptedEndpoint {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	e := &scriptedEndpoint{name: name, address: l.Addr().String(), scripts: scripts}
@@ -259,7 +259,7 @@
 
 // rig is a Server that forwards to scripted endpoints.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
 	server   *Server
 	reserver *fakeReserver
 	addr     string
@@ -294,16 +294,16 @@
 	return c
 }
 
-func newRig(t *testing.T, es ...*scriptedEndpoint) *rig { return newRigWithConfigAge(t, 0, es...) }
+func newRig(t testing.TB, es ...*scriptedEndpoint) *rig { return newRigWithConfigAge(t, 0, es...) }
 
-func newRigWithConfigAge(t *testing.T, age time.Duration, es ...*scriptedEndpoint) *rig {
+func newRigWithConfigAge(t testing.TB, age time.Duration, es ...*scriptedEndpoint) *rig {
 	return newConfiguredRig(t, age, func(*Server) {}, es...)
 }
 
 // newConfiguredRig returns a rig whose configuration was last confirmed the given age
 // ago, and whose server configure has set up. Each scripted endpoint NAME is listed twice: as the plain
 // endpoint NAMEp and as the engine NAMEm of a model.
-func newConfiguredRig(t *testing.T, age time.Duration, configure func(*Server), es ...*scriptedEndpoint) *rig {
+func newConfiguredRig(t testing.TB, age time.Duration, configure func(*Server), es ...*scriptedEndpoint) *rig {
 	var list []topol.Endpoint
 	for _, e := range es {
 		for _, s := range []ident.ServiceName{"plain", "model"} {
