share: a peer that becomes direct still gets what is pending for it

What could happen: in a fleet with hubs, a new peer is not told of limits, strikes and parts under suspicion if it becomes a direct one before its first update. Cause: the list of requests in flight replaced the whole pending update. Evidence: TestPeerThatBecomesDirectGetsWhatIsPending failed before. Change: only what the list replaces is replaced. Found by reading.

--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -136,8 +136,8 @@
 		direct := !useHubs || p == plan.hub || plan.hub == nil && (local || plan.remoteHubs[p])
 		if direct && !p.direct && p.client != nil {
 			full := m.ownRequests(true)
-			full.Forwarded = p.pending.Forwarded
-			p.pending = full
+			p.pending.Reset, p.pending.Began = true, full.Began
+			p.pending.Wrote, p.pending.Done = nil, nil
 			p.wakeUp()
 		}
 		if plan.remoteHubs[p] && p.client != nil && len(missed) > 0 {
--- a/internal/trans/share/order_test.go
+++ b/internal/trans/share/order_test.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// Guards against a peer that is not told of limits, strikes or parts, since it gets this
+// node's requests directly from now on.
+func TestPeerThatBecomesDirectGetsWhatIsPending(t *testing.T) {
+	m := newConnectedMesh(t, "a1", "a2")
+	p := m.peers["a2"]
+	p.pending.Parts = []relay.AgedPart{{}}
+	p.pending.Limits = []relay.AgedLimit{{}}
+	p.pending.Done = []works.ID{1}
+	m.chooseHubs(time.Now())
+	test.True(t, p.direct)
+	test.True(t, p.pending.Reset)
+	test.SliceLen(t, 1, p.pending.Parts)
+	test.SliceLen(t, 1, p.pending.Limits)
+	test.SliceEmpty(t, p.pending.Done)
+}
+
 // Guards against a torn name in the log: a node may be heard of while it is removed.
 func TestNodeIsRemovedWhileItIsHeardOf(t *testing.T) {
 	m := newConnectedMesh(t, "a1", "a2")
