soak: a run whose answer the endpoint cuts off has ended

What it did: such runs counted as running on after their caller had left. Cause: the answer ends by a panic, which skipped the record of the end. Evidence: TestRunThatTheEndpointCutsOffHasEnded failed before.

--- a/internal/lab/soak/journal.go
+++ b/internal/lab/soak/journal.go
@@ -47,8 +47,7 @@
 type Run struct {
 	Endpoint  ident.EndpointName
 	StartedAt time.Time
-	// EndedAt is zero until the run ends, and remains zero if the endpoint cut the
-	// response off.
+	// EndedAt is zero until the run ends.
 	EndedAt time.Time
 	// Cancelled is set if the node closed the connection before the end of the
 	// run.
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -161,13 +161,16 @@
 		return
 	}
 	s.checkRequest(self, req, r, body)
+	cancelled := false
 	end := s.journal.StartRun(req.ID, self.Name)
+	// An answer that is cut off ends by a panic.
+	defer func() { end(cancelled) }()
 	s.codec.SetSignature(w.Header(), req.ID, self.Name)
 	if events := eventCount(r.URL.Path); events > 0 {
-		end(s.answerStream(r.Context(), w, req, events))
+		cancelled = s.answerStream(r.Context(), w, req, events)
 		return
 	}
-	end(s.answerPlain(r.Context(), w, req, body))
+	cancelled = s.answerPlain(r.Context(), w, req, body)
 }
 
 // checkRequest records a violation if the node forwarded the caller's key, named
