--- a/internal/lab/soak/owner.go
+++ b/internal/lab/soak/owner.go
@@ -16,13 +16,17 @@
 // ownerOf returns the node whose process has the socket with the given local address, or
 // an empty name if none has.
 func (s *Soak) ownerOf(a net.Addr) ident.NodeName {
-	inode := socketInode(a)
-	if inode == "" {
-		return ""
-	}
-	for _, n := range s.nodes {
-		if n.hasSocket(inode) {
-			return n.name()
+	// The kernel's table may change while it is read, and rows be missed.
+	const tries = 3
+	for range tries {
+		inode := socketInode(a)
+		if inode == "" {
+			continue
+		}
+		for _, n := range s.nodes {
+			if n.hasSocket(inode) {
+				return n.name()
+			}
 		}
 	}
 	return ""
@@ -32,6 +36,8 @@
 // an empty string if there is none.
 func socketInode(a net.Addr) string {
 	const localColumn, inodeColumn = 1, 9
+	// Connections that have ended and still wait have no inode.
+	const noInode = "0"
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
@@ -40,7 +46,7 @@
 	local := kernelAddress(a)
 	for sc := bufio.NewScanner(f); sc.Scan(); {
 		columns := strings.Fields(sc.Text())
-		if len(columns) > inodeColumn && columns[localColumn] == local {
+		if len(columns) > inodeColumn && columns[localColumn] == local && columns[inodeColumn] != noInode {
 			return columns[inodeColumn]
 		}
 	}
