--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -137,9 +137,9 @@
 	}
 	if !a.overPeer {
 		x.server.direct.add(a)
-		defer x.server.direct.remove(a)
 	}
 	o, intact := a.roundTrip()
+	x.server.direct.remove(a)
 	x.setEndpointConn(nil)
 	o.linkLost = o.result != complete && (a.isLinkLost() || o.peerLost)
 	if intact && a.requestWritten.Load() && !a.overPeer {
