gate: one answer restores all links of an isolated node

What it did: after a cut, a node sent over its peers until it had checked each lost link, four each quarter of a second. Cause: the sign of life was recorded before the links were restored, and the node then no longer counted as isolated. Evidence: TestOneAnswerRestoresAllLinksOfAnIsolatedNode failed before. Found by reading. Result: the test passes, and the nine cases of TestNodesWithoutLinksToEndpointsServe.

--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -130,10 +130,10 @@
 
 // restoreLink records that bytes arrived over a link of this node to an endpoint.
 func (s *Server) restoreLink(e *topol.Endpoint) {
-	s.direct.hear()
 	if s.direct.lostCount.Load() > 0 {
 		s.updateLinks(func(r *reach.Links) { r.Restore(e.Name, s.endpointCount(), time.Now()) })
 	}
+	s.direct.hear()
 }
 
 // watchLinks checks lost and silent links until the context ends.
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -114,6 +114,20 @@
 	test.Error(t, err, test.Sprint("no endpoint has this address"))
 }
 
+// Guards against a node that is no longer cut and sends over its peers until it has checked
+// each link.
+func TestOneAnswerRestoresAllLinksOfAnIsolatedNode(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", ok("yes")), newEndpoint(t, "f", ok("yes")))
+	list := r.server.Feeds.Endpoints()
+	for _, e := range list.ByName {
+		r.server.loseLink(e)
+	}
+	must.True(t, r.server.Isolated())
+	r.server.restoreLink(list.ByName["ep"])
+	test.False(t, r.server.Isolated())
+	test.Zero(t, r.server.direct.lostCount.Load())
+}
+
 // Guards against a booking that runs twice: the peer over which it was sent died.
 func TestBookingOverALostPeerIsNotSentAgain(t *testing.T) {
 	e := newEndpoint(t, "e", neverResponds)
