engsrv: forget a stream that a refused request has replaced

What it did: the stand-in engine panicked when an ID was cancelled whose request had replaced another one and was then refused: the first one's stream was ended twice. Evidence: TestCancelAfterARefusedReplacement panicked before.

--- a/internal/lab/engsrv/stream.go
+++ b/internal/lab/engsrv/stream.go
@@ -165,6 +165,7 @@
 	s.arrivals = append(s.arrivals, time.Now())
 	if old, ok := s.streams[t.seq.ID]; ok {
 		s.engine.Cancel(t.seq.ID)
+		delete(s.streams, t.seq.ID)
 		old.abort()
 	}
 	if err := s.engine.Submit(time.Now(), t.seq); err != nil {
