gate: don't probe endpoints that name limits or want no requests

What it did: an endpoint in need got probes beside its requests. TestEndpointsInNeedAreNotProbed failed before. Result: the test passes.

--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -157,7 +157,9 @@
 		due = l.DueChecks(now, func(n ident.EndpointName) bool { return list.ByName[n] != nil })
 	})
 	for _, n := range due {
-		go s.probeDirectly(ctx, list.ByName[n])
+		if e := list.ByName[n]; s.mayProbe(e) {
+			go s.probeDirectly(ctx, e)
+		}
 	}
 }
 
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -114,6 +114,20 @@
 	test.Error(t, err, test.Sprint("no endpoint has this address"))
 }
 
+// Guards against probes that add to the load of an endpoint in need.
+func TestEndpointsInNeedAreNotProbed(t *testing.T) {
+	limited := "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\nLimit: 5\r\nContent-Length: 3\r\n\r\nyes"
+	for _, first := range []script{raw(limited, true), rests("30")} {
+		e := newEndpoint(t, "e", first)
+		c := newCutRig(t, e)
+		c.do(request("GET", "/safe/", "r1", ""))
+		test.Eq(t, unreachable, c.server.diagnose(context.Background(), c.server.Feeds.Endpoints().ByName["ep"]))
+		e.mu.Lock()
+		test.Zero(t, e.probes)
+		e.mu.Unlock()
+	}
+}
+
 // Guards against a node that is no longer cut and sends over its peers until it has checked
 // each link.
 func TestOneAnswerRestoresAllLinksOfAnIsolatedNode(t *testing.T) {
--- a/internal/trans/gate/limit.go
+++ b/internal/trans/gate/limit.go
@@ -108,6 +108,16 @@
 	return found
 }
 
+// limits reports whether an endpoint names a limit.
+func (l *endpointLimits) limits(e *topol.Endpoint) bool {
+	if l.count.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Limited(limitKey(e))
+}
+
 func limitKey(e *topol.Endpoint) quota.Key { return quota.Key{Endpoint: e.Name, Born: e.Born} }
 
 // observeLimit records the limit in the header of an endpoint's response, or that
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -34,6 +34,9 @@
 }
 
 func (s *Server) probeAll(ctx context.Context, e *topol.Endpoint) reachability {
+	if !s.mayProbe(e) {
+		return unreachable
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout+hedgeDelay)
 	defer cancel()
 	direct := make(chan bool, 1)
@@ -92,6 +95,12 @@
 	return false
 }
 
+// mayProbe reports whether an endpoint may be probed: not if it is in need.
+func (s *Server) mayProbe(e *topol.Endpoint) bool {
+	accepts, _ := s.availability.check(e, time.Now())
+	return accepts && !s.endpointLimits.limits(e)
+}
+
 // probe sends a probe and reports whether the endpoint sends anything back. It closes the
 // connection.
 func (s *Server) probe(c net.Conn, e *topol.Endpoint) bool {
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -108,6 +108,8 @@
 	scripts  []script
 	received []receivedRequest
 	conns    int
+	// probes is the number of probes.
+	probes int
 }
 
 // script answers a request on a connection. It returns false to close the
@@ -212,6 +214,9 @@
 			return
 		}
 		if string(req.Target) == probePath {
+			e.mu.Lock()
+			e.probes++
+			e.mu.Unlock()
 			io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
