--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -60,7 +60,7 @@
 // bytesPerSecond is set, limits their rate together.
 type link struct {
 	net.Listener
-	bytesPerSecond int
+	bytesPerSecond atomic.Int64
 	sent           atomic.Int64
 	// busy is held while bytes are sent at a limited rate.
 	busy chan struct{}
@@ -80,7 +80,7 @@
 
 func (c *linkConn) Write(b []byte) (int, error) {
 	c.link.sent.Add(int64(len(b)))
-	if rate := c.link.bytesPerSecond; rate > 0 {
+	if rate := c.link.bytesPerSecond.Load(); rate > 0 {
 		c.link.busy <- struct{}{}
 		time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(rate))
 		<-c.link.busy
@@ -165,7 +165,7 @@
 	}
 	raw := largeDocument(7, 0)
 	ps[0].setDocument(t, raw)
-	ps[0].link.bytesPerSecond = len(raw) / 4
+	ps[0].link.bytesPerSecond.Store(int64(len(raw) / 4))
 	test.True(t, ps[2].pullUntil(7, ps[0], 300))
 	test.True(t, ps[2].servedByReader(feeds.Configuration), test.Sprint("the node would read the store"))
 }
