gate, reach: peers that are cut too don't hide the others

Cause: a node that had no request in flight as it was cut learned of no lost link: it tried the peer with the least load first, which is one that is cut too and serves nothing, and took its answer for the endpoint's failure. Evidence: TestCutPeersDoNotHideTheOthers did not end before. Change: an endpoint that a node and one peer don't reach is probed over up to three peers before it counts as failed; these are the best, the best of another data centre, and one at random (TestCandidatesAreOfSeveralDataCentres).

--- a/internal/coord/reach/reach.go
+++ b/internal/coord/reach/reach.go
@@ -166,6 +166,25 @@
 	return ordered
 }
 
+// Candidates returns the peers over which a node tries to send, at most one of each of
+// these kinds: the best in the order of Order, the best of another data centre, and one at
+// random. Peers that are cut too and don't know it yet have little load, and may be a
+// whole data centre.
+func Candidates(ps []Peer, c ident.DataCentre, random func() float64) []Peer {
+	ordered := Order(ps, c, random)
+	var chosen []Peer
+	take := func(i int) {
+		if i >= 0 && i < len(ordered) {
+			chosen = append(chosen, ordered[i])
+			ordered = slices.Delete(ordered, i, i+1)
+		}
+	}
+	take(0)
+	take(slices.IndexFunc(ordered, func(p Peer) bool { return p.DataCentre != c }))
+	take(int(random() * float64(len(ordered))))
+	return chosen
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/coord/reach/reach_test.go
+++ b/internal/coord/reach/reach_test.go
@@ -73,6 +73,30 @@
 	test.True(t, l.StartSilenceCheck(at(100), at(2400)))
 }
 
+// Guards against a data centre whose nodes are all cut and send over each other only.
+func TestCandidatesAreOfSeveralDataCentres(t *testing.T) {
+	var ps []reach.Peer
+	for _, n := range []ident.NodeName{"a1", "a2", "a3", "a4", "b1", "b2"} {
+		requests := 0
+		if n[0] == 'b' {
+			requests = 20
+		}
+		ps = append(ps, reach.Peer{Name: n, DataCentre: ident.DataCentre(n[:1]), Requests: requests})
+	}
+	tried := ident.Set[ident.NodeName]{}
+	for i := range 100 {
+		cs := reach.Candidates(ps, "a", func() float64 { return float64(i) / 100 })
+		test.SliceLen(t, 3, cs)
+		test.Eq(t, "b", cs[1].DataCentre)
+		for _, c := range cs {
+			tried.Add(c.Name)
+		}
+	}
+	test.MapLen(t, len(ps), tried)
+	test.SliceLen(t, 1, reach.Candidates(ps[:1], "a", func() float64 { return 0.99 }))
+	test.SliceEmpty(t, reach.Candidates(nil, "a", func() float64 { return 0.99 }))
+}
+
 func TestOrderOfPeers(t *testing.T) {
 	same := func() float64 { return 0 }
 	ps := []reach.Peer{
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -23,8 +23,6 @@
 	// tunnelTimeout the time to open a tunnel over one peer.
 	peerConnectTimeout = 200 * time.Millisecond
 	tunnelTimeout      = 300 * time.Millisecond
-	// maxPeersTried bounds the peers over which one connection is tried.
-	maxPeersTried = 3
 )
 
 // errNoPeer means that there is no peer over which requests can be sent.
@@ -105,9 +103,8 @@
 
 // dialOverPeer opens a tunnel to an endpoint over one of the peers.
 func (s *Server) dialOverPeer(ctx context.Context, e *topol.Endpoint) (net.Conn, error) {
-	peers := reach.Order(s.Helpers(time.Now()), s.DataCentre, random)
 	err := error(errNoPeer)
-	for _, p := range peers[:min(maxPeersTried, len(peers))] {
+	for _, p := range reach.Candidates(s.Helpers(time.Now()), s.DataCentre, random) {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -31,6 +31,8 @@
 	lost atomic.Bool
 	// tunnels are the connections of tunnels that the peer accepted.
 	tunnels chan net.Conn
+	// moreHelpers are peers beside the one that reaches the endpoints.
+	moreHelpers atomic.Pointer[[]reach.Peer]
 	// announced counts the failures and strikes that the node announced.
 	announced atomic.Int32
 }
@@ -57,7 +59,11 @@
 	c.rig = newConfiguredRig(t, 0, func(s *Server) {
 		s.DialEndpoint = c.dialEndpoint
 		s.Helpers = func(time.Time) []reach.Peer {
-			return []reach.Peer{{Name: "n2", Address: l.Addr().String(), DataCentre: "a"}}
+			ps := []reach.Peer{{Name: "n2", Address: l.Addr().String(), DataCentre: "a", Requests: 9}}
+			if more := c.moreHelpers.Load(); more != nil {
+				ps = append(ps, *more...)
+			}
+			return ps
 		}
 		s.AnnounceFailure = func(ident.EndpointName) { c.announced.Add(1) }
 		s.AnnounceStrike = func(strik.Strike) { c.announced.Add(1) }
@@ -96,6 +102,29 @@
 	test.Eq(t, 5, len(c.tunnels), test.Sprint("the link of the node is used again"))
 }
 
+// Guards against a node that serves nothing, since the peer with the least load is cut from
+// the endpoints too and was always tried first.
+func TestCutPeersDoNotHideTheOthers(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	c := newCutRig(t, e)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	refuses := &tunnel.Server{Connect: func(context.Context, tunnel.Request) (net.Conn, error) { return nil, syscall.ECONNREFUSED }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		conns.ServeRPC(ctx, l, "Node", c.peer.reserver, conns.Branch{Preamble: tunnel.Preamble, Serve: refuses.Serve})
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	c.moreHelpers.Store(&[]reach.Peer{{Name: "cut", Address: l.Addr().String(), DataCentre: "a"}})
+	c.lost.Store(true)
+	for c.do(request("GET", "/safe/", "r1", "")).status != 200 {
+		time.Sleep(time.Millisecond)
+	}
+	test.Zero(t, c.announced.Load(), test.Sprint("the endpoint has not failed"))
+}
+
 // Guards against reservations that fail at a node without links, although its prompts go
 // over a peer.
 func TestOrdersGoOverAPeerWhileLinksAreLost(t *testing.T) {
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -78,8 +78,7 @@
 
 // probeOverPeers reports whether an endpoint answers a probe over one of the peers.
 func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) bool {
-	peers := reach.Order(s.Helpers(time.Now()), s.DataCentre, random)
-	peers = peers[:min(maxPeersTried, len(peers))]
+	peers := reach.Candidates(s.Helpers(time.Now()), s.DataCentre, random)
 	answered := make(chan bool, len(peers))
 	for _, p := range peers {
 		go func() {
