gate: a node that hears nothing on its links blames no endpoint

What callers would see: cut nodes bar a part that all prompts share, so that sound nodes reject them too. Cause: probes that time out over busy peers look like an endpoint that is down. Change: without any answer to its probes, a node announces a failure and records a strike only if it has heard something on any link since it sent the request.

--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -125,6 +126,19 @@
 	test.Zero(t, c.announced.Load(), test.Sprint("the endpoint has not failed"))
 }
 
+// Guards against one cut node whose strikes bar what all prompts share: its peers were too
+// slow to show that only its own links are lost.
+func TestNodeThatHearsNothingBlamesNobody(t *testing.T) {
+	e := newEndpoint(t, "e", dropsConnection)
+	c := newCutRig(t, e, e.alias("f"))
+	c.peer.server.direct.isolated.Store(true)
+	c.lost.Store(true)
+	for i := range 5 {
+		c.do(prompt(strconv.Itoa(i), "1 2"))
+	}
+	test.Zero(t, c.announced.Load())
+}
+
 // Guards against reservations that fail at a node without links, although its prompts go
 // over a peer.
 func TestOrdersGoOverAPeerWhileLinksAreLost(t *testing.T) {
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -166,11 +166,18 @@
 		trial := x.takeTrial()
 		go func() {
 			defer s.endTrial(trial)
-			if s.diagnose(context.Background(), e) == reachedOverPeer {
+			switch s.diagnose(context.Background(), e) {
+			case reachedOverPeer:
 				s.endpointHealth.recordSuccess(e.Name)
-				return
+			case unreachable:
+				// A node that has heard nothing since may be cut off, with peers that
+				// were too slow to show it.
+				if s.direct.heardSince(o.startedAt) {
+					blame()
+				}
+			default:
+				blame()
 			}
-			blame()
 		}()
 	}
 }
