--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -15,7 +15,7 @@
 	// trialPause is the time from the last strike of a barred part until a prompt with
 	// it is sent as a trial. Each trial that crashes its endpoint makes it
 	// trialPauseFactor times as long, so that a part which does crash endpoints gets
-	// three trials in 40 minutes. A prompt with several barred parts can't show which
+	// four trials in 40 minutes. A prompt with several barred parts can't show which
 	// of them is at fault, and waits as if one more trial had failed.
 	trialPause       = 500 * time.Millisecond
 	trialPauseFactor = 16
--- a/internal/lab/soak/stated.go
+++ b/internal/lab/soak/stated.go
@@ -109,13 +109,13 @@
 	p.crashes = append(p.crashes, now)
 }
 
-// late returns the number of arrivals later than settle after toleratedCrashes, and the
-// time of the first crash.
-func (p *crashingPart) late(settle time.Duration) (n int, first time.Time) {
+// late returns the number of arrivals later than settle after toleratedCrashes, the number
+// of crashes and the time of the first one.
+func (p *crashingPart) late(settle time.Duration) (n, crashes int, first time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.crashes) < toleratedCrashes {
-		return 0, time.Time{}
+		return 0, len(p.crashes), time.Time{}
 	}
 	limit := p.crashes[toleratedCrashes-1].Add(settle)
 	for _, at := range p.arrivals {
@@ -123,7 +123,7 @@
 			n++
 		}
 	}
-	return n, p.crashes[0]
+	return n, len(p.crashes), p.crashes[0]
 }
 
 // crashByPart injects CrashByPart: callers send prompts with a part that crashes endpoints.
@@ -134,9 +134,9 @@
 	}
 	delay.For(ctx, partTime)
 	s.crashing.Store(nil)
-	n, first := p.late(s.Bounds.SettleTime)
+	n, crashes, first := p.late(s.Bounds.SettleTime)
 	if n > maxLateArrivals && !s.journal.nodesRestarted(first) {
-		s.journal.AddViolation("part", "%d prompts with the part %s reached endpoints later than %v after %d crashes, %d in all", n, p.id, s.Bounds.SettleTime, toleratedCrashes, len(p.crashes))
+		s.journal.AddViolation("part", "%d prompts with the part %s reached endpoints later than %v after %d crashes, %d in all", n, p.id, s.Bounds.SettleTime, toleratedCrashes, crashes)
 	}
 }
 
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -104,7 +104,7 @@
 // dialOverPeer opens a tunnel to an endpoint over one of the peers.
 func (s *Server) dialOverPeer(ctx context.Context, e *topol.Endpoint) (net.Conn, error) {
 	err := error(errNoPeer)
-	for _, p := range reach.Candidates(s.Helpers(time.Now()), s.DataCentre, random) {
+	for _, p := range reach.Candidates(s.Peers(time.Now()), s.DataCentre, random) {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -134,7 +134,7 @@
 // endpoint must be listed, and the peer known.
 func (s *Server) ConnectForPeer(ctx context.Context, r tunnel.Request) (net.Conn, error) {
 	list := s.Feeds.Endpoints()
-	known := slices.ContainsFunc(s.Helpers(time.Now()), func(p reach.Peer) bool { return p.Name == r.From })
+	known := slices.ContainsFunc(s.Peers(time.Now()), func(p reach.Peer) bool { return p.Name == r.From })
 	switch {
 	case list == nil || !known:
 		return nil, errors.New("unknown node or no endpoints yet")
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -32,8 +32,8 @@
 	lost atomic.Bool
 	// tunnels are the connections of tunnels that the peer accepted.
 	tunnels chan net.Conn
-	// moreHelpers are peers beside the one that reaches the endpoints.
-	moreHelpers atomic.Pointer[[]reach.Peer]
+	// morePeers are peers beside the one that reaches the endpoints.
+	morePeers atomic.Pointer[[]reach.Peer]
 	// announced counts the failures and strikes that the node announced.
 	announced atomic.Int32
 }
@@ -41,7 +41,7 @@
 func newCutRig(t testing.TB, es ...*scriptedEndpoint) *cutRig {
 	c := &cutRig{tunnels: make(chan net.Conn, 1<<20)}
 	c.peer = newConfiguredRig(t, 0, func(s *Server) {
-		s.Helpers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
+		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
 	}, es...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -59,9 +59,9 @@
 	t.Cleanup(func() { cancel(); <-done })
 	c.rig = newConfiguredRig(t, 0, func(s *Server) {
 		s.DialEndpoint = c.dialEndpoint
-		s.Helpers = func(time.Time) []reach.Peer {
+		s.Peers = func(time.Time) []reach.Peer {
 			ps := []reach.Peer{{Name: "n2", Address: l.Addr().String(), DataCentre: "a", Requests: 9}}
-			if more := c.moreHelpers.Load(); more != nil {
+			if more := c.morePeers.Load(); more != nil {
 				ps = append(ps, *more...)
 			}
 			return ps
@@ -118,7 +118,7 @@
 		close(done)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	c.moreHelpers.Store(&[]reach.Peer{{Name: "cut", Address: l.Addr().String(), DataCentre: "a"}})
+	c.morePeers.Store(&[]reach.Peer{{Name: "cut", Address: l.Addr().String(), DataCentre: "a"}})
 	c.lost.Store(true)
 	for c.do(request("GET", "/safe/", "r1", "")).status != 200 {
 		time.Sleep(time.Millisecond)
@@ -253,7 +253,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := newConfiguredRig(t, 0, func(s *Server) {
-				s.Helpers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
+				s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
 				if c.prepare != nil {
 					c.prepare(s)
 				}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -160,7 +160,7 @@
 		}
 	}
 	switch {
-	case len(s.Helpers(now)) == 0:
+	case len(s.Peers(now)) == 0:
 		blame()
 	case isNew || strike != nil:
 		trial := x.takeTrial()
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -78,7 +78,7 @@
 
 // probeOverPeers reports whether an endpoint answers a probe over one of the peers.
 func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) bool {
-	peers := reach.Candidates(s.Helpers(time.Now()), s.DataCentre, random)
+	peers := reach.Candidates(s.Peers(time.Now()), s.DataCentre, random)
 	answered := make(chan bool, len(peers))
 	for _, p := range peers {
 		go func() {
--- a/internal/trans/gate/rest_test.go
+++ b/internal/trans/gate/rest_test.go
@@ -61,7 +61,7 @@
 func TestPeerConnectsToNoEndpointThatRests(t *testing.T) {
 	e := newEndpoint(t, "e", rests("20"))
 	r := newConfiguredRig(t, 0, func(s *Server) {
-		s.Helpers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
+		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
 	}, e)
 	r.do(request("GET", "/safe/", "r1", ""))
 	_, err := r.server.ConnectForPeer(context.Background(), tunnel.Request{From: "n1", Endpoint: "ep", Address: e.address})
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -136,10 +136,10 @@
 	// FetchPermit asks another node for the permission to send a request to an
 	// endpoint, out of that node's share of the endpoint's limit.
 	FetchPermit func(ident.NodeName, quota.Key) (relay.Permit, error)
-	// AnnounceStatus informs the peers that Isolated has changed, Helpers returns the
+	// AnnounceStatus informs the peers that Isolated has changed, Peers returns the
 	// peers over which requests can be sent.
 	AnnounceStatus func()
-	Helpers        func(now time.Time) []reach.Peer
+	Peers          func(now time.Time) []reach.Peer
 	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
 	DialEndpoint links.DialFunc
 	// NodeCount returns the number of known nodes, including this one.
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -225,8 +225,8 @@
 	return self
 }
 
-// Helpers returns the peers that are alive, over which this node may send requests.
-func (m *Mesh) Helpers(now time.Time) []reach.Peer {
+// Peers returns the peers that are alive, over which this node may send requests.
+func (m *Mesh) Peers(now time.Time) []reach.Peer {
 	var ps []reach.Peer
 	for _, n := range m.aliveNodes(now) {
 		if n.peer == nil {
