--- /dev/null
+++ b/internal/lab/passes/sizes_test.go
@@ -0,0 +1,78 @@
+package passes
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// burstDays are days on the large deployment with bursts of long prompts: factors on the
+// users' rates, and the least ratio between the served shares of a size class and of its
+// kind that is the target over many days.
+var burstDays = []struct {
+	name       string
+	load       float64
+	leastRatio float64
+}{
+	{"users' rates", 1, 0.9},
+	{"a quarter more", 1.25, 0.9},
+	{"half more", 1.5, 0.8},
+}
+
+// daySeeds are the seeds of the days of each load.
+var daySeeds = []uint64{901, 902, 903}
+
+// longestKindByDay returns the results of the longest prompts by size for each load and
+// seed, indexed as in burstDays and daySeeds. It simulates each day once.
+var longestKindByDay = sync.OnceValue(func() [][]SizeResults {
+	rs := make([][]SizeResults, len(burstDays))
+	var wg sync.WaitGroup
+	for i := range burstDays {
+		rs[i] = make([]SizeResults, len(daySeeds))
+		for j := range daySeeds {
+			wg.Go(func() { rs[i][j] = longestKindOn(daySeeds[j], burstDays[i].load) })
+		}
+	}
+	wg.Wait()
+	return rs
+})
+
+func longestKindOn(seed uint64, load float64) SizeResults {
+	w := LargeWorkload(seed)
+	w.UpdateDelay = 15 * time.Millisecond
+	for i := range w.Kinds {
+		w.Kinds[i].Rate *= load
+	}
+	return Run(w)[len(w.Kinds)-1].Sizes
+}
+
+// Guards against SHORT on one of many days: the largest tenth of a kind, or the fifth below
+// it, is served less than half as often as the kind, since admission weighs each prompt by
+// itself.
+func TestNoSizeClassIsStarvedOnAnyDay(t *testing.T) {
+	for i, c := range burstDays {
+		for j, seed := range daySeeds {
+			sizes := longestKindByDay()[i][j]
+			t.Log(c.name, "seed", seed, sizes)
+			all := sizes.All().ServedShare()
+			test.GreaterEq(t, all/2, sizes[NextFifth].ServedShare(), test.Sprint(c.name, seed))
+			test.GreaterEq(t, all/2, sizes[LargestTenth].ServedShare(), test.Sprint(c.name, seed))
+		}
+	}
+}
+
+// Guards against admission that prefers small prompts on the mean of many days.
+func TestSizeClassesAreServedAsOftenAsTheirKind(t *testing.T) {
+	for i, c := range burstDays {
+		var sizes SizeResults
+		for j := range daySeeds {
+			sizes.add(longestKindByDay()[i][j])
+		}
+		t.Log(c.name, sizes)
+		all := sizes.All().ServedShare()
+		test.GreaterEq(t, c.leastRatio*all, sizes[NextFifth].ServedShare(), test.Sprint(c.name))
+		test.GreaterEq(t, c.leastRatio*all, sizes[LargestTenth].ServedShare(), test.Sprint(c.name))
+	}
+}
