avail, gate: a rest binds the node that the endpoint asked

What callers saw: endpoints that asked one of three nodes for rest got no requests of any; the others served 2 of 430 requests, although nobody had asked them.

Cause: the table of statements had the endpoint alone as its key, so a rest that one node heard was kept by all; and what came back over a tunnel was recorded for the node that had sent it, not for the peer from whose address the request came.

Change: the key of a rest is the endpoint and the node. A node that was asked sends nothing there, over peers neither: the endpoint wants less of its callers. A rest over a tunnel is recorded for the peer, which is told. The others avoid the endpoint, since it would probably turn them away too, unless that is most of the endpoints. Callers of a node for which all endpoints rest are told to come back at once where another node is not asked. Rests have a field of their own in updates, which older nodes ignore.

--- a/internal/coord/avail/avail.go
+++ b/internal/coord/avail/avail.go
@@ -1,81 +1,122 @@
 // Package avail holds what endpoints state in their answers about whether they accept
-// requests: some are leaving, others want none for a time.
+// requests. An endpoint that leaves wants none of any node; one that asks a node for rest
+// wants none of that node for a time.
 package avail
 
 import (
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// State is what an endpoint stated last.
+// State is what an endpoint states to all nodes.
 type State struct {
 	quota.Key
 	// Leaving is set if the endpoint is leaving; it gets no more requests.
 	Leaving bool
-	// RestUntil is the time until which the endpoint wants no requests; zero if it
-	// stated none.
-	RestUntil time.Time
 }
 
-// Table holds the states of endpoints that don't accept requests. It is not safe for
-// concurrent use.
+// Rest is the time for which an endpoint wants no requests of one node.
+type Rest struct {
+	quota.Key
+	Node ident.NodeName
+	// Until is the end of the rest.
+	Until time.Time
+}
+
+// pair names an endpoint and a node.
+type pair struct {
+	quota.Key
+	node ident.NodeName
+}
+
+// Table holds the statements of endpoints. It is not safe for concurrent use.
 type Table struct {
-	states map[quota.Key]State
+	leaving map[quota.Key]bool
+	rests   map[pair]time.Time
 }
 
-// Record adds what an endpoint stated. It reports whether that is news.
-func (t *Table) Record(s State, now time.Time) bool {
-	if t.states == nil {
-		t.states = map[quota.Key]State{}
+// Record adds what an endpoint stated to all nodes. It reports whether that is news.
+func (t *Table) Record(s State) bool {
+	if !s.Leaving || t.leaving[s.Key] {
+		return false
+	}
+	if t.leaving == nil {
+		t.leaving = map[quota.Key]bool{}
 	}
-	old := t.states[s.Key]
-	rests := s.RestUntil.After(now) && s.RestUntil.After(old.RestUntil)
-	leaves := s.Leaving && !old.Leaving
-	if !rests && !leaves {
+	t.leaving[s.Key] = true
+	return true
+}
+
+// RecordRest adds a rest, unless a longer one is known. It reports whether that is news.
+func (t *Table) RecordRest(r Rest, now time.Time) bool {
+	p := pair{r.Key, r.Node}
+	if !r.Until.After(now) || !r.Until.After(t.rests[p]) {
 		return false
 	}
-	old.Key = s.Key
-	old.Leaving = old.Leaving || s.Leaving
-	if rests {
-		old.RestUntil = s.RestUntil
+	if t.rests == nil {
+		t.rests = map[pair]time.Time{}
 	}
-	t.states[s.Key] = old
+	t.rests[p] = r.Until
 	return true
 }
 
-// Check reports whether an endpoint accepts requests, and if it rests, how long.
-func (t *Table) Check(k quota.Key, now time.Time) (ok bool, rest time.Duration) {
-	s, known := t.states[k]
-	switch {
-	case !known:
-		return true, 0
-	case s.Leaving:
-		return false, 0
-	case s.RestUntil.After(now):
-		return false, s.RestUntil.Sub(now)
-	default:
-		return true, 0
+// Leaves reports whether an endpoint is leaving.
+func (t *Table) Leaves(k quota.Key) bool { return t.leaving[k] }
+
+// RestFor returns how long an endpoint still wants no requests of a node.
+func (t *Table) RestFor(k quota.Key, n ident.NodeName, now time.Time) time.Duration {
+	return max(0, t.rests[pair{k, n}].Sub(now))
+}
+
+// Accepts reports whether an endpoint accepts requests of a node.
+func (t *Table) Accepts(k quota.Key, n ident.NodeName, now time.Time) bool {
+	return !t.Leaves(k) && t.RestFor(k, n, now) == 0
+}
+
+// Resting returns the endpoints that want no requests of some node.
+func (t *Table) Resting(now time.Time) map[quota.Key]bool {
+	ks := map[quota.Key]bool{}
+	for p, until := range t.rests {
+		if until.After(now) {
+			ks[p.Key] = true
+		}
 	}
+	return ks
 }
 
-// Len returns the number of states.
-func (t *Table) Len() int { return len(t.states) }
+// Len returns the number of statements.
+func (t *Table) Len() int { return len(t.leaving) + len(t.rests) }
 
-// States returns all states, for a new peer.
+// States returns what endpoints stated to all nodes, for a new peer.
 func (t *Table) States() []State {
-	ss := make([]State, 0, len(t.states))
-	for _, s := range t.states {
-		ss = append(ss, s)
+	ss := make([]State, 0, len(t.leaving))
+	for k := range t.leaving {
+		ss = append(ss, State{Key: k, Leaving: true})
 	}
 	return ss
 }
 
-// Expire drops the states that have ended, and those of endpoints that don't exist.
+// Rests returns the rests of all nodes, for a new peer.
+func (t *Table) Rests() []Rest {
+	rs := make([]Rest, 0, len(t.rests))
+	for p, until := range t.rests {
+		rs = append(rs, Rest{Key: p.Key, Node: p.node, Until: until})
+	}
+	return rs
+}
+
+// Expire drops the rests that have ended, and what endpoints stated that don't exist.
 func (t *Table) Expire(now time.Time, exists func(quota.Key) bool) {
-	for k, s := range t.states {
-		if !exists(k) || !s.Leaving && !s.RestUntil.After(now) {
-			delete(t.states, k)
+	for k := range t.leaving {
+		if !exists(k) {
+			delete(t.leaving, k)
+		}
+	}
+	for p, until := range t.rests {
+		if !exists(p.Key) || !until.After(now) {
+			delete(t.rests, p)
 		}
 	}
 }
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -139,7 +139,7 @@
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
-		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, AnnounceAvailability: n.mesh.AnnounceAvailability, AnnounceDecision: n.mesh.AnnounceDecision, Peers: n.mesh.Peers,
+		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, AnnounceAvailability: n.mesh.AnnounceAvailability, AnnounceRest: n.mesh.AnnounceRest, AnnounceDecision: n.mesh.AnnounceDecision, Peers: n.mesh.Peers,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
 		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
@@ -147,6 +147,7 @@
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddStrikes
 	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
 	n.mesh.Availability, n.mesh.OnAvailability = n.gate.Availability, n.gate.AddPeerAvailability
+	n.mesh.Rests, n.mesh.OnRests = n.gate.Rests, n.gate.AddPeerRests
 	n.mesh.OnDecisions = n.gate.AddPeerDecisions
 	if n.UseDialer != nil {
 		n.UseDialer(n.gate.DialListed)
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -53,6 +53,7 @@
 		m := &share.Mesh{Self: relay.Member{Name: ident.NodeName(name), Address: l.Addr().String()}, InFlight: p.works, Logger: zerolog.Nop()}
 		m.OnFailed, m.OnStruck = func([]ident.EndpointName) {}, func([]strik.Strike) {}
 		m.Availability, m.OnAvailability = func() []avail.State { return nil }, func([]avail.State) {}
+		m.Rests, m.OnRests = func() []avail.Rest { return nil }, func([]avail.Rest) {}
 		m.OnProofs, m.OnPartStates, m.PartStates = func([]strik.Proof) {}, func([]strik.PartState) {}, func() []strik.PartState { return nil }
 		m.Limits, m.OnLimits = func() []quota.Limit { return nil }, func([]quota.Limit) {}
 		m.Init(ctx)
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -57,11 +57,15 @@
 	Age   time.Duration
 }
 
-// AgedAvailability is what an endpoint stated, with the rest of its pause instead of the
-// time at which that ends.
-type AgedAvailability struct {
+// StatedAvailability is what an endpoint stated to all nodes.
+type StatedAvailability struct {
 	State avail.State
-	Rest  time.Duration
+}
+
+// RestLeft is a rest with the time left instead of its end.
+type RestLeft struct {
+	Rest avail.Rest
+	Left time.Duration
 }
 
 // AgedDecision is a decision on a prompt with its age instead of its time.
@@ -106,8 +110,10 @@
 	Parts  []AgedPart
 	// Limits lists the limits that endpoints named, or that have ended.
 	Limits []AgedLimit
-	// Stated lists what endpoints stated about whether they accept requests.
-	Stated []AgedAvailability
+	// Stated lists what endpoints stated to all nodes about whether they accept
+	// requests, Rests what they stated to one.
+	Stated []StatedAvailability
+	Rests  []RestLeft
 	// Decided lists the node's decisions on prompts that may be deferred.
 	Decided []AgedDecision
 	// Reach selects the nodes to which the receiver forwards the update.
@@ -132,7 +138,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Decided) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -98,9 +98,12 @@
 	pool       *links.Pool
 	inFlightID works.ID
 	startedAt  time.Time
-	// overPeer is set if the link is a tunnel over a peer, linkLost if the attempt was
-	// abandoned because its link is lost. exchange.mu guards linkLost.
-	overPeer, linkLost bool
+	// sender is the node from which the endpoint gets the request: this one, or a peer if
+	// the link is a tunnel.
+	sender ident.NodeName
+	// linkLost is set if the attempt was abandoned because its link is lost.
+	// exchange.mu guards it.
+	linkLost bool
 	// requestWritten is set once the whole request has been written.
 	requestWritten atomic.Bool
 }
@@ -136,14 +139,14 @@
 		a.link.Close()
 		return outcome{result: notSent, reason: "caller left"}
 	}
-	if !a.overPeer {
+	if !a.isOverPeer() {
 		x.server.direct.add(a)
 	}
 	o, intact := a.roundTrip()
 	x.server.direct.remove(a)
 	x.setEndpointConn(nil)
 	o.linkLost = o.result != complete && (a.isLinkLost() || o.peerLost)
-	if intact && a.requestWritten.Load() && !a.overPeer {
+	if intact && a.requestWritten.Load() && !a.isOverPeer() {
 		a.pool.Put(a.link, time.Now())
 	} else {
 		a.link.Close()
@@ -162,6 +165,9 @@
 	return outcome{result: unreserved, reason: errUnreserved.Error()}
 }
 
+// isOverPeer reports whether the link is a tunnel over a peer.
+func (a *attempt) isOverPeer() bool { return a.sender != a.server.Node }
+
 func (a *attempt) isLinkLost() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -173,6 +179,7 @@
 // one, it would be unknown whether the request ran.
 func (a *attempt) connect() error {
 	e := a.choice.Primary
+	a.sender = a.server.Node
 	if a.route.Repeatable() && a.server.sendsDirectly(e) {
 		if a.link = a.pool.Take(time.Now()); a.link != nil {
 			return nil
@@ -181,7 +188,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
 	defer cancel()
 	var err error
-	a.link, a.overPeer, err = a.server.connectTo(ctx, e)
+	a.link, a.sender, err = a.server.connectTo(ctx, e)
 	return err
 }
 
@@ -200,7 +207,7 @@
 	a.hear()
 	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
-		a.server.observeAvailability(a.choice.Primary, header, time.Now())
+		a.server.observeAvailability(a.choice.Primary, a.sender, header, time.Now())
 	}
 	o := outcome{status: res.Status, rests: header.Rest > 0, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
 	if k, n := res.Get("Keep-Alive"); n > 0 {
@@ -219,7 +226,7 @@
 
 // hear records that bytes arrived, if they came over a link of this node.
 func (a *attempt) hear() {
-	if !a.overPeer {
+	if !a.isOverPeer() {
 		a.server.direct.hear()
 	}
 }
--- a/internal/trans/gate/avail.go
+++ b/internal/trans/gate/avail.go
@@ -10,12 +10,13 @@
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // statedAvailability holds what endpoints state about whether they accept requests. It is
 // safe for concurrent use.
 type statedAvailability struct {
-	// count is the number of endpoints that stated something.
+	// count is the number of statements.
 	count atomic.Int64
 
 	mu    sync.Mutex
@@ -30,75 +31,142 @@
 	a.count.Store(int64(a.table.Len()))
 }
 
-// check reports whether an endpoint accepts requests as far as it has stated, and if it
-// rests, how long.
-func (a *statedAvailability) check(e *topol.Endpoint, now time.Time) (ok bool, rest time.Duration) {
+// accepts reports whether an endpoint accepts requests of a node as far as it has stated.
+func (a *statedAvailability) accepts(e *topol.Endpoint, n ident.NodeName, now time.Time) bool {
 	if a.count.Load() == 0 {
-		return true, 0
+		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.table.Check(limitKey(e), now)
+	return a.table.Accepts(limitKey(e), n, now)
 }
 
-// accepting returns the endpoints that accept requests as far as they have stated.
-func (a *statedAvailability) accepting(es []*topol.Endpoint, now time.Time) []*topol.Endpoint {
+// accepting returns the endpoints that accept requests of a node as far as they have stated.
+func (a *statedAvailability) accepting(es []*topol.Endpoint, n ident.NodeName, now time.Time) []*topol.Endpoint {
 	if a.count.Load() == 0 {
 		return es
 	}
-	return slices.DeleteFunc(slices.Clone(es), func(e *topol.Endpoint) bool {
-		ok, _ := a.check(e, now)
-		return !ok
-	})
+	return slices.DeleteFunc(slices.Clone(es), func(e *topol.Endpoint) bool { return !a.accepts(e, n, now) })
 }
 
-// shortestRest returns the time until the first of some endpoints that rest accepts requests
-// again, and whether there is any.
-func (a *statedAvailability) shortestRest(es []*topol.Endpoint, now time.Time) (shortest time.Duration, any bool) {
+// maxRestingDivisor is the divisor of the number of endpoints for the largest number of
+// them that are avoided because they want no requests of other nodes.
+const maxRestingDivisor = 2
+
+// restingForOthers returns those of some endpoints that want no requests of other nodes, and
+// would probably turn this one away too. It returns none if they are most of the endpoints.
+func (a *statedAvailability) restingForOthers(es []*topol.Endpoint, now time.Time) ident.Set[ident.EndpointName] {
+	if a.count.Load() == 0 {
+		return nil
+	}
+	var keys map[quota.Key]bool
+	a.update(func(t *avail.Table) { keys = t.Resting(now) })
+	resting := ident.Set[ident.EndpointName]{}
 	for _, e := range es {
-		if _, rest := a.check(e, now); rest > 0 && (!any || rest < shortest) {
-			shortest, any = rest, true
+		if keys[limitKey(e)] {
+			resting.Add(e.Name)
 		}
 	}
-	return shortest, any
+	if maxRestingDivisor*len(resting) > len(es) {
+		return nil
+	}
+	return resting
 }
 
-// observeAvailability records what the header of an endpoint's response states.
-func (s *Server) observeAvailability(e *topol.Endpoint, h relay.ResponseHeader, now time.Time) {
-	if !h.Leaving && h.Rest == 0 {
-		return
+// rest returns the time until one of some endpoints accepts requests of one of the nodes,
+// and reports whether any of them rests for the first of these nodes.
+func (a *statedAvailability) rest(es []*topol.Endpoint, nodes []ident.NodeName, now time.Time) (shortest time.Duration, rests bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	isFirst := true
+	for _, e := range es {
+		k := limitKey(e)
+		if a.table.Leaves(k) {
+			continue
+		}
+		rests = rests || a.table.RestFor(k, nodes[0], now) > 0
+		for _, n := range nodes {
+			if r := a.table.RestFor(k, n, now); isFirst || r < shortest {
+				shortest, isFirst = r, false
+			}
+		}
+	}
+	return shortest, rests
+}
+
+// restOfService returns how long the endpoints of a service want no requests of any node,
+// and reports whether any of them rests for this node.
+func (s *Server) restOfService(n ident.ServiceName, now time.Time) (time.Duration, bool) {
+	if s.availability.count.Load() == 0 {
+		return 0, false
+	}
+	nodes := []ident.NodeName{s.Node}
+	for _, p := range s.Peers(now) {
+		nodes = append(nodes, p.Name)
+	}
+	return s.availability.rest(s.Feeds.Endpoints().ByService[n], nodes, now)
+}
+
+// observeAvailability records what the header of an endpoint's response states. asked is the
+// node from which the request reached the endpoint, so that a rest binds it.
+func (s *Server) observeAvailability(e *topol.Endpoint, asked ident.NodeName, h relay.ResponseHeader, now time.Time) {
+	if h.Leaving {
+		if st := (avail.State{Key: limitKey(e), Leaving: true}); s.recordLeaving(st) {
+			s.AnnounceAvailability(st)
+		}
 	}
-	st := avail.State{Key: limitKey(e), Leaving: h.Leaving}
 	if h.Rest > 0 {
-		st.RestUntil = now.Add(h.Rest)
+		if r := (avail.Rest{Key: limitKey(e), Node: asked, Until: now.Add(h.Rest)}); s.recordRest(r, now) {
+			s.AnnounceRest(r)
+		}
 	}
-	if s.recordAvailability(st, now) {
-		s.AnnounceAvailability(st)
+}
+
+// recordLeaving records that an endpoint is leaving, and reports whether that is news.
+func (s *Server) recordLeaving(st avail.State) (isNew bool) {
+	s.availability.update(func(t *avail.Table) { isNew = t.Record(st) })
+	if isNew {
+		s.Logger.Info().Str("endpoint", string(st.Endpoint)).Msg("gate: endpoint states that it is leaving")
 	}
+	return isNew
 }
 
-// recordAvailability records what an endpoint stated, and reports whether that is news.
-func (s *Server) recordAvailability(st avail.State, now time.Time) (isNew bool) {
-	s.availability.update(func(t *avail.Table) { isNew = t.Record(st, now) })
+// recordRest records that an endpoint wants no requests of a node, and reports whether that
+// is news.
+func (s *Server) recordRest(r avail.Rest, now time.Time) (isNew bool) {
+	s.availability.update(func(t *avail.Table) { isNew = t.RecordRest(r, now) })
 	if isNew {
-		s.Logger.Info().Str("endpoint", string(st.Endpoint)).Bool("leaving", st.Leaving).Time("restUntil", st.RestUntil).Msg("gate: endpoint states that it wants no requests")
+		s.Logger.Info().Str("endpoint", string(r.Endpoint)).Str("asked", string(r.Node)).Time("restUntil", r.Until).Msg("gate: endpoint wants no requests of a node")
 	}
 	return isNew
 }
 
-// AddPeerAvailability records what endpoints stated to a peer.
+// AddPeerAvailability records which endpoints told a peer that they are leaving.
 func (s *Server) AddPeerAvailability(ss []avail.State) {
 	for _, st := range ss {
-		s.recordAvailability(st, time.Now())
+		s.recordLeaving(st)
 	}
 }
 
-// Availability returns what endpoints stated, for a new peer.
+// AddPeerRests records the rests that a peer knows.
+func (s *Server) AddPeerRests(rs []avail.Rest) {
+	for _, r := range rs {
+		s.recordRest(r, time.Now())
+	}
+}
+
+// Availability returns which endpoints are leaving, for a new peer.
 func (s *Server) Availability() (ss []avail.State) {
 	s.availability.update(func(t *avail.Table) { ss = t.States() })
 	return ss
 }
 
+// Rests returns the rests of all nodes, for a new peer.
+func (s *Server) Rests() (rs []avail.Rest) {
+	s.availability.update(func(t *avail.Table) { rs = t.Rests() })
+	return rs
+}
+
 // expireAvailability drops what is over, or of endpoints that are gone.
 func (s *Server) expireAvailability(now time.Time) {
 	list := s.Feeds.Endpoints()
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -13,6 +13,7 @@
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
@@ -28,14 +29,15 @@
 // errNoPeer means that there is no peer over which requests can be sent.
 const errNoPeer = errors.ConstError("no peer to send over")
 
-// connectTo opens a link to an endpoint, over a peer if this node doesn't reach it.
-func (s *Server) connectTo(ctx context.Context, e *topol.Endpoint) (l *links.Link, overPeer bool, err error) {
+// connectTo opens a link to an endpoint, over a peer if this node doesn't reach it. sender is
+// the node from which the link leads to the endpoint.
+func (s *Server) connectTo(ctx context.Context, e *topol.Endpoint) (l *links.Link, sender ident.NodeName, err error) {
 	if !s.sendsDirectly(e) {
-		if c, err := s.dialOverPeer(ctx, e); err == nil {
-			return links.NewLink(c), true, nil
+		if c, peer, err := s.dialOverPeer(ctx, e); err == nil {
+			return links.NewLink(c), peer, nil
 		}
 		l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
-		return l, false, err
+		return l, s.Node, err
 	}
 	return s.connectHedged(ctx, e)
 }
@@ -56,7 +58,7 @@
 
 // connectHedged opens a link to an endpoint. If that fails or takes longer than
 // hedgeDelay, it also tries over a peer.
-func (s *Server) connectHedged(ctx context.Context, e *topol.Endpoint) (*links.Link, bool, error) {
+func (s *Server) connectHedged(ctx context.Context, e *topol.Endpoint) (*links.Link, ident.NodeName, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type dialed struct {
@@ -81,43 +83,50 @@
 	select {
 	case d := <-results:
 		if d.err == nil {
-			return d.link, false, nil
+			return d.link, s.Node, nil
 		}
 		direct = &d
 	case <-t.C:
 	}
-	c, err := s.dialOverPeer(ctx, e)
+	c, peer, err := s.dialOverPeer(ctx, e)
 	switch {
 	case err == nil:
 		if direct == nil {
 			closeLate()
 		}
 		s.loseLink(e)
-		return links.NewLink(c), true, nil
+		return links.NewLink(c), peer, nil
 	case direct == nil:
 		d := <-results
 		direct = &d
 	}
-	return direct.link, false, direct.err
+	return direct.link, s.Node, direct.err
 }
 
 // dialOverPeer opens a tunnel to an endpoint over one of the peers.
-func (s *Server) dialOverPeer(ctx context.Context, e *topol.Endpoint) (net.Conn, error) {
+func (s *Server) dialOverPeer(ctx context.Context, e *topol.Endpoint) (net.Conn, ident.NodeName, error) {
 	err := error(errNoPeer)
-	for _, p := range reach.Candidates(s.Peers(time.Now()), s.DataCentre, random) {
+	for _, p := range s.peersTo(e) {
 		if ctx.Err() != nil {
-			return nil, ctx.Err()
+			return nil, "", ctx.Err()
 		}
 		var c net.Conn
 		if c, err = s.dialOver(ctx, p, e); err == nil {
-			return c, nil
+			return c, p.Name, nil
 		}
 		if errors.Is(err, tunnel.ErrUnreachable) && s.direct.lostCount.Load() == 0 {
 			// Probably the endpoint is down.
-			return nil, err
+			return nil, "", err
 		}
 	}
-	return nil, err
+	return nil, "", err
+}
+
+// peersTo returns the peers over which requests may be sent to an endpoint, the best first.
+func (s *Server) peersTo(e *topol.Endpoint) []reach.Peer {
+	now := time.Now()
+	peers := slices.DeleteFunc(s.Peers(now), func(p reach.Peer) bool { return !s.availability.accepts(e, p.Name, now) })
+	return reach.Candidates(peers, s.DataCentre, random)
 }
 
 func (s *Server) dialOver(ctx context.Context, p reach.Peer, e *topol.Endpoint) (net.Conn, error) {
@@ -147,7 +156,7 @@
 	if e == nil || e.Address != r.Address || e.Leaving {
 		return nil, errors.New("endpoint is not listed at this address, or is leaving")
 	}
-	if ok, _ := s.availability.check(e, time.Now()); !ok {
+	if !s.availability.accepts(e, s.Node, time.Now()) {
 		return nil, errors.New("endpoint states that it wants no requests")
 	}
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -48,8 +48,9 @@
 // while they ran the request.
 const errCrashesEndpoints = errors.ConstError("request has broken the connections to several endpoints")
 
-// errResting means that all endpoints which could serve the request want none for a time.
-const errResting = errors.ConstError("endpoints want no requests for a time")
+// errResting means that all endpoints which could serve the request want none of this node
+// for a time.
+const errResting = errors.ConstError("endpoints want no requests of this node for a time")
 
 // errUnreserved means that engines did not reserve the memory for a prompt.
 const errUnreserved = errors.ConstError("memory could not be reserved")
@@ -323,7 +324,8 @@
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
-	candidates := s.availability.accepting(endpoints.ByService[x.service.Name], now)
+	candidates := s.availability.accepting(endpoints.ByService[x.service.Name], s.Node, now)
+	restingForOthers := s.availability.restingForOthers(candidates, now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
 	r := place.Request{
@@ -334,13 +336,13 @@
 	c, err := place.Choose(place.ServiceState{
 		Now: now, Endpoints: candidates, Engine: x.service.Engine,
 		InFlight: s.InFlight.All(),
-		Avoid:    func(n ident.EndpointName) bool { return s.endpointHealth.isAvoided(n, now) },
+		Avoid:    func(n ident.EndpointName) bool { return restingForOthers.Has(n) || s.endpointHealth.isAvoided(n, now) },
 		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
 		Random:   random,
 	}, r)
 	x.estimate, x.load = c.Estimate, c.Load
 	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if _, resting := s.availability.shortestRest(endpoints.ByService[x.service.Name], now); resting {
+		if _, rests := s.restOfService(x.service.Name, now); rests {
 			err = errResting
 		}
 	}
@@ -354,8 +356,8 @@
 	case errors.Is(err, errCrashesEndpoints):
 		return x.server.strikes.barredFor(x.digest(), time.Now())
 	case errors.Is(err, errResting):
-		rest, _ := x.server.availability.shortestRest(x.server.Feeds.Endpoints().ByService[x.service.Name], time.Now())
-		return rest
+		rest, _ := x.server.restOfService(x.service.Name, time.Now())
+		return max(retrySoon, rest)
 	}
 	return place.RetryAfter(c, r)
 }
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -75,7 +75,7 @@
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
 		gauge("laburnum_parts_with_strikes", "Parts of prompts that have or recently had strikes.", func() float64 { return float64(s.partStrikes.count.Load()) }),
-		gauge("laburnum_unavailable_endpoints", "Endpoints that stated that they want no requests.", func() float64 { return float64(s.availability.count.Load()) }),
+		gauge("laburnum_unavailable_endpoints", "Statements of endpoints that are leaving, or that want no requests of a node.", func() float64 { return float64(s.availability.count.Load()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
 		gauge("laburnum_nodes", "Nodes known, this one included.", func() float64 { return float64(s.NodeCount()) }),
 		gauge("laburnum_configuration_version", "Version in force.", func() float64 {
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -37,7 +37,7 @@
 	case isCausedByLoad(err):
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errResting):
-		x.reject(503, max(retrySoon/4, retryAfter), err.Error())
+		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errLimited):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
 	case errors.Is(err, place.ErrTooLarge):
@@ -94,7 +94,7 @@
 func (x *exchange) allTried() bool {
 	excluded := x.excluded()
 	all := x.server.Feeds.Endpoints().ByService[x.service.Name]
-	for _, e := range x.server.availability.accepting(all, time.Now()) {
+	for _, e := range x.server.availability.accepting(all, x.server.Node, time.Now()) {
 		if !e.Leaving && !excluded.Has(e.Name) {
 			return false
 		}
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
@@ -78,7 +77,7 @@
 
 // probeOverPeers reports whether an endpoint answers a probe over one of the peers.
 func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) bool {
-	peers := reach.Candidates(s.Peers(time.Now()), s.DataCentre, random)
+	peers := s.peersTo(e)
 	answered := make(chan bool, len(peers))
 	for _, p := range peers {
 		go func() {
@@ -96,8 +95,7 @@
 
 // mayProbe reports whether an endpoint may be probed: not if it is in need.
 func (s *Server) mayProbe(e *topol.Endpoint) bool {
-	accepts, _ := s.availability.check(e, time.Now())
-	return accepts && !s.endpointLimits.limits(e)
+	return s.availability.accepts(e, s.Node, time.Now()) && !s.endpointLimits.limits(e)
 }
 
 // probe sends a probe and reports whether the endpoint sends anything back. It closes the
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -130,8 +130,10 @@
 	// AnnounceLimits informs the peers of limits that endpoints named or that have
 	// ended.
 	AnnounceLimits func(...quota.Limit)
-	// AnnounceAvailability informs the peers of what an endpoint stated.
+	// AnnounceAvailability informs the peers of what an endpoint stated to all nodes,
+	// AnnounceRest of what it stated to one.
 	AnnounceAvailability func(avail.State)
+	AnnounceRest         func(avail.Rest)
 	// AnnounceDecision informs the peers of a decision on a prompt.
 	AnnounceDecision func(bysize.Decision)
 	// Nodes returns the nodes that share the limits of endpoints.
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -211,7 +211,7 @@
 		if !local {
 			copied.Reach = relay.ScopeDataCentre
 		}
-		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
+		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated)+len(u.Rests) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
 	}
 }
 
@@ -223,7 +223,7 @@
 	u.Proofs = slices.Clone(u.Proofs)
 	u.Parts = slices.Clone(u.Parts)
 	u.Limits = slices.Clone(u.Limits)
-	u.Stated = slices.Clone(u.Stated)
+	u.Rests = slices.Clone(u.Rests)
 	u.Decided = slices.Clone(u.Decided)
 	u.Reach = r
 	return u
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -98,10 +98,13 @@
 	// PartStates returns the parts of prompts under suspicion that this node knows, for
 	// a new peer.
 	PartStates func() []strik.PartState
-	// Availability returns what endpoints stated about whether they accept requests, for
-	// a new peer, and OnAvailability is called with what they stated to a peer.
+	// Availability returns what endpoints stated to all nodes about whether they accept
+	// requests, and Rests what they stated to one, for a new peer. OnAvailability and
+	// OnRests are called with what a peer knows of that.
 	Availability   func() []avail.State
+	Rests          func() []avail.Rest
 	OnAvailability func([]avail.State)
+	OnRests        func([]avail.Rest)
 	// OnDecisions is called with the decisions of a peer on prompts.
 	OnDecisions func([]bysize.Decision)
 	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
@@ -207,9 +210,14 @@
 	m.announce(true, func(u *relay.Update) { u.Proofs = append(u.Proofs, relay.AgedProof{Proof: p}) })
 }
 
-// AnnounceAvailability informs the peers of what an endpoint stated.
+// AnnounceAvailability informs the peers of what an endpoint stated to all nodes.
 func (m *Mesh) AnnounceAvailability(s avail.State) {
-	m.announce(true, func(u *relay.Update) { u.Stated = append(u.Stated, relay.AgedAvailability{State: s}) })
+	m.announce(true, func(u *relay.Update) { u.Stated = append(u.Stated, relay.StatedAvailability{State: s}) })
+}
+
+// AnnounceRest informs the peers of a rest.
+func (m *Mesh) AnnounceRest(r avail.Rest) {
+	m.announce(true, func(u *relay.Update) { u.Rests = append(u.Rests, relay.RestLeft{Rest: r}) })
 }
 
 // AnnounceDecision informs the peers of a decision on a prompt.
@@ -264,16 +272,24 @@
 	return as
 }
 
-// agedAvailability returns what endpoints stated in the form for an update whose ages
-// are not set yet.
-func agedAvailability(ss []avail.State) []relay.AgedAvailability {
-	as := make([]relay.AgedAvailability, len(ss))
+// statedAvailability returns what endpoints stated to all nodes in the form for an update.
+func statedAvailability(ss []avail.State) []relay.StatedAvailability {
+	as := make([]relay.StatedAvailability, len(ss))
 	for i, s := range ss {
 		as[i].State = s
 	}
 	return as
 }
 
+// restsLeft returns rests in the form for an update, in which the times left are not set yet.
+func restsLeft(rs []avail.Rest) []relay.RestLeft {
+	ls := make([]relay.RestLeft, len(rs))
+	for i, r := range rs {
+		ls[i].Rest = r
+	}
+	return ls
+}
+
 // agedLimits returns limits in the form for an update whose ages are not set yet.
 func agedLimits(ls []quota.Limit) []relay.AgedLimit {
 	as := make([]relay.AgedLimit, len(ls))
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -150,7 +150,8 @@
 	others := p.mesh.requestsOfOthers(p)
 	limits := agedLimits(p.mesh.Limits())
 	parts := agedParts(p.mesh.PartStates())
-	stated := agedAvailability(p.mesh.Availability())
+	stated := statedAvailability(p.mesh.Availability())
+	rests := restsLeft(p.mesh.Rests())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.client = client
@@ -159,6 +160,7 @@
 	p.pending.Limits = limits
 	p.pending.Parts = parts
 	p.pending.Stated = stated
+	p.pending.Rests = rests
 }
 
 // ownRequests returns an update with all requests in flight of this node, or an
@@ -222,9 +224,9 @@
 		u.Parts[i].Age = now.Sub(u.Parts[i].State.StruckAt)
 		u.Parts[i].State.StruckAt, u.Parts[i].State.EndedWellAt = time.Time{}, time.Time{}
 	}
-	for i := range u.Stated {
-		u.Stated[i].Rest = u.Stated[i].State.RestUntil.Sub(now)
-		u.Stated[i].State.RestUntil = time.Time{}
+	for i := range u.Rests {
+		u.Rests[i].Left = u.Rests[i].Rest.Until.Sub(now)
+		u.Rests[i].Rest.Until = time.Time{}
 	}
 	for i := range u.Decided {
 		u.Decided[i].Age = now.Sub(u.Decided[i].Decision.At)
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -67,7 +67,8 @@
 		m.OnStruck(ss)
 	}
 	m.applyParts(u, now)
-	m.applyStated(u, now)
+	m.applyStated(u)
+	m.applyRests(u, now)
 	m.applyDecided(u, now)
 	var ls []quota.Limit
 	for i := range u.Limits {
@@ -99,18 +100,29 @@
 	}
 }
 
-// applyStated applies what endpoints stated about whether they accept requests.
-func (m *Mesh) applyStated(u *relay.Update, now time.Time) {
+// applyStated applies what endpoints stated to all nodes about whether they accept requests.
+func (m *Mesh) applyStated(u *relay.Update) {
 	var states []avail.State
-	for i := range u.Stated {
-		u.Stated[i].State.RestUntil = now.Add(u.Stated[i].Rest)
-		states = append(states, u.Stated[i].State)
+	for _, s := range u.Stated {
+		states = append(states, s.State)
 	}
 	if len(states) > 0 {
 		m.OnAvailability(states)
 	}
 }
 
+// applyRests applies what endpoints stated to one node.
+func (m *Mesh) applyRests(u *relay.Update, now time.Time) {
+	var rs []avail.Rest
+	for i := range u.Rests {
+		u.Rests[i].Rest.Until = now.Add(u.Rests[i].Left)
+		rs = append(rs, u.Rests[i].Rest)
+	}
+	if len(rs) > 0 {
+		m.OnRests(rs)
+	}
+}
+
 // applyDecided applies the decisions of a peer on prompts.
 func (m *Mesh) applyDecided(u *relay.Update, now time.Time) {
 	var ds []bysize.Decision
