--- a/internal/coord/bysize/bysize.go
+++ b/internal/coord/bysize/bysize.go
@@ -24,14 +24,14 @@
 	minDecisions = 5
 	// priorDecisions is the number of decisions with the route's admitted share that
 	// each size class starts with.
-	priorDecisions = 0.3
+	priorDecisions = 0.5
 	// leastRatio is the ratio between the admitted shares of a size class and of its
 	// route below which the class is favoured.
-	leastRatio = 0.7
+	leastRatio = 0.62
 	// exponent is the power to which Favour grows as the ratio falls.
-	exponent = 20
-	// minFavour and maxFavour bound the result of Favour.
-	minFavour, maxFavour = 0.85, 64
+	exponent = 16
+	// maxFavour bounds the result of Favour.
+	maxFavour = 64
 )
 
 // classBounds are the bounds of the size classes, in percent of a route's prompts in
@@ -78,7 +78,7 @@
 
 // Favour returns the factor on what a prompt may cost others. It is above one if prompts of
 // its size class have been admitted clearly less often than the route's prompts in general,
-// and below one otherwise, unless all were admitted or none.
+// and one otherwise.
 func (t *Table) Favour(n ident.RouteName, prompt ident.Tokens, now time.Time) float64 {
 	ds := t.byRoute[n]
 	if len(ds) < minDecisions {
@@ -94,11 +94,11 @@
 			own.add(d, now)
 		}
 	}
-	if all.admitted == 0 || all.admitted == all.weight {
+	if all.admitted == 0 {
 		return 1
 	}
 	share := all.admitted / all.weight
-	return max(minFavour, min(maxFavour, math.Pow(leastRatio*share/own.share(priorDecisions, share), exponent)))
+	return max(1, min(maxFavour, math.Pow(leastRatio*share/own.share(priorDecisions, share), exponent)))
 }
 
 // classOf returns the size class of the prompt at a rank among n prompts in ascending
--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -18,7 +18,7 @@
 	minLossFraction = 0.05
 	// maxInteractiveLossPerSecond bounds what interactive callers may lose by a
 	// prompt that is favoured, for each second that its prefill takes on one engine.
-	maxInteractiveLossPerSecond = 0.9
+	maxInteractiveLossPerSecond = 0.6
 	// firstTryFraction is the fraction of the bound that applies to the first try
 	// of a prompt.
 	firstTryFraction = 0.6
