gate: don't keep unused memory reserved until the deadline

Cause: the wait for the first event of a prompt lasts until its deadline if no other engine may run it, or three times the estimate, and the reservations are renewed all the while.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -138,7 +138,7 @@
 	n.feeds.ServedByPeer = n.stateSync.servedByReader
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
-		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
+		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, MaxUnusedMemory: s.MaxUnusedMemory, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
 		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, AnnounceAvailability: n.mesh.AnnounceAvailability, AnnounceRest: n.mesh.AnnounceRest, AnnounceDecision: n.mesh.AnnounceDecision, Peers: n.mesh.Peers,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
 		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -36,6 +36,9 @@
 	// older than MaxConfigAge, so that a revoked key works no longer than that.
 	StrictRevocation bool
 	MaxConfigAge     time.Duration
+	// MaxUnusedMemory is how long memory may stay reserved at an engine before a prompt
+	// uses it; zero means no bound.
+	MaxUnusedMemory time.Duration
 	Budget           Budget
 }
 
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -263,12 +263,20 @@
 // headerDeadline returns the read deadline for the response header. If it
 // passes, another endpoint is tried if possible.
 func (a *attempt) headerDeadline() time.Time {
-	if a.route.Kind == topol.Stream {
-		return a.waitDeadline(time.Now(), max(3*a.choice.Estimate, a.route.Target)+streamSlack)
+	if a.route.Kind != topol.Stream {
+		return a.waitDeadline(time.Now(), a.route.Target)
 	}
-	return a.waitDeadline(time.Now(), a.route.Target)
+	t := a.waitDeadline(time.Now(), max(3*a.choice.Estimate, a.route.Target)+streamSlack)
+	if limit := a.server.MaxUnusedMemory - releaseMargin; limit > 0 && len(a.choice.Reservations) > 0 && t.After(a.startedAt.Add(limit)) {
+		return a.startedAt.Add(limit)
+	}
+	return t
 }
 
+// releaseMargin is the time that is left for releasing memory before it has been reserved
+// for too long without use.
+const releaseMargin = 1500 * time.Millisecond
+
 // waitDeadline returns the end of a wait that began at the given time, after which
 // another endpoint is tried. It is the request's deadline if that is earlier or if
 // no other endpoint may run the request.
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -109,6 +109,9 @@
 	// revoked key works no longer than MaxConfigAge.
 	StrictRevocation bool
 	MaxConfigAge     time.Duration
+	// MaxUnusedMemory is how long memory may stay reserved at an engine before a prompt
+	// uses it; zero means no bound.
+	MaxUnusedMemory time.Duration
 	Budget           Budget
 	// MaxBufferedBytes bounds the bytes of endpoints' responses that the node holds
 	// at one time; zero means no bound.
