--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -39,7 +39,7 @@
 	// MaxUnusedMemory is how long memory may stay reserved at an engine before a prompt
 	// uses it; zero means no bound.
 	MaxUnusedMemory time.Duration
-	Budget           Budget
+	Budget          Budget
 }
 
 // Budget limits the retries of requests; see gate.Budget.
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -112,7 +112,7 @@
 	// MaxUnusedMemory is how long memory may stay reserved at an engine before a prompt
 	// uses it; zero means no bound.
 	MaxUnusedMemory time.Duration
-	Budget           Budget
+	Budget          Budget
 	// MaxBufferedBytes bounds the bytes of endpoints' responses that the node holds
 	// at one time; zero means no bound.
 	MaxBufferedBytes int64
