--- a/cmd/laburnumlab/soak.go
+++ b/cmd/laburnumlab/soak.go
@@ -17,7 +17,7 @@
 // Soak runs nodes as processes, injects faults into the nodes, the store and the
 // endpoints, and checks the guarantees given to callers.
 type Soak struct {
-	Program     string        `long:"program" required:"true" description:"path of the node's executable"`
+	Programs    []string      `long:"program" required:"true" description:"path of the node's executable; if given several times, the nodes run these builds in turn"`
 	Seed        uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds       int           `long:"seeds" default:"1" description:"number of seeds"`
 	For         time.Duration `long:"for" default:"20s" description:"duration of the faults"`
@@ -69,12 +69,16 @@
 	if c.Quiet {
 		out = io.Discard
 	}
-	program, err := filepath.Abs(c.Program)
-	if err != nil {
-		return false, err
+	var programs []string
+	for _, p := range c.Programs {
+		absolute, err := filepath.Abs(p)
+		if err != nil {
+			return false, err
+		}
+		programs = append(programs, absolute)
 	}
 	s := &soak.Soak{
-		Program: program, Deployment: stand.Deployment{}, Dir: dir, Seed: seed, FaultTime: c.For, FaultFreeTime: c.Calm,
+		Programs: programs, Deployment: stand.Deployment{}, Dir: dir, Seed: seed, FaultTime: c.For, FaultFreeTime: c.Calm,
 		Nodes: c.Nodes, Endpoints: c.Endpoints, Callers: c.Callers, Bounds: soak.UserBounds(), Output: out,
 		StateFaults: !c.BasicFaults, LinkFaults: !c.BasicFaults,
 	}
--- a/cmd/laburnumlab/soak_test.go
+++ b/cmd/laburnumlab/soak_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 
@@ -15,14 +17,75 @@
 	"laburnumstack.org/laburnum/platform/stand"
 )
 
+// buildGateway builds the gateway of the module in a directory and returns its path.
+func buildGateway(t *testing.T, module string) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "laburnumgw")
+	cmd := exec.Command("go", "build", "-o", program, "./cmd/laburnumgw")
+	cmd.Dir = module
+	out, err := cmd.CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return program
+}
+
+// buildProduction builds the gateway of the version that deploy/system.toml names as the
+// one in production.
+func buildProduction(t *testing.T) string {
+	t.Helper()
+	deploy, err := os.ReadFile("../../deploy/system.toml")
+	must.NoError(t, err)
+	m := regexp.MustCompile(`(?m)^production = "([0-9a-f]+)"$`).FindSubmatch(deploy)
+	must.SliceLen(t, 2, m)
+	archive := filepath.Join(t.TempDir(), "production.tar")
+	cmd := exec.Command("git", "archive", "-o", archive, string(m[1]))
+	cmd.Dir = "../.."
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Skipf("the history of the repository isn't here: %v: %s", err, out)
+	}
+	source := t.TempDir()
+	out, err := exec.Command("tar", "-xf", archive, "-C", source).CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return buildGateway(t, source)
+}
+
+// Guards against an upgrade that breaks a guarantee while two builds run side by side: a
+// message that the other one doesn't know, or a digest that it computes differently. Each
+// node is replaced by one of the other build, under traffic, while keys and the
+// configuration change, endpoints leave and ask for rest, and a node of each build is cut
+// from all endpoints. It ignores violations of time bounds, as TestShortSoak does.
+func TestNodesOfTwoBuildsServeSideBySide(t *testing.T) {
+	s := &soak.Soak{
+		Programs: []string{buildGateway(t, "../.."), buildProduction(t)}, Deployment: stand.Deployment{}, Dir: t.TempDir(), FaultFreeTime: time.Second,
+		Nodes: 3, Endpoints: 4, Callers: 10, Bounds: soak.UserBounds(), Output: io.Discard,
+		Schedule: []soak.ScheduledFault{
+			{At: 0, Kind: soak.ChangeKeys},
+			{At: time.Second, Kind: soak.CutNodeReset, Index: 0},
+			{At: 2 * time.Second, Kind: soak.ReplaceEndpoint, Index: 0},
+			{At: 3 * time.Second, Kind: soak.RestEndpoint, Index: 1},
+			{At: 4 * time.Second, Kind: soak.GrowConfig},
+			{At: 5 * time.Second, Kind: soak.StateLeaving, Index: 3},
+			{At: 8 * time.Second, Kind: soak.StopNode, Index: 0},
+			{At: 12 * time.Second, Kind: soak.StopNode, Index: 1},
+			{At: 13 * time.Second, Kind: soak.ChangeKeys},
+			{At: 16 * time.Second, Kind: soak.StopNode, Index: 2},
+			{At: 17 * time.Second, Kind: soak.GrowConfig},
+			{At: 20 * time.Second, Kind: soak.CutNodeHang, Index: 1},
+		},
+	}
+	r, err := s.Run(context.Background())
+	must.NoError(t, err)
+	t.Logf("%+v", r)
+	for _, v := range r.Violations {
+		test.True(t, v.IsTimed(), test.Sprint(v))
+	}
+	test.GreaterEq(t, s.Bounds.MinServed*float64(r.Sound), float64(r.SoundServed))
+}
+
 // TestShortSoak runs one seed. It ignores violations of time bounds, which hold
 // only on an otherwise idle machine.
 func TestShortSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "laburnumgw")
-	out, err := exec.Command("go", "build", "-o", program, "../laburnumgw").CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(out)))
 	s := &soak.Soak{
-		Program: program, Deployment: stand.Deployment{}, Dir: t.TempDir(), Seed: 7, FaultTime: 6 * time.Second, FaultFreeTime: time.Second,
+		Programs: []string{buildGateway(t, "../..")}, Deployment: stand.Deployment{}, Dir: t.TempDir(), Seed: 7, FaultTime: 6 * time.Second, FaultFreeTime: time.Second,
 		Nodes: 3, Endpoints: 3, Callers: 10, Bounds: soak.UserBounds(), StateFaults: true, LinkFaults: true, Output: io.Discard,
 	}
 	r, err := s.Run(context.Background())
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -32,7 +32,10 @@
 
 // process runs a node as a child process and restarts it.
 type process struct {
-	program    string
+	// programs are the builds that the node starts in turn, the first of them the one
+	// with the index starts.
+	programs   []string
+	starts     int
 	deployment Deployment
 	journal    *Journal
 	// dir is where the settings file and the log are written.
@@ -87,7 +90,8 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(p.program)
+	cmd := exec.Command(p.programs[p.starts%len(p.programs)])
+	p.starts++
 	cmd.Env = append(os.Environ(), p.deployment.SettingsVariable()+"="+p.settingsPath())
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -45,14 +45,17 @@
 // Soak configures and runs one soak test. The exported fields are set before Run,
 // which is called once.
 type Soak struct {
-	// Program is the path of the node's program.
-	Program    string
+	// Programs are the paths of the builds of the node's program, at least one. The nodes
+	// start them in turn, and each takes the next one when it starts again.
+	Programs   []string
 	Deployment Deployment
 	// Dir is the directory for settings files and logs.
 	Dir string
-	// Seed determines the schedule of faults. The requests and responses differ
-	// from run to run.
+	// Seed determines the schedule of faults, unless Schedule is set. The requests and
+	// responses differ from run to run.
 	Seed uint64
+	// Schedule replaces the faults of the seed.
+	Schedule []ScheduledFault
 	// FaultTime is how long faults are injected, FaultFreeTime how long the test
 	// runs without faults before and after that.
 	FaultTime, FaultFreeTime time.Duration
@@ -91,7 +94,10 @@
 // complete response. Abandoned requests are counted only in Requests.
 type Result struct {
 	Requests, Served, Failed, Incomplete, Faults int
-	Violations                                   []Violation
+	// Sound counts the requests with the permanent key that were not abandoned, and
+	// SoundServed those of them that were served.
+	Sound, SoundServed int
+	Violations         []Violation
 }
 
 // Run starts the deployment, sends requests, injects the faults and checks the
@@ -101,14 +107,7 @@
 	defer cancel()
 	s.journal = NewJournal()
 	g, ctx := errgroup.WithContext(ctx)
-	faults := Plan(s.Seed, s.FaultTime)
-	if s.StateFaults {
-		faults = append(faults, planState(s.Seed, s.FaultTime)...)
-	}
-	if s.LinkFaults {
-		faults = append(faults, planLinks(s.Seed, s.FaultTime)...)
-	}
-	slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return cmp.Compare(a.At, b.At) })
+	faults := s.schedule()
 	var faultFreeSince time.Time
 	err := s.setUp(ctx, g)
 	defer s.terminateNodes()
@@ -142,12 +141,35 @@
 	return s.result(faults, faultFreeSince), nil
 }
 
+// schedule returns the faults to inject, in the order of their times.
+func (s *Soak) schedule() []ScheduledFault {
+	if s.Schedule != nil {
+		return s.Schedule
+	}
+	faults := Plan(s.Seed, s.FaultTime)
+	if s.StateFaults {
+		faults = append(faults, planState(s.Seed, s.FaultTime)...)
+	}
+	if s.LinkFaults {
+		faults = append(faults, planLinks(s.Seed, s.FaultTime)...)
+	}
+	slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
 func (s *Soak) result(faults []ScheduledFault, faultFreeSince time.Time) Result {
 	r := Result{Faults: len(faults), Violations: s.journal.Check(s.Bounds, faultFreeSince)}
 	for _, c := range s.journal.sortedCalls() {
 		r.Requests++
+		isServed := c.Status == http.StatusOK && c.Complete
+		if c.mustBeServed() {
+			r.Sound++
+			if isServed {
+				r.SoundServed++
+			}
+		}
 		switch {
-		case c.Status == http.StatusOK && c.Complete:
+		case isServed:
 			r.Served++
 		case c.Status >= http.StatusBadRequest:
 			r.Failed++
@@ -229,7 +251,7 @@
 			return err
 		}
 		dc := dataCentres[i%len(dataCentres)]
-		n := &process{program: s.Program, deployment: s.Deployment, journal: s.journal, dir: s.Dir, storeProxy: p, config: NodeConfig{
+		n := &process{programs: s.Programs, starts: i, deployment: s.Deployment, journal: s.journal, dir: s.Dir, storeProxy: p, config: NodeConfig{
 			Name: ident.NodeName(fmt.Sprintf("node-%s-%d", dc, i)), DataCentre: dc, IP: ip, Port: port,
 			Seeds: ips[:min(3, len(ips))], StoreAddress: p.Address(), Bootstrap: true, Bounds: s.Bounds, GracePeriod: gracePeriod,
 		}}
