node: drop the state of polls of removed endpoints

Callers saw nothing of it. The state of polls stayed for each name that ever was in the configuration, and an engine at a new address of the same name began with the number of the last cache event of the one before, so that its first events were skipped and hints sent prompts to blocks that it had evicted.

Cause: the states had the name as their key and were never dropped. Change: the key is the endpoint, which a new address replaces, and states of others are dropped at each round. TestPollStateOfRemovedEndpointsIsDropped failed before.

--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,7 +12,6 @@
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/pkg/confg"
-	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
@@ -39,10 +39,14 @@
 	lastEvent uint64
 }
 
+// pollStates holds the progress for each endpoint. An endpoint at a new address is another
+// one, even if it has the same name.
+type pollStates map[*table.Endpoint]*pollState
+
 // pollEndpoints polls the load of all endpoints until the context ends. It runs
 // the polls concurrently, so that a slow endpoint doesn't delay the others.
 func (n *Node) pollEndpoints(ctx context.Context) {
-	states := map[ident.EndpointName]*pollState{}
+	states := pollStates{}
 	var g errgroup.Group
 	g.SetLimit(maxPolls)
 	t := time.NewTicker(loadPollInterval)
@@ -61,16 +65,17 @@
 
 // startPolls starts a poll of each endpoint that is due and not being polled. If
 // maxPolls are running, the endpoint is skipped until the next call.
-func (n *Node) startPolls(ctx context.Context, g *errgroup.Group, ps map[ident.EndpointName]*pollState) {
+func (n *Node) startPolls(ctx context.Context, g *errgroup.Group, ps pollStates) {
 	t := n.core.Table()
 	if t == nil {
 		return
 	}
-	for name, e := range t.Endpoints {
-		p, ok := ps[name]
+	maps.DeleteFunc(ps, func(e *table.Endpoint, _ *pollState) bool { return t.Endpoints[e.Name] != e })
+	for _, e := range t.Endpoints {
+		p, ok := ps[e]
 		if !ok {
 			p = &pollState{}
-			ps[name] = p
+			ps[e] = p
 		}
 		if !p.busy.TryLock() {
 			continue
