--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // FaultKind is a kind of injected fault.
@@ -80,7 +81,8 @@
 	CutNodeRefuse
 	// CrashByPart makes callers send prompts with a part that crashes endpoints.
 	CrashByPart
-	// RestEndpoint makes an endpoint refuse requests and ask for rest.
+	// RestEndpoint makes an endpoint refuse requests and ask for rest: those of all
+	// nodes, or of the selected one if the index is odd.
 	RestEndpoint
 	// StateLeaving makes an endpoint say in its answers that it is leaving.
 	StateLeaving
@@ -212,7 +214,11 @@
 	case GrowConfig:
 		return s.growConfig()
 	case RestEndpoint:
-		s.restEndpoint(ctx, e)
+		var asked ident.NodeName
+		if f.Index%2 == 1 {
+			asked = n.name()
+		}
+		s.restEndpoint(ctx, e, asked)
 		return nil
 	case CrashByPart:
 		disturbance.Node = ""
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -42,7 +42,7 @@
 	// Target returns the address to which connections are forwarded.
 	Target func() string
 	// Owner returns the node that has the client's end of a connection. It must be set
-	// if Cut is used.
+	// if Cut or OwnerOf is used.
 	Owner func(client net.Addr) ident.NodeName
 
 	mu    sync.Mutex
@@ -57,6 +57,9 @@
 	client, target net.Conn
 	// cut is the mode of the connection while its node is cut; ModePass otherwise.
 	cut ProxyMode
+	// owner is the node that has the client's end. findOwner guards it.
+	owner     ident.NodeName
+	findOwner sync.Once
 }
 
 // Cut disturbs the connections of one node, the open ones and those it opens, until
@@ -108,6 +111,30 @@
 	return c.opened
 }
 
+// OwnerOf returns the node that sends over the proxy's connection to the target with the given
+// local address, or an empty name if it isn't known.
+func (p *Proxy) OwnerOf(local string) ident.NodeName {
+	pair := p.pairOf(local)
+	if pair == nil {
+		return ""
+	}
+	pair.findOwner.Do(func() { pair.owner = p.Owner(pair.client.RemoteAddr()) })
+	return pair.owner
+}
+
+// pairOf returns the pair whose connection to the target has a local address; nil if there
+// is none.
+func (p *Proxy) pairOf(local string) *connPair {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pair := range p.pairs {
+		if pair.target.LocalAddr().String() == local {
+			return pair
+		}
+	}
+	return nil
+}
+
 // modeOf returns the mode of a connection.
 func (p *Proxy) modeOf(c *connPair) ProxyMode {
 	p.mu.Lock()
@@ -184,7 +211,7 @@
 		reset(clientConn)
 		return
 	}
-	c := &connPair{clientConn, targetConn, cut}
+	c := &connPair{client: clientConn, target: targetConn, cut: cut}
 	p.mu.Lock()
 	if p.pairs == nil {
 		p.pairs = map[*connPair]struct{}{}
