--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -325,28 +325,40 @@
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
 	candidates := s.availability.accepting(endpoints.ByService[x.service.Name], s.Node, now)
-	restingForOthers := s.availability.restingForOthers(candidates, now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
+	r := x.placeRequest(now)
+	c, err := place.Choose(x.serviceState(candidates, now), r)
+	x.estimate, x.load = c.Estimate, c.Load
+	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
+		if _, rests := s.restOfService(x.service.Name, now); rests {
+			err = errResting
+		}
+	}
+	return c, r, err
+}
+
+// placeRequest describes the request for its placement.
+func (x *exchange) placeRequest(now time.Time) place.Request {
 	r := place.Request{
 		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Target: x.remainingTarget(now), Gap: x.route.Gap, IsRetry: x.isRetry(),
-		TimeLeft: x.deadline.Sub(now), DataCentre: s.DataCentre, Tried: x.excluded(), Full: x.unreservedEngines,
+		TimeLeft: x.deadline.Sub(now), DataCentre: x.server.DataCentre, Tried: x.excluded(), Full: x.unreservedEngines,
 	}
 	r.Favour = x.favour(r, now)
-	c, err := place.Choose(place.ServiceState{
-		Now: now, Endpoints: candidates, Engine: x.service.Engine,
+	return r
+}
+
+// serviceState describes the endpoints that accept requests for a placement.
+func (x *exchange) serviceState(accepting []*topol.Endpoint, now time.Time) place.ServiceState {
+	s := x.server
+	resting := s.availability.restingForOthers(accepting, now)
+	return place.ServiceState{
+		Now: now, Endpoints: accepting, Engine: x.service.Engine,
 		InFlight: s.InFlight.All(),
-		Avoid:    func(n ident.EndpointName) bool { return restingForOthers.Has(n) || s.endpointHealth.isAvoided(n, now) },
+		Avoid:    func(n ident.EndpointName) bool { return resting.Has(n) || s.endpointHealth.isAvoided(n, now) },
 		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
 		Random:   random,
-	}, r)
-	x.estimate, x.load = c.Estimate, c.Load
-	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if _, rests := s.restOfService(x.service.Name, now); rests {
-			err = errResting
-		}
 	}
-	return c, r, err
 }
 
 // retryAfter returns the time after which the caller of a request that could not be
