--- a/internal/lab/passes/sizes_test.go
+++ b/internal/lab/passes/sizes_test.go
@@ -1,6 +1,7 @@
 package passes
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,28 +25,47 @@
 // daySeeds are the seeds of the days of each load.
 var daySeeds = []uint64{901, 902, 903}
 
-// longestKindByDay returns the results of the longest prompts by size for each load and
-// seed, indexed as in burstDays and daySeeds. It simulates each day once.
-var longestKindByDay = sync.OnceValue(func() [][]SizeResults {
-	rs := make([][]SizeResults, len(burstDays))
+// simulatedDays holds the results of the days, indexed as in burstDays and daySeeds, and
+// those of the days at the users' rates without favour.
+type simulatedDays struct {
+	placed        [][][]Result
+	withoutFavour [][]Result
+}
+
+// simulateDays simulates each day once.
+var simulateDays = sync.OnceValue(func() simulatedDays {
+	d := simulatedDays{placed: make([][][]Result, len(burstDays)), withoutFavour: make([][]Result, len(daySeeds))}
 	var wg sync.WaitGroup
 	for i := range burstDays {
-		rs[i] = make([]SizeResults, len(daySeeds))
+		d.placed[i] = make([][]Result, len(daySeeds))
 		for j := range daySeeds {
-			wg.Go(func() { rs[i][j] = longestKindOn(daySeeds[j], burstDays[i].load) })
+			wg.Go(func() { d.placed[i][j] = Run(burstDay(daySeeds[j], burstDays[i].load)) })
 		}
 	}
+	for j := range daySeeds {
+		wg.Go(func() {
+			w := burstDay(daySeeds[j], 1)
+			w.Choose = withoutFavour
+			d.withoutFavour[j] = Run(w)
+		})
+	}
 	wg.Wait()
-	return rs
+	return d
 })
 
-func longestKindOn(seed uint64, load float64) SizeResults {
+func burstDay(seed uint64, load float64) Config {
 	w := LargeWorkload(seed)
 	w.UpdateDelay = 15 * time.Millisecond
 	for i := range w.Kinds {
 		w.Kinds[i].Rate *= load
 	}
-	return Run(w)[len(w.Kinds)-1].Sizes
+	return w
+}
+
+// longestKind returns the results by size of the longest prompts on a day, by its indexes.
+func longestKind(load, seed int) SizeResults {
+	rs := simulateDays().placed[load][seed]
+	return rs[len(rs)-1].Sizes
 }
 
 // Guards against SHORT on one of many days: the largest tenth of a kind, or the fifth below
@@ -54,7 +74,7 @@
 func TestNoSizeClassIsStarvedOnAnyDay(t *testing.T) {
 	for i, c := range burstDays {
 		for j, seed := range daySeeds {
-			sizes := longestKindByDay()[i][j]
+			sizes := longestKind(i, j)
 			t.Log(c.name, "seed", seed, sizes)
 			all := sizes.All().ServedShare()
 			test.GreaterEq(t, all/2, sizes[NextFifth].ServedShare(), test.Sprint(c.name, seed))
@@ -68,7 +88,7 @@
 	for i, c := range burstDays {
 		var sizes SizeResults
 		for j := range daySeeds {
-			sizes.add(longestKindByDay()[i][j])
+			sizes.add(longestKind(i, j))
 		}
 		t.Log(c.name, sizes)
 		all := sizes.All().ServedShare()
@@ -82,12 +102,9 @@
 func TestFairnessBetweenSizesCostsOtherKindsLittle(t *testing.T) {
 	const maxFall = 0.03
 	var fair, without []Result
-	for _, seed := range daySeeds {
-		w := LargeWorkload(seed)
-		w.UpdateDelay = 15 * time.Millisecond
-		fair = Add(fair, Run(w))
-		w.Choose = withoutFavour
-		without = Add(without, Run(w))
+	for j := range daySeeds {
+		fair = Add(fair, slices.Clone(simulateDays().placed[0][j]))
+		without = Add(without, slices.Clone(simulateDays().withoutFavour[j]))
 	}
 	for i, r := range fair {
 		t.Log(r.Kind, r.CreditRatio(), without[i].CreditRatio())
