avail, gate: look rests up by endpoint

While any endpoint rested, each request built a map of all resting endpoints; rests are now kept by endpoint and node, and looked up for the candidates. What was one function with two results is two with a name each. No change of behaviour.

--- a/internal/coord/avail/avail.go
+++ b/internal/coord/avail/avail.go
@@ -4,6 +4,7 @@
 package avail
 
 import (
+	"maps"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
@@ -13,7 +14,8 @@
 // State is what an endpoint states to all nodes.
 type State struct {
 	quota.Key
-	// Leaving is set if the endpoint is leaving; it gets no more requests.
+	// Leaving is set if the endpoint is leaving; it gets no more requests. Nodes of
+	// older builds also announce states without it.
 	Leaving bool
 }
 
@@ -25,16 +27,11 @@
 	Until time.Time
 }
 
-// pair names an endpoint and a node.
-type pair struct {
-	quota.Key
-	node ident.NodeName
-}
-
 // Table holds the statements of endpoints. It is not safe for concurrent use.
 type Table struct {
 	leaving map[quota.Key]bool
-	rests   map[pair]time.Time
+	// rests holds for each endpoint the ends of its rests by the node that was asked.
+	rests map[quota.Key]map[ident.NodeName]time.Time
 }
 
 // Record adds what an endpoint stated to all nodes. It reports whether that is news.
@@ -51,14 +48,16 @@
 
 // RecordRest adds a rest, unless a longer one is known. It reports whether that is news.
 func (t *Table) RecordRest(r Rest, now time.Time) bool {
-	p := pair{r.Key, r.Node}
-	if !r.Until.After(now) || !r.Until.After(t.rests[p]) {
+	if !r.Until.After(now) || !r.Until.After(t.rests[r.Key][r.Node]) {
 		return false
 	}
 	if t.rests == nil {
-		t.rests = map[pair]time.Time{}
+		t.rests = map[quota.Key]map[ident.NodeName]time.Time{}
 	}
-	t.rests[p] = r.Until
+	if t.rests[r.Key] == nil {
+		t.rests[r.Key] = map[ident.NodeName]time.Time{}
+	}
+	t.rests[r.Key][r.Node] = r.Until
 	return true
 }
 
@@ -67,7 +66,7 @@
 
 // RestFor returns how long an endpoint still wants no requests of a node.
 func (t *Table) RestFor(k quota.Key, n ident.NodeName, now time.Time) time.Duration {
-	return max(0, t.rests[pair{k, n}].Sub(now))
+	return max(0, t.rests[k][n].Sub(now))
 }
 
 // Accepts reports whether an endpoint accepts requests of a node.
@@ -75,18 +74,17 @@
 	return !t.Leaves(k) && t.RestFor(k, n, now) == 0
 }
 
-// Resting returns the endpoints that want no requests of some node.
-func (t *Table) Resting(now time.Time) map[quota.Key]bool {
-	ks := map[quota.Key]bool{}
-	for p, until := range t.rests {
+// RestsForAny reports whether an endpoint wants no requests of some node.
+func (t *Table) RestsForAny(k quota.Key, now time.Time) bool {
+	for _, until := range t.rests[k] {
 		if until.After(now) {
-			ks[p.Key] = true
+			return true
 		}
 	}
-	return ks
+	return false
 }
 
-// Len returns the number of statements.
+// Len returns the number of statements, where the rests of one endpoint count as one.
 func (t *Table) Len() int { return len(t.leaving) + len(t.rests) }
 
 // States returns what endpoints stated to all nodes, for a new peer.
@@ -101,8 +99,10 @@
 // Rests returns the rests of all nodes, for a new peer.
 func (t *Table) Rests() []Rest {
 	rs := make([]Rest, 0, len(t.rests))
-	for p, until := range t.rests {
-		rs = append(rs, Rest{Key: p.Key, Node: p.node, Until: until})
+	for k, byNode := range t.rests {
+		for n, until := range byNode {
+			rs = append(rs, Rest{Key: k, Node: n, Until: until})
+		}
 	}
 	return rs
 }
@@ -114,9 +114,10 @@
 			delete(t.leaving, k)
 		}
 	}
-	for p, until := range t.rests {
-		if !exists(p.Key) || !until.After(now) {
-			delete(t.rests, p)
+	for k, byNode := range t.rests {
+		maps.DeleteFunc(byNode, func(_ ident.NodeName, until time.Time) bool { return !until.After(now) })
+		if len(byNode) == 0 || !exists(k) {
+			delete(t.rests, k)
 		}
 	}
 }
--- a/internal/coord/avail/avail_test.go
+++ b/internal/coord/avail/avail_test.go
@@ -23,8 +23,9 @@
 	test.True(t, tab.Accepts(a, "n2", now))
 	test.True(t, tab.Accepts(a, "n1", now.Add(4*time.Second)))
 	test.True(t, tab.Accepts(quota.Key{Endpoint: "a", Born: 2}, "n1", now), test.Sprint("it has started again"))
-	test.MapContainsKey(t, tab.Resting(now), a)
-	test.MapEmpty(t, tab.Resting(now.Add(time.Minute)))
+	test.True(t, tab.RestsForAny(a, now))
+	test.False(t, tab.RestsForAny(a, now.Add(time.Minute)))
+	test.False(t, tab.RestsForAny(quota.Key{Endpoint: "a", Born: 2}, now))
 }
 
 func TestLeavingEndpointsAcceptNoNode(t *testing.T) {
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -57,7 +57,8 @@
 	Age   time.Duration
 }
 
-// StatedAvailability is what an endpoint stated to all nodes.
+// StatedAvailability is what an endpoint stated to all nodes. It has the form in which nodes
+// of older builds send and expect it.
 type StatedAvailability struct {
 	State avail.State
 }
--- a/internal/trans/gate/avail.go
+++ b/internal/trans/gate/avail.go
@@ -53,17 +53,18 @@
 // them that are avoided because they want no requests of other nodes.
 const maxRestingDivisor = 2
 
-// restingForOthers returns those of some endpoints that want no requests of other nodes, and
-// would probably turn this one away too. It returns none if they are most of the endpoints.
+// restingForOthers returns those of some endpoints, all of which accept requests of this
+// node, that want none of another node and would probably turn this one away too. It returns
+// none if they are most of the endpoints.
 func (a *statedAvailability) restingForOthers(es []*topol.Endpoint, now time.Time) ident.Set[ident.EndpointName] {
 	if a.count.Load() == 0 {
 		return nil
 	}
-	var keys map[quota.Key]bool
-	a.update(func(t *avail.Table) { keys = t.Resting(now) })
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	resting := ident.Set[ident.EndpointName]{}
 	for _, e := range es {
-		if keys[limitKey(e)] {
+		if a.table.RestsForAny(limitKey(e), now) {
 			resting.Add(e.Name)
 		}
 	}
@@ -73,38 +74,41 @@
 	return resting
 }
 
-// rest returns the time until one of some endpoints accepts requests of one of the nodes,
-// and reports whether any of them rests for the first of these nodes.
-func (a *statedAvailability) rest(es []*topol.Endpoint, nodes []ident.NodeName, now time.Time) (shortest time.Duration, rests bool) {
+// rests returns how long each of some endpoints, without those that are leaving, still wants
+// no requests of a node.
+func (a *statedAvailability) rests(es []*topol.Endpoint, n ident.NodeName, now time.Time) []time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	isFirst := true
+	var rs []time.Duration
 	for _, e := range es {
-		k := limitKey(e)
-		if a.table.Leaves(k) {
-			continue
-		}
-		rests = rests || a.table.RestFor(k, nodes[0], now) > 0
-		for _, n := range nodes {
-			if r := a.table.RestFor(k, n, now); isFirst || r < shortest {
-				shortest, isFirst = r, false
-			}
+		if k := limitKey(e); !a.table.Leaves(k) {
+			rs = append(rs, a.table.RestFor(k, n, now))
 		}
 	}
-	return shortest, rests
+	return rs
 }
 
-// restOfService returns how long the endpoints of a service want no requests of any node,
-// and reports whether any of them rests for this node.
-func (s *Server) restOfService(n ident.ServiceName, now time.Time) (time.Duration, bool) {
+// restsForThisNode reports whether an endpoint of a service wants no requests of this node.
+func (s *Server) restsForThisNode(n ident.ServiceName, now time.Time) bool {
 	if s.availability.count.Load() == 0 {
-		return 0, false
+		return false
 	}
-	nodes := []ident.NodeName{s.Node}
+	rs := s.availability.rests(s.Feeds.Endpoints().ByService[n], s.Node, now)
+	return len(rs) > 0 && slices.Max(rs) > 0
+}
+
+// restForAllNodes returns the time until an endpoint of a service accepts requests of this
+// node or of a peer.
+func (s *Server) restForAllNodes(n ident.ServiceName, now time.Time) time.Duration {
+	es := s.Feeds.Endpoints().ByService[n]
+	rs := s.availability.rests(es, s.Node, now)
 	for _, p := range s.Peers(now) {
-		nodes = append(nodes, p.Name)
+		rs = append(rs, s.availability.rests(es, p.Name, now)...)
+	}
+	if len(rs) == 0 {
+		return 0
 	}
-	return s.availability.rest(s.Feeds.Endpoints().ByService[n], nodes, now)
+	return slices.Min(rs)
 }
 
 // observeAvailability records what the header of an endpoint's response states. asked is the
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -331,7 +331,7 @@
 	c, err := place.Choose(x.serviceState(candidates, now), r)
 	x.estimate, x.load = c.Estimate, c.Load
 	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if _, rests := s.restOfService(x.service.Name, now); rests {
+		if s.restsForThisNode(x.service.Name, now) {
 			err = errResting
 		}
 	}
@@ -368,8 +368,7 @@
 	case errors.Is(err, errCrashesEndpoints):
 		return x.server.strikes.barredFor(x.digest(), time.Now())
 	case errors.Is(err, errResting):
-		rest, _ := x.server.restOfService(x.service.Name, time.Now())
-		return max(retrySoon, rest)
+		return max(retrySoon, x.server.restForAllNodes(x.service.Name, time.Now()))
 	}
 	return place.RetryAfter(c, r)
 }
