--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -32,8 +32,8 @@
 
 // process runs a node as a child process and restarts it.
 type process struct {
-	// programs are the builds that the node starts in turn, the first of them the one
-	// with the index starts.
+	// programs are the builds that the node starts in turn; starts is the number of its
+	// starts, counted from the node's index.
 	programs   []string
 	starts     int
 	deployment Deployment
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -312,108 +311,6 @@
 	}
 }
 
-// choose picks the endpoint of the next send, and the engines that help it.
-func (x *exchange) choose() (place.Choice, place.Request, error) {
-	s := x.server
-	now := time.Now()
-	x.limited = limitedEndpoints{}
-	if x.crashesEndpoints(now) {
-		return place.Choice{}, place.Request{}, errCrashesEndpoints
-	}
-	endpoints := s.Feeds.Endpoints()
-	if !now.Before(x.deadline) || x.sends >= maxSends {
-		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
-	}
-	candidates := s.availability.accepting(endpoints.ByService[x.service.Name], s.Node, now)
-	x.limited = s.endpointLimits.among(candidates, now)
-	delete(x.limited.atLimit, x.permitted)
-	r := x.placeRequest(now)
-	c, err := place.Choose(x.serviceState(candidates, now), r)
-	x.estimate, x.load = c.Estimate, c.Load
-	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if s.restsForThisNode(x.service.Name, now) {
-			err = errResting
-		}
-	}
-	return c, r, err
-}
-
-// placeRequest describes the request for its placement.
-func (x *exchange) placeRequest(now time.Time) place.Request {
-	r := place.Request{
-		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Target: x.remainingTarget(now), Gap: x.route.Gap, IsRetry: x.isRetry(),
-		TimeLeft: x.deadline.Sub(now), DataCentre: x.server.DataCentre, Tried: x.excluded(), Full: x.unreservedEngines,
-	}
-	r.Favour = x.favour(r, now)
-	return r
-}
-
-// serviceState describes the endpoints that accept requests for a placement.
-func (x *exchange) serviceState(accepting []*topol.Endpoint, now time.Time) place.ServiceState {
-	s := x.server
-	resting := s.availability.restingForOthers(accepting, now)
-	return place.ServiceState{
-		Now: now, Endpoints: accepting, Engine: x.service.Engine,
-		InFlight: s.InFlight.All(),
-		Avoid:    func(n ident.EndpointName) bool { return resting.Has(n) || s.endpointHealth.isAvoided(n, now) },
-		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
-		Random:   random,
-	}
-}
-
-// retryAfter returns the time after which the caller of a request that could not be
-// placed should retry.
-func (x *exchange) retryAfter(err error, c place.Choice, r place.Request) time.Duration {
-	switch {
-	case errors.Is(err, errCrashesEndpoints):
-		return x.server.strikes.barredFor(x.digest(), time.Now())
-	case errors.Is(err, errResting):
-		return max(retrySoon, x.server.restForAllNodes(x.service.Name, time.Now()))
-	}
-	return place.RetryAfter(c, r)
-}
-
-// excluded returns the endpoints that the request may not be sent to now.
-func (x *exchange) excluded() ident.Set[ident.EndpointName] {
-	if len(x.limited.atLimit) == 0 {
-		return x.tried
-	}
-	all := maps.Clone(x.tried)
-	maps.Copy(all, x.limited.atLimit)
-	return all
-}
-
-// isRetry reports whether the request has already been sent, or was probably
-// rejected by a node before: its caller has waited for longer than
-// minEarlierWait.
-func (x *exchange) isRetry() bool { return x.waitedBefore() > minEarlierWait || x.sends > 0 }
-
-// waitedBefore estimates how long the caller waited before this request
-// arrived: the route's timeout minus the time left that the caller stated, or
-// zero if it stated none. For a caller whose own limit is shorter than the timeout,
-// that is too long.
-func (x *exchange) waitedBefore() time.Duration {
-	if x.reqHeader.TimeLeft <= 0 {
-		return 0
-	}
-	return max(0, x.route.Timeout-x.reqHeader.TimeLeft)
-}
-
-// remainingTarget returns the rest of the time within which the caller expects
-// the first event, at least 1 ms.
-func (x *exchange) remainingTarget(now time.Time) time.Duration {
-	return max(time.Millisecond, x.route.Target-x.waitedBefore()-now.Sub(x.arrived))
-}
-
-// expectedOutput returns the expected number of tokens of the answer: the
-// caller's estimate if it is below the maximum, or else the maximum.
-func (x *exchange) expectedOutput() ident.Tokens {
-	if x.reqHeader.ExpectedOutput > 0 && x.reqHeader.ExpectedOutput < x.reqHeader.MaxOutput {
-		return x.reqHeader.ExpectedOutput
-	}
-	return x.reqHeader.MaxOutput
-}
-
 // registerInFlight records the request as in flight at its endpoints and
 // announces it to the peers.
 func (x *exchange) registerInFlight(c place.Choice) works.ID {
