--- a/internal/coord/bysize/bysize.go
+++ b/internal/coord/bysize/bysize.go
@@ -1,6 +1,6 @@
 // Package bysize counts, for each route, how often prompts of each size have been
-// admitted lately, and derives how much admission should favour a prompt so that all
-// sizes of a route are served about equally often.
+// admitted lately, and derives how much admission should favour a prompt so that no
+// size of a route is served far less often than the others.
 package bysize
 
 import (
@@ -13,10 +13,10 @@
 )
 
 const (
-	// memory is the time after which a decision counts 1/e as much as a new one.
-	memory = 30 * time.Second
+	// decayTime is the age at which a decision counts 1/e as much as a new one.
+	decayTime = 30 * time.Second
 	// maxAge is the age at which a decision is dropped.
-	maxAge = 3 * memory
+	maxAge = 3 * decayTime
 	// maxDecisions bounds the decisions that are kept for a route.
 	maxDecisions = 256
 	// minDecisions is the number of decisions below which no size is favoured. So a
@@ -28,7 +28,7 @@
 	// leastRatio is the ratio between the admitted shares of a size class and of its
 	// route below which the class is favoured.
 	leastRatio = 0.62
-	// exponent is the power to which Favour grows as the ratio falls.
+	// exponent is the power of leastRatio divided by the ratio that Favour returns.
 	exponent = 16
 	// maxFavour bounds the result of Favour.
 	maxFavour = 64
@@ -118,7 +118,7 @@
 }
 
 func (t *tally) add(d Decision, now time.Time) {
-	w := math.Exp(-now.Sub(d.At).Seconds() / memory.Seconds())
+	w := math.Exp(-now.Sub(d.At).Seconds() / decayTime.Seconds())
 	t.weight += w
 	if d.Admitted {
 		t.admitted += w
--- a/internal/coord/bysize/bysize_test.go
+++ b/internal/coord/bysize/bysize_test.go
@@ -47,8 +47,8 @@
 func TestNewDecisionsCountMoreThanOldOnes(t *testing.T) {
 	var tab Table
 	record(&tab, "r", now, [3]int{80, 80, 10})
-	record(&tab, "r", now.Add(2*memory), [3]int{50, 50, 60})
-	test.Less(t, 1.5, tab.Favour("r", 200_000, now.Add(2*memory)))
+	record(&tab, "r", now.Add(2*decayTime), [3]int{50, 50, 60})
+	test.Less(t, 1.5, tab.Favour("r", 200_000, now.Add(2*decayTime)))
 }
 
 func TestFewDecisionsFavourNobody(t *testing.T) {
--- a/internal/trans/gate/wait.go
+++ b/internal/trans/gate/wait.go
@@ -24,7 +24,8 @@
 }
 
 // headerDeadline returns the read deadline for the response header. If it
-// passes, another endpoint is tried if possible.
+// passes, another endpoint is tried if possible. A prompt with reserved memory
+// waits no longer than that may stay unused.
 func (a *attempt) headerDeadline() time.Time {
 	if a.route.Kind != topol.Stream {
 		return a.waitDeadline(time.Now(), a.route.Target)
