gate: log and count why callers' connections are closed

Users report requests that ended without an answer and without a rejection beside a change of the configuration. No line was written when a caller's connection was closed, so an idle timeout, a graceful shutdown, a malformed request and the end of the process looked the same, and none said whether bytes of another request had been read.

Each close now has a reason, which laburnum_connections_closed_total counts together with whether bytes of another request were left unread. A line is logged, within the bound on lines per second, where a caller may have lost a request. No decision is changed.

--- /dev/null
+++ b/internal/trans/gate/close.go
@@ -0,0 +1,62 @@
+package gate
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// closeReason is why a caller's connection is closed. The empty reason means that it
+// stays open.
+type closeReason string
+
+const (
+	keepOpen closeReason = ""
+	// closeIdle means that no request began within the idle timeout.
+	closeIdle closeReason = "idle"
+	// closeCaller means that the caller closed or reset the connection between two
+	// requests, closeLeft that it did so while its request was served.
+	closeCaller closeReason = "caller"
+	closeLeft   closeReason = "left"
+	// closeUnreadable means that a request was malformed, too long, too slow or incomplete.
+	closeUnreadable closeReason = "unreadable"
+	// closeAnnounced means that the caller was told with the last response.
+	closeAnnounced closeReason = "announced"
+	// closeUnannounced means that the node drains and the caller was not told.
+	closeUnannounced closeReason = "unannounced"
+	// closeCut means that a response ended early, closeWrite that it could not be written.
+	closeCut   closeReason = "cut"
+	closeWrite closeReason = "write-failed"
+	// closeEnd means that the process ends, closeTooMany that there are maxConns
+	// connections.
+	closeEnd     closeReason = "process-ends"
+	closeTooMany closeReason = "too-many"
+)
+
+// isExpected reports whether callers lose nothing by a close for this reason.
+func (r closeReason) isExpected() bool {
+	return r == closeIdle || r == closeCaller || r == closeLeft || r == closeAnnounced
+}
+
+// readFailure returns why a connection is closed if the wait for its next request failed.
+func readFailure(err error) closeReason {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return closeIdle
+	}
+	return closeCaller
+}
+
+// recordClose counts a connection that is closed by its reason, and logs it if a caller may
+// have lost a request by it: if that is not expected, or if bytes of another request had
+// been read.
+func (s *Server) recordClose(c *callerConn, r closeReason) {
+	unread := c.reader.Buffered()
+	s.getMetrics().closes.WithLabelValues(string(r), strconv.FormatBool(unread > 0)).Inc()
+	if r.isExpected() && unread == 0 {
+		return
+	}
+	s.requestLog(false).Str("why", string(r)).Int("unread", unread).Int64("served", c.served).Str("caller", c.RemoteAddr().String()).
+		Bool("draining", s.draining.Load()).Msg("gate: closed a caller's connection")
+}
--- /dev/null
+++ b/internal/trans/gate/close_test.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// Guards against connections that are closed without a trace of the reason.
+func TestClosedConnectionsAreCountedByReason(t *testing.T) {
+	cases := []struct {
+		name   string
+		target string
+		script script
+		// act uses a connection until it is closed.
+		act    func(c io.ReadWriteCloser)
+		why    closeReason
+		unread bool
+	}{
+		{"no request within the idle timeout", "/safe/", ok("yes"), func(c io.ReadWriteCloser) { io.Copy(io.Discard, c) }, closeIdle, false},
+		{"caller closes between requests", "/safe/", ok("yes"), func(c io.ReadWriteCloser) { c.Close() }, closeCaller, false},
+		{"caller asks for a close", "/safe/", ok("yes"), func(c io.ReadWriteCloser) {
+			io.WriteString(c, request("GET", "/safe/", "r1", "", "Connection: close"))
+			io.Copy(io.Discard, c)
+		}, closeAnnounced, false},
+		{"malformed request", "/safe/", ok("yes"), func(c io.ReadWriteCloser) {
+			io.WriteString(c, "hello\r\n\r\n")
+			io.Copy(io.Discard, c)
+		}, closeUnreadable, false},
+		{"stream is broken off, the next request has been sent", "/stream/", streams(1, 2, false), func(c io.ReadWriteCloser) {
+			io.WriteString(c, request("GET", "/stream/", "r1", "")+request("GET", "/safe/", "r2", ""))
+			io.Copy(io.Discard, c)
+		}, closeCut, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, newEndpoint(t, "e", c.script))
+			catalog := testCatalog()
+			catalog.Version++
+			catalog.Limits.IdleTimeout = 200 * time.Millisecond
+			r.server.Feeds.UpdateCatalog(catalog)
+			c.act(r.dial())
+			for counterValue(t, r.server, "laburnum_connections_closed_total") == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			test.Eq(t, 1, counterValue(t, r.server, "laburnum_connections_closed_total", string(c.why), strconv.FormatBool(c.unread)))
+		})
+	}
+}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -103,8 +103,11 @@
 	headerSent bool
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
-	// keepConn is set while the caller's connection can carry another request.
-	keepConn bool
+	// closing is why the caller's connection is closed, unless the caller was told so.
+	closing closeReason
+	// announcedClose is set if the response tells the caller that the connection is closed
+	// after it.
+	announcedClose bool
 
 	mu                 sync.Mutex
 	callerDisconnected bool
@@ -113,7 +116,6 @@
 
 // run serves the request and cancels it if the caller disconnects.
 func (x *exchange) run() {
-	x.keepConn = true
 	if !x.admit() {
 		return
 	}
@@ -261,20 +263,23 @@
 		x.countRequestEnd(strconv.Itoa(status))
 	}
 	if x.headerSent {
-		x.keepConn = false
+		x.closing = closeCut
 		return
 	}
 	x.writeToCaller(emptyResponse(status, retryAfter, x.closesConn()))
 }
 
-// closesConn reports whether the caller's connection is closed after the
-// response.
-func (x *exchange) closesConn() bool { return x.request.Close || x.server.draining.Load() }
+// closesConn reports whether the caller's connection is closed after the response, whose
+// header tells the caller so.
+func (x *exchange) closesConn() bool {
+	x.announcedClose = x.request.Close || x.server.draining.Load()
+	return x.announcedClose
+}
 
 func (x *exchange) writeToCaller(b []byte) bool {
 	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.caller.Write(b); err != nil {
-		x.keepConn = false
+		x.closing = closeWrite
 		return false
 	}
 	return true
@@ -304,7 +309,7 @@
 		x.server.endpointHealth.recordChosen(c.Primary.Name, time.Now())
 		o := x.send(c)
 		if x.isCallerDisconnected() {
-			x.keepConn = false
+			x.closing = closeLeft
 			x.countRequestEnd("left")
 			x.recordUnserved()
 			x.server.requestLog(false).Str("request", x.reqHeader.ID).Dur("after", time.Since(x.arrived)).Msg("gate: caller left")
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -22,6 +22,7 @@
 	timeToFirst  *prometheus.HistogramVec
 	strikes      prometheus.Counter
 	omittedLines prometheus.Counter
+	closes       *prometheus.CounterVec
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -68,13 +69,16 @@
 		omittedLines: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_log_lines_left_out_total", Help: "Lines that were not logged since there were too many.",
 		}),
+		closes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_connections_closed_total", Help: "Callers' connections that were closed, by reason; unread is true if bytes of another request had been read.",
+		}, []string{"why", "unread"}),
 	}
 }
 
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -245,7 +245,8 @@
 			continue
 		}
 		if s.openConns.Load() >= maxConns {
-			s.Logger.Warn().Msg("gate: too many connections, closed a new one")
+			s.getMetrics().closes.WithLabelValues(string(closeTooMany), "false").Inc()
+			s.requestLog(false).Str("why", string(closeTooMany)).Msg("gate: closed a caller's connection")
 			c.Close()
 			continue
 		}
@@ -325,6 +326,8 @@
 type callerConn struct {
 	net.Conn
 	reader *bufio.Reader
+	// served is the number of requests that were read on the connection.
+	served int64
 }
 
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
@@ -339,8 +342,14 @@
 		s.openConns.Add(-1)
 		c.Close()
 	}()
-	for ctx.Err() == nil && s.serveOne(c) {
+	reason := keepOpen
+	for reason == keepOpen && ctx.Err() == nil {
+		reason = s.serveOne(c)
 	}
+	if ctx.Err() != nil {
+		reason = closeEnd
+	}
+	s.recordClose(c, reason)
 }
 
 // limits returns the bounds on the requests and connections of callers. header
@@ -354,21 +363,22 @@
 	return l.MaxHeaderBytes, l.MaxBodyBytes, l.HeaderTimeout, l.IdleTimeout
 }
 
-// serveOne serves one request and reports whether the connection can carry
-// another.
-func (s *Server) serveOne(c *callerConn) bool {
+// serveOne serves one request. It returns why the connection is closed after it, or
+// keepOpen if the connection can carry another request.
+func (s *Server) serveOne(c *callerConn) closeReason {
 	headerLimit, bodyLimit, headerTimeout, idleTimeout := s.limits()
 	c.SetReadDeadline(time.Now().Add(idleTimeout))
 	if _, err := c.reader.Peek(1); err != nil {
-		return false
+		return readFailure(err)
 	}
 	arrived := time.Now()
 	c.SetReadDeadline(arrived.Add(headerTimeout))
 	req, err := http1.ReadRequest(c.reader, headerLimit)
 	if err != nil {
 		s.rejectUnreadable(c, err)
-		return false
+		return closeUnreadable
 	}
+	c.served++
 	s.inFlightCount.Add(1)
 	defer s.inFlightCount.Add(-1)
 	x := &exchange{server: s, caller: c, request: req, arrived: arrived}
@@ -379,11 +389,19 @@
 	x.body, err = http1.ReadBody(c.reader, req.Framing, req.Length, bodyLimit)
 	if err != nil {
 		s.rejectUnreadable(c, err)
-		return false
+		return closeUnreadable
 	}
 	c.SetReadDeadline(time.Time{})
 	x.run()
-	return x.keepConn && !req.Close && !s.draining.Load()
+	switch {
+	case x.closing != keepOpen:
+		return x.closing
+	case x.announcedClose:
+		return closeAnnounced
+	case s.draining.Load():
+		return closeUnannounced
+	}
+	return keepOpen
 }
 
 // bodyTimeout bounds the time from a request's arrival to the end of its body.
