retry: a first attempt erases no retry taken at the same time

AddFirstAttempt lowered the spent budget below zero and then stored zero. A retry taken in between was erased, so more retries than the budget allows could follow. The budget is now lowered in one step.

--- a/internal/coord/retry/retry.go
+++ b/internal/coord/retry/retry.go
@@ -130,8 +130,11 @@
 // AddFirstAttempt records a first attempt, which gives percent hundredths of a
 // retry back to the budget.
 func (b *Budget) AddFirstAttempt(percent int) {
-	if b.spent.Add(-int64(percent)) < 0 {
-		b.spent.Store(0)
+	for {
+		spent := b.spent.Load()
+		if b.spent.CompareAndSwap(spent, max(0, spent-int64(percent))) {
+			return
+		}
 	}
 }
 
--- a/internal/coord/retry/retry_test.go
+++ b/internal/coord/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -63,3 +64,24 @@
 	}
 	test.Eq(t, burst, spend())
 }
+
+// Guards against a retry that a first attempt at the same time erases from the budget.
+func TestConcurrentFirstAttemptErasesNoRetry(t *testing.T) {
+	const rounds, percent, burst = 20_000, 1, 20
+	erased := 0
+	for range rounds {
+		var b retry.Budget
+		var wg sync.WaitGroup
+		wg.Go(func() { b.AddFirstAttempt(percent) })
+		wg.Go(func() { b.TakeRetry() })
+		wg.Wait()
+		further := 0
+		for b.TakeRetry() {
+			further++
+		}
+		if further >= burst {
+			erased++
+		}
+	}
+	test.Zero(t, erased)
+}
