serve: first attempts of bookings add to the retry budget

Bookings that were refused took their retries from the budget of the node, but only idempotent requests and prompts added to it: with a load of bookings alone, none was sent again after the first 20 refusals. The first attempt now counts where an attempt begins, for both kinds. TestBookingsAddToTheRetryBudget failed before: no retry was left after a booking that should give one back.

--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -38,7 +38,6 @@
 		return nil, f
 	}
 	defer c.Tally.Begin(r.Workspace, 0)()
-	c.Budget.AddFirstAttempt(r.Table.Document.Limits.RetryPercent)
 	t := &plainRequest{core: c, ctx: ctx, req: r, outgoing: q, idempotent: true, excluded: ident.Set[ident.EndpointName]{}}
 	return t.run()
 }
@@ -82,6 +81,7 @@
 // run tries endpoints until one answers or no further attempt is allowed.
 func (t *plainRequest) run() (*PlainResponse, error) {
 	defer t.recordUsage()
+	t.core.Budget.AddFirstAttempt(t.req.Table.Document.Limits.RetryPercent)
 	for {
 		e, err := t.pick()
 		if err != nil {
