serve: an answer that is too long is not fetched again

An idempotent request whose answer exceeds the limit on bodies was taken for lost and ran at one endpoint after the other, up to four times, each of which read the body up to the limit. Another endpoint's answer would be as long, so the request now ends after the first one, with an unknown outcome. TestRequestWithTooLongAnswerIsNotRetried failed before: two calls in place of one.

--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -162,6 +162,9 @@
 	if t.ctx.Err() != nil {
 		return contextFailure(t.ctx, t.outcome())
 	}
+	if errors.Is(err, conns.ErrTooLong) {
+		return endpointFailure(err, t.outcome(), t.attempts)
+	}
 	t.excluded.Add(e.Name)
 	if kind == retry.NotSent {
 		t.core.Health.Check(t.ctx, e)
--- a/internal/trans/serve/plain_test.go
+++ b/internal/trans/serve/plain_test.go
@@ -72,3 +72,12 @@
 		test.True(t, rig.core.Budget.TakeRetry(), test.Sprint("idempotent: ", idempotent))
 	}
 }
+
+// Guards against an idempotent request that runs at one endpoint after the other because its
+// answer is longer than the limit.
+func TestRequestWithTooLongAnswerIsNotRetried(t *testing.T) {
+	rig := newPlainRig(t, confg.Limits{RetryPercent: 100, BodyBytes: 100}, strings.Repeat("x", 101))
+	_, err := rig.run(true)
+	test.Eq(t, ident.Unknown, AsFailure(err).Outcome)
+	test.Eq(t, 1, rig.calls.Load())
+}
