gate: only a response with the request's ID answers it on a reused link

Operators report that a faulty endpoint wrote an earlier refusal once more on a kept connection, and that callers were told "not run, try again" for requests that the endpoint ran.

A response without an ID, or with an empty one, counted as the answer whatever its place on the link, unless its status was 2xx. After a request that the link had carried before, such a response belongs to no known request. With the field for "not run", or with a status that callers take for that promise, an idempotent request was refused or sent to a second endpoint while the first ran it.

On a link that has carried a request before, only a response with the ID of the request in flight is now its answer; others are skipped, as those with another ID were, and after maxStaleResponses of them the link is closed and the outcome is unknown. A request without an ID never gets a reused link. On a new link, or over a peer, an error without an ID is still the answer, since the link has carried no other request, but not if it promises that the request has not run. Endpoints echo the ID, and one that knows what it did with a request knows its ID, so a promise without one is not believed. A request that has no ID itself is matched by its new link; the promise of the 400 that rejects it is believed. What a response without an ID states beside its status (an address at fault, a limit) is ignored.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -176,11 +176,12 @@
 
 // connect takes an idle link from the pool or dials a new one. A request that
 // may run only once always gets a new link: if the endpoint closed a reused
-// one, it would be unknown whether the request ran.
+// one, it would be unknown whether the request ran. So does a request without an
+// ID, since its response could not be told from one to an earlier request.
 func (a *attempt) connect() error {
 	e := a.choice.Primary
 	a.sender = a.server.Node
-	if a.route.Repeatable() && a.server.sendsDirectly(e) {
+	if a.route.Repeatable() && a.reqHeader.ID != "" && a.server.sendsDirectly(e) {
 		if a.link = a.pool.Take(time.Now()); a.link != nil {
 			return nil
 		}
@@ -298,8 +299,9 @@
 	return append(b, "\r\n"...)
 }
 
-// readResponseHeader reads the response header. It skips up to
-// maxStaleResponses responses to other requests on the link.
+// readResponseHeader reads the header of the response to the request. It skips up to
+// maxStaleResponses other responses on the link. If the response has no ID, the header
+// that is returned is empty: what it states may not be about this request.
 func (a *attempt) readResponseHeader() (*http1.Response, relay.ResponseHeader, error) {
 	for range maxStaleResponses + 1 {
 		res, err := http1.ReadResponse(a.link.Reader, maxResponseHeader, string(a.request.Method))
@@ -307,9 +309,12 @@
 			return nil, relay.ResponseHeader{}, err
 		}
 		header := a.server.Dialect.ParseResponse(&res.Head, res.Status)
-		if header.ID == a.reqHeader.ID || header.ID == "" && res.Status/100 != 2 {
+		if header.ID == a.reqHeader.ID {
 			return res, header, nil
 		}
+		if a.isErrorWithoutID(res.Status, header) {
+			return res, relay.ResponseHeader{}, nil
+		}
 		if res.Close {
 			break
 		}
@@ -320,6 +325,24 @@
 	return nil, relay.ResponseHeader{}, errors.Annotate(http1.ErrMalformed, "response to another request")
 }
 
+// isErrorWithoutID reports whether a response is an error without an ID that answers the
+// request. That is so only on a link that has carried no other request, and not if the
+// response promises that the request has not run: an endpoint that knows this also knows
+// the request's ID.
+func (a *attempt) isErrorWithoutID(status int, h relay.ResponseHeader) bool {
+	return h.ID == "" && !a.link.Reused() && status/100 != 2 && !h.NotRun && !promisesNotRun(status)
+}
+
+// promisesNotRun reports whether callers take a status as the promise that the request
+// has not run and will not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // relayResponse reads a whole response and passes it on to the caller. If the
 // endpoint refused or failed, the response is kept in the outcome instead,
 // since the request may be sent again. A successful response without a
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -111,6 +111,9 @@
 	conns    int
 	// probes is the number of probes.
 	probes int
+	// beforeBody is called after the header of a request, before its body is read. It is
+	// set before the first request.
+	beforeBody func(net.Conn, *http1.Request)
 }
 
 // script answers a request on a connection. It returns false to close the
@@ -210,6 +213,9 @@
 		if err != nil {
 			return
 		}
+		if e.beforeBody != nil {
+			e.beforeBody(c, req)
+		}
 		body, err := http1.ReadBody(br, req.Framing, req.Length, 8<<20)
 		if err != nil {
 			return
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -37,8 +37,13 @@
 	IdleTimeout time.Duration
 
 	lastUsed time.Time
+	reused   bool
 }
 
+// Reused reports whether the link has carried a request before. What arrives on it may
+// then be another response to an earlier request.
+func (l *Link) Reused() bool { return l.reused }
+
 // Pool holds the idle links to one address. It is safe for concurrent use.
 type Pool struct {
 	address string
@@ -94,7 +99,7 @@
 // Put returns a link to the pool after its last response has been read to the
 // end. It closes a link that can't be reused or that exceeds maxIdleLinks.
 func (p *Pool) Put(l *Link, now time.Time) {
-	l.lastUsed = now
+	l.lastUsed, l.reused = now, true
 	if !conns.Reusable(l.Conn, l.Reader) {
 		l.Close()
 		return
