--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -33,6 +33,10 @@
 	Request *fasthttp.Request
 	// Fresh requires a new connection.
 	Fresh bool
+	// OwnConn opens a connection for this call and closes it afterwards. What arrives
+	// on it can't be the response to another call, which matters where responses have
+	// nothing that tells to which request they belong.
+	OwnConn bool
 	// HeaderTimeout bounds the wait for the header of the response. If it is
 	// zero, only the context does.
 	HeaderTimeout time.Duration
@@ -50,6 +54,8 @@
 	pool *Pool
 	conn *conn
 	body io.Reader
+	// ownConn is that of the call.
+	ownConn bool
 	// stopWatching stops watching the context. It returns false if the context
 	// has ended, which has set a deadline in the past.
 	stopWatching func() bool
@@ -61,7 +67,7 @@
 // ErrNotSent or ErrNoResponse. If the context ends, reads and writes on the
 // connection fail.
 func (p *Pool) Do(ctx context.Context, c Call) (*Response, error) {
-	cn, err := p.get(ctx, c.Fresh)
+	cn, err := p.get(ctx, c.Fresh || c.OwnConn)
 	if err != nil {
 		return nil, errors.WithType(errors.Annotate(err, "connect"), ErrNotSent)
 	}
@@ -77,13 +83,16 @@
 }
 
 func (p *Pool) roundTrip(ctx context.Context, cn *conn, c Call) (*Response, error) {
+	if c.OwnConn {
+		c.Request.SetConnectionClose()
+	}
 	if err := c.Request.Write(cn.writer); err != nil {
 		return nil, err
 	}
 	if err := cn.writer.Flush(); err != nil {
 		return nil, err
 	}
-	r := &Response{ctx: ctx, pool: p, conn: cn}
+	r := &Response{ctx: ctx, pool: p, conn: cn, ownConn: c.OwnConn}
 	if c.HeaderTimeout > 0 {
 		r.SetReadDeadline(time.Now().Add(c.HeaderTimeout))
 	}
@@ -173,7 +182,7 @@
 // the connection can be reused. Otherwise it closes the connection.
 func (r *Response) Close() {
 	intact := r.stopWatching()
-	if r.atEOF && intact && !r.Header.ConnectionClose() && !r.conn.openedAt.IsZero() {
+	if r.atEOF && intact && !r.ownConn && !r.Header.ConnectionClose() && !r.conn.openedAt.IsZero() {
 		r.pool.put(r.conn)
 		return
 	}
