gate: close a caller's connection only after a response that said so

Callers lost the request that they sent next on a kept connection, with a reset or an end of the connection and no response, when a drain began beside their last one. A stream during which the drain began lost its caller's next request each time.

Cause: whether the connection is closed was decided twice. closesConn decided it when the header was built, and serveOne asked again whether the node drains after the response. What happened in between is as long as a response.

TestResponseBegunBeforeDrainKeepsItsConnection failed in its case of a stream with an event before the drain: "read: connection reset by peer".

Now only the decision that the header states closes the connection. The next response on it announces the close. The reason "unannounced" of laburnum_connections_closed_total is gone, since no connection is closed so.

--- a/internal/trans/gate/close.go
+++ b/internal/trans/gate/close.go
@@ -23,8 +23,6 @@
 	closeUnreadable closeReason = "unreadable"
 	// closeAnnounced means that the caller was told with the last response.
 	closeAnnounced closeReason = "announced"
-	// closeUnannounced means that the node drains and the caller was not told.
-	closeUnannounced closeReason = "unannounced"
 	// closeCut means that a response ended early, closeWrite that it could not be written.
 	closeCut   closeReason = "cut"
 	closeWrite closeReason = "write-failed"
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -99,8 +99,6 @@
 		return x.closing
 	case x.announcedClose:
 		return closeAnnounced
-	case s.draining.Load():
-		return closeUnannounced
 	}
 	return keepOpen
 }
