gate: decide at the write whether a kept response announces a close

A refusal or an error of an endpoint is kept while another send is weighed. It was kept with its whole header, so whether it announces a close was decided before that. With a drain that begins meanwhile, the caller wasn't told and went on to use the connection.

Evidence, before the change: TestKeptResponseAnnouncesTheClose, in which the drain begins while a retry is weighed, got the 503 without "Connection: close".

The kept response now lacks the end of its header, which is added when it is written, with the decision of that time.

--- a/internal/trans/gate/answer.go
+++ b/internal/trans/gate/answer.go
@@ -42,10 +42,16 @@
 	return b
 }
 
-// fullResponse returns an endpoint's response with its body, as the caller
-// gets it. If the endpoint announced a length but sent no body, as in a
-// response to HEAD, the Content-Length is kept.
-func fullResponse(r *http1.Response, body []byte, closeConn bool) []byte {
+// fullResponse is an endpoint's response with its body, as the caller gets it. header
+// lacks the end: whether the connection is closed is decided when it is written.
+type fullResponse struct {
+	header, body []byte
+}
+
+// newFullResponse returns an endpoint's response with its body. If the endpoint
+// announced a length but sent no body, as in a response to HEAD, the
+// Content-Length is kept.
+func newFullResponse(r *http1.Response, body []byte) *fullResponse {
 	b := forwardedResponseHeader(r)
 	switch {
 	case r.Framing != http1.None:
@@ -55,8 +61,7 @@
 			b = http1.AppendField(b, "Content-Length", v)
 		}
 	}
-	b = endHeader(b, closeConn)
-	return append(b, body...)
+	return &fullResponse{b, body}
 }
 
 // appendChunk appends data as one chunk of a chunked body.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -67,7 +67,7 @@
 	status int
 	// response is the endpoint's refusal or error as the caller gets it if the
 	// request is not sent again.
-	response []byte
+	response *fullResponse
 	// whole is set if the endpoint answered with success and to the end, framed if the
 	// answer's end was marked by more than the end of the connection.
 	whole, framed bool
@@ -338,7 +338,7 @@
 		return o, false
 	}
 	intact := !res.Close
-	full := fullResponse(res, body, a.closesConn())
+	full := newFullResponse(res, body)
 	switch {
 	case header.NotRun:
 		o.result, o.reason, o.response = refused, "endpoint refused", full
@@ -350,7 +350,7 @@
 		o.result, o.reason = unanswered, "response is not signed"
 		return o, false
 	}
-	a.exchange.writeToCaller(full)
+	a.exchange.writeResponse(full)
 	o.result = complete
 	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
 	return o, intact
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -105,3 +105,20 @@
 		})
 	}
 }
+
+// Guards against an endpoint's refusal that is kept while another send is weighed, and then
+// written with the decision of that time although the drain has begun.
+func TestKeptResponseAnnouncesTheClose(t *testing.T) {
+	var s *Server
+	r := newConfiguredRig(t, 0, func(server *Server) {
+		s = server
+		server.Budget = Budget{Window: time.Second}
+		server.NodeCount = func() int {
+			s.Drain()
+			return 1
+		}
+	}, newEndpoint(t, "e1", refuses(503)), newEndpoint(t, "e2", refuses(503)))
+	res := r.do(request("GET", "/safe/", "r", ""))
+	test.Eq(t, 503, res.status)
+	test.True(t, res.closesConn)
+}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -266,16 +266,21 @@
 		x.closing = closeCut
 		return
 	}
-	x.writeToCaller(emptyResponse(status, retryAfter, x.closesConn()))
+	x.writeToCaller(emptyResponse(status, retryAfter, x.announcesClose()))
 }
 
-// closesConn reports whether the caller's connection is closed after the response, whose
-// header tells the caller so.
-func (x *exchange) closesConn() bool {
+// announcesClose decides whether the caller's connection is closed after the response, whose
+// header tells the caller so. It is called when that header is written.
+func (x *exchange) announcesClose() bool {
 	x.announcedClose = x.request.Close || x.server.draining.Load()
 	return x.announcedClose
 }
 
+// writeResponse writes a whole response to the caller.
+func (x *exchange) writeResponse(r *fullResponse) bool {
+	return x.writeToCaller(append(endHeader(r.header, x.announcesClose()), r.body...))
+}
+
 func (x *exchange) writeToCaller(b []byte) bool {
 	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.caller.Write(b); err != nil {
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -110,7 +110,7 @@
 		x.reject(0, 0, "stream not resumed: "+o.reason)
 	case o.response != nil:
 		x.countRequestEnd(strconv.Itoa(o.status))
-		x.writeToCaller(o.response)
+		x.writeResponse(o.response)
 	case o.result == refused:
 		x.reject(503, retrySoon, o.reason)
 	case !now.Before(x.deadline):
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -107,7 +107,7 @@
 	if !a.headerSent {
 		b = forwardedResponseHeader(res)
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
-		b = endHeader(b, a.closesConn())
+		b = endHeader(b, a.announcesClose())
 		a.headerSent = true
 	}
 	if len(events) > 0 {
