gate: honour the limits in force for idle connections and for requests being read

Callers may reuse a connection that has been idle for up to four fifths of the idle timeout in force. After a configuration that lengthened it, the node closed connections by the old one, and the requests sent on them were lost. Likewise a request on a connection that had been idle was judged by the size limits and the header timeout of the configuration in force when the connection became idle: a request that the new one allows got 431, 413 or 408.

Cause: the limits were read once, before the wait for the request.

Now the limit on the header's size is read when the request's first byte has arrived, that on the body's when its header has been read, and when a read deadline passes the wait goes on if the configuration in force then allows it. The idle timeout gets a slack of a second, since callers may know a longer timeout before the node does. A request keeps the route and the timeout of the configuration in force when it has been read whole, as before.

--- a/internal/trans/gate/close.go
+++ b/internal/trans/gate/close.go
@@ -1,11 +1,6 @@
 package gate
 
-import (
-	"net"
-	"strconv"
-
-	"github.com/juju/errors"
-)
+import "strconv"
 
 // closeReason is why a caller's connection is closed. The empty reason means that it
 // stays open.
@@ -37,15 +32,6 @@
 	return r == closeIdle || r == closeCaller || r == closeLeft || r == closeAnnounced
 }
 
-// readFailure returns why a connection is closed if the wait for its next request failed.
-func readFailure(err error) closeReason {
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
-		return closeIdle
-	}
-	return closeCaller
-}
-
 // recordClose counts a connection that is closed by its reason, and logs it if a caller may
 // have lost a request by it: if that is not expected, or if bytes of another request had
 // been read.
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -9,30 +9,39 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 )
 
 const (
-	// Limits that apply until a configuration has been received; sizes are in
-	// bytes.
-	defaultHeaderLimit   = 16 << 10
-	defaultBodyLimit     = 4 << 20
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
-	readBufferBytes      = 4 << 10
+	readBufferBytes = 4 << 10
+	// bodyTimeout bounds the time from a request's arrival to the end of its body.
+	bodyTimeout = 15 * time.Second
+	// idleSlack is added to the idle timeout: callers may know a longer one before this
+	// node does.
+	idleSlack = time.Second
 )
 
+// defaultLimits apply until a configuration has been received.
+var defaultLimits = topol.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
+	server *Server
 	reader *bufio.Reader
+	// waitingSince is when the wait for the next bytes began, waitLimit how long it may
+	// last by a configuration; nil if no configuration bounds it.
+	waitingSince time.Time
+	waitLimit    func(topol.Limits) time.Duration
 	// served is the number of requests that were read on the connection.
 	served int64
 }
 
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
-	c := &callerConn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+	c := &callerConn{Conn: nc, server: s}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -53,28 +62,80 @@
 	s.recordClose(c, reason)
 }
 
-// limits returns the bounds on the requests and connections of callers. header
-// and body are in bytes.
-func (s *Server) limits() (header, body int, headerTimeout, idleTimeout time.Duration) {
+// limits returns the bounds on the requests and connections of callers.
+func (s *Server) limits() topol.Limits {
 	c := s.Feeds.Catalog()
 	if c == nil {
-		return defaultHeaderLimit, defaultBodyLimit, defaultHeaderTimeout, defaultIdleTimeout
+		return defaultLimits
 	}
-	l := c.Limits
-	return l.MaxHeaderBytes, l.MaxBodyBytes, l.HeaderTimeout, l.IdleTimeout
+	return c.Limits
+}
+
+func idleLimit(l topol.Limits) time.Duration { return l.IdleTimeout + idleSlack }
+
+func headerLimit(l topol.Limits) time.Duration { return l.HeaderTimeout }
+
+// waitUpTo bounds the reads from now on by a limit of the configuration in force.
+func (c *callerConn) waitUpTo(limit func(topol.Limits) time.Duration) {
+	c.waitingSince, c.waitLimit = time.Now(), limit
+	c.SetReadDeadline(c.waitEnd())
+}
+
+// waitUntil bounds the reads from now on by a time, whatever the configuration. The zero
+// time is no bound.
+func (c *callerConn) waitUntil(t time.Time) {
+	c.waitLimit = nil
+	c.SetReadDeadline(t)
+}
+
+func (c *callerConn) waitEnd() time.Time {
+	return c.waitingSince.Add(c.waitLimit(c.server.limits()))
+}
+
+// Read reads from the connection. If the read deadline passes, the wait goes on if the
+// configuration that is in force then allows a longer one.
+func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !isTimeout(err) || c.waitLimit == nil {
+			return n, err
+		}
+		end := c.waitEnd()
+		if !end.After(time.Now()) {
+			return n, err
+		}
+		c.SetReadDeadline(end)
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// awaitRequest waits for the first byte of the next request. If the connection is to be
+// closed instead, it returns why.
+func (s *Server) awaitRequest(c *callerConn) closeReason {
+	c.waitUpTo(idleLimit)
+	_, err := c.reader.Peek(1)
+	switch {
+	case err == nil:
+		return keepOpen
+	case !isTimeout(err):
+		return closeCaller
+	}
+	return closeIdle
 }
 
 // serveOne serves one request. It returns why the connection is closed after it, or
 // keepOpen if the connection can carry another request.
 func (s *Server) serveOne(c *callerConn) closeReason {
-	headerLimit, bodyLimit, headerTimeout, idleTimeout := s.limits()
-	c.SetReadDeadline(time.Now().Add(idleTimeout))
-	if _, err := c.reader.Peek(1); err != nil {
-		return readFailure(err)
+	if reason := s.awaitRequest(c); reason != keepOpen {
+		return reason
 	}
-	arrived := time.Now()
-	c.SetReadDeadline(arrived.Add(headerTimeout))
-	req, err := http1.ReadRequest(c.reader, headerLimit)
+	c.waitUpTo(headerLimit)
+	arrived := c.waitingSince
+	req, err := http1.ReadRequest(c.reader, s.limits().MaxHeaderBytes)
 	if err != nil {
 		s.rejectUnreadable(c, err)
 		return closeUnreadable
@@ -86,13 +147,13 @@
 	if req.ExpectContinue && req.Framing != http1.None {
 		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	c.SetReadDeadline(arrived.Add(bodyTimeout))
-	x.body, err = http1.ReadBody(c.reader, req.Framing, req.Length, bodyLimit)
+	c.waitUntil(arrived.Add(bodyTimeout))
+	x.body, err = http1.ReadBody(c.reader, req.Framing, req.Length, s.limits().MaxBodyBytes)
 	if err != nil {
 		s.rejectUnreadable(c, err)
 		return closeUnreadable
 	}
-	c.SetReadDeadline(time.Time{})
+	c.waitUntil(time.Time{})
 	x.run()
 	switch {
 	case x.closing != keepOpen:
@@ -103,9 +164,6 @@
 	return keepOpen
 }
 
-// bodyTimeout bounds the time from a request's arrival to the end of its body.
-const bodyTimeout = 15 * time.Second
-
 // rejectUnreadable responds to a request that is malformed, too long or too
 // slow. After other errors, such as the end of the connection within the body, it
 // does nothing. After a response, the connection lingers when it is closed:
@@ -113,13 +171,12 @@
 // response.
 func (s *Server) rejectUnreadable(c *callerConn, err error) {
 	status := 0
-	var ne net.Error
 	switch {
 	case errors.Is(err, http1.ErrHeaderTooLong):
 		status = 431
 	case errors.Is(err, http1.ErrBodyTooLong):
 		status = 413
-	case errors.As(err, &ne) && ne.Timeout():
+	case isTimeout(err):
 		status = 408
 	case errors.Is(err, http1.ErrMalformed):
 		status = 400
