gate: look for a request's bytes before an idle connection is closed

A request that reached the node's machine in the moment at which the idle timeout passed was lost: a read with a passed deadline fails without a look at the kernel's buffer, and the connection was closed (which resets it).

Evidence, before the change: TestRequestThatArrivesWithTheIdleTimeoutIsServed, in which the first read fails by its deadline after the request has arrived: "connection reset by peer".

Now the kernel's buffer is looked at when, and only when, a connection is about to be closed as idle. If it holds anything, the node reads on.

--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -21,6 +21,8 @@
 	// idleSlack is added to the idle timeout: callers may know a longer one before this
 	// node does.
 	idleSlack = time.Second
+	// arrivedTimeout bounds the read of bytes that have arrived.
+	arrivedTimeout = time.Second
 )
 
 // defaultLimits apply until a configuration has been received.
@@ -117,14 +119,19 @@
 // closed instead, it returns why.
 func (s *Server) awaitRequest(c *callerConn) closeReason {
 	c.waitUpTo(idleLimit)
-	_, err := c.reader.Peek(1)
-	switch {
-	case err == nil:
-		return keepOpen
-	case !isTimeout(err):
-		return closeCaller
+	for {
+		_, err := c.reader.Peek(1)
+		switch {
+		case err == nil:
+			return keepOpen
+		case !isTimeout(err):
+			return closeCaller
+		case conns.IsIdle(c.Conn):
+			return closeIdle
+		}
+		// Bytes or the end of the connection arrived when the deadline passed.
+		c.waitUntil(time.Now().Add(arrivedTimeout))
 	}
-	return closeIdle
 }
 
 // serveOne serves one request. It returns why the connection is closed after it, or
--- a/internal/trans/gate/idle_test.go
+++ b/internal/trans/gate/idle_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"io"
+	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 // setLimits puts a configuration with other limits in force.
@@ -89,3 +93,41 @@
 	l.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, l.MaxBodyBytes)
 	l.HeaderTimeout = cmp.Or(o.HeaderTimeout, l.HeaderTimeout)
 }
+
+// lateConn is a connection whose first read fails with a passed deadline although bytes
+// have arrived.
+type lateConn struct {
+	*net.TCPConn
+	expired bool
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	if c.expired {
+		return c.TCPConn.Read(b)
+	}
+	c.expired = true
+	for conns.IsIdle(c.TCPConn) {
+		time.Sleep(time.Millisecond)
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against an idle connection that is closed although a request has just arrived.
+func TestRequestThatArrivesWithTheIdleTimeoutIsServed(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", ok("yes")))
+	r.setLimits(func(l *topol.Limits) { l.IdleTimeout = -time.Minute })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	accepted, err := l.Accept()
+	must.NoError(t, err)
+	r.server.openConns.Add(1)
+	go r.server.serve(context.Background(), &lateConn{TCPConn: accepted.(*net.TCPConn)})
+	io.WriteString(c, request("GET", "/safe/", "r", ""))
+	res, err := readResponse(c)
+	must.NoError(t, err)
+	test.Eq(t, 200, res.status)
+}
