--- a/internal/trans/gate/close.go
+++ b/internal/trans/gate/close.go
@@ -1,11 +1,6 @@
 package gate
 
-import (
-	"net"
-	"strconv"
-
-	"github.com/juju/errors"
-)
+import "strconv"
 
 // closeReason is why a caller's connection is closed. The empty reason means that it
 // stays open.
@@ -23,8 +18,6 @@
 	closeUnreadable closeReason = "unreadable"
 	// closeAnnounced means that the caller was told with the last response.
 	closeAnnounced closeReason = "announced"
-	// closeUnannounced means that the node drains and the caller was not told.
-	closeUnannounced closeReason = "unannounced"
 	// closeCut means that a response ended early, closeWrite that it could not be written.
 	closeCut   closeReason = "cut"
 	closeWrite closeReason = "write-failed"
@@ -39,15 +32,6 @@
 	return r == closeIdle || r == closeCaller || r == closeLeft || r == closeAnnounced
 }
 
-// readFailure returns why a connection is closed if the wait for its next request failed.
-func readFailure(err error) closeReason {
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
-		return closeIdle
-	}
-	return closeCaller
-}
-
 // recordClose counts a connection that is closed by its reason, and logs it if a caller may
 // have lost a request by it: if that is not expected, or if bytes of another request had
 // been read.
