feeds: bound the log lines on rejected records, and count them

Operators saw a warning for each record that can't be decoded: another writer that writes as often as endpoints do fills the log, and there was no count.

Each record was logged when it was read. Now each endpoint is logged at most once a minute and at most 64 of them, with the total so far, and laburnum_rejected_records_total counts all of them.

TestRejectedEndpointRecordsAreLoggedOnceAndCounted failed before: 50 lines in place of 1 for 50 records of one name, 179 in place of 65 with names that change each time. TestRejectedRecordsDoNotHideTheOthers passed before too and says what holds: the other records of a page, and none for an endpoint whose newest record is rejected.

--- a/internal/node/edge/metrics.go
+++ b/internal/node/edge/metrics.go
@@ -24,6 +24,9 @@
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "laburnum_rejected_records_total", Help: "Records of endpoints that could not be decoded.",
+	}, func() float64 { return float64(n.feeds.RejectedRecords()) }))
 	n.gate.Register(registry)
 	handle := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	srv := &fasthttp.Server{
--- a/internal/trans/feeds/endpoints.go
+++ b/internal/trans/feeds/endpoints.go
@@ -67,7 +67,7 @@
 	}
 	e, err := f.Decoder.Endpoint(r)
 	if err != nil {
-		f.Logger.Warn().Err(err).Str("endpoint", r.Key).Msg("feeds: cannot decode endpoint record")
+		f.rejections.record(&f.Logger, n, err, at)
 		f.scheduleRemoval(n, at)
 		return false
 	}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -82,6 +82,7 @@
 	removeAt  map[ident.EndpointName]clock.Instant
 	// recentLists holds the last lists of endpoints, the newest one last.
 	recentLists []*EndpointList
+	rejections  rejections
 	// recoveredAt is when the source answered again after an outage, or when it lost
 	// records; zero if neither happened or the grace period was ended by endGrace.
 	recoveredAt clock.Instant
