place: bear odd numbers in an engine's figures and in prompts

With an engine whose configured memory is below three tokens, or missing, each prompt ended the process: a division by zero where the number of engines is counted that store a prompt. Large figures made estimated times overflow to negative ones (-2,284,103 h), and such an engine then looks like the best.

TestOddNumbersDoNotEndTheProcess failed before: panic, integer divide by zero, in pieces, called by isTooLarge. TestEstimatesOfLargeNumbersAreNotNegative failed before: expected -2284103h19m5.854775809s >= 0s. TestSoundEndpointsAreChosenBesideOddOnes passed before too.

--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -73,16 +73,25 @@
 	if v.decoding == 0 {
 		return 0
 	}
-	step := v.spec.StepTime + time.Duration(v.decoding)*v.spec.PerSequence + time.Duration(float64(v.contextTokens)/1000*float64(v.spec.PerThousandContext))
-	return time.Duration(v.spec.DecodeSteps) * step
+	step := v.spec.StepTime + estimate(float64(v.decoding)*float64(v.spec.PerSequence)) + estimate(float64(v.contextTokens)/1000*float64(v.spec.PerThousandContext))
+	steps := time.Duration(v.spec.DecodeSteps)
+	return min(step, maxEstimate/max(1, steps)) * steps
 }
 
+// maxEstimate is the largest part of an estimated time. It keeps sums of them within the
+// range of a duration.
+const maxEstimate = 24 * time.Hour
+
+// estimate converts a number of nanoseconds to a duration of at most maxEstimate.
+func estimate(ns float64) time.Duration { return time.Duration(min(ns, float64(maxEstimate))) }
+
 // prefillTime returns the time to prefill a part on an otherwise idle engine.
 // Each chunk adds half a step.
 func (v *engineView) prefillTime(p part) time.Duration {
-	steps := (p.tokens + v.spec.PrefillChunk - 1) / v.spec.PrefillChunk
-	return time.Duration(float64(p.tokens)/v.spec.PrefillRate*float64(time.Second)) +
-		time.Duration(p.pairs*float64(v.spec.PerMillionPairs)) + time.Duration(steps)*v.spec.StepTime/2
+	chunk := max(1, v.spec.PrefillChunk)
+	steps := (p.tokens + chunk - 1) / chunk
+	return estimate(float64(p.tokens)/v.spec.PrefillRate*float64(time.Second)) +
+		estimate(p.pairs*float64(v.spec.PerMillionPairs)) + estimate(float64(steps)*float64(v.spec.StepTime)/2)
 }
 
 // prefillEnd estimates the time until a new part is prefilled: after all queued
--- a/internal/coord/place/reserve.go
+++ b/internal/coord/place/reserve.go
@@ -47,8 +47,8 @@
 // pieces returns the number of engines that store a prompt which is too large for
 // one.
 func pieces(e *topol.Engine, prompt ident.Tokens) int {
-	maxPiece := e.Memory / maxPieceDivisor
-	return int((prompt + maxPiece - 1) / maxPiece)
+	maxPiece := max(1, e.Memory/maxPieceDivisor)
+	return int((prompt-1)/maxPiece) + 1
 }
 
 // isTooLarge reports whether a prompt is too large for this number of engines, even
