edge: bound the orphaned requests that one engine's report adds

A node that starts beside engines asks each for its load and keeps an entry for each request that it reports and no node knows. A report with a count of 100,000 made 100,000 entries, one with 2^60 would have taken all memory, and the process would have ended again and again, each time it starts.

At most 1,000 are kept for one engine.

TestOrphansOfOneEngineAreBounded failed before: 100000 in place of 1000.

--- a/internal/node/edge/orphans.go
+++ b/internal/node/edge/orphans.go
@@ -27,6 +27,8 @@
 	// minOrphanTokens is the minimum size assumed for an orphaned request. It is
 	// the assumed size if the engine doesn't report its memory in use.
 	minOrphanTokens ident.Tokens = 5000
+	// maxOrphansPerEngine bounds the orphaned requests at one engine.
+	maxOrphansPerEngine = 1000
 )
 
 // orphanNode is the node name under which orphaned requests are added to the
@@ -92,7 +94,7 @@
 	}
 	var ws []works.Request
 	for name, r := range reports {
-		extra := r.Running + r.Waiting - count[name]
+		extra := min(r.Running+r.Waiting-count[name], maxOrphansPerEngine)
 		if extra <= 0 {
 			continue
 		}
--- a/internal/node/edge/orphans_test.go
+++ b/internal/node/edge/orphans_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -36,3 +37,19 @@
 	test.Eq(t, 200_000, tokens["full"])
 	test.Eq(t, 80_000, tokens["some"])
 }
+
+// Guards against nodes that run out of memory at their start by the report of one engine:
+// each request that it states takes some memory.
+func TestOrphansOfOneEngineAreBounded(t *testing.T) {
+	for _, r := range []relay.LoadReport{{Running: 100_000}, {Waiting: 100_000}, {Running: 1, Waiting: 100_000, Used: math.MaxInt64}} {
+		ws := orphanedRequests(map[ident.EndpointName]relay.LoadReport{"odd": r, "some": {Running: 3}}, nil, time.Now())
+		count := map[ident.EndpointName]int{}
+		for _, w := range ws {
+			count[w.First]++
+		}
+		test.Eq(t, map[ident.EndpointName]int{"odd": maxOrphansPerEngine, "some": 3}, count)
+	}
+	for _, r := range []relay.LoadReport{{Running: -5}, {Running: math.MaxInt, Waiting: math.MaxInt}, {Running: math.MinInt, Waiting: math.MinInt}} {
+		test.LessEq(t, maxOrphansPerEngine, len(orphanedRequests(map[ident.EndpointName]relay.LoadReport{"odd": r}, nil, time.Now())))
+	}
+}
