gate, edge: end a drain only when no caller can lose a request by it

At the end of a drain callers lost requests: those of which only a part had arrived, those that arrived between the last look at the requests in flight and the end of the process, and those on connections that they were allowed to reuse, since the idle timeout had been lengthened during the drain or since their last response, a stream, had ended late in the drain.

Cause: a request counted as in flight from the end of its header; the loop in drain looked at the count, and connections were closed later; the idle timeout was read once, when the drain began, and idle time was taken to begin then.

A drain ends when no connection carries a request and each has been idle for as long as callers may reuse it, by the limits in force at each look.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -33,9 +33,9 @@
 	// minDrainTime is the minimum duration of a drain, in which the load balancer
 	// notices that the node isn't ready. A shorter grace period takes precedence.
 	minDrainTime = 3 * time.Second
-	// reuseNumerator / reuseDenominator is the fraction of the idle timeout for
-	// which callers may reuse an idle connection.
-	reuseNumerator, reuseDenominator = 4, 5
+	// closeTime is the part of a drain's longest time that is left for the end of
+	// connections without a request.
+	closeTime = 200 * time.Millisecond
 	// pollInterval is the pause between two checks while waiting for the requests
 	// in flight to end, or for the first configuration.
 	pollInterval = 20 * time.Millisecond
@@ -243,8 +243,8 @@
 }
 
 // drain waits until stop is cancelled, and then until no request is in flight
-// and no caller would reuse an idle connection, at most until stopMargin before
-// the end of the grace period.
+// and no caller would reuse an idle connection. Then it closes the connections of
+// callers. It ends at the latest stopMargin before the end of the grace period.
 func (n *Node) drain(ctx, stop context.Context) {
 	select {
 	case <-ctx.Done():
@@ -254,17 +254,15 @@
 	began := time.Now()
 	n.gate.Drain()
 	n.Logger.Info().Int("inFlight", n.gate.InFlightCount()).Msg("node: stopping")
-	minWait := minDrainTime
-	if c := n.feeds.Catalog(); c != nil {
-		minWait = max(minWait, c.Limits.IdleTimeout*reuseNumerator/reuseDenominator)
-	}
-	minWait = min(minWait, n.Settings.GracePeriod-stopMargin)
-	for {
-		elapsed := time.Since(began)
-		if elapsed >= minWait && n.gate.InFlightCount() == 0 || elapsed >= n.Settings.GracePeriod-stopMargin {
+	end := began.Add(n.Settings.GracePeriod - stopMargin)
+	for now := began; now.Before(end.Add(-closeTime)); now = time.Now() {
+		if now.Sub(began) >= minDrainTime && n.gate.MayStop(now) {
 			break
 		}
 		delay.For(ctx, pollInterval)
 	}
+	stopCtx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	n.gate.Stop(stopCtx)
 	n.Logger.Info().Int("inFlight", n.gate.InFlightCount()).Dur("after", time.Since(began)).Msg("node: stopped")
 }
--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -1,8 +1,10 @@
 package gate
 
 import (
+	"context"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
@@ -37,7 +39,45 @@
 	// end of the grace period.
 	streamAcceptPeriod = 2500 * time.Millisecond
 	plainAcceptMargin  = 2500 * time.Millisecond
+	// stopPollInterval is the pause between two looks for open connections.
+	stopPollInterval = 5 * time.Millisecond
 )
 
+// MayStop reports whether no request is under way and no caller may still send one on its
+// open connection.
+func (s *Server) MayStop(now time.Time) bool {
+	if s.inFlightCount.Load() > 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.mayBeUsed(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop accepts no more connections and closes those without a request. It returns when no
+// connection is open and no request is under way, or when the context ends.
+func (s *Server) Stop(ctx context.Context) {
+	s.stopping.Store(true)
+	s.mu.Lock()
+	l, acceptEnded := s.listener, s.acceptEnded
+	s.mu.Unlock()
+	if l != nil {
+		l.Close()
+		<-acceptEnded
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.endIdle()
+	}
+	s.mu.Unlock()
+	for (s.openConns.Load() > 0 || s.inFlightCount.Load() > 0) && delay.For(ctx, stopPollInterval) {
+	}
+}
+
 // InFlightCount returns the number of callers' requests that this node serves.
 func (s *Server) InFlightCount() int { return int(s.inFlightCount.Load()) }
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -122,3 +123,53 @@
 	test.Eq(t, 503, res.status)
 	test.True(t, res.closesConn)
 }
+
+// stop stops the server as a node does at the end of a drain.
+func (r *rig) stop() {
+	r.server.Stop(context.Background())
+	r.cancel()
+}
+
+// Guards against requests that are lost since they arrive between the last look at the
+// requests in flight and the end of the process.
+func TestStopServesRequestsThatHaveArrived(t *testing.T) {
+	const callers = 200
+	cases := []struct {
+		name string
+		// before and after are sent before and after the stop begins.
+		before, after string
+	}{
+		{"whole request", request("GET", "/safe/", "r", ""), ""},
+		{"part of a header", request("GET", "/safe/", "r", "")[:1], request("GET", "/safe/", "r", "")[1:]},
+		{"header, body follows", "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nId: r\r\nKey: secret\r\nContent-Length: 5\r\n\r\n", "hello"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, newEndpoint(t, "e", ok("yes")))
+			var conns []net.Conn
+			for range callers {
+				conns = append(conns, r.dial())
+			}
+			for r.server.openConns.Load() < callers {
+				time.Sleep(time.Millisecond)
+			}
+			r.server.Drain()
+			for _, conn := range conns {
+				io.WriteString(conn, c.before)
+			}
+			stopped := make(chan struct{})
+			go func() {
+				r.stop()
+				close(stopped)
+			}()
+			for _, conn := range conns {
+				io.WriteString(conn, c.after)
+				res, err := readResponse(conn)
+				must.NoError(t, err)
+				test.Eq(t, 200, res.status)
+				test.True(t, res.closesConn)
+			}
+			<-stopped
+		})
+	}
+}
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -269,6 +269,7 @@
 	server   *Server
 	reserver *fakeReserver
 	addr     string
+	cancel   context.CancelFunc
 }
 
 // testCatalog has a route for each kind of request, whose path prefix is the
@@ -334,6 +335,7 @@
 	}
 	configure(r.server)
 	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
 	l, err := Listen(ctx, "127.0.0.1:0")
 	must.NoError(t, err)
 	r.addr = l.Addr().String()
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -175,8 +175,15 @@
 	bufferedBytes atomic.Int64
 	openConns     atomic.Int64
 
-	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	// stopping is set once connections without a request are closed.
+	stopping atomic.Bool
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	conns    map[*callerConn]struct{}
+	listener net.Listener
+	// acceptEnded is closed when no more connections are accepted.
+	acceptEnded chan struct{}
 }
 
 // retryBudgets holds the retry budget of each service.
@@ -216,15 +223,31 @@
 
 // Run serves callers on a listener until the context ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	s.conns = map[*callerConn]struct{}{}
 	s.startMillis = time.Now().UnixMilli()
-	stop := context.AfterFunc(ctx, func() { l.Close(); s.closeAll() })
-	defer stop()
+	acceptEnded := make(chan struct{})
+	s.mu.Lock()
+	s.conns = map[*callerConn]struct{}{}
+	s.listener, s.acceptEnded = l, acceptEnded
+	s.mu.Unlock()
 	go s.sweep(ctx)
 	go s.watchLinks(ctx)
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	err := s.accept(ctx, l)
+	close(acceptEnded)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	s.closeAll()
+	return nil
+}
+
+// accept accepts connections and serves each, until the context ends or Stop is called.
+func (s *Server) accept(ctx context.Context, l net.Listener) error {
 	for {
 		c, err := l.Accept()
-		if ctx.Err() != nil {
+		if err != nil && (ctx.Err() != nil || s.stopping.Load()) {
 			return nil
 		}
 		if err != nil {
