gate: answer requests that arrive during a drain before the process ends

A request that arrived during a drain on a route whose timeout is longer than the rest of the grace period was cut off at the end of the process, without a response.

Cause: its deadline took no account of the end of the process, which was known.

Evidence, before the change: TestRequestDuringDrainIsAnsweredBeforeTheEnd (grace period 4 s): the endpoint got 3999 ms, the rest of the caller's time, in place of at most 3300.

Now the deadline of such a request, unless it is a stream, is at most 0.7 s before the end of the grace period, so that it gets status 504. That the endpoint did not answer by then isn't counted as its failure.

--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -39,10 +39,26 @@
 	// end of the grace period.
 	streamAcceptPeriod = 2500 * time.Millisecond
 	plainAcceptMargin  = 2500 * time.Millisecond
+	// answerMargin is the time before the end of the grace period at which requests that
+	// arrived during a drain are answered at the latest.
+	answerMargin = 700 * time.Millisecond
 	// stopPollInterval is the pause between two looks for open connections.
 	stopPollInterval = 5 * time.Millisecond
 )
 
+// boundByStop sets the deadline to the time by which the caller must be answered before the
+// process ends, if that is earlier. A stream may go on to the end.
+func (x *exchange) boundByStop() {
+	s := x.server
+	if !s.draining.Load() || x.route.Kind == topol.Stream {
+		return
+	}
+	end := time.Unix(0, s.drainStart.Load()).Add(s.GracePeriod - answerMargin)
+	if x.deadline.After(end) {
+		x.deadline, x.endsWithNode = end, true
+	}
+}
+
 // MayStop reports whether no request is under way and no caller may still send one on its
 // open connection.
 func (s *Server) MayStop(now time.Time) bool {
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // Guards against callers who lose a request since the node closes their connection after a
@@ -173,3 +176,25 @@
 		})
 	}
 }
+
+// Guards against requests that arrive during a drain, may take longer than the process
+// lives, and are then cut off without a response.
+func TestRequestDuringDrainIsAnsweredBeforeTheEnd(t *testing.T) {
+	const gracePeriod = 4 * time.Second
+	e := newEndpoint(t, "e", neverResponds)
+	r := newConfiguredRig(t, 0, func(s *Server) {
+		s.GracePeriod = gracePeriod
+		s.AnnounceFailure = func(ident.EndpointName) { t.Error("the endpoint counts as failed") }
+	}, e)
+	catalog := testCatalog()
+	catalog.Version++
+	catalog.Match("h.example", "/once/").Timeout = time.Minute
+	r.server.Feeds.UpdateCatalog(catalog)
+	r.server.Drain()
+	res := r.do(request("GET", "/once/", "r", ""))
+	test.Eq(t, 504, res.status)
+	test.True(t, res.closesConn)
+	left, err := strconv.Atoi(e.requests()[0].field("Left"))
+	must.NoError(t, err)
+	test.LessEq(t, int((gracePeriod - answerMargin).Milliseconds()), left)
+}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -63,8 +63,10 @@
 	request *http1.Request
 	body    []byte
 	arrived time.Time
-	// deadline is when the caller must have the whole response.
-	deadline time.Time
+	// deadline is when the caller must have the whole response. endsWithNode is set if the
+	// node must stop by then, and the caller would wait for longer.
+	deadline     time.Time
+	endsWithNode bool
 
 	reqHeader relay.RequestHeader
 	catalog   *topol.Catalog
@@ -205,6 +207,7 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.arrived.Add(limit)
+	x.boundByStop()
 	x.lastEvent = x.reqHeader.LastEvent
 	x.tried = ident.Set[ident.EndpointName]{}
 	x.unreservedEngines = ident.Set[ident.EndpointName]{}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -149,6 +149,8 @@
 			x.recordEndedWell(o, c.Primary.Name)
 		}
 	case o.linkLost:
+	case x.endsWithNode && !now.Before(x.deadline):
+		// The endpoint might have answered in time.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil && !o.rests:
