gate: refuse the requests of connections beyond the bound in words

A caller whose connection came when the node had as many as it may have (3,000) was disconnected without a response. Its request hadn't been read, but the caller can't tell that from a request that may have run.

Evidence, before the change: TestConnectionsBeyondTheBoundAreRefused failed for a request and for one with a long body: "unexpected EOF".

--- a/internal/trans/gate/close.go
+++ b/internal/trans/gate/close.go
@@ -21,9 +21,11 @@
 	// closeCut means that a response ended early, closeWrite that it could not be written.
 	closeCut   closeReason = "cut"
 	closeWrite closeReason = "write-failed"
-	// closeEnd means that the process ends, closeTooMany that there are maxConns
-	// connections.
-	closeEnd     closeReason = "process-ends"
+	// closeEnd means that the process ends.
+	closeEnd closeReason = "process-ends"
+	// closeRefused means that there are maxConns connections, and the only request is
+	// refused, closeTooMany that this would be too many refusals at a time.
+	closeRefused closeReason = "refused"
 	closeTooMany closeReason = "too-many"
 )
 
--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -91,7 +91,7 @@
 		c.endIdle()
 	}
 	s.mu.Unlock()
-	for (s.openConns.Load() > 0 || s.inFlightCount.Load() > 0) && delay.For(ctx, stopPollInterval) {
+	for (s.openConns.Load()+s.refusedConns.Load() > 0 || s.inFlightCount.Load() > 0) && delay.For(ctx, stopPollInterval) {
 	}
 }
 
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -173,7 +173,9 @@
 	inFlightCount atomic.Int64
 	// bufferedBytes counts the bytes of endpoints' responses that the node holds.
 	bufferedBytes atomic.Int64
-	openConns     atomic.Int64
+	// openConns counts the connections of callers, refusedConns those beyond maxConns.
+	openConns    atomic.Int64
+	refusedConns atomic.Int64
 
 	// stopping is set once connections without a request are closed.
 	stopping atomic.Bool
@@ -259,9 +261,7 @@
 			continue
 		}
 		if s.openConns.Load() >= maxConns {
-			s.getMetrics().closes.WithLabelValues(string(closeTooMany), "false").Inc()
-			s.requestLog(false).Str("why", string(closeTooMany)).Msg("gate: closed a caller's connection")
-			c.Close()
+			go s.refuseConn(c)
 			continue
 		}
 		s.openConns.Add(1)
