gate: don't reset a connection whose last response is on its way

A response that announced a close could be lost: if bytes of a further request had arrived, the close reset the connection, which discards what the caller hasn't received yet. At a drain, the process could also end while a connection lingered after a refusal, with the same result, since it was no longer counted.

Evidence, before the change: TestAnnouncedCloseDoesNotResetTheConnection (a response of a mebibyte, 16 KiB sent after the request): "connection reset by peer".

Now a connection with bytes unread lingers after an announced close as it does after a rejection, and counts as open until it is closed. The kernel's buffer is looked at only when a connection is closed.

--- a/internal/trans/gate/close_test.go
+++ b/internal/trans/gate/close_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"io"
+	"net"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 )
 
 // Guards against connections that are closed without a trace of the reason.
@@ -50,3 +53,20 @@
 		})
 	}
 }
+
+// Guards against a response that is lost since its connection is closed, and so reset, while
+// bytes that the caller sent too early are unread.
+func TestAnnouncedCloseDoesNotResetTheConnection(t *testing.T) {
+	body := strings.Repeat("x", 1<<20)
+	r := newRig(t, newEndpoint(t, "e", ok(body)))
+	c := r.dial().(*net.TCPConn)
+	must.NoError(t, c.SetReadBuffer(128<<10))
+	io.WriteString(c, request("GET", "/safe/", "r", "", "Connection: close")+strings.Repeat("y", 4*readBufferBytes))
+	for r.server.openConns.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	res, err := readResponse(c)
+	must.NoError(t, err)
+	must.NoError(t, res.err)
+	test.Eq(t, len(body), len(res.body))
+}
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -24,8 +24,8 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
-		s.openConns.Add(-1)
 		c.Close()
+		s.openConns.Add(-1)
 	}()
 	reason := keepOpen
 	for reason == keepOpen && ctx.Err() == nil {
@@ -35,6 +35,18 @@
 		reason = closeEnd
 	}
 	s.recordClose(c, reason)
+	if reason == closeAnnounced && !conns.IsIdle(nc) {
+		linger(nc)
+	}
+}
+
+// linger makes the close of a connection wait for what the caller still sends, within
+// bounds: a close with bytes unread resets the connection, and the caller could lose the
+// last response.
+func linger(nc net.Conn) {
+	if l, ok := nc.(*conns.LingeringConn); ok {
+		l.Linger()
+	}
 }
 
 // serveOne serves one request. It returns why the connection is closed after it, or
@@ -76,9 +88,7 @@
 
 // rejectUnreadable responds to a request that is malformed, too long or too
 // slow. After other errors, such as the end of the connection within the body, it
-// does nothing. After a response, the connection lingers when it is closed:
-// closing it with bytes unread would reset it, and the caller could lose the
-// response.
+// does nothing. After a response, the close lingers.
 func (s *Server) rejectUnreadable(c *callerConn, err error) {
 	status := 0
 	switch {
@@ -98,7 +108,5 @@
 	s.requestLog(false).Err(err).Int("status", status).Msg("gate: rejected an unreadable request")
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.Write(emptyResponse(status, 0, true))
-	if l, ok := c.Conn.(*conns.LingeringConn); ok {
-		l.Linger()
-	}
+	linger(c.Conn)
 }
--- a/internal/trans/gate/refuse.go
+++ b/internal/trans/gate/refuse.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 )
 
@@ -37,7 +36,5 @@
 	s.getMetrics().requests.WithLabelValues("unknown", "503").Inc()
 	s.requestLog(false).Int("status", 503).Msg("gate: refused a request, too many connections")
 	c.Write(emptyResponse(503, retrySoon, true))
-	if l, ok := c.(*conns.LingeringConn); ok {
-		l.Linger()
-	}
+	linger(c)
 }
