--- a/internal/trans/gate/close_test.go
+++ b/internal/trans/gate/close_test.go
@@ -70,3 +70,27 @@
 	must.NoError(t, res.err)
 	test.Eq(t, len(body), len(res.body))
 }
+
+// A caller that closes its sending half after a request counts as gone, since a connection
+// that was closed looks the same. Guards against work for callers who are gone, and against
+// a change of that decision by accident.
+func TestHalfClosedCallerCountsAsGone(t *testing.T) {
+	released := make(chan struct{})
+	e := newEndpoint(t, "e", func(c net.Conn, g receivedRequest) bool {
+		defer close(released)
+		return neverResponds(c, g)
+	})
+	r := newRig(t, e)
+	c := r.dial().(*net.TCPConn)
+	io.WriteString(c, request("GET", "/stream/", "r", ""))
+	for len(e.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must.NoError(t, c.CloseWrite())
+	<-released
+	_, err := readResponse(c)
+	test.Error(t, err)
+	for counterValue(t, r.server, "laburnum_connections_closed_total", string(closeLeft), "false") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
