gate: count a connection for a peer as in flight from its start

A node that drained could end while it connected to an endpoint for a peer, since the tunnel was counted only after that. The bounds of today (tunnels are refused 2.5 s after the signal, a drain lasts 3 s, a dial 0.2 s) leave no room for it unless the process stalls.

Evidence, before the change: TestConnectingForPeerCountsAsInFlight saw a count of 0 during the dial.

--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -159,11 +159,12 @@
 	if !s.availability.accepts(e, s.Node, time.Now()) {
 		return nil, errors.New("endpoint states that it wants no requests")
 	}
+	s.inFlightCount.Add(1)
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
 	if err != nil {
+		s.inFlightCount.Add(-1)
 		return nil, err
 	}
-	s.inFlightCount.Add(1)
 	return &peerConn{Conn: l.Conn, server: s}, nil
 }
 
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -10,9 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -198,3 +202,32 @@
 	must.NoError(t, err)
 	test.LessEq(t, int((gracePeriod - answerMargin).Milliseconds()), left)
 }
+
+// Guards against a drain that ends while the node connects to an endpoint for a peer, whose
+// request goes over the connection.
+func TestConnectingForPeerCountsAsInFlight(t *testing.T) {
+	for _, failure := range []error{nil, errors.New("unreachable")} {
+		e := newEndpoint(t, "e", ok("yes"))
+		counts := make(chan int, 1)
+		var s *Server
+		newConfiguredRig(t, 0, func(server *Server) {
+			s = server
+			s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+			s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
+				counts <- s.InFlightCount()
+				if failure != nil {
+					return nil, failure
+				}
+				return links.Dial(ctx, address)
+			}
+		}, e)
+		c, err := s.ConnectForPeer(context.Background(), tunnel.Request{From: "n2", Endpoint: "ep", Address: e.address})
+		test.Eq(t, failure == nil, err == nil)
+		test.Eq(t, 1, <-counts)
+		if failure == nil {
+			test.Eq(t, 1, s.InFlightCount())
+			c.Close()
+		}
+		test.Eq(t, 0, s.InFlightCount())
+	}
+}
