front: decide at the end of a request whether the close is announced

A response that was written during a drain didn't announce the close of its connection if its request had arrived before the drain: that was decided when the request arrived. The caller went on to use the connection, which is closed when the node stops.

Evidence, before the change: TestDrainIsAnnouncedByRequestsUnderWay got status 503 of a node that drains without "Connection: close".

Now it is decided when the response is ready, right before fasthttp writes its header. A stream whose header was written before the drain keeps its connection.

--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -114,9 +114,15 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.answer(ctx)
+	// Only now, since the drain may have begun meanwhile: the header is written next.
 	if s.Draining() {
 		ctx.SetConnectionClose()
 	}
+}
+
+// answer prepares the response to one request.
+func (s *Server) answer(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
--- a/internal/trans/front/front_test.go
+++ b/internal/trans/front/front_test.go
@@ -124,3 +124,28 @@
 		test.Eq(t, err == nil, d > 0)
 	})
 }
+
+// Guards against a response that is written during a drain and doesn't announce the close
+// of its connection, since the drain began after its request had arrived.
+func TestDrainIsAnnouncedByRequestsUnderWay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := &Server{Logger: zerolog.Nop()}
+	s.HasConfig = func() bool {
+		s.Drain()
+		return true
+	}
+	s.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Run(ctx, l)
+	defer s.Stop(ctx)
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer c.Close()
+	io.WriteString(c, "GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	test.Eq(t, 503, res.StatusCode)
+	test.True(t, res.Close)
+}
