--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -2,14 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // Guards against callers who lose a request since the node closes their connection after a
@@ -122,3 +130,104 @@
 	test.Eq(t, 503, res.status)
 	test.True(t, res.closesConn)
 }
+
+// stop stops the server as a node does at the end of a drain.
+func (r *rig) stop() {
+	r.server.Stop(context.Background())
+	r.cancel()
+}
+
+// Guards against requests that are lost since they arrive between the last look at the
+// requests in flight and the end of the process.
+func TestStopServesRequestsThatHaveArrived(t *testing.T) {
+	const callers = 200
+	cases := []struct {
+		name string
+		// before and after are sent before and after the stop begins.
+		before, after string
+	}{
+		{"whole request", request("GET", "/safe/", "r", ""), ""},
+		{"part of a header", request("GET", "/safe/", "r", "")[:1], request("GET", "/safe/", "r", "")[1:]},
+		{"header, body follows", "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nId: r\r\nKey: secret\r\nContent-Length: 5\r\n\r\n", "hello"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, newEndpoint(t, "e", ok("yes")))
+			var conns []net.Conn
+			for range callers {
+				conns = append(conns, r.dial())
+			}
+			for r.server.openConns.Load() < callers {
+				time.Sleep(time.Millisecond)
+			}
+			r.server.Drain()
+			for _, conn := range conns {
+				io.WriteString(conn, c.before)
+			}
+			stopped := make(chan struct{})
+			go func() {
+				r.stop()
+				close(stopped)
+			}()
+			for _, conn := range conns {
+				io.WriteString(conn, c.after)
+				res, err := readResponse(conn)
+				must.NoError(t, err)
+				test.Eq(t, 200, res.status)
+				test.True(t, res.closesConn)
+			}
+			<-stopped
+		})
+	}
+}
+
+// Guards against requests that arrive during a drain, may take longer than the process
+// lives, and are then cut off without a response.
+func TestRequestDuringDrainIsAnsweredBeforeTheEnd(t *testing.T) {
+	const gracePeriod = 4 * time.Second
+	e := newEndpoint(t, "e", neverResponds)
+	r := newConfiguredRig(t, 0, func(s *Server) {
+		s.GracePeriod = gracePeriod
+		s.AnnounceFailure = func(ident.EndpointName) { t.Error("the endpoint counts as failed") }
+	}, e)
+	catalog := testCatalog()
+	catalog.Version++
+	catalog.Match("h.example", "/once/").Timeout = time.Minute
+	r.server.Feeds.UpdateCatalog(catalog)
+	r.server.Drain()
+	res := r.do(request("GET", "/once/", "r", ""))
+	test.Eq(t, 504, res.status)
+	test.True(t, res.closesConn)
+	left, err := strconv.Atoi(e.requests()[0].field("Left"))
+	must.NoError(t, err)
+	test.LessEq(t, int((gracePeriod - answerMargin).Milliseconds()), left)
+}
+
+// Guards against a drain that ends while the node connects to an endpoint for a peer, whose
+// request goes over the connection.
+func TestConnectingForPeerCountsAsInFlight(t *testing.T) {
+	for _, failure := range []error{nil, errors.New("unreachable")} {
+		e := newEndpoint(t, "e", ok("yes"))
+		counts := make(chan int, 1)
+		var s *Server
+		newConfiguredRig(t, 0, func(server *Server) {
+			s = server
+			s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+			s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
+				counts <- s.InFlightCount()
+				if failure != nil {
+					return nil, failure
+				}
+				return links.Dial(ctx, address)
+			}
+		}, e)
+		c, err := s.ConnectForPeer(context.Background(), tunnel.Request{From: "n2", Endpoint: "ep", Address: e.address})
+		test.Eq(t, failure == nil, err == nil)
+		test.Eq(t, 1, <-counts)
+		if failure == nil {
+			test.Eq(t, 1, s.InFlightCount())
+			c.Close()
+		}
+		test.Eq(t, 0, s.InFlightCount())
+	}
+}
