conns, engin, platf: calls on kept connections carry an ID

The clients of the product's own engines, log and VM list took the next response on a kept connection for the answer to their call. If a server wrote an earlier answer once more, a reservation or a prefill that the engine refused counted as done, the tokens of another prompt were passed on, a refusal of an earlier prompt was believed although the engine ran this one, a rejected append counted as made, and a page of another stream or offset was read.

conns.Call.Identified sends a number in Call-Id that the server copies into its response. A server that doesn't copy IDs is still served, each call on a new connection, since a connection is kept only after a response with the ID. All calls of engin and platf are identified; the stand-ins copy the ID, so they see as many connections as before. The alternative, a new connection for each call, costs the prompts a round trip.

--- a/internal/lab/httpd/httpd.go
+++ b/internal/lab/httpd/httpd.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"laburnumstack.org/laburnum/internal/lab/flaky"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 const (
@@ -50,7 +51,7 @@
 // log and sends no Date header.
 func newServer(h fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:            h,
+		Handler:            copyCallID(h),
 		MaxRequestBodySize: maxBodyBytes,
 		IdleTimeout:        idleTimeout,
 		Logger:             discardLogger{},
@@ -59,6 +60,16 @@
 	}
 }
 
+// copyCallID returns a handler that copies the ID of a call into its response.
+func copyCallID(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		h(ctx)
+		if id := ctx.Request.Header.Peek(conns.CallIDField); len(id) > 0 {
+			ctx.Response.Header.SetBytesV(conns.CallIDField, id)
+		}
+	}
+}
+
 type discardLogger struct{}
 
 func (discardLogger) Printf(string, ...any) {}
--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -1,8 +1,11 @@
 package conns
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +27,17 @@
 	ErrTooLong = errors.ConstError("answer is too long")
 )
 
+// CallIDField is the header field with the ID of a call. Servers copy it into their
+// response.
+const CallIDField = "Call-Id"
+
+// errOtherCall means that a response is not the one to the call, or can't be told from
+// one to an earlier call.
+const errOtherCall = errors.ConstError("response to another call")
+
+// lastCallID is the ID of the last identified call of this process.
+var lastCallID atomic.Uint64
+
 // expiredDeadline is a deadline in the past, which makes blocked reads and writes
 // fail at once.
 var expiredDeadline = time.Unix(1, 0)
@@ -37,6 +51,10 @@
 	// on it can't be the response to another call, which matters where responses have
 	// nothing that tells to which request they belong.
 	OwnConn bool
+	// Identified sends an ID in CallIDField, with which the response must come if the
+	// connection carried another call before. If the server doesn't copy IDs, the
+	// connection is closed after the call.
+	Identified bool
 	// HeaderTimeout bounds the wait for the header of the response. If it is
 	// zero, only the context does.
 	HeaderTimeout time.Duration
@@ -54,7 +72,7 @@
 	pool *Pool
 	conn *conn
 	body io.Reader
-	// ownConn is that of the call.
+	// ownConn is set if the connection is closed after the call.
 	ownConn bool
 	// stopWatching stops watching the context. It returns false if the context
 	// has ended, which has set a deadline in the past.
@@ -86,6 +104,11 @@
 	if c.OwnConn {
 		c.Request.SetConnectionClose()
 	}
+	var id []byte
+	if c.Identified {
+		id = strconv.AppendUint(nil, lastCallID.Add(1), 10)
+		c.Request.Header.SetBytesV(CallIDField, id)
+	}
 	if err := c.Request.Write(cn.writer); err != nil {
 		return nil, err
 	}
@@ -99,12 +122,31 @@
 	if err := r.Header.Read(cn.reader); err != nil {
 		return nil, err
 	}
+	if c.Identified {
+		if err := r.checkID(id); err != nil {
+			return nil, err
+		}
+	}
 	r.SetReadDeadline(time.Time{})
 	r.Status = r.Header.StatusCode()
 	r.body = r.bodyReader(c.Request.Header.IsHead())
 	return r, nil
 }
 
+// checkID returns an error unless the response is the one to the call with an ID. The
+// first response on a connection is, also if the server doesn't copy IDs.
+func (r *Response) checkID(id []byte) error {
+	copied := r.Header.Peek(CallIDField)
+	if bytes.Equal(copied, id) {
+		return nil
+	}
+	if len(copied) > 0 || r.conn.reused {
+		return errOtherCall
+	}
+	r.ownConn = true
+	return nil
+}
+
 // bodyReader returns a reader that ends at the end of the body. If the body ends
 // only when the connection is closed, bodyReader sets openedAt to zero, which
 // marks the connection as not reusable.
--- a/internal/trans/conns/pool.go
+++ b/internal/trans/conns/pool.go
@@ -45,6 +45,8 @@
 	writer   *bufio.Writer
 	openedAt time.Time
 	lastUsed time.Time
+	// reused is set if the connection carried a call before.
+	reused bool
 }
 
 // get returns an idle connection that is still open, or a new one. If fresh is
@@ -95,7 +97,7 @@
 // put adds a connection to the idle ones, or closes it if it can't be reused. The
 // last response on it must have been read completely.
 func (p *Pool) put(c *conn) {
-	c.lastUsed = time.Now()
+	c.lastUsed, c.reused = time.Now(), true
 	if !Reusable(c.Conn, c.reader) {
 		c.Close()
 		return
--- a/internal/trans/engin/engin.go
+++ b/internal/trans/engin/engin.go
@@ -56,7 +56,7 @@
 		h.Set("Reservation", g.ReservationID)
 	}
 	req.SetBodyRaw(g.Body)
-	r, err := c.Pools.Get(addr).Do(ctx, conns.Call{Request: req, HeaderTimeout: headerTimeout})
+	r, err := c.Pools.Get(addr).Do(ctx, conns.Call{Request: req, Identified: true, HeaderTimeout: headerTimeout})
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 		}
 		req.SetBodyRaw(raw)
 	}
-	r, err := c.Pools.Get(addr).Do(ctx, conns.Call{Request: req, Fresh: fresh})
+	r, err := c.Pools.Get(addr).Do(ctx, conns.Call{Request: req, Identified: true, Fresh: fresh})
 	if err != nil {
 		return err
 	}
--- a/internal/trans/platf/platf.go
+++ b/internal/trans/platf/platf.go
@@ -98,7 +98,7 @@
 	req.SetRequestURI(path)
 	req.Header.SetHost(p.Address)
 	req.SetBodyRaw(body)
-	r, err := p.Do(ctx, conns.Call{Request: req})
+	r, err := p.Do(ctx, conns.Call{Request: req, Identified: true})
 	if err != nil {
 		p.CloseIdle()
 		return errors.WithType(err, ErrUnavailable)
