serve: plain requests on kept connections carry an ID

The answer to an idempotent request on a Plain route was the next response on a kept connection. If the service wrote an earlier answer once more, a caller got the answer of another caller, or a status of a request that was not its own.

These requests now carry Call-Id, as the calls to engines do. A service that copies it keeps its connections; others get a connection for each request, which costs a round trip, since nothing in their answers tells to which request they belong. Call-Id is that of the node: it is not taken from callers, and not passed on to them.

--- a/internal/trans/front/plain.go
+++ b/internal/trans/front/plain.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/serve"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -14,7 +15,7 @@
 	"Authorization", "Connection", "Content-Length", "Expect", "Host",
 	"Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te",
 	"Trailer", "Transfer-Encoding", "Upgrade", "Server", "Date",
-	RequestIDHeader, OutcomeHeader, TimeLimitHeader, WorkspaceHeader,
+	RequestIDHeader, OutcomeHeader, TimeLimitHeader, WorkspaceHeader, conns.CallIDField,
 )
 
 // servePlain serves a request on a plain HTTP route.
--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -130,7 +130,7 @@
 	defer e.Calls.Add(-1)
 	began := time.Now()
 	defer func() { t.endpointTime += time.Since(began) }()
-	call := conns.Call{Request: t.outgoing, Fresh: !t.idempotent || t.attempts > 1}
+	call := conns.Call{Request: t.outgoing, Identified: true, Fresh: !t.idempotent || t.attempts > 1}
 	if t.idempotent {
 		// Half of the time left remains for a retry.
 		call.HeaderTimeout = max(time.Millisecond, t.req.Remaining()/2)
