gate: a request sent again to an address gets a new link

Two endpoints may be listed at one address, as after a restart under a new name. A request that the one refused is then sent to the other, over the link that it was refused on, with the same ID. If the refusal was written once more, it counted as that of the second endpoint: the caller was told "not run" while it ran there.

The ID tells requests apart, not the sends of one. So a link that may have carried an earlier send of the request isn't used for it again.

TestRefusalByTheSameAddressIsNotBelievedTwice failed before for 421, 429 and 503: the caller got that status instead of 200.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -177,11 +178,14 @@
 // connect takes an idle link from the pool or dials a new one. A request that
 // may run only once always gets a new link: if the endpoint closed a reused
 // one, it would be unknown whether the request ran. So does a request without an
-// ID, since its response could not be told from one to an earlier request.
+// ID, or one that was already sent to the address: its response could not be told
+// from an earlier one.
 func (a *attempt) connect() error {
 	e := a.choice.Primary
 	a.sender = a.server.Node
-	if a.route.Repeatable() && a.reqHeader.ID != "" && a.server.sendsDirectly(e) {
+	identified := a.reqHeader.ID != "" && !slices.Contains(a.sentTo, e.Address)
+	a.sentTo = append(a.sentTo, e.Address)
+	if a.route.Repeatable() && identified && a.server.sendsDirectly(e) {
 		if a.link = a.pool.Take(time.Now()); a.link != nil {
 			return nil
 		}
--- a/internal/trans/gate/kept_test.go
+++ b/internal/trans/gate/kept_test.go
@@ -190,3 +190,27 @@
 	test.Eq(t, "yes", r.doInOrder(request("GET", "/safe/", "r1", ""), request("GET", "/safe/", "r2", "")).body)
 	test.SliceLen(t, 2, e.requests())
 }
+
+// TestRefusalByTheSameAddressIsNotBelievedTwice guards against a request that is sent to
+// the next endpoint at an address, where its refusal by the one before arrives once more
+// with its ID.
+func TestRefusalByTheSameAddressIsNotBelievedTwice(t *testing.T) {
+	for _, status := range []int{421, 429, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			var refused net.Conn
+			refuse := func(c net.Conn, g receivedRequest) bool {
+				refused = c
+				return refuses(status)(c, g)
+			}
+			again := func(c net.Conn, g receivedRequest) bool {
+				refuses(status)(refused, g)
+				return ok("yes")(c, g)
+			}
+			e := newEndpoint(t, "e", refuse, again, ok("run twice"))
+			r := newRig(t, e, e.alias("f"))
+			res := r.do(request("GET", "/safe/", "r1", ""))
+			test.Eq(t, 200, res.status)
+			test.SliceLen(t, 2, e.requests())
+		})
+	}
+}
