--- a/internal/trans/gate/kept_test.go
+++ b/internal/trans/gate/kept_test.go
@@ -78,6 +78,31 @@
 	}
 }
 
+// TestResponseAfterTheAnswerIsNotTheNextAnswer guards against a second response that is
+// written right after the first one, in one piece or in two.
+func TestResponseAfterTheAnswerIsNotTheNextAnswer(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nfirst"
+	for _, status := range []int{200, 404, 421, 429, 500, 503} {
+		for _, fields := range []string{"", "Id: r1\r\n", "Id: r2\r\n"} {
+			extra := bareText(status, fields+"Not-Run: 1\r\nSigned: 1\r\n")
+			scripts := map[string]script{"one piece": raw(first+extra, true), "two pieces": inTurn(raw(first, true), raw(extra, true))}
+			if fields == "Id: r2\r\n" {
+				// Nothing but its place shows that this one is no answer.
+				delete(scripts, "two pieces")
+			}
+			for name, s := range scripts {
+				t.Run(fmt.Sprintf("%d %q in %s", status, fields, name), func(t *testing.T) {
+					e := newEndpoint(t, "e", s, ok("yes"))
+					r := newRig(t, e, e.alias("f"))
+					res := r.doInOrder(request("GET", "/safe/", "r1", ""), request("GET", "/safe/", "r2", ""))
+					test.Eq(t, "yes", res.body)
+					test.SliceLen(t, 2, e.requests())
+				})
+			}
+		}
+	}
+}
+
 // TestPromiseWithoutTheIDIsNotPassedOn guards against telling a caller, by status, that
 // its request has not run if the endpoint did not say so of this request.
 func TestPromiseWithoutTheIDIsNotPassedOn(t *testing.T) {
