--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -144,6 +144,9 @@
 		x.server.direct.add(a)
 	}
 	o, intact := a.roundTrip()
+	if o.result != complete {
+		a.sentTo = append(a.sentTo, a.choice.Primary.Address)
+	}
 	x.server.direct.remove(a)
 	x.setEndpointConn(nil)
 	o.linkLost = o.result != complete && (a.isLinkLost() || o.peerLost)
@@ -184,7 +187,6 @@
 	e := a.choice.Primary
 	a.sender = a.server.Node
 	identified := a.reqHeader.ID != "" && !slices.Contains(a.sentTo, e.Address)
-	a.sentTo = append(a.sentTo, e.Address)
 	if a.route.Repeatable() && identified && a.server.sendsDirectly(e) {
 		if a.link = a.pool.Take(time.Now()); a.link != nil {
 			return nil
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -80,7 +80,8 @@
 	// tried holds the endpoints to which the request is not sent again,
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
-	// sentTo holds the addresses to which the request was sent.
+	// sentTo holds the addresses to which the request was sent without a complete
+	// response.
 	sentTo []string
 	// estimate is the time to the first event that the last placement
 	// predicted, load the load that it was based on.
