gate: write only events into a stream that has begun

Callers found an endpoint's error, at times its whole header, in the middle of their stream. A stream broke off, the node resumed it at another endpoint, and that one answered with an error.

relayResponse wrote every answer below 500 that did not say "not run" to the caller, also when the header of the stream had been sent. What an answer means was decided in two places, and neither asked for that.

classify now decides alone what an answer means. After the header of a stream has been sent, an answer that is neither events, a refusal nor an error of 500 or above is unusable: the attempt has failed, another endpoint may be tried, and in the end the stream is cut. It is no failure of the endpoint's health.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -13,7 +13,6 @@
 
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
-	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
@@ -49,6 +48,9 @@
 	// unanswered means that the endpoint may have run the request, but there
 	// is no complete and valid response.
 	unanswered
+	// unusable means that the endpoint answered, but not with the rest of the stream
+	// that the caller has begun to receive.
+	unusable
 	// failed means that the endpoint responded with a status of 500 or above.
 	failed
 	// complete means that the response was passed on to the caller. It is also
@@ -57,7 +59,7 @@
 )
 
 func (r result) String() string {
-	return [...]string{"not-sent", "unreserved", "refused", "unanswered", "failed", "complete"}[r]
+	return [...]string{"not-sent", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
 }
 
 // outcome describes how one send ended.
@@ -213,10 +215,15 @@
 	if k, n := res.Get("Keep-Alive"); n > 0 {
 		a.applyKeepAlive(string(k))
 	}
-	if res.Status/100 == 2 && !header.NotRun && a.route.Kind == topol.Stream {
+	switch kind := a.classify(res, header); kind {
+	case eventAnswer:
 		return a.relayStream(res, o)
+	case unusableAnswer:
+		o.result, o.reason = unusable, kind.describe(res)
+		return o, false
+	default:
+		return a.relayResponse(res, kind, o)
 	}
-	return a.relayResponse(res, header, o)
 }
 
 // failedSend returns the outcome of a send that ended with an error in the given step.
@@ -322,32 +329,30 @@
 
 // relayResponse reads a whole response and passes it on to the caller. If the
 // endpoint refused or failed, the response is kept in the outcome instead,
-// since the request may be sent again. A successful response without a
-// signature is discarded, since it may not come from an endpoint that ran the
-// request.
-func (a *attempt) relayResponse(res *http1.Response, header relay.ResponseHeader, o outcome) (outcome, bool) {
+// since the request may be sent again.
+func (a *attempt) relayResponse(res *http1.Response, kind answerKind, o outcome) (outcome, bool) {
 	a.setReadDeadline(a.deadline)
 	body, buffer, err := a.server.readBody(a.link.Reader, res)
 	defer buffer.release()
 	if err != nil {
 		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
 		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
-		if header.NotRun {
+		if kind == refusalAnswer {
 			o.result = refused
 		}
 		return o, false
 	}
 	intact := !res.Close
 	full := fullResponse(res, body, a.closesConn())
-	switch {
-	case header.NotRun:
-		o.result, o.reason, o.response = refused, "endpoint refused", full
+	switch kind {
+	case refusalAnswer:
+		o.result, o.reason, o.response = refused, kind.describe(res), full
 		return o, intact
-	case res.Status >= 500:
-		o.result, o.reason, o.response = failed, "endpoint failed", full
+	case errorAnswer:
+		o.result, o.reason, o.response = failed, kind.describe(res), full
 		return o, intact
-	case res.Status/100 == 2 && !header.Signed:
-		o.result, o.reason = unanswered, "response is not signed"
+	case unsignedAnswer:
+		o.result, o.reason = unanswered, kind.describe(res)
 		return o, false
 	}
 	a.exchange.writeToCaller(full)
--- /dev/null
+++ b/internal/trans/gate/classify.go
@@ -0,0 +1,60 @@
+package gate
+
+import (
+	"fmt"
+	"net/http"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/http1"
+)
+
+// answerKind is what an endpoint's answer to a send means.
+type answerKind int
+
+const (
+	// finalAnswer is passed on to the caller unchanged.
+	finalAnswer answerKind = iota
+	// eventAnswer is a stream whose events are passed on as they arrive.
+	eventAnswer
+	// refusalAnswer states that the endpoint did not run the request.
+	refusalAnswer
+	// errorAnswer has a status of 500 or above.
+	errorAnswer
+	// unsignedAnswer is a success that may not come from an endpoint that ran the request.
+	unsignedAnswer
+	// unusableAnswer does not continue the stream that the caller has begun to receive.
+	unusableAnswer
+)
+
+// classify returns what the answer to a send means. Once a part of a stream has been
+// forwarded, only events can follow it.
+func (a *attempt) classify(res *http1.Response, header relay.ResponseHeader) answerKind {
+	isSuccess := res.Status/100 == 2
+	switch {
+	case header.NotRun:
+		return refusalAnswer
+	case res.Status >= http.StatusInternalServerError:
+		return errorAnswer
+	case isSuccess && a.route.Kind == topol.Stream:
+		return eventAnswer
+	case isSuccess && !header.Signed:
+		return unsignedAnswer
+	case a.headerSent:
+		return unusableAnswer
+	}
+	return finalAnswer
+}
+
+// describe returns the reason for which an answer is not passed on.
+func (k answerKind) describe(res *http1.Response) string {
+	switch k {
+	case refusalAnswer:
+		return "endpoint refused"
+	case errorAnswer:
+		return "endpoint failed"
+	case unsignedAnswer:
+		return "response is not signed"
+	}
+	return fmt.Sprintf("response with status %d does not continue the stream", res.Status)
+}
