gate: pass on only signed streams

A 200 without an endpoint's signature reached the caller of a stream as a success, and as the rest of its stream if that had begun. Other requests reject such an answer, since it may not come from an endpoint that ran the request; classify took each success for events before it looked for the signature.

Now the signature is asked for first. The attempt counts as unanswered, as for other requests.

TestUnsignedStreamIsNotPassedOn failed before: the caller got event 1 of the unsigned answer and no second one, a begun stream ended without an error, and the status was 200 in place of 502.

--- a/internal/trans/gate/answer_test.go
+++ b/internal/trans/gate/answer_test.go
@@ -44,3 +44,22 @@
 		})
 	}
 }
+
+const streamType = "Content-Type: text/event-stream\r\n"
+
+// Guards against callers who take the answer of an unknown server for that of an endpoint.
+func TestUnsignedStreamIsNotPassedOn(t *testing.T) {
+	unsigned := answers(200, "Id: %ID\r\n"+streamType, event(1))
+	e := newEndpoint(t, "e", unsigned, streams(1, 2, true))
+	res := newRig(t, e, e.alias("f")).do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.Eq(t, event(1)+event(2), res.body)
+
+	e = newEndpoint(t, "e", streams(1, 2, false), unsigned)
+	res = newRig(t, e, e.alias("f"), e.alias("g")).do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.ErrorIs(t, res.err, io.ErrUnexpectedEOF, test.Sprint("the stream is cut"))
+
+	e = newEndpoint(t, "e", unsigned)
+	res = newRig(t, e, e.alias("f")).do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+	test.Eq(t, 502, res.status)
+}
+
--- a/internal/trans/gate/classify.go
+++ b/internal/trans/gate/classify.go
@@ -36,10 +36,10 @@
 		return refusalAnswer
 	case res.Status >= http.StatusInternalServerError:
 		return errorAnswer
-	case isSuccess && a.route.Kind == topol.Stream:
-		return eventAnswer
 	case isSuccess && !header.Signed:
 		return unsignedAnswer
+	case isSuccess && a.route.Kind == topol.Stream:
+		return eventAnswer
 	case a.headerSent:
 		return unusableAnswer
 	}
