gate: take only a 200 with events for a stream

A 204 or an empty 200 to a resumed stream ended it as if it were complete, and a 200 of another content type was written into it as events. The answer to a HEAD request of a stream was followed by an end of chunks, which the caller takes for the beginning of its next answer.

Every success on a streaming route counted as events, whatever its status, type and framing.

classify now takes only a signed 200 of the type text/event-stream with a body for events. Another success is passed on whole and unchanged to a caller who has got nothing yet, and is unusable otherwise.

TestOnlySignedEventsContinueAStream failed before in all cases with a body of its own or none (no error in place of a cut stream, "<p>" and the events of another type in the body), TestAnswersToTheFirstSendOfAStreamArePassedOn where the body was no event, and TestHeadRequestOfAStreamHasNoBody with "0" and an empty line after the header.

--- a/internal/trans/gate/answer_test.go
+++ b/internal/trans/gate/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test"
@@ -47,6 +48,32 @@
 
 const streamType = "Content-Type: text/event-stream\r\n"
 
+// Guards against a stream that ends as if it were complete, or goes on with bytes that are
+// no events of it, since the next endpoint answered with a success of another kind.
+func TestOnlySignedEventsContinueAStream(t *testing.T) {
+	const signed = "Id: %ID\r\nSigned: 1\r\n"
+	rest := event(3) + event(4)
+	for _, c := range []struct {
+		name   string
+		script script
+	}{
+		{"204", raw("HTTP/1.1 204 No Content\r\n"+signed+"\r\n", true)},
+		{"204 of the type", raw("HTTP/1.1 204 No Content\r\n"+signed+streamType+"\r\n", true)},
+		{"empty, another type", answers(200, signed+"Content-Type: text/plain\r\n", "")},
+		{"another type", answers(200, signed+"Content-Type: text/html\r\n", "<p>\n\n")},
+		{"events of another type", answers(200, signed+"Content-Type: text/plain\r\n", rest)},
+		{"no type", answers(200, signed, rest)},
+		{"another success", answers(206, signed+streamType, rest)},
+		{"no signature", answers(200, "Id: %ID\r\n"+streamType, rest)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			res := resumeWith(t, c.script)
+			test.ErrorIs(t, res.err, io.ErrUnexpectedEOF, test.Sprint("the stream is cut"))
+			test.Eq(t, event(1)+event(2), res.body)
+		})
+	}
+}
+
 // Guards against callers who take the answer of an unknown server for that of an endpoint.
 func TestUnsignedStreamIsNotPassedOn(t *testing.T) {
 	unsigned := answers(200, "Id: %ID\r\n"+streamType, event(1))
@@ -63,3 +90,41 @@
 	test.Eq(t, 502, res.status)
 }
 
+// Guards against answers to the first send of a stream that are forwarded as events, although
+// they are none.
+func TestAnswersToTheFirstSendOfAStreamArePassedOn(t *testing.T) {
+	const signed = "Id: %ID\r\nSigned: 1\r\n"
+	for _, c := range []struct {
+		name   string
+		script script
+		status int
+		body   string
+	}{
+		{"another type", answers(200, signed+"Content-Type: text/plain\r\n", "no events"), 200, "no events"},
+		{"204", raw("HTTP/1.1 204 No Content\r\n"+signed+"\r\n", true), 204, ""},
+		{"another success", answers(202, signed, "later"), 202, "later"},
+		{"type with a parameter", answers(200, signed+"Content-Type: Text/Event-Stream; charset=utf-8\r\n", event(1)), 200, event(1)},
+		{"error", answers(404, signed, "none"), 404, "none"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, "e", c.script)
+			res := newRig(t, e, e.alias("f")).do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+			test.NoError(t, res.err)
+			test.Eq(t, c.status, res.status)
+			test.Eq(t, c.body, res.body)
+			test.SliceLen(t, 1, e.requests())
+		})
+	}
+}
+
+// Guards against bytes after the answer to a HEAD request, which the caller takes for its
+// next answer.
+func TestHeadRequestOfAStreamHasNoBody(t *testing.T) {
+	e := newEndpoint(t, "e", raw("HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\n"+streamType+"Transfer-Encoding: chunked\r\n\r\n", true))
+	c := newRig(t, e).dial()
+	io.WriteString(c, request("HEAD", "/stream/", "r1", "", "Prompt: 100", "Connection: close"))
+	b, err := io.ReadAll(c)
+	must.NoError(t, err)
+	_, after, _ := strings.Cut(string(b), "\r\n\r\n")
+	test.Eq(t, "", after)
+}
--- a/internal/trans/gate/classify.go
+++ b/internal/trans/gate/classify.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 
@@ -38,7 +39,7 @@
 		return errorAnswer
 	case isSuccess && !header.Signed:
 		return unsignedAnswer
-	case isSuccess && a.route.Kind == topol.Stream:
+	case a.route.Kind == topol.Stream && carriesEvents(res):
 		return eventAnswer
 	case a.headerSent:
 		return unusableAnswer
@@ -46,6 +47,14 @@
 	return finalAnswer
 }
 
+// carriesEvents reports whether the body of a response is a stream of events.
+func carriesEvents(res *http1.Response) bool {
+	contentType, _ := res.Get("Content-Type")
+	mediaType, _, _ := bytes.Cut(contentType, []byte{';'})
+	isEventType := bytes.EqualFold(bytes.TrimSpace(mediaType), []byte("text/event-stream"))
+	return res.Status == http.StatusOK && res.Framing != http1.None && isEventType
+}
+
 // describe returns the reason for which an answer is not passed on.
 func (k answerKind) describe(res *http1.Response) string {
 	switch k {
@@ -56,5 +65,6 @@
 	case unsignedAnswer:
 		return "response is not signed"
 	}
-	return fmt.Sprintf("response with status %d does not continue the stream", res.Status)
+	contentType, _ := res.Get("Content-Type")
+	return fmt.Sprintf("response with status %d and type %q does not continue the stream", res.Status, contentType)
 }
