gate: resume a stream only with the events that follow its last one

Callers got streams in which a piece was missing or came twice, or which ended as if they were complete, after the node had resumed them at another endpoint: - the next endpoint ended its stream without an event, or after a part of what had been forwarded, - its events began later than after the last one forwarded, or had no numbers, - it repeated an event after a new one, - the last event forwarded had no number, so that the next endpoint began anew.

Events of the next run were dropped only while they stood at the beginning of what one read returned, and were else forwarded as they came. Any end of the body was the end of the stream.

eventReader.next now decides alone which events are forwarded, and eventReader.checkEnd whether the end of a body is the end of the stream. In a resumed run each event needs a number above the last one, and the next one, unless the stream's own numbers have gaps. A run without a new event ends the stream only if it repeats the last event forwarded as its own last one and the body's end is marked; an empty one shows nothing of what was lost, so the stream is cut, and the caller may resume it and gets the endpoint's own answer. A stream whose last event has no number isn't resumed.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -277,7 +277,7 @@
 	b = append(b, ' ')
 	b = append(b, r.Target...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	resumed := a.lastEvent != a.reqHeader.LastEvent
+	resumed := a.position.begun
 	d := a.server.Dialect
 	r.EndToEnd(func(f http1.Field) {
 		if d.ForwardsField(f, resumed) {
@@ -289,7 +289,7 @@
 		fields.Workspace = a.workspace.Name
 	}
 	if resumed {
-		fields.LastEvent = a.lastEvent
+		fields.LastEvent = a.position.lastID
 	}
 	for i, h := range a.choice.Helpers {
 		helper := relay.Helper{Endpoint: h.Name, Address: h.Address}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -101,8 +101,8 @@
 	// headerSent is set once the response header has been written to the
 	// caller.
 	headerSent bool
-	// lastEvent is the ID of the last event that the caller has received.
-	lastEvent string
+	// position is how far the caller has received a stream.
+	position position
 	// closing is why the caller's connection is closed, unless the caller was told so.
 	closing closeReason
 	// announcedClose is set if the response tells the caller that the connection is closed
@@ -205,7 +205,7 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.arrived.Add(limit)
-	x.lastEvent = x.reqHeader.LastEvent
+	x.position.lastID = x.reqHeader.LastEvent
 	x.tried = ident.Set[ident.EndpointName]{}
 	x.unreservedEngines = ident.Set[ident.EndpointName]{}
 	s.countRequest(x.service.Name)
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -81,7 +81,7 @@
 		}
 	default:
 		x.possibleRuns++
-		if canRetry && x.route.Repeatable() && x.possibleRuns < x.route.Attempts && !x.allTried() && s.takeRetry(x.service.Name) {
+		if canRetry && x.route.Repeatable() && x.position.isResumable() && x.possibleRuns < x.route.Attempts && !x.allTried() && s.takeRetry(x.service.Name) {
 			return false
 		}
 	}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -1,9 +1,7 @@
 package gate
 
 import (
-	"bytes"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,74 +22,158 @@
 	minGapTimeout = 1600 * time.Millisecond
 )
 
+// Errors of a stream whose body ended.
+const (
+	errLongEvent   = errors.ConstError("event is too long")
+	errPartOfEvent = errors.ConstError("the body ended within an event")
+	errNoEvents    = errors.ConstError("the body ended without an event after the last one forwarded")
+)
+
+// eventReader reads the events of one run of a stream, and decides whether its end is that of
+// the stream.
+type eventReader struct {
+	body io.Reader
+	// isResumed is set if the caller has got a part of the stream from an earlier run,
+	// isFramed if more than the end of the connection marks the end of the body.
+	isResumed, isFramed bool
+	// position is that of the caller once the events returned have been forwarded.
+	position position
+
+	// buf holds what was read. The last read returned events of its first returned bytes.
+	buf      []byte
+	returned int
+	// hasEvents is set once an event has arrived, hasNext once one that the caller had not
+	// got yet. repeatsLast is set if the last one that arrived is the last one that the
+	// caller had got.
+	hasEvents, hasNext, repeatsLast bool
+}
+
+func (a *attempt) newEventReader(res *http1.Response) *eventReader {
+	return &eventReader{
+		body:      http1.NewBodyReader(a.link.Reader, res.Framing, res.Length),
+		isResumed: a.headerSent, isFramed: res.Framing != http1.UntilClose,
+		position: a.position,
+		buf:      make([]byte, 0, initialStreamBuffer),
+	}
+}
+
+// hasPart reports whether a part of an event waits for its rest.
+func (r *eventReader) hasPart() bool { return len(r.buf) > r.returned }
+
+// read reads once. It returns the events to forward, which are valid until the next call. The
+// error is io.EOF at the end of a complete stream.
+func (r *eventReader) read() ([]byte, error) {
+	r.buf = append(r.buf[:0], r.buf[r.returned:]...)
+	r.returned = 0
+	if len(r.buf) == cap(r.buf) {
+		if len(r.buf) >= maxEventSize {
+			return nil, errLongEvent
+		}
+		r.buf = append(r.buf, 0)[:len(r.buf)]
+	}
+	n, err := r.body.Read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	r.returned = completeEventsEnd(r.buf)
+	events, errOfEvents := r.next(r.buf[:r.returned])
+	switch {
+	case errOfEvents != nil:
+		return events, errOfEvents
+	case err == io.EOF:
+		return events, r.checkEnd()
+	}
+	return events, err
+}
+
+// next returns those of the events that arrived that go on after the last one forwarded.
+func (r *eventReader) next(arrived []byte) (events []byte, err error) {
+	if len(arrived) == 0 {
+		return nil, nil
+	}
+	r.hasEvents = true
+	if r.isResumed {
+		events, r.repeatsLast, err = r.position.continued(arrived)
+	} else {
+		events = r.position.withoutForwarded(arrived)
+		r.position.advance(events)
+	}
+	r.hasNext = r.hasNext || len(events) > 0
+	return events, err
+}
+
+// checkEnd returns io.EOF if the stream is complete at the end of the body, and otherwise why
+// it is not. An endpoint that resumes a stream shows that the last event forwarded was its
+// last one only if it repeats that event; one that sends nothing may have lost the rest.
+func (r *eventReader) checkEnd() error {
+	switch {
+	case !r.isFramed && (r.hasPart() || !r.hasEvents):
+		return io.ErrUnexpectedEOF
+	case r.hasPart():
+		return errPartOfEvent
+	case r.isResumed && !r.hasNext && !(r.isFramed && r.repeatsLast):
+		return errNoEvents
+	}
+	return io.EOF
+}
+
 // relayStream passes each event on to the caller as soon as it is complete. A
 // stream that ends early can therefore be resumed at another endpoint after the
 // last event that was passed on.
 func (a *attempt) relayStream(res *http1.Response, o outcome) (outcome, bool) {
-	body := http1.NewBodyReader(a.link.Reader, res.Framing, res.Length)
-	buf := make([]byte, 0, initialStreamBuffer)
-	awaitingFirst := true
+	r := a.newEventReader(res)
 	var lastForwarded time.Time
 	// waitingSince is when the wait for the rest of the next event began.
 	var waitingSince time.Time
 	for {
-		if !awaitingFirst {
-			if len(buf) == 0 {
+		if r.hasEvents {
+			if !r.hasPart() {
 				waitingSince = time.Now()
 			}
 			a.setReadDeadline(a.gapDeadline(waitingSince))
 		}
-		if len(buf) == cap(buf) {
-			if len(buf) >= maxEventSize {
-				o.result, o.reason = unanswered, "event is too long"
-				return o, false
-			}
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		if n > 0 {
+		isFirst := !r.hasEvents
+		events, err := r.read()
+		if len(r.buf) > 0 {
 			a.hear()
 		}
-		buf = buf[:len(buf)+n]
-		end := completeEventsEnd(buf)
-		// A stream without events whose end only the end of the connection marks was
-		// broken off.
-		empty := awaitingFirst && end == 0 && res.Framing == http1.UntilClose
-		ended := err == io.EOF && end == len(buf) && !empty
-		if end > 0 || ended {
+		if r.returned > 0 || err == io.EOF {
 			now := time.Now()
-			if !awaitingFirst {
+			if !isFirst {
 				o.maxGap = max(o.maxGap, now.Sub(lastForwarded))
 			}
 			lastForwarded, waitingSince = now, now
-			if awaitingFirst && end > 0 {
-				awaitingFirst = false
+			if isFirst && r.hasEvents {
 				o.timeToFirst = time.Since(a.startedAt)
 				a.server.InFlight.MarkDecoding(a.server.Node, a.inFlightID)
 				a.server.AnnounceDecoding(a.inFlightID)
 			}
-			if !a.forwardEvents(res, a.dropForwarded(buf[:end]), ended) {
+			if !a.forwardEvents(res, events, err == io.EOF) {
 				o.result, o.reason = complete, "caller left"
 				return o, false
 			}
-			buf = append(buf[:0], buf[end:]...)
+			a.position = r.position
 		}
-		if ended {
+		switch {
+		case err == io.EOF:
 			o.result = complete
-			o.whole, o.framed = true, res.Framing != http1.UntilClose
+			o.whole, o.framed = true, r.isFramed
 			return o, !res.Close
+		case err != nil:
+			return failedStream(o, err), false
 		}
-		if err != nil {
-			// io.EOF is the end of the body. Unless the end of the connection marks it,
-			// the endpoint did not break off.
-			bodyEnded := err == io.EOF && res.Framing != http1.UntilClose
-			o.result, o.connBroken, o.reason = unanswered, isConnBroken(err) && !bodyEnded, "stream truncated: "+err.Error()
-			o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
-			return o, false
-		}
 	}
 }
 
+// failedStream returns the outcome of a send whose stream ended early.
+func failedStream(o outcome, err error) outcome {
+	if errors.Is(err, errNoEvents) || errors.Is(err, errMissingEvents) || errors.Is(err, errUnnumbered) {
+		o.result, o.reason = unusable, err.Error()
+		return o
+	}
+	o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "stream truncated: "+err.Error()
+	o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
+	return o
+}
+
 // gapDeadline returns the read deadline for an event if the wait for it began at the
 // given time. If it passes, another endpoint is tried. If no other endpoint may run the
 // request, it is the request's deadline: silence alone doesn't end a stream.
@@ -119,62 +201,5 @@
 	if len(b) > 0 && !a.exchange.writeToCaller(b) {
 		return false
 	}
-	if id := lastEventID(events); id != "" {
-		a.lastEvent = id
-	}
 	return true
 }
-
-// dropForwarded drops the leading events that the caller has already received.
-// It compares numeric IDs and stops at the first event whose ID is not a number.
-// If the ID of the last event that the caller has received is not a number, it
-// drops nothing.
-func (a *attempt) dropForwarded(events []byte) []byte {
-	lastSeen, err := strconv.ParseInt(a.lastEvent, 10, 64)
-	if err != nil {
-		return events
-	}
-	for len(events) > 0 {
-		end := firstEventEnd(events)
-		id, err := strconv.ParseInt(lastEventID(events[:end]), 10, 64)
-		if err != nil || id > lastSeen {
-			break
-		}
-		events = events[end:]
-	}
-	return events
-}
-
-// firstEventEnd returns the length of the first event including its empty
-// line, or of all bytes if no event is complete.
-func firstEventEnd(b []byte) int {
-	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
-		return i + 2
-	}
-	return len(b)
-}
-
-// completeEventsEnd returns the length of all complete events.
-func completeEventsEnd(b []byte) int {
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		return i + 2
-	}
-	return 0
-}
-
-// lastEventID returns the ID of the last event that has one.
-func lastEventID(events []byte) string {
-	const field = "id:"
-	for {
-		i := bytes.LastIndex(events, []byte(field))
-		if i < 0 {
-			return ""
-		}
-		if i > 0 && events[i-1] != '\n' {
-			events = events[:i]
-			continue
-		}
-		line, _, _ := bytes.Cut(events[i+len(field):], []byte{'\n'})
-		return string(bytes.TrimSpace(line))
-	}
-}
