links: bound the idle timeout that an endpoint announces

An endpoint that announces Keep-Alive: timeout= got links that were kept for 59 years, and one with links that were closed at once: the number of seconds overflowed as a duration.

At most an hour counts, and a negative number counts as zero.

--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -19,7 +19,9 @@
 	// idleMargin is subtracted from the timeout that an endpoint announces.
 	idleMargin = 700 * time.Millisecond
 	// maxIdleLinks is the maximum number of idle links to one address.
-	maxIdleLinks    = 32
+	maxIdleLinks = 32
+	// maxIdleTimeout bounds the timeout that an endpoint announces.
+	maxIdleTimeout  = time.Hour
 	readBufferBytes = 4 << 10
 	// TCP keep-alive probes detect that an endpoint can no longer be reached
 	// while nothing is sent or received.
@@ -152,5 +154,6 @@
 // SetAnnouncedTimeout sets the idle timeout from the number of seconds for which
 // the endpoint announced that it keeps an idle link open.
 func (l *Link) SetAnnouncedTimeout(seconds int) {
+	seconds = max(0, min(seconds, int(maxIdleTimeout/time.Second)))
 	l.IdleTimeout = max(0, time.Duration(seconds)*time.Second-idleMargin)
 }
--- a/internal/trans/links/links_test.go
+++ b/internal/trans/links/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"syscall"
 	"testing"
@@ -32,3 +33,19 @@
 	must.NoError(t, err)
 	test.Eq(t, probeIdle+probeCount*probeInterval, time.Duration(ms)*time.Millisecond)
 }
+
+// Guards against an announced timeout that overflows: links were closed at once, or kept
+// for longer than the endpoint keeps them.
+func TestAnnouncedTimeoutsDoNotOverflow(t *testing.T) {
+	for _, c := range []struct {
+		seconds int
+		want    time.Duration
+	}{
+		{math.MinInt, 0}, {-1, 0}, {0, 0}, {1, time.Second - idleMargin}, {15, 15*time.Second - idleMargin},
+		{9_999_999_999, maxIdleTimeout - idleMargin}, {9_999_999_999_999, maxIdleTimeout - idleMargin}, {math.MaxInt, maxIdleTimeout - idleMargin},
+	} {
+		l := &Link{}
+		l.SetAnnouncedTimeout(c.seconds)
+		test.Eq(t, c.want, l.IdleTimeout, test.Sprint(c.seconds))
+	}
+}
