platform, topol: reject configurations with numbers out of range

A configuration with odd numbers would have ended processes or made callers get nothing: a timeout of 1e18 ms became a negative duration, a negative limit on the header's size is a negative capacity of a buffer, figures of an engine beyond the range of a duration have no defined result, an empty key lets callers without a key in, and a workspace's name with a line break would be written into the header of each request.

Numbers were multiplied by time.Millisecond unchecked, and nothing but the kinds of routes and the version was checked.

The version in force stays, as for a record that can't be decoded; the follower goes on with the next record.

--- a/internal/node/edge/apply.go
+++ b/internal/node/edge/apply.go
@@ -12,8 +12,9 @@
 // applyState merges the state received from a peer into this node's, and reports
 // which streams it has a fresh copy of. sentAt is the time of the request. A fresh
 // state may have a newer version of the configuration than this node, which then
-// isn't confirmed.
+// isn't confirmed. A negative age counts as zero.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
+	st.ListedAge, st.ProvenAge = max(0, st.ListedAge), max(0, st.ProvenAge)
 	s.feeds.ObserveEra(st.Era)
 	if st.Listed {
 		s.applyList(st, sentAt.Add(-st.ListedAge))
@@ -99,6 +100,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.Validate(); err != nil {
+		return err
+	}
 	s.feeds.UpdateCatalog(c)
 	return nil
 }
