http1: bear limits at both ends of the range

A negative limit on the header's size ended the process with the first request (makeslice: cap out of range), and with the greatest limit on the body's size a body in chunks was read as empty and would be forwarded so: the limit plus one overflowed.

TestLimitsBelowOneRejectAllRequests failed before with that panic, TestGreatestLimitTakesTheWholeBody with an empty body in place of abc.

--- a/internal/trans/http1/body.go
+++ b/internal/trans/http1/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net/http/httputil"
 	"strconv"
 
@@ -165,7 +166,7 @@
 		_, err := io.ReadFull(br, b)
 		return b, err
 	}
-	b, err := io.ReadAll(io.LimitReader(NewBodyReader(br, framing, length), int64(limit)+1))
+	b, err := io.ReadAll(io.LimitReader(NewBodyReader(br, framing, length), int64(min(limit, math.MaxInt-1))+1))
 	if err == nil && len(b) > limit {
 		return nil, ErrBodyTooLong
 	}
--- a/internal/trans/http1/head.go
+++ b/internal/trans/http1/head.go
@@ -58,7 +58,7 @@
 // ReadHead reads the start line and the fields of a message. It returns
 // ErrHeaderTooLong if they have more than limit bytes.
 func ReadHead(br *bufio.Reader, limit int) (*Head, error) {
-	raw := make([]byte, 0, min(1024, limit))
+	raw := make([]byte, 0, max(0, min(1024, limit)))
 	for {
 		line, err := br.ReadSlice('\n')
 		if err != nil && err != bufio.ErrBufferFull {
--- a/internal/trans/http1/http1_test.go
+++ b/internal/trans/http1/http1_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -166,3 +167,20 @@
 		}
 	})
 }
+
+// Guards against processes that end by a limit that is negative or zero.
+func TestLimitsBelowOneRejectAllRequests(t *testing.T) {
+	for _, limit := range []int{0, -1, math.MinInt} {
+		_, err := ReadHead(bufio.NewReader(strings.NewReader("GET / HTTP/1.1\r\n\r\n")), limit)
+		test.ErrorIs(t, err, ErrHeaderTooLong)
+		_, err = ReadBody(bufio.NewReader(strings.NewReader("abc")), Sized, 3, limit)
+		test.ErrorIs(t, err, ErrBodyTooLong)
+	}
+}
+
+// Guards against a body that is forwarded as empty since its limit overflows.
+func TestGreatestLimitTakesTheWholeBody(t *testing.T) {
+	b, err := ReadBody(bufio.NewReader(strings.NewReader("3\r\nabc\r\n0\r\n\r\n")), Chunked, -1, math.MaxInt)
+	must.NoError(t, err)
+	test.Eq(t, "abc", string(b))
+}
