--- /dev/null
+++ b/internal/node/edge/odd_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Guards against an odd configuration that one node took and that travels to the others:
+// they check what a peer sends as they check what the store holds.
+func TestOddConfigurationOfAPeerIsNotPutInForce(t *testing.T) {
+	p := newTestNodes(t, "a")[0]
+	odd := &topol.Catalog{Version: 2, Limits: topol.Limits{MaxHeaderBytes: -1}}
+	raw, err := relay.EncodeChange(topol.Diff(nil, odd))
+	must.NoError(t, err)
+	test.ErrorIs(t, p.applyChange(raw), topol.ErrInvalid)
+	test.Nil(t, p.feeds.Catalog())
+	sound := &topol.Catalog{Version: 1}
+	raw, err = relay.EncodeChange(topol.Diff(nil, sound))
+	must.NoError(t, err)
+	must.NoError(t, p.applyChange(raw))
+	test.Eq(t, 1, p.feeds.Catalog().Version)
+}
+
+// Guards against a node that takes no list of endpoints and no configuration any more,
+// since it believes that its own was confirmed in the future.
+func TestNegativeAgesOfAPeerConfirmNothingInTheFuture(t *testing.T) {
+	for _, age := range []time.Duration{-time.Hour, -1 << 63, 1<<63 - 1} {
+		p := newTestNodes(t, "a")[0]
+		p.feeds.UpdateCatalog(&topol.Catalog{Version: 1})
+		sentAt := clock.Now()
+		es := []topol.Endpoint{{Name: ident.EndpointName("e"), Service: "s", Address: "10.0.0.1:80", Slots: 1}}
+		p.applyState(relay.State{Version: 1, Proven: true, ProvenAge: age, Listed: true, ListedAge: age, Endpoints: es, List: 1}, sentAt)
+		test.LessEq(t, sentAt, p.feeds.EndpointsConfirmedAt(), test.Sprint(age))
+		test.LessEq(t, sentAt, p.feeds.CatalogConfirmedAt(), test.Sprint(age))
+	}
+}
