edge: leave out odd records of members

A record among those of the members that isn't the address of a node counted as one for a minute: the parts of the retry budget and of endpoints' limits that the nodes take became smaller, and each was dialled over and over.

The value of a record was taken as an address unchecked. It must now be an IP address of one host with a port.

TestOddRecordsOfMembersAreNoNodes failed before: 12 nodes in place of 2.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -230,18 +231,28 @@
 	return 0
 }
 
-// addPeers adds the members listed in the store as peers.
+// addPeers adds the members listed in the store as peers. It leaves out records that
+// aren't the address of a node.
 func (n *Node) addPeers(ctx context.Context) error {
 	page, err := n.Source.Newest(ctx, feeds.Members)
 	if err != nil {
 		return err
 	}
 	for _, r := range page.Records {
-		n.mesh.AddPeer(string(r.Value))
+		if a := string(r.Value); isNodeAddress(a) {
+			n.mesh.AddPeer(a)
+		}
 	}
 	return nil
 }
 
+// isNodeAddress reports whether a is an IP address of one host with a port, in the form in
+// which both are usually written.
+func isNodeAddress(a string) bool {
+	ap, err := netip.ParseAddrPort(a)
+	return err == nil && ap.String() == a && ap.Port() > 0 && !ap.Addr().IsUnspecified() && !ap.Addr().IsMulticast()
+}
+
 // drain waits until stop is cancelled, and then until no request is in flight
 // and no caller would reuse an idle connection, at most until stopMargin before
 // the end of the grace period.
--- a/internal/node/edge/odd_test.go
+++ b/internal/node/edge/odd_test.go
@@ -1,15 +1,19 @@
 package edge
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -42,3 +46,26 @@
 		test.LessEq(t, sentAt, p.feeds.CatalogConfirmedAt(), test.Sprint(age))
 	}
 }
+
+// memberSource holds records of members.
+type memberSource struct {
+	feeds.Source
+	records []feeds.Record
+}
+
+func (s memberSource) Newest(context.Context, feeds.Stream) (feeds.Page, error) {
+	return feeds.Page{Records: s.records}, nil
+}
+
+// Guards against odd records among those of the members: each counted as a node for a
+// minute, by which the others' parts of the retry budget and of limits became smaller.
+func TestOddRecordsOfMembersAreNoNodes(t *testing.T) {
+	p := newTestNodes(t, "a")[0]
+	var rs []feeds.Record
+	for _, v := range []string{"", "x", ":", "host:80", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:+80", "10.0.0.1:65536", "0.0.0.0:80", "\x00", strings.Repeat("[", 1<<16), "127.0.0.1:9"} {
+		rs = append(rs, feeds.Record{Key: "k", Value: []byte(v)})
+	}
+	n := &Node{Source: memberSource{records: append(rs, feeds.Record{Key: "deleted"})}, mesh: p.mesh, Logger: zerolog.Nop()}
+	must.NoError(t, n.addPeers(context.Background()))
+	test.Eq(t, 2, p.mesh.NodeCount())
+}
