ledgr: leave out rows of usage with values out of range

Operators would have got no usage at all any more after one odd batch in the usage stream: two rows of 1e308 seconds sum to infinity, which JSON can't express, and counts overflowed to negative ones.

The values of a batch were added unchecked. Rows with a negative value or one above 1e12 are now left out; the other rows of the batch count.

--- a/internal/state/ledgr/ledgr.go
+++ b/internal/state/ledgr/ledgr.go
@@ -40,6 +40,20 @@
 	s.Refusals += o.Refusals
 }
 
+// maxRowValue bounds each value of a row of a batch. It keeps sums within their range.
+const maxRowValue = 1e12
+
+// isSound reports whether the values may come from a node: a record of another writer may
+// have any.
+func (s *Sum) isSound() bool {
+	for _, n := range []int64{s.Requests, int64(s.PromptTokens), int64(s.GeneratedTokens), s.Refusals} {
+		if n < 0 || n > maxRowValue {
+			return false
+		}
+	}
+	return s.EndpointSeconds >= 0 && s.EndpointSeconds <= maxRowValue
+}
+
 // Row is an account with its sum.
 type Row struct {
 	Account
@@ -107,7 +121,8 @@
 	return &Bill{sums: map[Account]*Sum{}, seen: map[batchID]struct{}{}}
 }
 
-// Apply adds a batch unless it was added before.
+// Apply adds a batch unless it was added before. It leaves out rows with negative or
+// excessive values.
 func (b *Bill) Apply(batch Batch) {
 	id := batchID{batch.Node, batch.Boot, batch.Seq}
 	if _, ok := b.seen[id]; ok {
@@ -115,7 +130,9 @@
 	}
 	b.seen[id] = struct{}{}
 	for _, row := range batch.Rows {
-		addTo(b.sums, row.Account, row.Sum)
+		if row.isSound() {
+			addTo(b.sums, row.Account, row.Sum)
+		}
 	}
 }
 
