lease: bound the length of a lease that a record states

One odd record in the lease stream, with the greatest length, held the lease for 292 years: no node could give orders to engines any more.

The length was added to the log's time as it was. At most an hour counts now; nodes ask for some seconds.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -33,6 +33,10 @@
 	Until time.Time
 }
 
+// MaxLength is the longest time for which a record holds the lease. A longer one in a record
+// counts as this.
+const MaxLength = time.Hour
+
 // Table is the state of the lease. It is not safe for concurrent use.
 type Table struct {
 	current Lease
@@ -51,14 +55,14 @@
 	switch {
 	case r.Renew:
 		if held && r.Number == t.current.Number {
-			t.current.Until = when.Add(r.Length)
+			t.current.Until = when.Add(min(r.Length, MaxLength))
 		}
 	case r.End:
 		if r.Number == t.current.Number {
 			t.granted = false
 		}
 	case !held:
-		t.current = Lease{r.Holder, at, when.Add(r.Length)}
+		t.current = Lease{r.Holder, at, when.Add(min(r.Length, MaxLength))}
 		t.granted = true
 	}
 }
