claim: bound the lifetime of a key that a record states

A request with an idempotency key would have run twice: with a lifetime above half of the greatest duration its double overflowed to a negative one, so the key counted as never claimed with the next record.

The lifetime in a record is now between zero and a year.

TestOddLifetimesKeepTheKeyClaimed failed before: the second claim, an hour later, won. FuzzRecord failed with its seed of the least lifetime. No node writes such a record; KeyAge has no upper bound in the configuration, but nodes limit it by their log's retention.

Open: removal checks are a queue, so one key with a long lifetime keeps those behind it in memory for as long.

--- a/internal/state/claim/record.go
+++ b/internal/state/claim/record.go
@@ -59,6 +59,9 @@
 	Answer *Answer `json:",omitempty"`
 }
 
+// MaxAge is the longest lifetime of a key. A longer one in a record counts as this.
+const MaxAge = 365 * 24 * time.Hour
+
 // Answer is an endpoint's answer, stored for repeats of the request.
 type Answer struct {
 	Status      int
--- a/internal/state/claim/table.go
+++ b/internal/state/claim/table.go
@@ -64,6 +64,7 @@
 
 // claim applies a claim. The first attempt in offset order gets the key.
 func (t *Table) claim(h Holder, it Item) Result {
+	it.Age = max(0, min(it.Age, MaxAge))
 	e, ok := t.entries[it.Key]
 	if ok && e.forgotten(t.now) {
 		ok = false
