--- a/internal/state/fold/fold.go
+++ b/internal/state/fold/fold.go
@@ -16,8 +16,17 @@
 // maxVerdicts is the maximum number of verdicts kept for operators.
 const maxVerdicts = 4096
 
-// ErrDigest means that the document of a snapshot doesn't match its digest.
-var ErrDigest = errors.New("snapshot digest does not match its document")
+// Errors of snapshots.
+var (
+	// ErrDigest means that the document of a snapshot doesn't match its digest.
+	ErrDigest = errors.New("snapshot digest does not match its document")
+	// ErrVersion means that the version of a snapshot is out of range.
+	ErrVersion = errors.New("snapshot version is out of range")
+)
+
+// maxVersion bounds the version of a snapshot, so that those after it don't begin at zero
+// again.
+const maxVersion ident.Version = 1 << 62
 
 // Fold is the state of one reader of the configuration stream: the
 // configuration that follows from the records read so far, and the verdicts on
@@ -206,6 +215,9 @@
 	if digest(s.Document) != s.Digest {
 		return ErrDigest
 	}
+	if s.Version > maxVersion {
+		return ErrVersion
+	}
 	doc, ps := confg.Parse(s.Document)
 	if len(ps) > 0 {
 		return errors.New(ps.String())
