engin: reject load reports with numbers out of range

An engine of the product's own interface that reports a negative queue, or numbers whose sum overflows, gets a negative estimate of the time to the first token, by which it is the best choice for all requests.

The numbers of a report were taken unchecked. A report with one that is negative, above 1e12 or with a step above a minute is now an invalid answer, as one that can't be decoded.

What placement does with such a report was read, not run.

--- a/internal/trans/engin/engin.go
+++ b/internal/trans/engin/engin.go
@@ -31,6 +31,10 @@
 	// headerTimeout bounds the wait for the header of a stream. Engines send it
 	// before they begin to process the prompt.
 	headerTimeout = 2 * time.Second
+	// maxReported bounds the numbers of requests and tokens in a load report, maxStep the
+	// duration of a step, so that estimates made of them stay within their range.
+	maxReported = 1e12
+	maxStep     = time.Minute
 )
 
 // Client calls engines. It implements messg.Engine.
@@ -210,6 +214,14 @@
 	if err := c.call(ctx, addr, fasthttp.MethodGet, "/load", nil, &r, fresh); err != nil {
 		return table.Load{}, err
 	}
+	for _, n := range []int64{int64(r.Running), int64(r.Waiting), int64(r.ShortQueue), int64(r.LongQueue), int64(r.Held), int64(r.Memory), int64(r.PrefillRate)} {
+		if n < 0 || n > maxReported {
+			return table.Load{}, errors.Annotatef(messg.ErrBadAnswer, "load report with %d", n)
+		}
+	}
+	if r.StepMicros < 0 || r.StepMicros > maxStep.Microseconds() {
+		return table.Load{}, errors.Annotatef(messg.ErrBadAnswer, "step of %d microseconds", r.StepMicros)
+	}
 	return table.Load{
 		At: time.Now(), Running: r.Running, Waiting: r.Waiting,
 		ShortQueue: r.ShortQueue, LongQueue: r.LongQueue,
