--- a/internal/proto/relay/change_test.go
+++ b/internal/proto/relay/change_test.go
@@ -80,3 +80,32 @@
 		}
 	})
 }
+
+// FuzzChange checks that no bytes of a peer end the process that decodes and applies them.
+func FuzzChange(f *testing.F) {
+	for _, routes := range []int{0, 3} {
+		raw, err := EncodeChange(topol.Diff(nil, largeCatalog(routes)))
+		must.NoError(f, err)
+		f.Add(raw)
+		f.Add(raw[:len(raw)/2])
+	}
+	odd := largeCatalog(1)
+	odd.Limits.MaxBodyBytes = -1
+	odd.Keys = map[string]*topol.Workspace{"": {Name: "w", Priority: -1 << 63}}
+	raw, err := EncodeChange(topol.Diff(nil, odd))
+	must.NoError(f, err)
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		ch, err := DecodeChange(raw)
+		if err != nil {
+			test.ErrorIs(t, err, ErrChange)
+			return
+		}
+		for _, base := range []*topol.Catalog{nil, largeCatalog(2)} {
+			c, err := base.Apply(ch)
+			if err == nil {
+				_ = c.Validate()
+			}
+		}
+	})
+}
