soak: count requests on kept connections that get no answer

Requests on open connections ended without an answer beside drains, and no check counted them: callers paused alike, the idle timeout never changed and a close by the node looked like any other end.

New rules: unanswered (a request on a kept connection ends without a byte) and cut (a stream is cut beside a silence).

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -43,7 +43,8 @@
 	// host is the Host header of the requests.
 	host string
 	// pickNode returns the name and the address of a node to send requests to.
-	pickNode func() (ident.NodeName, string)
+	// If distant is set, the address is that of a link with a delay.
+	pickNode func(distant bool) (ident.NodeName, string)
 	// pickKey returns a key, and whether it is the one that is never revoked.
 	pickKey func() (key string, permanent bool)
 	// requestCounter is the number of requests of all callers.
@@ -51,9 +52,21 @@
 	// crashing is the part that some prompts have and that crashes endpoints.
 	crashing *atomic.Pointer[crashingPart]
 
+	// trait is how the caller uses its connections, and idleTimeout returns the limit for
+	// idle ones.
+	trait       callerTrait
+	idleTimeout func() time.Duration
+	// longStreams is set if some of the streams last for a second or more.
+	longStreams bool
+
 	conn   net.Conn
 	reader *bufio.Reader
 	node   ident.NodeName
+	// idleSince is the end of the last response on the connection; zero before the first
+	// one.
+	idleSince time.Time
+	// served is set if the last request was answered with success.
+	served bool
 }
 
 // run sends requests until the context ends.
@@ -62,18 +75,19 @@
 		if c.connect() {
 			c.sendRequest()
 		}
-		delay.For(ctx, time.Duration(rand.ExpFloat64()*float64(meanPause)))
+		delay.For(ctx, c.pause())
 	}
 	c.close()
 }
 
-// connect connects to a node if there is no connection. It reports whether there
-// is one now.
+// connect connects to a node if there is no connection, or if that one has ended. It
+// reports whether there is one now.
 func (c *caller) connect() bool {
-	if c.conn != nil {
+	if c.conn != nil && c.isUsable() {
 		return true
 	}
-	node, addr := c.pickNode()
+	c.close()
+	node, addr := c.pickNode(c.trait.distant)
 	if addr == "" {
 		return false
 	}
@@ -81,10 +95,20 @@
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader, c.node = conn, bufio.NewReader(conn), node
+	c.conn, c.reader, c.node, c.idleSince = conn, bufio.NewReader(conn), node, time.Time{}
 	return true
 }
 
+// isUsable reports whether the connection hasn't ended. A response without a request is a
+// violation unless it is an error.
+func (c *caller) isUsable() bool {
+	ended, unasked := hasEnded(c.conn)
+	if strings.HasPrefix(unasked, "HTTP/1.1 2") {
+		c.journal.AddViolation("mixed", "%s sent a success on a connection without a request", c.node)
+	}
+	return !ended
+}
+
 func (c *caller) close() {
 	if c.conn != nil {
 		c.conn.Close()
@@ -107,7 +131,7 @@
 	service := plainService
 	if k == topol.Stream {
 		service = modelService
-		r.Prompt, r.Events = ident.Tokens(1+rand.ExpFloat64()*meanPromptTokens), 1+rand.IntN(maxEvents)
+		r.Prompt, r.Events = ident.Tokens(1+rand.ExpFloat64()*meanPromptTokens), c.eventCountOfStream()
 	}
 	crashing := ""
 	if p := c.crashing.Load(); p != nil && isPrompt(k) && rand.Float64() < partProbability {
@@ -124,22 +148,37 @@
 		return
 	}
 	c.codec.SetCallerRequest(req.Header, r)
-	call := &Call{ID: r.ID, Kind: k, Key: r.Key, PermanentKey: permanent, Crashing: crashing != "", Node: c.node, SentAt: time.Now(), Timeout: r.Timeout}
+	call := &Call{ID: r.ID, Kind: k, Key: r.Key, PermanentKey: permanent, Crashing: crashing != "", Node: c.node, SentAt: time.Now(), Timeout: r.Timeout, Kept: !c.idleSince.IsZero(), IdleSince: c.idleSince, Distant: c.trait.distant}
 	c.journal.AddCall(call)
 	c.conn.SetDeadline(time.Now().Add(r.Timeout + requestTimeout))
-	err = req.Write(c.conn)
-	c.journal.UpdateCall(call, func(l *Call) { l.SentAt = time.Now() })
-	if rand.Float64() < abandonProbability {
+	// The connection may have ended while the request was built.
+	ended, _ := hasEnded(c.conn)
+	writeErr := req.Write(c.conn)
+	c.journal.UpdateCall(call, func(l *Call) {
+		l.SentAt = time.Now()
+		l.Kept = l.Kept && !ended
+	})
+	// The link of a distant caller doesn't tell a closed connection from one that is closed
+	// for writing only.
+	if !c.trait.distant && rand.Float64() < abandonProbability {
 		time.Sleep(time.Duration(rand.ExpFloat64() * float64(meanAbandonDelay)))
 		c.close()
 		c.journal.UpdateCall(call, func(l *Call) { l.AbandonedAt = time.Now() })
 		return
 	}
+	// A node may answer before it has read a long body, so that the request can't be
+	// written whole.
+	_, err = c.reader.Peek(1)
+	withoutByte := isEndOfConnection(err)
 	if err == nil {
 		err = c.readResponse(call, r, sentBody)
 	}
-	c.journal.UpdateCall(call, func(l *Call) { l.EndedAt = time.Now() })
-	if err != nil {
+	c.idleSince = time.Now()
+	c.journal.UpdateCall(call, func(l *Call) {
+		l.EndedAt, l.EndedWithoutByte = c.idleSince, withoutByte
+		c.served = l.Status == http.StatusOK
+	})
+	if err != nil || writeErr != nil {
 		c.close()
 	}
 }
@@ -177,6 +216,9 @@
 		return "answer of request " + header.ID
 	}
 	if res.StatusCode != http.StatusOK {
+		if res.StatusCode < http.StatusBadRequest {
+			return fmt.Sprintf("answered %d, as no endpoint does", res.StatusCode)
+		}
 		return ""
 	}
 	if !header.IsSigned {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -10,6 +10,7 @@
 )
 
 // Violation is a broken guarantee. Rule names the guarantee:
+//   - cut: a stream isn't cut off because a sound endpoint falls silent in it.
 //   - drain: a node sends no new requests to an endpoint that has departed.
 //   - exit: a node doesn't exit on its own.
 //   - gone: a run ends soon after its caller closed the connection.
@@ -28,6 +29,8 @@
 //   - served: most requests succeed while there are no faults.
 //   - stop: a graceful shutdown takes no longer than the grace period.
 //   - twice: a request of kind Once runs at most once.
+//   - unanswered: a request on a kept connection gets an answer, unless the connection was
+//     known to be ended, was announced to be closed, or had been idle for too long.
 //   - unasked: an endpoint gets only requests of callers, with an unchanged body,
 //     the right workspace and without the caller's key.
 //
@@ -38,7 +41,7 @@
 
 // timedRules are the rules that depend on time limits. On a busy machine, they can
 // be violated even if the nodes are correct.
-var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked", "recover", "part", "rest")
+var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked", "recover", "part", "rest", "cut")
 
 // IsTimed reports whether the guarantee depends on a time limit, so that it can be
 // violated on a busy machine even if the nodes are correct.
@@ -92,6 +95,8 @@
 		vs = append(vs, j.checkRevocation(c, b)...)
 		vs = append(vs, j.checkDrain(c, b)...)
 		vs = append(vs, j.checkGracefulShutdown(c, b)...)
+		vs = append(vs, j.checkUnanswered(c, b)...)
+		vs = append(vs, j.checkSilence(c, b)...)
 		if j.isLate(c, b) {
 			late++
 		}
--- a/internal/lab/soak/codec.go
+++ b/internal/lab/soak/codec.go
@@ -128,4 +128,7 @@
 	EncodeCatalog(c *topol.Catalog) ([]byte, error)
 	// EncodeEndpoint returns the store's record of an endpoint.
 	EncodeEndpoint(e topol.Endpoint) ([]byte, error)
+	// OddEndpoints returns records that stand among those of the endpoints and name none,
+	// such as records with fields of wrong types.
+	OddEndpoints() [][]byte
 }
--- a/internal/lab/soak/config.go
+++ b/internal/lab/soak/config.go
@@ -63,7 +63,7 @@
 				PerMillionPairs: 184 * time.Microsecond, HopDelay: 50 * time.Microsecond,
 			}},
 		},
-		Limits: topol.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second},
+		Limits: topol.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: s.idleLimit},
 		Keys:   map[string]*topol.Workspace{permanentKey: w, s.keys[len(s.keys)-1]: w},
 	}
 	for _, k := range []topol.Kind{topol.Once, topol.Idempotent, topol.Stream} {
@@ -72,7 +72,7 @@
 			service = modelService
 		}
 		c.Add(&topol.Route{
-			Name: ident.RouteName(k.String()), Host: routeHost, Prefix: fmt.Sprintf("/%s/%s/", service, k), Kind: k, Timeout: requestTimeout,
+			Name: ident.RouteName(k.String()), Host: routeHost, Prefix: fmt.Sprintf("/%s/%s/", service, k), Kind: k, Timeout: requestTimeout + s.extraRouteTimeout,
 			Target: 300 * time.Millisecond, Gap: 250 * time.Millisecond, Attempts: 3, Resumable: k == topol.Stream,
 			Services: []topol.WeightedService{{Service: service, Weight: 1}},
 		})
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -96,6 +96,8 @@
 	"delay endpoint", "crash endpoint", "replace endpoint", "lapse endpoint", "change keys",
 	"", "store loses records", "limit endpoint", "grow configuration",
 	"cut node by resets", "cut node silently", "refuse new links of node", "crash by a part", "rest endpoint", "endpoint states leaving",
+	"", "change idle timeout", "series of configurations", "stop node in a series of configurations", "silence streams", "repeat answers",
+	"fail resumed streams", "odd record",
 }
 
 // String returns the name of a fault for reports.
@@ -200,6 +202,9 @@
 // disturbances of all nodes. ReplaceEndpoint and ChangeKeys are not recorded,
 // since they must not affect requests.
 func (s *Soak) inject(ctx context.Context, f ScheduledFault) error {
+	if f.Kind > linkFaultEnd {
+		return s.injectConnFault(ctx, f)
+	}
 	n := s.nodes[f.Index%len(s.nodes)]
 	e := s.endpoints[f.Index%len(s.endpoints)]
 	disturbance := Disturbance{Node: n.name(), Kind: f.Kind.String()}
--- a/internal/lab/soak/journal.go
+++ b/internal/lab/soak/journal.go
@@ -40,7 +40,15 @@
 	// AbandonedAt is when the caller closed its connection without waiting for the
 	// response.
 	AbandonedAt time.Time
-	Runs        []Run
+	// Kept is set if the connection had carried a response before, and IdleSince is the
+	// end of that.
+	Kept      bool
+	IdleSince time.Time
+	// EndedWithoutByte is set if the connection ended before the first byte of a response.
+	EndedWithoutByte bool
+	// Distant is set if the caller was far from the node.
+	Distant bool
+	Runs    []Run
 }
 
 // Run is one execution of a request by an endpoint.
@@ -52,6 +60,9 @@
 	// Cancelled is set if the node closed the connection before the end of the
 	// run.
 	Cancelled bool
+	// Truncated is set if the endpoint cut its answer off. Silent is set if it fell silent
+	// in the answer and went on.
+	Truncated, Silent bool
 }
 
 // Disturbance is a period in which a fault affects Node, or all nodes if Node is
@@ -83,6 +94,9 @@
 	departedAt map[ident.EndpointName]time.Time
 	violations []Violation
 	cuts       []cutPeriod
+	// idleLimits are the limits for idle connections, in the order of their beginnings.
+	idleLimits []idleLimit
+	exits      []nodeExit
 }
 
 // NewJournal returns an empty journal.
@@ -124,6 +138,23 @@
 	}
 }
 
+// UpdateRun calls f, which changes the last run of a request at an endpoint, under the
+// journal's lock.
+func (j *Journal) UpdateRun(id string, e ident.EndpointName, f func(*Run)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c, ok := j.calls[id]
+	if !ok {
+		return
+	}
+	for i := len(c.Runs) - 1; i >= 0; i-- {
+		if c.Runs[i].Endpoint == e {
+			f(&c.Runs[i])
+			return
+		}
+	}
+}
+
 // AddViolation records a violation of a rule.
 func (j *Journal) AddViolation(rule, format string, args ...any) {
 	j.mu.Lock()
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -41,6 +41,8 @@
 	// dir is where the settings file and the log are written.
 	dir        string
 	storeProxy *Proxy
+	// distantProxy delays the bytes of distant callers.
+	distantProxy *Proxy
 
 	// signalLock is held by a fault that sends signals to the process.
 	signalLock sync.Mutex
@@ -62,6 +64,14 @@
 	return net.JoinHostPort(p.config.IP, strconv.Itoa(p.config.Port))
 }
 
+// addressFor returns the address at which callers reach the node.
+func (p *process) addressFor(distant bool) string {
+	if distant {
+		return p.distantProxy.Address()
+	}
+	return p.callerAddress()
+}
+
 func (p *process) settingsPath() string {
 	return filepath.Join(p.dir, string(p.config.Name)+".yaml")
 }
@@ -132,6 +142,7 @@
 // expected.
 func (p *process) waitExit(cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
+	p.journal.RecordExit(p.config.Name)
 	p.mu.Lock()
 	expected := p.exitExpected
 	p.mu.Unlock()
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -26,11 +27,11 @@
 	// ModeDropResponses forwards bytes to the target, but drops those to the
 	// client, as in ModeSilence.
 	ModeDropResponses
-	// ModeDelay forwards bytes forwardDelay after they were read.
+	// ModeDelay forwards bytes Proxy.Delay after they were read.
 	ModeDelay
 )
 
-// forwardDelay is the delay of forwarded bytes in ModeDelay.
+// forwardDelay is the delay of forwarded bytes in ModeDelay if Proxy.Delay is zero.
 const forwardDelay = 120 * time.Millisecond
 
 const proxyBufferSize = 32 << 10
@@ -44,6 +45,8 @@
 	// Owner returns the node that has the client's end of a connection. It must be set
 	// if Cut or OwnerOf is used.
 	Owner func(client net.Addr) ident.NodeName
+	// Delay is the delay of forwarded bytes in ModeDelay; zero means forwardDelay.
+	Delay time.Duration
 
 	mu    sync.Mutex
 	mode  ProxyMode
@@ -236,7 +239,7 @@
 		n, err := from.Read(b)
 		m := p.modeOf(c)
 		if m == ModeDelay {
-			time.Sleep(forwardDelay)
+			time.Sleep(cmp.Or(p.Delay, forwardDelay))
 		}
 		dropped = dropped || m == ModeSilence || m == ModeDropResponses && !toTarget
 		if n > 0 && !dropped {
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -55,6 +55,10 @@
 	// crashing is the part that crashes endpoints, and onCrash crashes this one.
 	crashing *atomic.Pointer[crashingPart]
 	onCrash  func(*crashingPart)
+	// silences is on while the endpoint falls silent in streams, repeats while it writes
+	// earlier answers once more, and failResumes while all endpoints fail resumed streams.
+	silences, repeats behaviour
+	failResumes       *behaviour
 
 	mu       sync.Mutex
 	record   topol.Endpoint
@@ -70,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: s, ConnState: s.trackConn}
+	h := &http.Server{Handler: s, ConnState: s.trackConn, ConnContext: withKeptConn}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.record, s.listener, s.http, s.conns = e, l, h, map[net.Conn]struct{}{}
@@ -139,6 +143,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.repeatAnswer(r.Context(), req.ID)
 	if req.Endpoint != self.Name {
 		s.codec.SetNotRun(w.Header(), req.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -160,6 +165,10 @@
 		return
 	}
 	s.checkRequest(self, req, r, body)
+	if req.LastEvent > 0 && s.failResumes.isOn() {
+		s.failResume(w, req.ID)
+		return
+	}
 	cancelled := false
 	end := s.journal.StartRun(req.ID, self.Name)
 	// An answer that is cut off ends by a panic.
@@ -200,6 +209,7 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	}
 	if rand.Float64() < truncateProbability {
+		s.markTruncated(req.ID)
 		w.Write([]byte(text[:len(text)/2]))
 		panic(http.ErrAbortHandler)
 	}
@@ -223,18 +233,23 @@
 	}
 	c := http.NewResponseController(w)
 	truncatedEvent := -1
-	if rand.Float64() < truncateProbability*2 {
+	if rand.Float64() < truncateProbability*2 || s.failResumes.draws(failTruncateProbability) {
 		truncatedEvent = rand.IntN(events) + 1
 	}
+	silentEvent := s.silentEvent(req.LastEvent+1, events)
 	for i := req.LastEvent + 1; i <= events; i++ {
 		if !delay.For(ctx, time.Duration(rand.ExpFloat64()*float64(meanEventPause))) {
 			return true
 		}
+		if i == silentEvent && !s.fallSilent(ctx, req.ID) {
+			return true
+		}
 		text := eventText(req.ID, i)
 		if crashing != nil {
 			go s.onCrash(crashing)
 		}
 		if i == truncatedEvent || crashing != nil {
+			s.markTruncated(req.ID)
 			io.WriteString(w, text[:len(text)/2])
 			c.Flush()
 			panic(http.ErrAbortHandler)
--- a/internal/lab/soak/server_test.go
+++ b/internal/lab/soak/server_test.go
@@ -36,7 +36,7 @@
 	var crashing atomic.Pointer[crashingPart]
 	crashing.Store(&crashingPart{id: "bad"})
 	s := &endpointServer{
-		codec: testCodec{EndpointRequest{ID: id, Parts: []string{"bad"}}}, journal: j, crashing: &crashing, onCrash: func(*crashingPart) {},
+		codec: testCodec{EndpointRequest{ID: id, Parts: []string{"bad"}}}, journal: j, crashing: &crashing, onCrash: func(*crashingPart) {}, failResumes: &behaviour{},
 	}
 	h := httptest.NewServer(s)
 	defer h.Close()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -68,6 +68,12 @@
 	// LinkFaults adds cuts of single nodes from all endpoints, parts of prompts that
 	// crash endpoints, and what endpoints state about themselves.
 	LinkFaults bool
+	// ConnFaults adds faults beside the connections of callers: changes of the idle
+	// timeout, series of configurations with stops, endpoints that fall silent and go on,
+	// repeat answers or fail resumed streams, and odd records. Some callers then don't
+	// pause, pause for almost the idle timeout, or are far from the nodes, and some streams
+	// last for a second or more.
+	ConnFaults bool
 	// Output gets a line for each fault.
 	Output io.Writer
 
@@ -79,10 +85,20 @@
 	requestCounter  atomic.Int64
 	// crashing is the part that crashes endpoints now; nil if there is none.
 	crashing atomic.Pointer[crashingPart]
+	// failResumes is on while endpoints fail resumed streams.
+	failResumes behaviour
+	// callers counts the callers that were started.
+	callers int
+
+	// idleLock is held while a limit for idle connections is written.
+	idleLock sync.Mutex
 
 	mu      sync.Mutex
 	version ident.Version
 	keys    []string
+	// idleLimit is the limit for idle connections, and extraRouteTimeout what the timeouts
+	// of the routes have beyond requestTimeout.
+	idleLimit, extraRouteTimeout time.Duration
 	// addedRoutes is the number of routes that GrowConfig has added.
 	addedRoutes int
 }
@@ -118,7 +134,8 @@
 		callersCtx, stopCallers := context.WithCancel(ctx)
 		var wg sync.WaitGroup
 		for range s.Callers {
-			wg.Go(func() { s.newCaller().run(callersCtx) })
+			c := s.newCaller()
+			wg.Go(func() { c.run(callersCtx) })
 		}
 		delay.For(ctx, s.FaultFreeTime)
 		err = s.injectAll(ctx, faults)
@@ -151,6 +168,9 @@
 	if s.LinkFaults {
 		faults = append(faults, planLinks(s.Seed, s.FaultTime)...)
 	}
+	if s.ConnFaults {
+		faults = append(faults, planConnections(s.Seed, s.FaultTime)...)
+	}
 	slices.SortStableFunc(faults, func(a, b ScheduledFault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -193,6 +213,8 @@
 		return err
 	}
 	s.keys = []string{permanentKey, "k0"}
+	s.idleLimit = defaultIdleTimeout
+	defer s.journal.StartIdleLimit(s.idleLimit)()
 	if err := s.publishConfig(); err != nil {
 		return err
 	}
@@ -213,7 +235,7 @@
 func (s *Soak) setUpEndpoints(ctx context.Context, g *errgroup.Group) error {
 	for i := range 2 * s.Endpoints {
 		service := []ident.ServiceName{plainService, modelService}[i%2]
-		e := &endpointServer{codec: s.Deployment, journal: s.journal, workspace: workspace, crashing: &s.crashing}
+		e := &endpointServer{codec: s.Deployment, journal: s.journal, workspace: workspace, crashing: &s.crashing, failResumes: &s.failResumes}
 		e.onCrash = func(p *crashingPart) { s.crash(ctx, e, p) }
 		p, err := newProxy(ctx, g, e.target)
 		if err != nil {
@@ -253,6 +275,11 @@
 			Name: ident.NodeName(fmt.Sprintf("node-%s-%d", dc, i)), DataCentre: dc, IP: ip, Port: port,
 			Seeds: ips[:min(3, len(ips))], StoreAddress: p.Address(), Bootstrap: true, Bounds: s.Bounds, GracePeriod: gracePeriod,
 		}}
+		if n.distantProxy, err = newProxy(ctx, g, n.callerAddress); err != nil {
+			return err
+		}
+		n.distantProxy.Delay = distantDelay
+		n.distantProxy.SetMode(ModeDelay)
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -319,20 +346,25 @@
 }
 
 func (s *Soak) newCaller() *caller {
-	return &caller{codec: s.Deployment, journal: s.journal, host: routeHost, pickNode: s.pickNode, pickKey: s.pickKey, requestCounter: &s.requestCounter, crashing: &s.crashing}
+	c := &caller{codec: s.Deployment, journal: s.journal, host: routeHost, pickNode: s.pickNode, pickKey: s.pickKey, requestCounter: &s.requestCounter, crashing: &s.crashing, idleTimeout: s.idleTimeout, longStreams: s.ConnFaults}
+	if s.ConnFaults {
+		c.trait = callerTraits[s.callers%len(callerTraits)]
+	}
+	s.callers++
+	return c
 }
 
 // pickNode returns the name and the address of a random node in rotation, or of any
 // node if none is.
-func (s *Soak) pickNode() (ident.NodeName, string) {
+func (s *Soak) pickNode(distant bool) (ident.NodeName, string) {
 	at := rand.IntN(len(s.nodes))
 	for i := range s.nodes {
 		if n := s.nodes[(at+i)%len(s.nodes)]; n.inRotation() {
-			return n.name(), n.callerAddress()
+			return n.name(), n.addressFor(distant)
 		}
 	}
 	n := s.nodes[at]
-	return n.name(), n.callerAddress()
+	return n.name(), n.addressFor(distant)
 }
 
 // pickKey returns the permanent key, the newest key or a revoked one at random, and
