--- a/cmd/laburnumlab/soak_test.go
+++ b/cmd/laburnumlab/soak_test.go
@@ -86,7 +86,7 @@
 func TestShortSoak(t *testing.T) {
 	s := &soak.Soak{
 		Programs: []string{buildGateway(t, "../..")}, Deployment: stand.Deployment{}, Dir: t.TempDir(), Seed: 7, FaultTime: 6 * time.Second, FaultFreeTime: time.Second,
-		Nodes: 3, Endpoints: 3, Callers: 10, Bounds: soak.UserBounds(), StateFaults: true, LinkFaults: true, Output: io.Discard,
+		Nodes: 3, Endpoints: 3, Callers: 10, Bounds: soak.UserBounds(), StateFaults: true, LinkFaults: true, ConnFaults: true, Output: io.Discard,
 	}
 	r, err := s.Run(context.Background())
 	must.NoError(t, err)
@@ -96,3 +96,42 @@
 	test.Positive(t, r.Served)
 	test.Positive(t, r.Faults)
 }
+
+// Guards against a request on a kept connection that ends without an answer or an announced
+// close, and against answers that are mixed up, while the idle timeout changes, nodes are
+// stopped within series of configurations and endpoints repeat answers and fail resumed
+// streams. Nothing is killed, paused or cut. It ignores violations of time bounds, as
+// TestShortSoak does.
+func TestKeptConnectionsAreAnsweredBesideStopsAndConfigurations(t *testing.T) {
+	s := &soak.Soak{
+		Programs: []string{buildGateway(t, "../..")}, Deployment: stand.Deployment{}, Dir: t.TempDir(), FaultFreeTime: time.Second,
+		Nodes: 3, Endpoints: 4, Callers: 12, Bounds: soak.UserBounds(), ConnFaults: true, Output: io.Discard,
+		Schedule: []soak.ScheduledFault{
+			{At: 0, Kind: soak.ChangeIdle, Index: 0},
+			{At: 500 * time.Millisecond, Kind: soak.OddRecord, Index: 0},
+			{At: time.Second, Kind: soak.SilenceStreams, Index: 0},
+			{At: time.Second, Kind: soak.SilenceStreams, Index: 1},
+			{At: 1500 * time.Millisecond, Kind: soak.ChangeIdle, Index: 1},
+			{At: 2 * time.Second, Kind: soak.StopInSeries, Index: 0},
+			{At: 3 * time.Second, Kind: soak.RepeatAnswers, Index: 2},
+			{At: 4 * time.Second, Kind: soak.RepeatAnswers, Index: 3},
+			{At: 5 * time.Second, Kind: soak.StopInSeries, Index: 1},
+			{At: 6 * time.Second, Kind: soak.OddRecord, Index: 3},
+			{At: 7 * time.Second, Kind: soak.ChangeIdle, Index: 0},
+			{At: 8 * time.Second, Kind: soak.StopNode, Index: 2},
+			{At: 8 * time.Second, Kind: soak.ConfigSeries, Index: 1},
+			{At: 10 * time.Second, Kind: soak.FailResumes},
+			{At: 11 * time.Second, Kind: soak.OddRecord, Index: 9},
+			{At: 12 * time.Second, Kind: soak.StopInSeries, Index: 0},
+			{At: 14 * time.Second, Kind: soak.ChangeIdle, Index: 2},
+			{At: 15 * time.Second, Kind: soak.StopNode, Index: 1},
+		},
+	}
+	r, err := s.Run(context.Background())
+	must.NoError(t, err)
+	t.Logf("%+v", r)
+	for _, v := range r.Violations {
+		test.True(t, v.IsTimed(), test.Sprint(v))
+	}
+	test.Positive(t, r.Served)
+}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -22,7 +22,7 @@
 //   - part: prompts with a part that is known to crash endpoints are not sent.
 //   - recover: a node that is cut from all endpoints serves as the others do.
 //   - refused: a request of kind Once that was answered with 429 or 503 has not
-//     run.
+//     run, and no endpoint has answered any other one whole that was answered so.
 //   - rest: an endpoint that asks for rest gets hardly any requests.
 //   - revoked: no request with a revoked key runs.
 //   - route: an endpoint gets only requests for its service.
@@ -96,6 +96,7 @@
 		vs = append(vs, j.checkDrain(c, b)...)
 		vs = append(vs, j.checkGracefulShutdown(c, b)...)
 		vs = append(vs, j.checkUnanswered(c, b)...)
+		vs = append(vs, j.checkRefusalOfAnswered(c, b)...)
 		vs = append(vs, j.checkSilence(c, b)...)
 		if j.isLate(c, b) {
 			late++
@@ -140,7 +141,7 @@
 	if len(c.Runs) > 1 {
 		vs = append(vs, Violation{"twice", fmt.Sprintf("request %s ran %d times", c.ID, len(c.Runs))})
 	}
-	if (c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests) && len(c.Runs) > 0 {
+	if c.isRefused() && len(c.Runs) > 0 {
 		vs = append(vs, Violation{"refused", fmt.Sprintf("request %s was answered %d by %s and ran at %s", c.ID, c.Status, c.Node, c.Runs[0].Endpoint)})
 	}
 	return vs
--- a/internal/lab/soak/unanswered.go
+++ b/internal/lab/soak/unanswered.go
@@ -108,3 +108,23 @@
 	}
 	return []Violation{{"cut", fmt.Sprintf("stream %s was cut off by %s %v after it was sent, beside a silence of %s; runs: %d", c.ID, c.Node, c.EndedAt.Sub(c.SentAt), c.Runs[0].Endpoint, len(c.Runs))}}
 }
+
+// isRefused reports whether the answer says that the request has not run.
+func (c *Call) isRefused() bool {
+	return c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests
+}
+
+// checkRefusalOfAnswered checks that a request that may run again isn't refused although an
+// endpoint answered it whole, as a node does that takes an earlier refusal for the answer.
+// It skips disturbed nodes. The caller holds j.mu.
+func (j *Journal) checkRefusalOfAnswered(c *Call, b Bounds) []Violation {
+	if c.Kind == topol.Once || !c.isRefused() || !j.isUndisturbed(c.Node, c.EndedAt, b.SettleTime+c.EndedAt.Sub(c.SentAt)) {
+		return nil
+	}
+	for _, r := range c.Runs {
+		if !r.Truncated && !r.Cancelled && !r.EndedAt.IsZero() && r.EndedAt.Before(c.EndedAt) {
+			return []Violation{{"refused", fmt.Sprintf("request %s of kind %s was answered %d by %s, and %s had answered it whole", c.ID, c.Kind, c.Status, c.Node, r.Endpoint)}}
+		}
+	}
+	return nil
+}
