--- a/internal/lab/soak/cut_test.go
+++ b/internal/lab/soak/cut_test.go
@@ -32,9 +32,9 @@
 			p := startEchoProxy(t)
 			// The owner of a connection may be known only after the proxy accepts it.
 			var owners sync.Map
-			p.Owner = func(a net.Addr) ident.NodeName {
+			p.Owner = func(c net.Conn) ident.NodeName {
 				for {
-					if n, ok := owners.Load(a.String()); ok {
+					if n, ok := owners.Load(c.RemoteAddr().String()); ok {
 						return n.(ident.NodeName)
 					}
 					time.Sleep(time.Millisecond)
@@ -63,15 +63,34 @@
 
 func TestSocketsOfAProcessAreFound(t *testing.T) {
 	p := &process{config: NodeConfig{Name: "n1"}, cmd: &exec.Cmd{Process: &os.Process{Pid: os.Getpid()}}}
-	s := &Soak{nodes: []*process{p}}
+	other := &process{config: NodeConfig{Name: "n2"}, cmd: &exec.Cmd{Process: &os.Process{Pid: os.Getppid()}}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer l.Close()
 	c, err := net.Dial("tcp", l.Addr().String())
 	must.NoError(t, err)
 	defer c.Close()
-	test.Eq(t, "n1", s.ownerOf(c.LocalAddr()))
-	test.Eq(t, "", s.ownerOf(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}))
+	accepted, err := l.Accept()
+	must.NoError(t, err)
+	defer accepted.Close()
+	cases := []struct {
+		name  string
+		nodes []*process
+		conn  net.Conn
+		want  ident.NodeName
+	}{
+		{"the process has the other end", []*process{other, p}, accepted, "n1"},
+		{"the process has this end too", []*process{p}, c, "n1"},
+		{"another process", []*process{other}, accepted, ""},
+	}
+	for _, cs := range cases {
+		s := &Soak{nodes: cs.nodes}
+		test.Eq(t, cs.want, s.ownerOf(cs.conn), test.Sprint(cs.name))
+	}
+	must.NoError(t, c.Close())
+	must.NoError(t, accepted.Close())
+	s := &Soak{nodes: []*process{p}}
+	test.Eq(t, "", s.ownerOf(accepted))
 }
 
 func TestCutNodeMustServe(t *testing.T) {
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -42,9 +42,9 @@
 	Listener net.Listener
 	// Target returns the address to which connections are forwarded.
 	Target func() string
-	// Owner returns the node that has the client's end of a connection. It must be set
-	// if Cut or OwnerOf is used.
-	Owner func(client net.Addr) ident.NodeName
+	// Owner returns the node that has the other end of a client's connection. It must be
+	// set if Cut or OwnerOf is used.
+	Owner func(client net.Conn) ident.NodeName
 	// Delay is the delay of forwarded bytes in ModeDelay; zero means forwardDelay.
 	Delay time.Duration
 
@@ -67,7 +67,7 @@
 
 // Cut disturbs the connections of one node, the open ones and those it opens, until
 // Restore is called. ownerOf finds the owners of the open connections, as Owner does.
-func (p *Proxy) Cut(n ident.NodeName, c linkCut, ownerOf func(net.Addr) ident.NodeName) {
+func (p *Proxy) Cut(n ident.NodeName, c linkCut, ownerOf func(net.Conn) ident.NodeName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cuts == nil {
@@ -75,7 +75,7 @@
 	}
 	p.cuts[n] = c
 	for pair := range p.pairs {
-		if ownerOf(pair.client.RemoteAddr()) != n {
+		if ownerOf(pair.client) != n {
 			continue
 		}
 		pair.cut = c.open
@@ -104,7 +104,7 @@
 	if cuts == 0 {
 		return ModePass
 	}
-	owner := p.Owner(client.RemoteAddr())
+	owner := p.Owner(client)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.cuts[owner]
@@ -121,7 +121,7 @@
 	if pair == nil {
 		return ""
 	}
-	pair.findOwner.Do(func() { pair.owner = p.Owner(pair.client.RemoteAddr()) })
+	pair.findOwner.Do(func() { pair.owner = p.Owner(pair.client) })
 	return pair.owner
 }
 
