load, demo: bookings and status checks use kept connections and count lost answers

The lab's caller opened a connection for each request, so that no load of its own could lose a request on a kept one, and the report counted a lost answer among other failures.

Only prompts use new connections. The report counts requests whose connection ended without a response, and the demo requires that there are none.

--- a/internal/lab/demo/check.go
+++ b/internal/lab/demo/check.go
@@ -35,6 +35,7 @@
 		checkLimits(rs),
 		d.checkMemory(),
 		checkAnswers(rs),
+		checkUnanswered(rs),
 		d.checkNotRun(rs),
 		d.checkAtMostOnce(rs),
 		d.checkLeaving(),
@@ -184,6 +185,22 @@
 	}
 }
 
+// checkUnanswered checks that each request that was sent got an answer or a refusal. No
+// node is killed.
+func checkUnanswered(rs []load.Result) Invariant {
+	n := 0
+	for _, r := range rs {
+		if r.Unanswered {
+			n++
+		}
+	}
+	return Invariant{
+		Name:     "a request gets an answer or a refusal",
+		Held:     n == 0,
+		Evidence: fmt.Sprintf("%d of %d requests were sent and their connections ended without a response", n, len(rs)),
+	}
+}
+
 // checkGracefulShutdown checks that no request sent to the node's address before
 // its restart failed, and that the node stopped without an error.
 func (d *Demo) checkGracefulShutdown(rs []load.Result) Invariant {
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -34,13 +34,16 @@
 	Outcomes map[Kind]map[ident.Outcome]int
 	// Codes counts rejected and failed requests by error code.
 	Codes map[string]int
+	// Unanswered counts the requests that got neither an answer nor a refusal before
+	// their connection ended, by kind.
+	Unanswered map[Kind]int
 	// Classes lists the names of the prompt classes in the order of the mix.
 	Classes []string
 }
 
 // Summarize returns the report of a load with prompts of the given classes.
 func Summarize(mix []PromptClass, rs []Result) Report {
-	rep := Report{First: map[string]Latency{}, Took: map[Kind]Latency{}, Outcomes: map[Kind]map[ident.Outcome]int{}, Codes: map[string]int{}}
+	rep := Report{First: map[string]Latency{}, Took: map[Kind]Latency{}, Outcomes: map[Kind]map[ident.Outcome]int{}, Codes: map[string]int{}, Unanswered: map[Kind]int{}}
 	for _, c := range mix {
 		rep.Classes = append(rep.Classes, c.Name)
 		rep.First[c.Name] = latencyOf(rs, func(r Result) (time.Duration, bool) { return r.First, r.Class == c.Name && r.First > 0 })
@@ -51,6 +54,9 @@
 	}
 	for _, r := range rs {
 		rep.Outcomes[r.Kind][r.outcome()]++
+		if r.Unanswered {
+			rep.Unanswered[r.Kind]++
+		}
 		if r.Code != "" {
 			rep.Codes[r.Code]++
 		}
@@ -115,6 +121,9 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", k, o[ident.Answered], o[ident.NotRun], o[ident.Unknown])
 	}
 	t.Flush()
+	for _, k := range ident.SortedKeys(r.Unanswered) {
+		fmt.Fprintf(w, "%s without an answer or a refusal: %d\n", k, r.Unanswered[k])
+	}
 	if len(r.Codes) > 0 {
 		fmt.Fprintln(w, "\nrefusals and failures by code:")
 		for _, c := range ident.SortedKeys(r.Codes) {
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -33,6 +33,9 @@
 	Wrong bool
 	// Key is the idempotency key of a booking.
 	Key string `json:",omitempty"`
+	// Unanswered is set if the request was sent and its connection ended without the
+	// header of a response.
+	Unanswered bool `json:",omitempty"`
 	// Error is the reason why there was no response, or why a stream was
 	// incomplete or wrong.
 	Error string `json:",omitempty"`
--- a/internal/lab/load/send.go
+++ b/internal/lab/load/send.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"laburnumstack.org/laburnum/internal/lab/engsrv"
@@ -126,8 +127,9 @@
 	return req
 }
 
-// do sends a request to a node, and calls read for a successful response. Each
-// request uses a new connection, as with the platform's load balancer.
+// do sends a request to a node, and calls read for a successful response. Prompts use
+// new connections, as with the platform's load balancer; the others use kept ones until
+// these have ended.
 func (r *Runner) do(ctx context.Context, req *fasthttp.Request, res *Result, read func(*conns.Response, time.Time)) {
 	began := time.Now()
 	res.At = began.Sub(r.start)
@@ -140,9 +142,10 @@
 	res.Node = addr
 	ctx, cancel := context.WithTimeout(ctx, res.Limit+callerSlack)
 	defer cancel()
-	reply, err := r.Balancer.Pools.Get(addr).Do(ctx, conns.Call{Request: req, Fresh: true})
+	reply, err := r.Balancer.Pools.Get(addr).Do(ctx, conns.Call{Request: req, Fresh: res.Kind == Prompt})
 	if err != nil {
 		res.Error = err.Error()
+		res.Unanswered = errors.Is(err, conns.ErrNoResponse) && ctx.Err() == nil
 		return
 	}
 	defer reply.Close()
