--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -10,6 +10,7 @@
 )
 
 // Violation is a broken guarantee. Rule names the guarantee:
+//   - cut: a stream isn't cut off because a sound endpoint falls silent in it.
 //   - drain: a node sends no new requests to an endpoint that has departed.
 //   - exit: a node doesn't exit on its own.
 //   - gone: a run ends soon after its caller closed the connection.
@@ -21,13 +22,15 @@
 //   - part: prompts with a part that is known to crash endpoints are not sent.
 //   - recover: a node that is cut from all endpoints serves as the others do.
 //   - refused: a request of kind Once that was answered with 429 or 503 has not
-//     run.
+//     run, and no endpoint has answered any other one whole that was answered so.
 //   - rest: an endpoint that asks for rest gets hardly any requests.
 //   - revoked: no request with a revoked key runs.
 //   - route: an endpoint gets only requests for its service.
 //   - served: most requests succeed while there are no faults.
 //   - stop: a graceful shutdown takes no longer than the grace period.
 //   - twice: a request of kind Once runs at most once.
+//   - unanswered: a request on a kept connection gets an answer, unless the connection was
+//     known to be ended, was announced to be closed, or had been idle for too long.
 //   - unasked: an endpoint gets only requests of callers, with an unchanged body,
 //     the right workspace and without the caller's key.
 //
@@ -38,7 +41,7 @@
 
 // timedRules are the rules that depend on time limits. On a busy machine, they can
 // be violated even if the nodes are correct.
-var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked", "recover", "part", "rest")
+var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked", "recover", "part", "rest", "cut")
 
 // IsTimed reports whether the guarantee depends on a time limit, so that it can be
 // violated on a busy machine even if the nodes are correct.
@@ -92,6 +95,9 @@
 		vs = append(vs, j.checkRevocation(c, b)...)
 		vs = append(vs, j.checkDrain(c, b)...)
 		vs = append(vs, j.checkGracefulShutdown(c, b)...)
+		vs = append(vs, j.checkUnanswered(c, b)...)
+		vs = append(vs, j.checkRefusalOfAnswered(c, b)...)
+		vs = append(vs, j.checkSilence(c, b)...)
 		if j.isLate(c, b) {
 			late++
 		}
@@ -135,7 +141,7 @@
 	if len(c.Runs) > 1 {
 		vs = append(vs, Violation{"twice", fmt.Sprintf("request %s ran %d times", c.ID, len(c.Runs))})
 	}
-	if (c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests) && len(c.Runs) > 0 {
+	if c.isRefused() && len(c.Runs) > 0 {
 		vs = append(vs, Violation{"refused", fmt.Sprintf("request %s was answered %d by %s and ran at %s", c.ID, c.Status, c.Node, c.Runs[0].Endpoint)})
 	}
 	return vs
