twice: take the next answer before the last one is repeated

TestIdentifiedCallsGetTheirOwnAnswer failed once in some ten runs: the caller sent its third call, on a new connection, as soon as it had read the repeated answer, and got the second answer since the server had not taken it yet. 200 runs after the change pass.

--- a/internal/lab/twice/twice.go
+++ b/internal/lab/twice/twice.go
@@ -79,9 +79,12 @@
 			return
 		}
 		io.Copy(io.Discard, req.Body)
+		// The answer is taken first: the other end may send its next request as soon as it
+		// has read the repeated one.
+		answer := s.text(s.next(), req.Header.Get(conns.CallIDField))
 		io.WriteString(c, last)
-		last = s.text(s.next(), req.Header.Get(conns.CallIDField))
-		io.WriteString(c, last)
+		io.WriteString(c, answer)
+		last = answer
 	}
 }
 
