front: serve requests that have arrived when the node stops

A request that had arrived on an idle connection when the node stopped was dropped, with an end of the connection and no response.

Cause: fasthttp closes idle connections at its shutdown without a look at the bytes that have arrived, and drops a request whose first byte it reads meanwhile.

Now the server ends the waits of idle connections itself before that shutdown: they are closed if the kernel's buffer is empty, and otherwise the request is served, with an announced close.

--- a/internal/trans/conns/probe.go
+++ b/internal/trans/conns/probe.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"syscall"
+
+	"github.com/juju/errors"
 )
 
 // IsOpen reports whether a connection is open as far as this end can tell: it has
@@ -23,6 +25,12 @@
 	return err == syscall.EAGAIN
 }
 
+// IsTimeout reports whether an error means that a deadline has passed.
+func IsTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // peek reads the next byte of a connection without consuming it or waiting. It
 // returns EAGAIN if there is none yet, and also for connections that don't give
 // access to their socket.
--- /dev/null
+++ b/internal/trans/front/conn.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"laburnumstack.org/laburnum/internal/state/delay"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+)
+
+const (
+	// arrivedTimeout bounds the read of bytes that have arrived.
+	arrivedTimeout = time.Second
+	// idlePollInterval is the pause between two looks for idle connections.
+	idlePollInterval = 5 * time.Millisecond
+)
+
+// expiredDeadline is a deadline in the past, which makes reads fail at once.
+var expiredDeadline = time.Unix(1, 0)
+
+// callerConns holds the open connections of callers, so that the idle ones can be closed
+// without the loss of a request that has arrived. The zero value is ready to use. It is
+// safe for concurrent use.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+	// ending is set once idle connections are closed.
+	ending bool
+}
+
+func (o *callerConns) add(l *conns.LingeringConn) *callerConn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := &callerConn{LingeringConn: l, owner: o, isIdle: true, ending: o.ending}
+	if o.open == nil {
+		o.open = map[*callerConn]struct{}{}
+	}
+	o.open[c] = struct{}{}
+	return c
+}
+
+func (o *callerConns) remove(c *callerConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, c)
+}
+
+// endIdle ends the wait for a request on all connections, and waits until none is idle or
+// the context ends.
+func (o *callerConns) endIdle(ctx context.Context) {
+	o.mu.Lock()
+	o.ending = true
+	for c := range o.open {
+		c.end()
+	}
+	o.mu.Unlock()
+	for o.anyIdle() && delay.For(ctx, idlePollInterval) {
+	}
+}
+
+func (o *callerConns) anyIdle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.open {
+		if c.idle() {
+			return true
+		}
+	}
+	return false
+}
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	*conns.LingeringConn
+	owner *callerConns
+
+	// mu guards what follows, and the read deadline.
+	mu sync.Mutex
+	// isIdle is set while the first byte of a request is awaited.
+	isIdle bool
+	// ending is set once the connection is to be closed when it is idle.
+	ending bool
+}
+
+// trackState is the ConnState function of the server.
+func trackState(nc net.Conn, s fasthttp.ConnState) {
+	if c, ok := nc.(*callerConn); ok {
+		c.setIdle(s == fasthttp.StateIdle || s == fasthttp.StateNew)
+	}
+}
+
+func (c *callerConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isIdle = idle
+}
+
+func (c *callerConn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isIdle
+}
+
+// end ends the wait for a request, now or the next time that one is awaited.
+func (c *callerConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if c.isIdle {
+		c.LingeringConn.SetReadDeadline(expiredDeadline)
+	}
+}
+
+// SetReadDeadline sets the deadline of reads. No request is awaited any more after end.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isIdle && c.ending {
+		t = expiredDeadline
+	}
+	return c.LingeringConn.SetReadDeadline(t)
+}
+
+// Read reads from the connection. If the wait for a request is over, bytes that have
+// arrived are read all the same.
+func (c *callerConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.LingeringConn.Read(b)
+		if n > 0 {
+			c.setIdle(false)
+			return n, err
+		}
+		if !conns.IsTimeout(err) || !c.hasArrived() {
+			return n, err
+		}
+	}
+}
+
+// hasArrived reports whether bytes of an awaited request have arrived, and makes them
+// readable.
+func (c *callerConn) hasArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isIdle || conns.IsIdle(c) {
+		return false
+	}
+	return c.LingeringConn.SetReadDeadline(time.Now().Add(arrivedTimeout)) == nil
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.owner.remove(c)
+	return c.LingeringConn.Close()
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	conns.LingeringListener
+	open *callerConns
+}
+
+// Accept waits for and returns the next connection.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.LingeringListener.Accept()
+	if t, ok := c.(*conns.LingeringConn); ok && err == nil {
+		return l.open.add(t), nil
+	}
+	return c, err
+}
--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -59,6 +59,7 @@
 	HasConfig func() bool
 
 	http       *fasthttp.Server
+	conns      callerConns
 	active     activeRequests
 	bodyMemory memoryBudget
 	draining   atomic.Bool
@@ -78,6 +79,7 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultContentType:         true,
 		CloseOnShutdown:              true,
+		ConnState:                    trackState,
 		Logger:                       silentLogger{},
 	}
 }
@@ -86,7 +88,7 @@
 // requests of callers that closed their connection.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	go s.active.cancelGone(ctx)
-	return s.http.Serve(conns.LingeringListener{Listener: l})
+	return s.http.Serve(callerListener{conns.LingeringListener{Listener: l}, &s.conns})
 }
 
 type silentLogger struct{}
@@ -103,9 +105,11 @@
 // Active returns the number of requests in flight.
 func (s *Server) Active() int { return s.active.len() }
 
-// Stop closes the listener and the idle connections, and waits for the
-// requests in flight.
+// Stop closes the idle connections and the listener, and waits for the
+// requests in flight. A request that has arrived is served.
 func (s *Server) Stop(ctx context.Context) error {
+	// fasthttp closes idle connections without a look for bytes that have arrived.
+	s.conns.endIdle(ctx)
 	return errors.Trace(s.http.ShutdownWithContext(ctx))
 }
 
@@ -158,7 +162,7 @@
 	}
 	q.sendFailure(&serve.Failure{Status: status, Code: code, Message: "request can't be read", Outcome: ident.NotRun})
 	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(*conns.LingeringConn); ok {
+	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.Linger()
 	}
 }
--- /dev/null
+++ b/internal/trans/front/stop_test.go
@@ -0,0 +1,74 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/state/trace"
+	"laburnumstack.org/laburnum/internal/trans/serve"
+)
+
+// Guards against requests that have arrived on idle connections when the node stops, and
+// are dropped with them.
+func TestStopServesRequestsThatHaveArrived(t *testing.T) {
+	const callers = 200
+	cases := []struct {
+		name string
+		// before and after are sent before and after the stop begins.
+		before, after string
+	}{
+		{"whole request", "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", ""},
+		{"part of a header", "G", "ET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			core := &serve.Core{Metrics: serve.NewMetrics(prometheus.NewRegistry()), Ring: trace.NewRing("n", &trace.Clock{}, 100)}
+			s := &Server{Core: core, Logger: zerolog.Nop(), HasConfig: func() bool { return true }}
+			s.Init()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go s.Run(ctx, l)
+			var readers []*bufio.Reader
+			var conns []net.Conn
+			for range callers {
+				conn, err := net.Dial("tcp", l.Addr().String())
+				must.NoError(t, err)
+				defer conn.Close()
+				br := bufio.NewReader(conn)
+				io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+				res, err := http.ReadResponse(br, nil)
+				must.NoError(t, err)
+				io.Copy(io.Discard, res.Body)
+				conns, readers = append(conns, conn), append(readers, br)
+			}
+			s.Drain()
+			for _, conn := range conns {
+				io.WriteString(conn, c.before)
+			}
+			stopped := make(chan struct{})
+			go func() {
+				s.Stop(ctx)
+				close(stopped)
+			}()
+			for i, conn := range conns {
+				io.WriteString(conn, c.after)
+				res, err := http.ReadResponse(readers[i], nil)
+				must.NoError(t, err)
+				test.Eq(t, http.StatusOK, res.StatusCode)
+				test.True(t, res.Close)
+			}
+			<-stopped
+		})
+	}
+}
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -96,7 +96,7 @@
 		status = 431
 	case errors.Is(err, http1.ErrBodyTooLong):
 		status = 413
-	case isTimeout(err):
+	case conns.IsTimeout(err):
 		status = 408
 	case errors.Is(err, http1.ErrMalformed):
 		status = 400
--- a/internal/trans/gate/idle.go
+++ b/internal/trans/gate/idle.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 )
@@ -81,7 +79,7 @@
 		switch {
 		case err == nil:
 			return keepOpen
-		case !isTimeout(err):
+		case !conns.IsTimeout(err):
 			return closeCaller
 		case conns.IsIdle(c.Conn):
 			return closeIdle
@@ -121,7 +119,7 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if n > 0 || !isTimeout(err) || !c.extendWait() {
+		if n > 0 || !conns.IsTimeout(err) || !c.extendWait() {
 			return n, err
 		}
 	}
@@ -155,8 +153,3 @@
 	reuse := c.server.limits().IdleTimeout * reuseNumerator / reuseDenominator
 	return !c.isIdle || now.Sub(c.waitingSince) < reuse
 }
-
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
