--- a/internal/state/fold/odd_test.go
+++ b/internal/state/fold/odd_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-func FuzzApply(f *testing.F) {
+func FuzzTwoRecords(f *testing.F) {
 	for _, odd := range oddRecords {
 		f.Add([]byte(odd), []byte(soundPatch))
 	}
