gate: leave a silent endpoint only for one that has answered

Streams were cut ("stream not resumed"), and plain requests got 502 or an error of another endpoint, although their own endpoint was sound: it had been silent for longer than the node waits for a header, an event or a plain answer. The node gave the attempt up first and asked then whether another endpoint had room (placement, retry budget, attempts) and answered.

Now an attempt whose wait has passed is still read. The exchange starts a further one beside it if placement, limits, attempts and the retry budget allow, and asks again after each further wait. The further attempt reads up to its first new event, or the whole of another answer, without writing to the caller. Whoever is first goes on: if it is the silent endpoint, the other attempts are cancelled and count as runs, but not as failures; if it is another one, that becomes the current attempt. If the current attempt breaks off, the exchange waits for those under way. A caller who disconnects interrupts all of them. An attempt over a link that is abandoned goes on in the same way. Reserved memory that is unused still ends an attempt.

Parsers can't go on after an error, so the retry of a read that has passed its deadline is below them: conns.PatientReader asks the attempt, at links and within tunnels. The normal path has no goroutine and no channel more.

Nothing is weakened in the tests: TestUnusedMemoryIsNotKeptUntilTheDeadline now asks for hardDeadline, which is what ends an attempt in place of headerDeadline.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -3,35 +3,26 @@
 import (
 	"context"
 	"net"
-	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
-	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
 	// connectTimeout bounds the dialing of a new connection.
 	connectTimeout = 300 * time.Millisecond
-	// maxResponseHeader bounds the header of an endpoint's response in bytes.
-	maxResponseHeader = 32 << 10
 	// maxInlineBody is the largest body in bytes that is written together with
 	// the header before the response is read. Larger bodies are written while
 	// the response is read.
 	maxInlineBody = 16 << 10
-	// maxStaleResponses is the maximum number of responses to other requests
-	// that are skipped on a link before the response to the current one.
-	maxStaleResponses = 2
 )
 
 // result is how a send ended.
@@ -40,6 +31,10 @@
 const (
 	// notSent means that no byte can have reached the endpoint.
 	notSent result = iota
+	// superseded means that another endpoint answered while this one was silent.
+	superseded
+	// cancelled means that another endpoint answered first.
+	cancelled
 	// unreserved means that KV memory could not be reserved.
 	unreserved
 	// refused means that the endpoint reported that it did not run the
@@ -59,7 +54,7 @@
 )
 
 func (r result) String() string {
-	return [...]string{"not-sent", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
+	return [...]string{"not-sent", "superseded", "cancelled", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
 }
 
 // outcome describes how one send ended.
@@ -67,9 +62,11 @@
 	result result
 	reason string
 	status int
-	// response is the endpoint's refusal or error as the caller gets it if the
-	// request is not sent again.
-	response []byte
+	// response is the endpoint's refusal or error, which the caller gets if the request
+	// is not sent again.
+	response *wholeResponse
+	// unreservedEngines are those at which memory could not be reserved.
+	unreservedEngines ident.Set[ident.EndpointName]
 	// whole is set if the endpoint answered with success and to the end, framed if the
 	// answer's end was marked by more than the end of the connection.
 	whole, framed bool
@@ -91,80 +88,164 @@
 	maxGap time.Duration
 }
 
-// attempt is one send of a request to an endpoint.
+// attempt is one send of a request to an endpoint. It begins in the goroutine of its
+// exchange, or beside another attempt in one of its own; see exchange.startAnother. Only the
+// exchange's goroutine passes its answer on. Until then, it uses nothing of the exchange that
+// changes.
 type attempt struct {
 	*exchange
-	choice     place.Choice
+	choice    place.Choice
+	startedAt time.Time
+	// resumesAt is the exchange's position when the attempt began. isResumed is set if the
+	// caller had received the header of a stream.
+	resumesAt position
+	isResumed bool
+
 	reserved   *reservationSet
 	link       *links.Link
 	pool       *links.Pool
 	inFlightID works.ID
-	startedAt  time.Time
 	// sender is the node from which the endpoint gets the request: this one, or a peer if
 	// the link is a tunnel.
 	sender ident.NodeName
-	// linkLost is set if the attempt was abandoned because its link is lost.
-	// exchange.mu guards it.
-	linkLost bool
 	// requestWritten is set once the whole request has been written.
 	requestWritten atomic.Bool
+
+	wait wait
+	// isSilent is set while the current attempt has waited for so long that another
+	// endpoint was tried.
+	isSilent bool
+	// answer is what has been read of the endpoint's answer.
+	answer answer
+	// outcome is set when the attempt has ended.
+	outcome outcome
+	// isReady is set if begin has returned true, for an attempt beside another.
+	isReady bool
+
+	// exchange.mu guards the following fields. isAttached is set while the link is
+	// interrupted if the caller disconnects, wasAttached once the endpoint may have got
+	// the request.
+	isAttached, wasAttached bool
+	// isCancelled is set if another attempt was first.
+	isCancelled bool
+	// linkLost is set if the link is lost, wantsOther if another endpoint is to be tried
+	// at once.
+	linkLost, wantsOther bool
 }
 
-// send sends the request to an endpoint and passes the response on to the
-// caller.
-func (x *exchange) send(c place.Choice) outcome {
+// newAttempt returns an attempt at the chosen endpoint, and counts it.
+func (x *exchange) newAttempt(c place.Choice) *attempt {
 	x.sends++
-	a := &attempt{exchange: x, choice: c, pool: x.server.pool(c.Primary.Address), startedAt: time.Now()}
-	o := a.run()
-	o.startedAt = a.startedAt
-	return o
+	return &attempt{
+		exchange: x, choice: c, startedAt: time.Now(), pool: x.server.pool(c.Primary.Address),
+		resumesAt: x.position, isResumed: x.headerSent,
+	}
 }
 
-// run reserves memory if the request needs it, connects to the endpoint, sends
-// the request and handles the response.
-func (a *attempt) run() outcome {
-	x := a.exchange
+// begin sends the request and reads the answer: up to its first event if it is a stream, or
+// else to its end. It reports whether the answer can be passed on. Otherwise the outcome is
+// set.
+func (a *attempt) begin() bool {
 	if len(a.choice.Reservations) > 0 {
 		var failedEngines ident.Set[ident.EndpointName]
-		if a.reserved, failedEngines = x.server.reserve(context.Background(), a.choice); a.reserved == nil {
-			return x.recordUnreservedEngines(failedEngines)
+		if a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice); a.reserved == nil {
+			a.outcome = outcome{result: unreserved, reason: errUnreserved.Error(), unreservedEngines: failedEngines}
+			return false
 		}
-		defer a.reserved.stopAndRelease()
 	}
 	if err := a.connect(); err != nil {
-		return outcome{result: notSent, reason: "connect: " + err.Error()}
+		a.outcome = outcome{result: notSent, reason: "connect: " + err.Error()}
+		return false
 	}
-	x.recordDecision(true)
-	a.inFlightID = x.registerInFlight(a.choice)
-	defer x.unregisterInFlight(a.inFlightID)
-	if !x.setEndpointConn(a.link) {
-		a.link.Close()
-		return outcome{result: notSent, reason: "caller left"}
+	if a.isCurrent() {
+		a.recordDecision(true)
+	}
+	a.inFlightID = a.registerInFlight(a.choice)
+	a.link.SetWriteDeadline(a.deadline)
+	if !a.attach() {
+		a.outcome = outcome{result: notSent, reason: "caller left"}
+		return false
 	}
 	if !a.isOverPeer() {
-		x.server.direct.add(a)
+		a.server.direct.add(a)
 	}
-	o, intact := a.roundTrip()
-	x.server.direct.remove(a)
-	x.setEndpointConn(nil)
-	o.linkLost = o.result != complete && (a.isLinkLost() || o.peerLost)
-	if intact && a.requestWritten.Load() && !a.isOverPeer() {
-		a.pool.Put(a.link, time.Now())
-	} else {
-		a.link.Close()
+	return a.roundTrip()
+}
+
+// attach makes the link one that is interrupted if the caller disconnects or the attempt is
+// cancelled. It returns false if that has happened already.
+func (a *attempt) attach() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.callerDisconnected || a.isCancelled {
+		return false
 	}
-	return o
+	a.isAttached, a.wasAttached = true, true
+	if a.attached == nil {
+		a.attached = a.attachedArray[:0]
+	}
+	a.attached = append(a.attached, a)
+	return true
+}
+
+func (a *attempt) detach() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isAttached = false
+	a.attached = slices.DeleteFunc(a.attached, func(b *attempt) bool { return a == b })
 }
 
-// recordUnreservedEngines records the engines at which memory could not be
-// reserved. The send doesn't count, since nothing was sent.
-func (x *exchange) recordUnreservedEngines(engines ident.Set[ident.EndpointName]) outcome {
-	x.sends--
-	x.failedReservations++
-	for n := range engines {
-		x.unreservedEngines.Add(n)
+// interrupt makes reads and writes on the link fail at once. The caller holds exchange.mu.
+func (a *attempt) interrupt() {
+	if a.isAttached {
+		a.link.SetDeadline(expiredDeadline)
 	}
-	return outcome{result: unreserved, reason: errUnreserved.Error()}
+}
+
+// registerInFlight records the request as in flight at its endpoints and
+// announces it to the peers.
+func (x *exchange) registerInFlight(c place.Choice) works.ID {
+	w := works.Request{
+		ID: works.ID(x.server.lastID.Add(1)), Node: x.server.Node, First: c.Primary.Name,
+		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Share: x.reqHeader.Prompt, Gap: x.route.Gap, Target: x.remainingTarget(time.Now()), Since: time.Now(),
+	}
+	for i, h := range c.Helpers {
+		w.Helpers = append(w.Helpers, h.Name)
+		if i < len(c.Reservations) {
+			w.Held = append(w.Held, works.Reservation{Endpoint: h.Name, Tokens: c.Reservations[i]})
+			w.Share = max(0, w.Share-c.Reservations[i])
+		}
+	}
+	x.server.InFlight.Put(w)
+	x.server.AnnounceStart(w)
+	return w.ID
+}
+
+func (x *exchange) unregisterInFlight(id works.ID) {
+	x.server.InFlight.Remove(x.server.Node, id)
+	x.server.AnnounceEnd(id)
+}
+
+// end releases what the attempt holds.
+func (a *attempt) end() {
+	if a.link != nil {
+		a.server.direct.remove(a)
+		a.detach()
+		a.outcome.linkLost = a.outcome.result != complete && (a.isLinkLost() || a.outcome.peerLost)
+		if a.answer.isIntact && a.requestWritten.Load() && !a.isOverPeer() {
+			a.pool.Put(a.link, time.Now())
+		} else {
+			a.link.Close()
+		}
+	}
+	if a.inFlightID != 0 {
+		a.unregisterInFlight(a.inFlightID)
+	}
+	if a.reserved != nil {
+		a.reserved.stopAndRelease()
+	}
+	a.answer.buffer.release()
+	a.outcome.startedAt = a.startedAt
 }
 
 // isOverPeer reports whether the link is a tunnel over a peer.
@@ -195,62 +276,6 @@
 	return err
 }
 
-// roundTrip writes the request and handles the response. It reports whether
-// the link can carry another request.
-func (a *attempt) roundTrip() (outcome, bool) {
-	a.link.SetWriteDeadline(a.deadline)
-	if err := a.writeRequest(); err != nil {
-		return failedSend("write", err), false
-	}
-	a.setReadDeadline(a.headerDeadline())
-	res, header, err := a.readResponseHeader()
-	if err != nil {
-		return failedSend("read response", err), false
-	}
-	a.hear()
-	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
-		a.server.observeLimit(a.choice.Primary, header, time.Now())
-		a.server.observeAvailability(a.choice.Primary, a.sender, header, time.Now())
-	}
-	o := outcome{status: res.Status, rests: header.Rest > 0, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
-	if k, n := res.Get("Keep-Alive"); n > 0 {
-		a.applyKeepAlive(string(k))
-	}
-	switch kind := a.classify(res, header); kind {
-	case eventAnswer:
-		return a.relayStream(res, o)
-	case unusableAnswer:
-		o.result, o.reason = unusable, kind.describe(res)
-		return o, false
-	default:
-		return a.relayResponse(res, kind, o)
-	}
-}
-
-// failedSend returns the outcome of a send that ended with an error in the given step.
-func failedSend(step string, err error) outcome {
-	return outcome{result: unanswered, connBroken: isConnBroken(err), peerLost: errors.Is(err, tunnel.ErrPeerLost), reason: step + ": " + err.Error()}
-}
-
-// hear records that bytes arrived, if they came over a link of this node.
-func (a *attempt) hear() {
-	if !a.isOverPeer() {
-		a.server.direct.hear()
-	}
-}
-
-// applyKeepAlive applies the timeout of a Keep-Alive field to the link.
-func (a *attempt) applyKeepAlive(field string) {
-	_, rest, ok := strings.Cut(field, "timeout=")
-	if !ok {
-		return
-	}
-	digits := rest[:len(rest)-len(strings.TrimLeft(rest, "0123456789"))]
-	if n, err := strconv.Atoi(digits); err == nil {
-		a.link.SetAnnouncedTimeout(n)
-	}
-}
-
 func (a *attempt) writeRequest() error {
 	header := a.forwardedRequestHeader()
 	if len(a.body) <= maxInlineBody {
@@ -278,7 +303,7 @@
 	b = append(b, ' ')
 	b = append(b, r.Target...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	resumed := a.position.begun
+	resumed := a.resumesAt.begun
 	d := a.server.Dialect
 	r.EndToEnd(func(f http1.Field) {
 		if d.ForwardsField(f, resumed) {
@@ -290,7 +315,7 @@
 		fields.Workspace = a.workspace.Name
 	}
 	if resumed {
-		fields.LastEvent = a.position.lastID
+		fields.LastEvent = a.resumesAt.lastID
 	}
 	for i, h := range a.choice.Helpers {
 		helper := relay.Helper{Endpoint: h.Name, Address: h.Address}
@@ -305,81 +330,3 @@
 	}
 	return append(b, "\r\n"...)
 }
-
-// readResponseHeader reads the header of the response to the request. It skips up to
-// maxStaleResponses other responses on the link. If the response has no ID, the header
-// that is returned is empty: what it states may not be about this request.
-func (a *attempt) readResponseHeader() (*http1.Response, relay.ResponseHeader, error) {
-	for range maxStaleResponses + 1 {
-		res, err := http1.ReadResponse(a.link.Reader, maxResponseHeader, string(a.request.Method))
-		if err != nil {
-			return nil, relay.ResponseHeader{}, err
-		}
-		header := a.server.Dialect.ParseResponse(&res.Head, res.Status)
-		if header.ID == a.reqHeader.ID {
-			return res, header, nil
-		}
-		if a.isErrorWithoutID(res.Status, header) {
-			return res, relay.ResponseHeader{}, nil
-		}
-		if res.Close {
-			break
-		}
-		if err := skipBody(a.link.Reader, res); err != nil {
-			return nil, relay.ResponseHeader{}, err
-		}
-	}
-	return nil, relay.ResponseHeader{}, errors.Annotate(http1.ErrMalformed, "response to another request")
-}
-
-// isErrorWithoutID reports whether a response is an error without an ID that answers the
-// request. That is so only on a link that has carried no other request, and not if the
-// response promises that the request has not run: an endpoint that knows this also knows
-// the request's ID.
-func (a *attempt) isErrorWithoutID(status int, h relay.ResponseHeader) bool {
-	return h.ID == "" && !a.link.Reused() && status/100 != 2 && !h.NotRun && !promisesNotRun(status)
-}
-
-// promisesNotRun reports whether callers take a status as the promise that the request
-// has not run and will not run.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// relayResponse reads a whole response and passes it on to the caller. If the
-// endpoint refused or failed, the response is kept in the outcome instead,
-// since the request may be sent again.
-func (a *attempt) relayResponse(res *http1.Response, kind answerKind, o outcome) (outcome, bool) {
-	a.setReadDeadline(a.deadline)
-	body, buffer, err := a.server.readBody(a.link.Reader, res)
-	defer buffer.release()
-	if err != nil {
-		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
-		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
-		if kind == refusalAnswer {
-			o.result = refused
-		}
-		return o, false
-	}
-	intact := !res.Close
-	full := fullResponse(res, body, a.closesConn())
-	switch kind {
-	case refusalAnswer:
-		o.result, o.reason, o.response = refused, kind.describe(res), full
-		return o, intact
-	case errorAnswer:
-		o.result, o.reason, o.response = failed, kind.describe(res), full
-		return o, intact
-	case unsignedAnswer:
-		o.result, o.reason = unanswered, kind.describe(res)
-		return o, false
-	}
-	a.exchange.writeToCaller(full)
-	o.result = complete
-	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
-	return o, intact
-}
--- a/internal/trans/gate/buffer.go
+++ b/internal/trans/gate/buffer.go
@@ -52,7 +52,12 @@
 	return n, err
 }
 
-func (b *bodyBuffer) release() { b.server.bufferedBytes.Add(-b.size) }
+// release stops counting the bytes. It does nothing if b is nil.
+func (b *bodyBuffer) release() {
+	if b != nil {
+		b.server.bufferedBytes.Add(-b.size)
+	}
+}
 
 // skipBody reads a body that is not used.
 func skipBody(br *bufio.Reader, res *http1.Response) error {
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -74,11 +74,12 @@
 
 // excluded returns the endpoints that the request may not be sent to now.
 func (x *exchange) excluded() ident.Set[ident.EndpointName] {
-	if len(x.limited.atLimit) == 0 {
+	if len(x.limited.atLimit) == 0 && x.current == nil && len(x.others) == 0 {
 		return x.tried
 	}
 	all := maps.Clone(x.tried)
 	maps.Copy(all, x.limited.atLimit)
+	x.eachRunning(func(c place.Choice) { all.Add(c.Primary.Name) })
 	return all
 }
 
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -211,22 +211,21 @@
 	}
 }
 
-// abandonAll ends all attempts over links of this node whose requests can be sent again.
+// abandonAll makes the requests of all attempts over links of this node be sent again, where
+// that is possible. The attempts go on until others have answered.
 func (d *directLinks) abandonAll() {
 	// The lock keeps attempts from ending, and their links from being reused, meanwhile.
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for a := range d.waiting {
-		if a.canRunElsewhere() {
-			a.abandon()
-		}
+		a.abandon()
 	}
 }
 
-// abandon ends an attempt over a lost link.
+// abandon records that the link of an attempt is lost.
 func (a *attempt) abandon() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.linkLost = true
-	a.link.SetDeadline(expiredDeadline)
+	a.linkLost, a.wantsOther = true, true
+	a.link.SetReadDeadline(expiredDeadline)
 }
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -13,7 +13,6 @@
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
-	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -109,9 +108,22 @@
 	// after it.
 	announcedClose bool
 
+	// others are the attempts beside the current one, next is the one that the current one
+	// is left for. Only the exchange's goroutine uses them.
+	others []*attempt
+	next   *attempt
+	// reports receives the others when they are ready or have failed. It is created with
+	// the first of them, and has room for all.
+	reports chan *attempt
+
 	mu                 sync.Mutex
 	callerDisconnected bool
-	endpointConn       net.Conn
+	// current is the attempt whose answer the exchange's goroutine reads. Only that
+	// goroutine changes it.
+	current *attempt
+	// attached are the attempts that are interrupted if the caller disconnects.
+	attached      []*attempt
+	attachedArray [2]*attempt
 }
 
 // run serves the request and cancels it if the caller disconnects.
@@ -128,7 +140,7 @@
 }
 
 // watchCaller waits until the caller closes its connection, and then
-// interrupts the send in flight. It also returns if the caller sends more data
+// interrupts the sends in flight. It also returns if the caller sends more data
 // or the read deadline passes.
 func (x *exchange) watchCaller(watchEnded chan struct{}) {
 	defer close(watchEnded)
@@ -143,18 +155,15 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.callerDisconnected = true
-	if x.endpointConn != nil {
-		x.endpointConn.SetDeadline(expiredDeadline)
+	for _, a := range x.attached {
+		a.interrupt()
 	}
 }
 
-// setEndpointConn sets the connection that is interrupted when the caller
-// disconnects. It returns false if the caller has already disconnected.
-func (x *exchange) setEndpointConn(c net.Conn) bool {
+func (x *exchange) setCurrent(a *attempt) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.endpointConn = c
-	return !x.callerDisconnected
+	x.current = a
 }
 
 func (x *exchange) isCallerDisconnected() bool {
@@ -307,40 +316,67 @@
 			continue
 		}
 		x.server.endpointHealth.recordChosen(c.Primary.Name, time.Now())
-		o := x.send(c)
-		if x.isCallerDisconnected() {
-			x.closing = closeLeft
-			x.countRequestEnd("left")
-			x.recordUnserved()
-			x.server.requestLog(false).Str("request", x.reqHeader.ID).Dur("after", time.Since(x.arrived)).Msg("gate: caller left")
+		if x.follow(x.newAttempt(c)) {
 			return
 		}
-		if x.handleOutcome(c, o) {
-			return
+	}
+}
+
+// follow runs an attempt, and goes over to one beside it if that answers first, until none is
+// under way. It reports whether the request has ended.
+func (x *exchange) follow(a *attempt) bool {
+	x.setCurrent(a)
+	isReady := a.begin()
+	for {
+		if isReady && x.next == nil {
+			a.relay()
 		}
+		next := x.endCurrent()
+		if !x.isCallerDisconnected() {
+			x.settle(a, time.Now())
+			if next == nil && a.outcome.result != complete {
+				next = x.awaitOther()
+			}
+		}
+		switch {
+		case x.isCallerDisconnected():
+			x.endNext(next)
+			x.cancelOthers()
+			x.recordLeft()
+			return true
+		case next == nil:
+			x.cancelOthers()
+			return x.handleOutcome(a.outcome, time.Now())
+		}
+		a, isReady = next, true
+		x.setCurrent(a)
 	}
 }
 
-// registerInFlight records the request as in flight at its endpoints and
-// announces it to the peers.
-func (x *exchange) registerInFlight(c place.Choice) works.ID {
-	w := works.Request{
-		ID: works.ID(x.server.lastID.Add(1)), Node: x.server.Node, First: c.Primary.Name,
-		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Share: x.reqHeader.Prompt, Gap: x.route.Gap, Target: x.remainingTarget(time.Now()), Since: time.Now(),
+// endCurrent ends the current attempt. It returns the one that it was left for, if any.
+func (x *exchange) endCurrent() (next *attempt) {
+	a := x.current
+	next, x.next = x.next, nil
+	if next != nil {
+		a.outcome.result, a.outcome.reason = superseded, errSuperseded.Error()
 	}
-	for i, h := range c.Helpers {
-		w.Helpers = append(w.Helpers, h.Name)
-		if i < len(c.Reservations) {
-			w.Held = append(w.Held, works.Reservation{Endpoint: h.Name, Tokens: c.Reservations[i]})
-			w.Share = max(0, w.Share-c.Reservations[i])
-		}
+	a.end()
+	x.setCurrent(nil)
+	return next
+}
+
+// endNext ends an attempt whose answer is not passed on; it may be nil.
+func (x *exchange) endNext(b *attempt) {
+	if b != nil {
+		x.recordCancelled(b)
+		b.end()
 	}
-	x.server.InFlight.Put(w)
-	x.server.AnnounceStart(w)
-	return w.ID
 }
 
-func (x *exchange) unregisterInFlight(id works.ID) {
-	x.server.InFlight.Remove(x.server.Node, id)
-	x.server.AnnounceEnd(id)
+// recordLeft records that the caller has disconnected.
+func (x *exchange) recordLeft() {
+	x.closing = closeLeft
+	x.countRequestEnd("left")
+	x.recordUnserved()
+	x.server.requestLog(false).Str("request", x.reqHeader.ID).Dur("after", time.Since(x.arrived)).Msg("gate: caller left")
 }
--- a/internal/trans/gate/lines_test.go
+++ b/internal/trans/gate/lines_test.go
@@ -104,7 +104,7 @@
 
 // counterValue returns the value of a server's counter with the given values
 // among those of its labels.
-func counterValue(t *testing.T, s *Server, name string, values ...string) float64 {
+func counterValue(t testing.TB, s *Server, name string, values ...string) float64 {
 	t.Helper()
 	registry := prometheus.NewRegistry()
 	s.Register(registry)
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -10,6 +10,7 @@
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // rejectUnplaced ends a request that is not sent to any further endpoint. err is
@@ -53,35 +54,55 @@
 	return errors.Is(err, place.ErrFull) || errors.Is(err, place.ErrLate) || errors.Is(err, place.ErrDeferred) || errors.Is(err, errUnreserved)
 }
 
-// handleOutcome decides whether the request is sent again. It returns true if
-// the request has ended.
-func (x *exchange) handleOutcome(c place.Choice, o outcome) bool {
+// settle records the outcome of an attempt that has ended.
+func (x *exchange) settle(a *attempt, now time.Time) {
+	x.recordOutcome(a.choice, a.outcome, now)
+	x.server.endTrial(x.takeTrial())
+	switch a.outcome.result {
+	case complete:
+		return
+	case unreserved:
+		x.recordUnreservedEngines(a.outcome.unreservedEngines)
+		return
+	case notSent, refused:
+	default:
+		x.possibleRuns++
+	}
+	x.tried.Add(a.choice.Primary.Name)
+}
+
+// recordUnreservedEngines records the engines at which memory could not be
+// reserved. The send doesn't count, since nothing was sent.
+func (x *exchange) recordUnreservedEngines(engines ident.Set[ident.EndpointName]) {
+	x.sends--
+	x.failedReservations++
+	for n := range engines {
+		x.unreservedEngines.Add(n)
+	}
+}
+
+// handleOutcome decides whether the request is sent again after the outcome of its last
+// attempt. It returns true if the request has ended.
+func (x *exchange) handleOutcome(o outcome, now time.Time) bool {
 	s := x.server
-	now := time.Now()
-	x.recordOutcome(c, o, now)
-	s.endTrial(x.takeTrial())
-	if o.result == complete {
+	canRetry := now.Before(x.deadline) && x.sends < maxSends
+	switch o.result {
+	case complete:
 		return true
-	}
-	if o.result == unreserved {
+	case notSent:
+		return false
+	case unreserved:
 		if x.failedReservations < maxReservationAttempts {
 			return false
 		}
 		x.rejectUnplaced(place.ErrFull, retryLater)
 		return true
-	}
-	x.tried.Add(c.Primary.Name)
-	canRetry := now.Before(x.deadline) && x.sends < maxSends
-	switch o.result {
-	case notSent:
-		return false
 	case refused:
 		if canRetry && !x.allTried() && s.takeRetry(x.service.Name) {
 			return false
 		}
 	default:
-		x.possibleRuns++
-		if canRetry && x.route.Repeatable() && x.position.isResumable() && x.possibleRuns < x.route.Attempts && !x.allTried() && s.takeRetry(x.service.Name) {
+		if canRetry && x.mayRunElsewhere(now) && !x.allTried() && s.takeRetry(x.service.Name) {
 			return false
 		}
 	}
@@ -110,7 +131,7 @@
 		x.reject(0, 0, "stream not resumed: "+o.reason)
 	case o.response != nil:
 		x.countRequestEnd(strconv.Itoa(o.status))
-		x.writeToCaller(o.response)
+		x.writeResponse(o.response)
 	case o.result == refused:
 		x.reject(503, retrySoon, o.reason)
 	case !now.Before(x.deadline):
@@ -148,7 +169,8 @@
 		if o.whole {
 			x.recordEndedWell(o, c.Primary.Name)
 		}
-	case o.linkLost:
+	case o.linkLost, o.result == superseded:
+		// The silence of one that was superseded has been recorded.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil && !o.rests:
@@ -156,6 +178,19 @@
 	}
 }
 
+// recordSilence records that an endpoint is silent, and why no other one is tried beside it if
+// err is not nil.
+func (x *exchange) recordSilence(a *attempt, err error, now time.Time) {
+	if errors.Is(err, errNoFurtherRun) {
+		return
+	}
+	x.server.requestLog(false).Err(err).Str("request", x.reqHeader.ID).Str("endpoint", string(a.choice.Primary.Name)).
+		Dur("after", now.Sub(x.arrived)).Str("route", string(x.route.Name)).Msg("gate: endpoint is silent")
+	if !a.isLinkLost() {
+		x.recordFailureAt(a.choice.Primary, outcome{startedAt: a.startedAt}, now)
+	}
+}
+
 // recordFailureAt records that an endpoint could not be reached or did not answer. The
 // peers are informed, and the parts of the prompt get strikes, only if the endpoint is the
 // cause and not the link of this node.
--- a/internal/trans/gate/reserve_test.go
+++ b/internal/trans/gate/reserve_test.go
@@ -34,6 +34,6 @@
 			route: &topol.Route{Kind: topol.Stream, Resumable: true, Attempts: 2, Target: time.Second},
 		}
 		a := &attempt{exchange: x, startedAt: began, choice: place.Choice{Reservations: c.reservations, Estimate: c.estimate}}
-		test.Eq(t, c.bounded, a.headerDeadline().Before(began.Add(maxUnused)), test.Sprint(c.name))
+		test.Eq(t, c.bounded, a.hardDeadline().Before(began.Add(maxUnused)), test.Sprint(c.name))
 	}
 }
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -116,6 +116,10 @@
 	// MaxBufferedBytes bounds the bytes of endpoints' responses that the node holds
 	// at one time; zero means no bound.
 	MaxBufferedBytes int64
+	// MinGapWait is the least time for which a stream is silent, and HeaderSlack that for
+	// which its header is overdue, before another endpoint is tried; zero means the
+	// defaults.
+	MinGapWait, HeaderSlack time.Duration
 	// GracePeriod is the time between the stop signal and the end of the
 	// process.
 	GracePeriod time.Duration
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -16,10 +16,6 @@
 	initialStreamBuffer = 2 << 10
 	// maxEventSize bounds one event in bytes.
 	maxEventSize = 1 << 20
-	// If a stream has no event for gapFactor times the route's Gap, and for at
-	// least minGapTimeout, another endpoint is tried; see gapDeadline.
-	gapFactor     = 3
-	minGapTimeout = 1600 * time.Millisecond
 )
 
 // Errors of a stream whose body ended.
@@ -46,17 +42,28 @@
 	// got yet. repeatsLast is set if the last one that arrived is the last one that the
 	// caller had got.
 	hasEvents, hasNext, repeatsLast bool
+	// arrivedAt is when the last events arrived, partSince when the wait for the rest of
+	// the next one began.
+	arrivedAt, partSince time.Time
 }
 
-func (a *attempt) newEventReader(res *http1.Response) *eventReader {
-	return &eventReader{
+func (a *attempt) newEventReader(res *http1.Response) eventReader {
+	return eventReader{
 		body:      http1.NewBodyReader(a.link.Reader, res.Framing, res.Length),
-		isResumed: a.headerSent, isFramed: res.Framing != http1.UntilClose,
-		position: a.position,
+		isResumed: a.isResumed, isFramed: res.Framing != http1.UntilClose,
+		position: a.resumesAt,
 		buf:      make([]byte, 0, initialStreamBuffer),
 	}
 }
 
+// waitsSince returns when the wait for the rest of the next event began.
+func (r *eventReader) waitsSince() time.Time {
+	if !r.hasPart() {
+		r.partSince = time.Now()
+	}
+	return r.partSince
+}
+
 // hasPart reports whether a part of an event waits for its rest.
 func (r *eventReader) hasPart() bool { return len(r.buf) > r.returned }
 
@@ -115,70 +122,81 @@
 	return io.EOF
 }
 
-// relayStream passes each event on to the caller as soon as it is complete. A
-// stream that ends early can therefore be resumed at another endpoint after the
-// last event that was passed on.
-func (a *attempt) relayStream(res *http1.Response, o outcome) (outcome, bool) {
-	r := a.newEventReader(res)
-	var lastForwarded time.Time
-	// waitingSince is when the wait for the rest of the next event began.
-	var waitingSince time.Time
+// readFirstEvents reads the answer up to the first events that can be passed on. It returns
+// false if there are none.
+func (a *attempt) readFirstEvents() bool {
 	for {
-		if r.hasEvents {
-			if !r.hasPart() {
-				waitingSince = time.Now()
-			}
-			a.setReadDeadline(a.gapDeadline(waitingSince))
+		a.readEvents()
+		if len(a.answer.next) > 0 || a.answer.err == io.EOF {
+			return true
 		}
-		isFirst := !r.hasEvents
-		events, err := r.read()
-		if len(r.buf) > 0 {
-			a.hear()
+		if a.answer.err != nil {
+			failStream(&a.outcome, a.answer.err)
+			return false
 		}
-		if r.returned > 0 || err == io.EOF {
-			now := time.Now()
-			if !isFirst {
-				o.maxGap = max(o.maxGap, now.Sub(lastForwarded))
-			}
-			lastForwarded, waitingSince = now, now
-			if isFirst && r.hasEvents {
-				o.timeToFirst = time.Since(a.startedAt)
-				a.server.InFlight.MarkDecoding(a.server.Node, a.inFlightID)
-				a.server.AnnounceDecoding(a.inFlightID)
-			}
-			if !a.forwardEvents(res, events, err == io.EOF) {
+	}
+}
+
+// readEvents reads once from the stream.
+func (a *attempt) readEvents() {
+	r, o := a.answer.events, &a.outcome
+	if r.hasEvents {
+		a.wait.continueAt(r.waitsSince(), a.gapWait())
+		a.setReadDeadline()
+	}
+	isFirst := !r.hasEvents
+	a.answer.next, a.answer.err = r.read()
+	if len(r.buf) > 0 {
+		a.hear()
+	}
+	if r.returned == 0 {
+		return
+	}
+	now := time.Now()
+	if isFirst {
+		o.timeToFirst = now.Sub(a.startedAt)
+		a.server.InFlight.MarkDecoding(a.server.Node, a.inFlightID)
+		a.server.AnnounceDecoding(a.inFlightID)
+	} else {
+		o.maxGap = max(o.maxGap, now.Sub(r.arrivedAt))
+	}
+	r.arrivedAt, r.partSince = now, now
+}
+
+// relayStream passes each event on to the caller as soon as it is complete. A
+// stream that ends early can therefore be resumed at another endpoint after the
+// last event that was passed on.
+func (a *attempt) relayStream() {
+	r, o := a.answer.events, &a.outcome
+	for ; a.exchange.next == nil; a.readEvents() {
+		if err := a.answer.err; len(a.answer.next) > 0 || err == io.EOF {
+			a.goesOn()
+			if !a.forwardEvents(a.answer.head, a.answer.next, err == io.EOF) {
 				o.result, o.reason = complete, "caller left"
-				return o, false
+				return
 			}
-			a.position = r.position
+			a.exchange.position = r.position
 		}
-		switch {
+		switch err := a.answer.err; {
 		case err == io.EOF:
-			o.result = complete
-			o.whole, o.framed = true, r.isFramed
-			return o, !res.Close
+			o.result, o.whole, o.framed = complete, true, r.isFramed
+			a.answer.isIntact = !a.answer.head.Close
+			return
 		case err != nil:
-			return failedStream(o, err), false
+			failStream(o, err)
+			return
 		}
 	}
 }
 
-// failedStream returns the outcome of a send whose stream ended early.
-func failedStream(o outcome, err error) outcome {
+// failStream sets the outcome of a send whose stream ended early.
+func failStream(o *outcome, err error) {
 	if errors.Is(err, errNoEvents) || errors.Is(err, errMissingEvents) || errors.Is(err, errUnnumbered) {
 		o.result, o.reason = unusable, err.Error()
-		return o
+		return
 	}
 	o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "stream truncated: "+err.Error()
 	o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
-	return o
-}
-
-// gapDeadline returns the read deadline for an event if the wait for it began at the
-// given time. If it passes, another endpoint is tried. If no other endpoint may run the
-// request, it is the request's deadline: silence alone doesn't end a stream.
-func (a *attempt) gapDeadline(last time.Time) time.Time {
-	return a.waitDeadline(last, max(minGapTimeout, gapFactor*a.route.Gap))
 }
 
 // forwardEvents writes events to the caller, preceded by the response header
--- a/internal/trans/gate/wait.go
+++ b/internal/trans/gate/wait.go
@@ -1,58 +1,95 @@
 package gate
 
 import (
+	"cmp"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
-// canRunElsewhere reports whether the request may run again at another
-// endpoint if this attempt fails.
-func (a *attempt) canRunElsewhere() bool {
-	return a.route.Repeatable() && a.possibleRuns+1 < a.route.Attempts
+const (
+	// If a stream has no event for gapFactor times the route's Gap, and for at
+	// least minGapTimeout, another endpoint is tried; see gapWait.
+	gapFactor     = 3
+	minGapTimeout = 1600 * time.Millisecond
+	// streamSlack is added to the wait for a stream's response header, which is
+	// three times the estimated time to the first event or the route's target,
+	// whichever is longer.
+	streamSlack = 1500 * time.Millisecond
+	// minAskInterval is the least time after which another endpoint is tried again.
+	minAskInterval = 250 * time.Millisecond
+	// releaseMargin is the time that is left for releasing memory before it has been
+	// reserved for too long without use.
+	releaseMargin = 1500 * time.Millisecond
+)
+
+// wait is the wait of an attempt for the next part of its answer.
+type wait struct {
+	began time.Time
+	// length is the time after which another endpoint is tried, and then tried again;
+	// zero if none is.
+	length time.Duration
+	// askAt is when another endpoint is tried next.
+	askAt time.Time
 }
 
-// setReadDeadline sets the deadline of reads from the endpoint. If the caller
-// has disconnected, they fail at once.
-func (a *attempt) setReadDeadline(t time.Time) {
+func (w *wait) begin(now time.Time, length time.Duration) {
+	*w = wait{began: now, length: length, askAt: now.Add(length)}
+}
+
+// continueAt begins a wait, unless the one that began at the given time goes on.
+func (w *wait) continueAt(began time.Time, length time.Duration) {
+	if !w.began.Equal(began) {
+		w.begin(began, length)
+	}
+}
+
+// end ends the wait, after which no other endpoint is tried.
+func (w *wait) end() { *w = wait{} }
+
+// prolong sets when another endpoint is tried next.
+func (w *wait) prolong(now time.Time) {
+	w.askAt = now.Add(max(minAskInterval, w.length))
+}
+
+// setReadDeadline sets the deadline of reads from the endpoint, after which outlast is called.
+// If something has happened since that outlast acts on, they fail at once.
+func (a *attempt) setReadDeadline() {
+	t := a.hardDeadline()
+	if a.wait.length > 0 && a.wait.askAt.Before(t) {
+		t = a.wait.askAt
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.callerDisconnected || a.linkLost {
+	if a.callerDisconnected || a.isCancelled || a.wantsOther || a.current == a && len(a.reports) > 0 {
 		t = expiredDeadline
 	}
 	a.link.SetReadDeadline(t)
 }
 
-// headerDeadline returns the read deadline for the response header. If it
-// passes, another endpoint is tried if possible. A prompt with reserved memory
-// waits no longer than that may stay unused.
-func (a *attempt) headerDeadline() time.Time {
-	if a.route.Kind != topol.Stream {
-		return a.waitDeadline(time.Now(), a.route.Target)
+// hardDeadline returns when the attempt ends if it has no answer. A prompt with reserved
+// memory waits no longer for its first event than that may stay unused.
+func (a *attempt) hardDeadline() time.Time {
+	limit := a.server.MaxUnusedMemory - releaseMargin
+	if limit <= 0 || len(a.choice.Reservations) == 0 || a.answer.events != nil && a.answer.events.hasEvents {
+		return a.deadline
 	}
-	t := a.waitDeadline(time.Now(), max(3*a.choice.Estimate, a.route.Target)+streamSlack)
-	if limit := a.server.MaxUnusedMemory - releaseMargin; limit > 0 && len(a.choice.Reservations) > 0 && t.After(a.startedAt.Add(limit)) {
-		return a.startedAt.Add(limit)
+	if t := a.startedAt.Add(limit); t.Before(a.deadline) {
+		return t
 	}
-	return t
+	return a.deadline
 }
 
-// releaseMargin is the time that is left for releasing memory before it has been reserved
-// for too long without use.
-const releaseMargin = 1500 * time.Millisecond
-
-// waitDeadline returns the end of a wait that began at the given time, after which
-// another endpoint is tried. It is the request's deadline if that is earlier or if
-// no other endpoint may run the request.
-func (a *attempt) waitDeadline(began time.Time, wait time.Duration) time.Time {
-	t := began.Add(wait)
-	if !a.canRunElsewhere() || a.deadline.Before(t) {
-		return a.deadline
+// headerWait returns how long the attempt waits for the response header before another
+// endpoint is tried.
+func (a *attempt) headerWait() time.Duration {
+	if a.route.Kind != topol.Stream {
+		return a.route.Target
 	}
-	return t
+	return max(3*a.choice.Estimate, a.route.Target) + cmp.Or(a.server.HeaderSlack, streamSlack)
 }
 
-// streamSlack is added to the wait for a stream's response header, which is
-// three times the estimated time to the first event or the route's target,
-// whichever is longer.
-const streamSlack = 1500 * time.Millisecond
+// gapWait returns how long the attempt waits for an event before another endpoint is tried.
+func (a *attempt) gapWait() time.Duration {
+	return max(cmp.Or(a.server.MinGapWait, minGapTimeout), gapFactor*a.route.Gap)
+}
--- a/internal/trans/links/links.go
+++ b/internal/trans/links/links.go
@@ -38,8 +38,18 @@
 
 	lastUsed time.Time
 	reused   bool
+	patient  *conns.PatientReader
 }
 
+// patientConn is a connection that parses what it receives. It has a PatientReader below its
+// parser.
+type patientConn interface {
+	PatientReader() *conns.PatientReader
+}
+
+// SetDeadlineHandler sets what decides about reads that have passed their deadline.
+func (l *Link) SetDeadlineHandler(h conns.DeadlineHandler) { l.patient.Handler = h }
+
 // Reused reports whether the link has carried a request before. What arrives on it may
 // then be another response to an earlier request.
 func (l *Link) Reused() bool { return l.reused }
@@ -79,7 +89,15 @@
 
 // NewLink returns a link over a connection.
 func NewLink(c net.Conn) *Link {
-	return &Link{Conn: c, Reader: bufio.NewReaderSize(c, readBufferBytes), IdleTimeout: defaultIdleTimeout}
+	l := &Link{Conn: c, IdleTimeout: defaultIdleTimeout}
+	if p, ok := c.(patientConn); ok {
+		l.patient = p.PatientReader()
+		l.Reader = bufio.NewReaderSize(c, readBufferBytes)
+		return l
+	}
+	l.patient = &conns.PatientReader{Conn: c}
+	l.Reader = bufio.NewReaderSize(l.patient, readBufferBytes)
+	return l
 }
 
 // DialFunc opens a TCP connection to an address.
@@ -100,6 +118,7 @@
 // end. It closes a link that can't be reused or that exceeds maxIdleLinks.
 func (p *Pool) Put(l *Link, now time.Time) {
 	l.lastUsed, l.reused = now, true
+	l.SetDeadlineHandler(nil)
 	if !conns.Reusable(l.Conn, l.Reader) {
 		l.Close()
 		return
--- a/internal/trans/links/links_test.go
+++ b/internal/trans/links/links_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -32,3 +34,41 @@
 	must.NoError(t, err)
 	test.Eq(t, probeIdle+probeCount*probeInterval, time.Duration(ms)*time.Millisecond)
 }
+
+// handler calls itself for reads that have passed their deadline.
+type handler func() bool
+
+func (h handler) OutlastsDeadline() bool { return h() }
+
+// Guards against a parser that can't go on since a read passed its deadline within a line.
+func TestReadsMayOutlastTheirDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	c, err := Dial(context.Background(), listener.Addr().String())
+	must.NoError(t, err)
+	l := NewLink(c)
+	defer l.Close()
+	endpoint, err := listener.Accept()
+	must.NoError(t, err)
+	defer endpoint.Close()
+
+	calls := 0
+	l.SetDeadlineHandler(handler(func() bool {
+		calls++
+		io.WriteString(endpoint, "line\n")
+		l.SetReadDeadline(time.Time{})
+		return calls == 1
+	}))
+	io.WriteString(endpoint, "one ")
+	_, err = l.Reader.Peek(4)
+	must.NoError(t, err)
+	l.SetReadDeadline(time.Unix(1, 0))
+	line, err := l.Reader.ReadString('\n')
+	must.NoError(t, err)
+	test.Eq(t, "one line\n", line)
+
+	l.SetReadDeadline(time.Unix(1, 0))
+	_, err = l.Reader.ReadByte()
+	test.ErrorIs(t, err, os.ErrDeadlineExceeded, test.Sprint("the handler gives up"))
+}
--- a/internal/trans/tunnel/tunnel.go
+++ b/internal/trans/tunnel/tunnel.go
@@ -20,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -75,7 +76,8 @@
 	}
 	c := nc.(*net.TCPConn)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	reader, err := handshake(c, r)
+	patient := &conns.PatientReader{Conn: c}
+	reader, err := handshake(c, patient, r)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -83,10 +85,12 @@
 		c.Close()
 		return nil, err
 	}
-	return &clientConn{TCPConn: c, reader: reader, chunks: httputil.NewChunkedReader(reader)}, nil
+	return &clientConn{TCPConn: c, patient: patient, reader: reader, chunks: httputil.NewChunkedReader(reader)}, nil
 }
 
-func handshake(c net.Conn, r Request) (*bufio.Reader, error) {
+// handshake asks the other node to connect. It returns a reader of what follows the reply,
+// which reads from source.
+func handshake(c io.Writer, source io.Reader, r Request) (*bufio.Reader, error) {
 	w := bufio.NewWriter(c)
 	w.WriteByte(Preamble)
 	if err := gob.NewEncoder(w).Encode(r); err != nil {
@@ -95,7 +99,7 @@
 	if err := w.Flush(); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReaderSize(c, bufferBytes)
+	reader := bufio.NewReaderSize(source, bufferBytes)
 	var reply Reply
 	if err := gob.NewDecoder(reader).Decode(&reply); err != nil {
 		return nil, err
@@ -109,12 +113,16 @@
 // clientConn is the end of a tunnel at the node that sends requests.
 type clientConn struct {
 	*net.TCPConn
-	reader *bufio.Reader
-	chunks io.Reader
+	patient *conns.PatientReader
+	reader  *bufio.Reader
+	chunks  io.Reader
 	// end is the error of all reads after the end.
 	end error
 }
 
+// PatientReader returns the reader below those that parse the tunnel.
+func (c *clientConn) PatientReader() *conns.PatientReader { return c.patient }
+
 // Read reads what the endpoint sent. It returns io.EOF if the endpoint closed the
 // connection, io.ErrUnexpectedEOF if it broke it, and ErrPeerLost if the node between did.
 func (c *clientConn) Read(b []byte) (int, error) {
--- a/internal/trans/tunnel/tunnel_test.go
+++ b/internal/trans/tunnel/tunnel_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"encoding/gob"
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/shoenig/test"
@@ -119,6 +121,45 @@
 	}
 }
 
+// handler is called if a read has passed its deadline.
+type handler func() bool
+
+func (h handler) OutlastsDeadline() bool { return h() }
+
+// Guards against a tunnel that counts as lost since a read passed its deadline within a chunk.
+func TestReadsOfATunnelMayOutlastTheirDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		c.Read(make([]byte, 1))
+		gob.NewDecoder(c).Decode(&Request{})
+		gob.NewEncoder(c).Encode(Reply{Connected: true})
+		io.WriteString(c, "9\r\none ")
+		accepted <- c
+	}()
+	c, err := Dial(context.Background(), l.Addr().String(), Request{})
+	must.NoError(t, err)
+	defer c.Close()
+	node := <-accepted
+	defer node.Close()
+	c.(*clientConn).PatientReader().Handler = handler(func() bool {
+		io.WriteString(node, "line\n\r\n")
+		c.SetReadDeadline(time.Time{})
+		return true
+	})
+	c.SetReadDeadline(time.Unix(1, 0))
+	b := make([]byte, 9)
+	_, err = io.ReadFull(c, b)
+	must.NoError(t, err)
+	test.Eq(t, "one line\n", string(b))
+}
+
 // Guards against an endpoint whose answer is lost since it stopped reading the request.
 func TestAnswerBeforeTheEndOfTheRequest(t *testing.T) {
 	c, e := open(t, startNode(t, nil))
