topol: reject kinds of routes that this build doesn't know

A configuration from a peer of a later build with another kind of route would have ended the process with the first request on it: the kind's name is looked up in an array for the metrics.

TestUnknownKindsAreInvalid failed before (no error).

--- a/internal/state/topol/valid.go
+++ b/internal/state/topol/valid.go
@@ -86,6 +86,7 @@
 
 func (r *Route) validate() error {
 	bs := []bound{
+		{"kind", int64(r.Kind), int64(Once), int64(Stream)},
 		{"timeout", int64(r.Timeout), 0, int64(MaxTime)},
 		{"target", int64(r.Target), 0, int64(MaxTime)},
 		{"gap", int64(r.Gap), 0, int64(MaxTime)},
