quota: record no rate that isn't a number of zero or more

The header's decoder rejects such rates, but what a peer tells was recorded as it is. The number of nodes that share a rate which is no number has no defined value: it was zero here on arm64 and would be out of range on x86-64.

TestRatesThatAreNoNumbersAreNotRecorded failed before: NaN, -Inf and -1 were recorded.

--- a/internal/coord/quota/quota.go
+++ b/internal/coord/quota/quota.go
@@ -60,8 +60,12 @@
 
 // Record records what an endpoint said, to this node or to a peer, unless something
 // later is known. It reports whether the limit was changed, named for the first time
-// or ended. An endpoint that never named a limit isn't recorded.
+// or ended. An endpoint that never named a limit isn't recorded, nor is a rate that isn't a
+// number of zero or more.
 func (t *Table) Record(l Limit, now time.Time) bool {
+	if !(l.Rate >= 0) {
+		return false
+	}
 	e := t.entries[l.Key]
 	if e == nil {
 		if l.Ended {
--- a/internal/coord/quota/quota_test.go
+++ b/internal/coord/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"fmt"
 	"testing"
 	"time"
@@ -115,3 +116,20 @@
 		test.SliceLen(t, 1, holder.Refresh(at(float64(9*i)), exists))
 	}
 }
+
+// Guards against a process that ends by a rate which is no number: the number of nodes that
+// share it has no defined value then, and is negative on x86-64.
+func TestRatesThatAreNoNumbersAreNotRecorded(t *testing.T) {
+	nodes := Nodes{Self: "a", Alive: []ident.NodeName{"a", "b"}, Known: 2}
+	k := Key{Endpoint: "e"}
+	table := Table{Share: nodes.Share}
+	now := time.Now()
+	for _, rate := range []float64{math.NaN(), math.Inf(-1), -1} {
+		test.False(t, table.Record(Limit{Key: k, Rate: rate, ObservedAt: now}, now))
+	}
+	for _, rate := range []float64{math.Inf(1), math.MaxFloat64, math.SmallestNonzeroFloat64, 0} {
+		test.True(t, table.Record(Limit{Key: k, Rate: rate, ObservedAt: now}, now))
+		wait, _ := table.Wait(k, now)
+		test.GreaterEq(t, 0, wait)
+	}
+}
