--- a/internal/trans/feeds/reject.go
+++ b/internal/trans/feeds/reject.go
@@ -20,7 +20,7 @@
 )
 
 // rejections counts the records of endpoints that can't be decoded, and bounds the log
-// lines on them. Only record and total are safe for concurrent use with each other.
+// lines on them. It is not safe for concurrent use, except for total.
 type rejections struct {
 	total atomic.Uint64
 	// logged holds the endpoints that were logged since the given time.
