--- a/internal/coord/quota/quota_test.go
+++ b/internal/coord/quota/quota_test.go
@@ -1,8 +1,8 @@
 package quota
 
 import (
-	"math"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
