soak: callers look at idle connections as the rest of the code does

The soak had its own look at a socket, and missed bytes that came with the response before.

It uses conns.IsIdle, and bytes that are buffered already count as a response without a request.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -15,6 +15,7 @@
 
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -99,16 +100,6 @@
 	return true
 }
 
-// isUsable reports whether the connection hasn't ended. A response without a request is a
-// violation unless it is an error.
-func (c *caller) isUsable() bool {
-	ended, unasked := hasEnded(c.conn)
-	if strings.HasPrefix(unasked, "HTTP/1.1 2") {
-		c.journal.AddViolation("mixed", "%s sent a success on a connection without a request", c.node)
-	}
-	return !ended
-}
-
 func (c *caller) close() {
 	if c.conn != nil {
 		c.conn.Close()
@@ -152,11 +143,11 @@
 	c.journal.AddCall(call)
 	c.conn.SetDeadline(time.Now().Add(r.Timeout + requestTimeout))
 	// The connection may have ended while the request was built.
-	ended, _ := hasEnded(c.conn)
+	isOpen := conns.IsIdle(c.conn)
 	writeErr := req.Write(c.conn)
 	c.journal.UpdateCall(call, func(l *Call) {
 		l.SentAt = time.Now()
-		l.Kept = l.Kept && !ended
+		l.Kept = l.Kept && isOpen
 	})
 	// The link of a distant caller doesn't tell a closed connection from one that is closed
 	// for writing only.
--- a/internal/lab/soak/habit.go
+++ b/internal/lab/soak/habit.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"net"
 	"os"
-	"syscall"
 	"time"
+
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 // habit is how a caller uses its connections.
@@ -41,7 +41,9 @@
 }
 
 // callerTraits are the traits of the callers, in turn.
-var callerTraits = [...]callerTrait{{}, {habit: eagerHabit}, {habit: patientHabit}, {}, {eagerHabit, true}, {patientHabit, true}}
+var callerTraits = [...]callerTrait{
+	{habit: usualHabit}, {habit: eagerHabit}, {habit: patientHabit}, {habit: usualHabit}, {eagerHabit, true}, {patientHabit, true},
+}
 
 // pause returns how long the caller waits before its next request.
 func (c *caller) pause() time.Duration {
@@ -65,32 +67,21 @@
 	return 1 + rand.IntN(maxEvents)
 }
 
-// hasEnded reports whether an idle connection has ended or has bytes that belong to no
-// request. It returns the latter.
-func hasEnded(conn net.Conn) (ended bool, unasked string) {
-	t, ok := conn.(*net.TCPConn)
-	if !ok {
-		return false, ""
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return true, ""
-	}
-	var b [64]byte
-	var n int
-	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+// successPrefix is how a response with success begins.
+const successPrefix = "HTTP/1.1 2"
+
+// isUsable reports whether the connection is open and has no bytes to read. A success that
+// answers no request is a violation.
+func (c *caller) isUsable() bool {
+	if c.reader.Buffered() == 0 && conns.IsIdle(c.conn) {
 		return true
-	})
-	if err != nil {
-		// The deadline of the request before has passed.
-		return !errors.Is(err, os.ErrDeadlineExceeded), ""
 	}
-	if errors.Is(peekErr, syscall.EAGAIN) {
-		return false, ""
+	c.conn.SetDeadline(time.Now().Add(dialTimeout))
+	b, err := c.reader.Peek(len(successPrefix))
+	if err == nil && string(b) == successPrefix {
+		c.journal.AddViolation("mixed", "%s sent a success on a connection without a request", c.node)
 	}
-	return true, string(b[:max(n, 0)])
+	return false
 }
 
 // isEndOfConnection reports whether an error is the end of the connection, and not the
--- a/internal/lab/soak/sound_test.go
+++ b/internal/lab/soak/sound_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -59,31 +60,31 @@
 
 func TestEndOfIdleConnectionIsSeen(t *testing.T) {
 	cases := []struct {
-		name    string
-		act     func(net.Conn)
-		ended   bool
-		unasked string
+		name       string
+		act        func(net.Conn)
+		ended      bool
+		violations int
 	}{
-		{"open", func(net.Conn) {}, false, ""},
-		{"closed", func(c net.Conn) { c.Close() }, true, ""},
-		{"bytes without a request", func(c net.Conn) { c.Write([]byte("HTTP/1.1 200 OK")) }, true, "HTTP/1.1 200 OK"},
+		{"open", func(net.Conn) {}, false, 0},
+		{"closed", func(c net.Conn) { c.Close() }, true, 0},
+		{"success without a request", func(c net.Conn) { c.Write([]byte("HTTP/1.1 200 OK")) }, true, 1},
+		{"error without a request", func(c net.Conn) { c.Write([]byte("HTTP/1.1 408 Request Timeout")) }, true, 0},
 	}
-	for _, c := range cases {
+	for _, cs := range cases {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		conn, err := net.Dial("tcp", l.Addr().String())
 		must.NoError(t, err)
 		peer, err := l.Accept()
 		must.NoError(t, err)
-		c.act(peer)
-		ended, unasked := hasEnded(conn)
-		for c.ended && !ended {
-			// What the other end did arrives soon.
+		c := &caller{journal: NewJournal(), conn: conn, reader: bufio.NewReader(conn)}
+		cs.act(peer)
+		// What the other end did arrives soon.
+		for cs.ended && conns.IsIdle(conn) {
 			time.Sleep(time.Millisecond)
-			ended, unasked = hasEnded(conn)
 		}
-		test.Eq(t, c.ended, ended, test.Sprint(c.name))
-		test.Eq(t, c.unasked, unasked, test.Sprint(c.name))
+		test.Eq(t, !cs.ended, c.isUsable(), test.Sprint(cs.name))
+		test.SliceLen(t, cs.violations, c.journal.violations, test.Sprint(cs.name))
 		peer.Close()
 		conn.Close()
 		l.Close()
--- a/internal/lab/soak/unanswered.go
+++ b/internal/lab/soak/unanswered.go
@@ -49,7 +49,9 @@
 	if idle*reusableIdleDen >= j.idleLimitFor(c, b)*reusableIdleNum || j.mayEndConnections(c) {
 		return nil
 	}
-	return []Violation{{"unanswered", fmt.Sprintf("request %s of kind %s at %s on a connection idle for %v: no answer and no announced close, ended after %v; distant: %t, runs: %d", c.ID, c.Kind, c.Node, idle, c.EndedAt.Sub(c.SentAt), c.Distant, len(c.Runs))}}
+	text := fmt.Sprintf("request %s of kind %s at %s on a connection idle for %v: no answer and no announced close, ended after %v; distant: %t, runs: %d",
+		c.ID, c.Kind, c.Node, idle, c.EndedAt.Sub(c.SentAt), c.Distant, len(c.Runs))
+	return []Violation{{"unanswered", text}}
 }
 
 // idleLimitFor returns the limit for the connection of a call: the largest one around a
@@ -106,7 +108,8 @@
 			return nil
 		}
 	}
-	return []Violation{{"cut", fmt.Sprintf("stream %s was cut off by %s %v after it was sent, beside a silence of %s; runs: %d", c.ID, c.Node, c.EndedAt.Sub(c.SentAt), c.Runs[0].Endpoint, len(c.Runs))}}
+	text := fmt.Sprintf("stream %s was cut off by %s %v after it was sent, beside a silence of an endpoint; runs: %d", c.ID, c.Node, c.EndedAt.Sub(c.SentAt), len(c.Runs))
+	return []Violation{{"cut", text}}
 }
 
 // isRefused reports whether the answer says that the request has not run.
