gate: test streams of several attempts with drawn silences and failures

TestStreamOfSeveralAttempts draws up to four sends of a stream (silences shorter and longer than the wait, refusals, errors, broken connections, events from 1, from after the last one, or too late) and asks that the caller's events follow one by one, that a stream which ends well is whole, that it is whole if one of the sends that the route allows finishes it and no other sends a part, and that no more sends run than the route allows.

--- /dev/null
+++ b/internal/trans/gate/hedge_test.go
@@ -0,0 +1,167 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// wholeStream is the number of events of the streams in TestStreamOfSeveralAttempts.
+const wholeStream = 5
+
+// behaviour is how an endpoint answers a send of a stream.
+type behaviour struct {
+	// refusal is the whole answer, if it is not empty.
+	refusal string
+	// pauses are the silences before each event and before the end.
+	pauses []time.Duration
+	// from is the first event; zero is the one after the last that the caller got.
+	from int
+	// events is the number of events after which the endpoint drops the connection.
+	events int
+}
+
+func (b behaviour) script(c net.Conn, g receivedRequest) bool {
+	pause := func(i int) { time.Sleep(b.pauses[i%len(b.pauses)]) }
+	write := func(text string) { io.WriteString(c, strings.ReplaceAll(text, "%ID", g.field("Id"))) }
+	if b.refusal != "" {
+		pause(0)
+		write(b.refusal)
+		return true
+	}
+	next := b.from
+	if next == 0 {
+		last, _ := strconv.Atoi(g.field("Last-Event-Id"))
+		next = last + 1
+	}
+	for i := range b.events {
+		pause(i)
+		if i == 0 {
+			write(streamHead)
+		}
+		if next > wholeStream {
+			break
+		}
+		write(chunked(event(next)))
+		next++
+	}
+	pause(b.events)
+	if next > wholeStream && b.events > 0 {
+		write(lastChunk)
+	}
+	return false
+}
+
+// finishes reports whether the endpoint sends the rest of any stream.
+func (b behaviour) finishes() bool { return b.refusal == "" && b.from <= 1 && b.events >= wholeStream }
+
+// sendsNothing reports whether the endpoint sends no event.
+func (b behaviour) sendsNothing() bool { return b.refusal != "" || b.events == 0 }
+
+func (b behaviour) refuses() bool { return strings.Contains(b.refusal, "Not-Run") }
+
+const plainAnswer = "HTTP/1.1 %d Status\r\nId: %%ID\r\nSigned: 1\r\n%sContent-Length: 4\r\n\r\noops"
+
+// behaviours draws a behaviour. The wait of the rig is shortWait.
+func drawBehaviour(t *rapid.T) behaviour {
+	pause := rapid.SampledFrom([]time.Duration{0, 0, 0, time.Millisecond, shortWait / 2, 2 * shortWait, 3 * shortWait})
+	refusal := ""
+	if rapid.IntRange(0, 3).Draw(t, "answersAtOnce") == 0 {
+		refusal = rapid.SampledFrom([]string{
+			fmt.Sprintf(plainAnswer, 503, "Not-Run: 1\r\n"), fmt.Sprintf(plainAnswer, 500, ""), fmt.Sprintf(plainAnswer, 503, ""),
+		}).Draw(t, "refusal")
+	}
+	return behaviour{
+		refusal: refusal,
+		pauses:  rapid.SliceOfN(pause, 1, wholeStream).Draw(t, "pauses"),
+		from:    rapid.SampledFrom([]int{0, 0, 0, 1, 1, 2, 4}).Draw(t, "from"),
+		events:  rapid.SampledFrom([]int{0, 1, 2, 3, wholeStream, wholeStream, wholeStream}).Draw(t, "events"),
+	}
+}
+
+// mustBeWhole reports whether the caller must get the whole stream: one of the sends that the
+// route allows finishes it, and none of the others sends a part of it.
+func mustBeWhole(bs []behaviour, attempts int) bool {
+	runs, isReached := 0, false
+	for i, b := range bs {
+		if !b.finishes() && !b.sendsNothing() {
+			return false
+		}
+		if b.finishes() && runs < attempts && i < maxSends {
+			isReached = true
+		}
+		if !b.refuses() {
+			runs++
+		}
+	}
+	return isReached
+}
+
+// Guards against gaps, repeats and joined runs in streams, and against streams that are cut or
+// run too often, whatever silences, failures and events of several endpoints come together.
+func TestStreamOfSeveralAttempts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		attempts := rapid.IntRange(1, 3).Draw(rt, "attempts")
+		bs := rapid.SliceOfN(rapid.Custom(drawBehaviour), maxSends, maxSends).Draw(rt, "behaviours")
+		scripts := make([]script, len(bs))
+		for i, b := range bs {
+			scripts[i] = b.script
+		}
+		e := newEndpoint(t, "e", scripts...)
+		r := newSilenceRig(t, attempts, e, e.alias("f"), e.alias("g"), e.alias("h"))
+		res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+
+		received := e.requests()
+		runs := 0
+		for i := range received {
+			if !bs[min(i, len(bs)-1)].refuses() {
+				runs++
+			}
+		}
+		if runs > attempts {
+			rt.Fatalf("%d runs, %d are allowed", runs, attempts)
+		}
+		isWhole := res.status == 200 && res.err == nil
+		if mustBeWhole(bs, attempts) && !isWhole {
+			rt.Fatalf("status %d, %v, %q: the stream is not whole", res.status, res.err, res.body)
+		}
+		if res.status != 200 {
+			return
+		}
+		checkEvents(rt, res.body, isWhole)
+		waitForEnd(r)
+	})
+}
+
+// checkEvents checks that the events of a stream follow one by one, up to the last if it is
+// whole.
+func checkEvents(t *rapid.T, body string, isWhole bool) {
+	next := 0
+	for body != "" {
+		if next == 0 {
+			fmt.Sscanf(body, "id: %d", &next)
+		}
+		rest, ok := strings.CutPrefix(body, event(next))
+		if !ok {
+			t.Fatalf("event %d is expected: %q", next, body)
+		}
+		body = rest
+		next++
+	}
+	if isWhole && next != wholeStream+1 {
+		t.Fatalf("the stream ended as whole before event %d", next)
+	}
+}
+
+// waitForEnd waits until no attempt is under way.
+func waitForEnd(r *rig) {
+	for len(r.server.InFlight.All()) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
