--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -100,6 +100,9 @@
 	// caller had received the header of a stream.
 	resumesAt position
 	isResumed bool
+	// needsNewLink is set if a response on a reused link could not be told from one to an
+	// earlier send.
+	needsNewLink bool
 
 	reserved   *reservationSet
 	link       *links.Link
@@ -139,9 +142,17 @@
 	return &attempt{
 		exchange: x, choice: c, startedAt: time.Now(), pool: x.server.pool(c.Primary.Address),
 		resumesAt: x.position, isResumed: x.headerSent,
+		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
 }
 
+// wasSentTo reports whether a link to an address may have carried the request.
+func (x *exchange) wasSentTo(address string) bool {
+	sent := slices.Contains(x.sentTo, address)
+	x.eachRunning(func(c place.Choice) { sent = sent || c.Primary.Address == address })
+	return sent
+}
+
 // begin sends the request and reads the answer: up to its first event if it is a stream, or
 // else to its end. It reports whether the answer can be passed on. Otherwise the outcome is
 // set.
@@ -260,11 +271,12 @@
 // connect takes an idle link from the pool or dials a new one. A request that
 // may run only once always gets a new link: if the endpoint closed a reused
 // one, it would be unknown whether the request ran. So does a request without an
-// ID, since its response could not be told from one to an earlier request.
+// ID, or one that was already sent to the address: its response could not be told
+// from an earlier one.
 func (a *attempt) connect() error {
 	e := a.choice.Primary
 	a.sender = a.server.Node
-	if a.route.Repeatable() && a.reqHeader.ID != "" && a.server.sendsDirectly(e) {
+	if a.route.Repeatable() && !a.needsNewLink && a.server.sendsDirectly(e) {
 		if a.link = a.pool.Take(time.Now()); a.link != nil {
 			return nil
 		}
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -242,6 +242,7 @@
 	x.mu.Unlock()
 	if mayHaveRun {
 		x.possibleRuns++
+		x.sentTo = append(x.sentTo, b.choice.Primary.Address)
 	}
 	x.server.getMetrics().sends.WithLabelValues(cancelled.String()).Inc()
 }
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -69,6 +69,7 @@
 		x.possibleRuns++
 	}
 	x.tried.Add(a.choice.Primary.Name)
+	x.sentTo = append(x.sentTo, a.choice.Primary.Address)
 }
 
 // recordUnreservedEngines records the engines at which memory could not be
