--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -100,9 +100,8 @@
 	// caller had received the header of a stream.
 	resumesAt position
 	isResumed bool
-
-	// needsNewLink is set if the answer could not be told from another one on a link that
-	// has carried requests before.
+	// needsNewLink is set if a response on a reused link could not be told from one to an
+	// earlier send.
 	needsNewLink bool
 
 	reserved   *reservationSet
@@ -147,11 +146,11 @@
 	}
 }
 
-// wasSentTo reports whether the request was sent to an address before, or is being sent there.
+// wasSentTo reports whether a link to an address may have carried the request.
 func (x *exchange) wasSentTo(address string) bool {
-	isSent := slices.Contains(x.sentTo, address)
-	x.eachRunning(func(c place.Choice) { isSent = isSent || c.Primary.Address == address })
-	return isSent
+	sent := slices.Contains(x.sentTo, address)
+	x.eachRunning(func(c place.Choice) { sent = sent || c.Primary.Address == address })
+	return sent
 }
 
 // begin sends the request and reads the answer: up to its first event if it is a stream, or
