gate, edge: test when a drain may end; end it at once if the node fails

A drain whose node failed meanwhile went on without a pause between two looks until the grace period was over, since the pause ends at once with the context; now it ends.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -259,7 +259,9 @@
 		if now.Sub(began) >= minDrainTime && n.gate.MayStop(now) {
 			break
 		}
-		delay.For(ctx, pollInterval)
+		if !delay.For(ctx, pollInterval) {
+			return
+		}
 	}
 	stopCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -231,3 +233,60 @@
 		test.Eq(t, 0, s.InFlightCount())
 	}
 }
+
+// Guards against a drain that ends while a caller may still use its connection, counted from
+// its last response and by the idle timeout in force.
+func TestMayStopOnlyWhenNoCallerWouldUseItsConnection(t *testing.T) {
+	cases := []struct {
+		name    string
+		request string
+		idle    time.Duration
+		after   time.Duration
+		inUse   bool
+		want    bool
+	}{
+		{"no request yet", "", 10 * time.Second, 7 * time.Second, false, false},
+		{"never a request", "", 10 * time.Second, 9 * time.Second, false, true},
+		{"served a moment ago", request("GET", "/safe/", "r", ""), 10 * time.Second, 7 * time.Second, false, false},
+		{"served long ago", request("GET", "/safe/", "r", ""), 10 * time.Second, 9 * time.Second, false, true},
+		{"served long ago, the timeout has been lengthened", request("GET", "/safe/", "r", ""), time.Minute, 9 * time.Second, false, false},
+		{"request under way", request("GET", "/stream/", "r", ""), 10 * time.Second, time.Hour, true, false},
+		{"part of a request", "GET", 10 * time.Second, time.Hour, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, newEndpoint(t, "e", func(conn net.Conn, g receivedRequest) bool {
+				if string(g.head.Target) == "/stream/" {
+					return neverResponds(conn, g)
+				}
+				return ok("yes")(conn, g)
+			}))
+			conn := r.dial()
+			io.WriteString(conn, c.request)
+			if strings.Contains(c.request, "/safe/") {
+				_, err := readResponse(conn)
+				must.NoError(t, err)
+			}
+			for !r.server.hasConn(c.inUse) {
+				time.Sleep(time.Millisecond)
+			}
+			r.setLimits(func(l *topol.Limits) { l.IdleTimeout = c.idle })
+			test.Eq(t, c.want, r.server.MayStop(time.Now().Add(c.after)))
+		})
+	}
+}
+
+// hasConn reports whether there is a connection that is in use, or one that is idle.
+func (s *Server) hasConn(inUse bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		idle := c.isIdle
+		c.mu.Unlock()
+		if idle != inUse {
+			return true
+		}
+	}
+	return false
+}
