gate: answer the requests under way when the process must end

Requests that came before a stop, or that waited for memory, and whose response had not begun when the process had to end were cut off without a response.

Now they get status 502 with an announced close, as they may have run. Whether the endpoint's response or this one is written is decided once, by an atomic state of the connection.

--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -76,7 +76,9 @@
 		return closeUnreadable
 	}
 	c.waitUntil(time.Time{})
+	c.reply.Store(replyAwaited)
 	x.run()
+	c.reply.Store(noRequest)
 	switch {
 	case x.closing != keepOpen:
 		return x.closing
--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -76,7 +76,8 @@
 }
 
 // Stop accepts no more connections and closes those without a request. It returns when no
-// connection is open and no request is under way, or when the context ends.
+// connection is open and no request is under way, or when the context ends; then requests
+// whose response has not begun have been answered with status 502.
 func (s *Server) Stop(ctx context.Context) {
 	s.stopping.Store(true)
 	s.mu.Lock()
@@ -93,6 +94,7 @@
 	s.mu.Unlock()
 	for (s.openConns.Load()+s.refusedConns.Load() > 0 || s.inFlightCount.Load() > 0) && delay.For(ctx, stopPollInterval) {
 	}
+	s.cutOffAll()
 }
 
 // InFlightCount returns the number of callers' requests that this node serves.
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -285,6 +285,10 @@
 }
 
 func (x *exchange) writeToCaller(b []byte) bool {
+	if !x.caller.beginReply() {
+		x.closing = closeEnd
+		return false
+	}
 	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.caller.Write(b); err != nil {
 		x.closing = closeWrite
--- a/internal/trans/gate/idle.go
+++ b/internal/trans/gate/idle.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -51,6 +52,8 @@
 	reader *bufio.Reader
 	// served is the number of requests that were read on the connection.
 	served int64
+	// reply is a replyState.
+	reply atomic.Int32
 
 	// mu guards what follows, and the read deadline while a request is awaited.
 	mu sync.Mutex
