front: wait for all connections before fasthttp stops

Of 120 runs of TestStopServesRequestsThatHaveArrived with the race detector, 8 at a time, 3 still failed: "unexpected EOF" in place of the response to a request that had been sent before the stop.

Cause: when fasthttp stops, it closes each connection after its response, whether or not the response announced that. The response to an earlier request may have reached its caller, who sends the next one, while the connection isn't idle yet. The server waited for idle connections only.

Now it closes the listener itself and waits until no connection is open: the idle ones are ended, and the others announce their close, since the node drains.

--- a/internal/trans/front/conn.go
+++ b/internal/trans/front/conn.go
@@ -15,19 +15,20 @@
 const (
 	// arrivedTimeout bounds the read of bytes that have arrived.
 	arrivedTimeout = time.Second
-	// idlePollInterval is the pause between two looks for idle connections.
-	idlePollInterval = 5 * time.Millisecond
+	// endPollInterval is the pause between two looks for open connections.
+	endPollInterval = 5 * time.Millisecond
 )
 
 // expiredDeadline is a deadline in the past, which makes reads fail at once.
 var expiredDeadline = time.Unix(1, 0)
 
-// callerConns holds the open connections of callers, so that the idle ones can be closed
-// without the loss of a request that has arrived. The zero value is ready to use. It is
-// safe for concurrent use.
+// callerConns holds the listener for callers and their open connections, so that the idle
+// ones can be closed without the loss of a request that has arrived. The zero value is
+// ready to use. It is safe for concurrent use.
 type callerConns struct {
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	mu       sync.Mutex
+	listener *callerListener
+	open     map[*callerConn]struct{}
 	// ending is set once idle connections are closed.
 	ending bool
 }
@@ -49,28 +50,34 @@
 	delete(o.open, c)
 }
 
-// endIdle ends the wait for a request on all connections, and waits until none is idle or
-// the context ends.
-func (o *callerConns) endIdle(ctx context.Context) {
+// listen returns a listener that adds the connections that it accepts.
+func (o *callerConns) listen(l net.Listener) *callerListener {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listener = &callerListener{LingeringListener: conns.LingeringListener{Listener: l}, owner: o}
+	return o.listener
+}
+
+// end closes the listener, ends the wait for a request on all connections, and waits until
+// none is open or the context ends. The server must announce the close of the others.
+func (o *callerConns) end(ctx context.Context) {
 	o.mu.Lock()
 	o.ending = true
+	if o.listener != nil {
+		o.listener.Close()
+	}
 	for c := range o.open {
 		c.end()
 	}
 	o.mu.Unlock()
-	for o.anyIdle() && delay.For(ctx, idlePollInterval) {
+	for o.len() > 0 && delay.For(ctx, endPollInterval) {
 	}
 }
 
-func (o *callerConns) anyIdle() bool {
+func (o *callerConns) len() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for c := range o.open {
-		if c.idle() {
-			return true
-		}
-	}
-	return false
+	return len(o.open)
 }
 
 // callerConn is one connection of a caller.
@@ -99,12 +106,6 @@
 	c.isIdle = idle
 }
 
-func (c *callerConn) idle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isIdle
-}
-
 // end ends the wait for a request, now or the next time that one is awaited.
 func (c *callerConn) end() {
 	c.mu.Lock()
@@ -160,14 +161,21 @@
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	conns.LingeringListener
-	open *callerConns
+	owner *callerConns
+	once  sync.Once
 }
 
 // Accept waits for and returns the next connection.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l *callerListener) Accept() (net.Conn, error) {
 	c, err := l.LingeringListener.Accept()
 	if t, ok := c.(*conns.LingeringConn); ok && err == nil {
-		return l.open.add(t), nil
+		return l.owner.add(t), nil
 	}
 	return c, err
 }
+
+// Close closes the listener. Only the first call may fail.
+func (l *callerListener) Close() (err error) {
+	l.once.Do(func() { err = l.LingeringListener.Close() })
+	return err
+}
--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -14,7 +14,6 @@
 
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
-	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/serve"
 	"laburnumstack.org/laburnum/pkg/confg"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -88,7 +87,7 @@
 // requests of callers that closed their connection.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	go s.active.cancelGone(ctx)
-	return s.http.Serve(callerListener{conns.LingeringListener{Listener: l}, &s.conns})
+	return s.http.Serve(s.conns.listen(l))
 }
 
 type silentLogger struct{}
@@ -105,11 +104,12 @@
 // Active returns the number of requests in flight.
 func (s *Server) Active() int { return s.active.len() }
 
-// Stop closes the idle connections and the listener, and waits for the
-// requests in flight. A request that has arrived is served.
+// Stop closes the listener and the idle connections, and waits for the
+// requests in flight. A request that has arrived is served. Drain must have been called.
 func (s *Server) Stop(ctx context.Context) error {
-	// fasthttp closes idle connections without a look for bytes that have arrived.
-	s.conns.endIdle(ctx)
+	// fasthttp closes connections without a look for bytes that have arrived, and after
+	// responses that didn't announce it.
+	s.conns.end(ctx)
 	return errors.Trace(s.http.ShutdownWithContext(ctx))
 }
 
