--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -292,6 +292,10 @@
 }
 
 func (x *exchange) writeToCaller(b []byte) bool {
+	if !x.caller.beginReply() {
+		x.closing = closeEnd
+		return false
+	}
 	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.caller.Write(b); err != nil {
 		x.closing = closeWrite
