--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -64,7 +64,7 @@
 	status int
 	// response is the endpoint's refusal or error, which the caller gets if the request
 	// is not sent again.
-	response *wholeResponse
+	response *fullResponse
 	// unreservedEngines are those at which memory could not be reserved.
 	unreservedEngines ident.Set[ident.EndpointName]
 	// whole is set if the endpoint answered with success and to the end, framed if the
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -21,15 +21,11 @@
 	maxStaleResponses = 2
 )
 
-// wholeResponse is a response of an endpoint with its body.
-type wholeResponse struct {
-	head *http1.Response
-	body []byte
-}
-
 // answer is what an attempt has read of its endpoint's answer.
 type answer struct {
-	wholeResponse
+	head *http1.Response
+	// full is the whole response, nil for a stream.
+	full   *fullResponse
 	buffer *bodyBuffer
 	reader eventReader
 	// events reads the events of a stream; nil for other answers. The events in next were
@@ -152,8 +148,8 @@
 	res, o := a.answer.head, &a.outcome
 	a.wait.end()
 	a.setReadDeadline()
-	var err error
-	a.answer.body, a.answer.buffer, err = a.server.readBody(a.link.Reader, res)
+	body, buffer, err := a.server.readBody(a.link.Reader, res)
+	a.answer.buffer = buffer
 	if err != nil {
 		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
 		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
@@ -162,13 +158,14 @@
 		}
 		return false
 	}
+	a.answer.full = newFullResponse(res, body)
 	a.answer.isIntact = !res.Close && kind != unsignedAnswer
 	switch kind {
 	case refusalAnswer:
-		o.result, o.reason, o.response = refused, kind.describe(res), &a.answer.wholeResponse
+		o.result, o.reason, o.response = refused, kind.describe(res), a.answer.full
 		return false
 	case errorAnswer:
-		o.result, o.reason, o.response = failed, kind.describe(res), &a.answer.wholeResponse
+		o.result, o.reason, o.response = failed, kind.describe(res), a.answer.full
 		return false
 	case unsignedAnswer:
 		o.result, o.reason = unanswered, kind.describe(res)
@@ -185,12 +182,7 @@
 	}
 	res, o := a.answer.head, &a.outcome
 	a.goesOn()
-	a.writeResponse(&a.answer.wholeResponse)
+	a.writeResponse(a.answer.full)
 	o.result = complete
 	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
 }
-
-// writeResponse writes a response to the caller.
-func (x *exchange) writeResponse(r *wholeResponse) {
-	x.writeToCaller(fullResponse(r.head, r.body, x.closesConn()))
-}
