--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -14,7 +14,6 @@
 
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
-	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/serve"
 	"laburnumstack.org/laburnum/pkg/confg"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -59,6 +58,7 @@
 	HasConfig func() bool
 
 	http       *fasthttp.Server
+	conns      callerConns
 	active     activeRequests
 	bodyMemory memoryBudget
 	draining   atomic.Bool
@@ -78,6 +78,7 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultContentType:         true,
 		CloseOnShutdown:              true,
+		ConnState:                    trackState,
 		Logger:                       silentLogger{},
 	}
 }
@@ -86,7 +87,7 @@
 // requests of callers that closed their connection.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	go s.active.cancelGone(ctx)
-	return s.http.Serve(conns.LingeringListener{Listener: l})
+	return s.http.Serve(s.conns.listen(l))
 }
 
 type silentLogger struct{}
@@ -104,8 +105,11 @@
 func (s *Server) Active() int { return s.active.len() }
 
 // Stop closes the listener and the idle connections, and waits for the
-// requests in flight.
+// requests in flight. A request that has arrived is served. Drain must have been called.
 func (s *Server) Stop(ctx context.Context) error {
+	// fasthttp closes connections without a look for bytes that have arrived, and after
+	// responses that didn't announce it.
+	s.conns.end(ctx)
 	return errors.Trace(s.http.ShutdownWithContext(ctx))
 }
 
@@ -114,9 +118,15 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.answer(ctx)
+	// Only now, since the drain may have begun meanwhile: the header is written next.
 	if s.Draining() {
 		ctx.SetConnectionClose()
 	}
+}
+
+// answer prepares the response to one request.
+func (s *Server) answer(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
@@ -152,7 +162,7 @@
 	}
 	q.sendFailure(&serve.Failure{Status: status, Code: code, Message: "request can't be read", Outcome: ident.NotRun})
 	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(*conns.LingeringConn); ok {
+	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.Linger()
 	}
 }
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -2,14 +2,24 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // Guards against callers who lose a request since the node closes their connection after a
@@ -122,3 +132,162 @@
 	test.Eq(t, 503, res.status)
 	test.True(t, res.closesConn)
 }
+
+// stop stops the server as a node does at the end of a drain.
+func (r *rig) stop() {
+	r.server.Stop(context.Background())
+	r.cancel()
+}
+
+// Guards against requests that are lost since they arrive between the last look at the
+// requests in flight and the end of the process.
+func TestStopServesRequestsThatHaveArrived(t *testing.T) {
+	const callers = 200
+	cases := []struct {
+		name string
+		// before and after are sent before and after the stop begins.
+		before, after string
+	}{
+		{"whole request", request("GET", "/none/", "r", ""), ""},
+		{"part of a header", request("GET", "/none/", "r", "")[:1], request("GET", "/none/", "r", "")[1:]},
+		{"header, body follows", "POST /none/ HTTP/1.1\r\nHost: h.example\r\nId: r\r\nKey: secret\r\nContent-Length: 5\r\n\r\n", "hello"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, newEndpoint(t, "e", ok("yes")))
+			var conns []net.Conn
+			for range callers {
+				conns = append(conns, r.dial())
+			}
+			for r.server.openConns.Load() < callers {
+				time.Sleep(time.Millisecond)
+			}
+			r.server.Drain()
+			for _, conn := range conns {
+				io.WriteString(conn, c.before)
+			}
+			stopped := make(chan struct{})
+			go func() {
+				r.stop()
+				close(stopped)
+			}()
+			for _, conn := range conns {
+				io.WriteString(conn, c.after)
+				res, err := readResponse(conn)
+				must.NoError(t, err)
+				// No route matches, so that no endpoint takes part.
+				test.Eq(t, 404, res.status)
+				test.True(t, res.closesConn)
+			}
+			<-stopped
+		})
+	}
+}
+
+// Guards against requests that arrive during a drain, may take longer than the process
+// lives, and are then cut off without a response.
+func TestRequestDuringDrainIsAnsweredBeforeTheEnd(t *testing.T) {
+	const gracePeriod = 4 * time.Second
+	e := newEndpoint(t, "e", neverResponds)
+	r := newConfiguredRig(t, 0, func(s *Server) {
+		s.GracePeriod = gracePeriod
+		s.AnnounceFailure = func(ident.EndpointName) { t.Error("the endpoint counts as failed") }
+	}, e)
+	catalog := testCatalog()
+	catalog.Version++
+	catalog.Match("h.example", "/once/").Timeout = time.Minute
+	r.server.Feeds.UpdateCatalog(catalog)
+	r.server.Drain()
+	res := r.do(request("GET", "/once/", "r", ""))
+	test.Eq(t, 504, res.status)
+	test.True(t, res.closesConn)
+	left, err := strconv.Atoi(e.requests()[0].field("Left"))
+	must.NoError(t, err)
+	test.LessEq(t, int((gracePeriod - answerMargin).Milliseconds()), left)
+}
+
+// Guards against a drain that ends while the node connects to an endpoint for a peer, whose
+// request goes over the connection.
+func TestConnectingForPeerCountsAsInFlight(t *testing.T) {
+	for _, failure := range []error{nil, errors.New("unreachable")} {
+		e := newEndpoint(t, "e", ok("yes"))
+		counts := make(chan int, 1)
+		var s *Server
+		newConfiguredRig(t, 0, func(server *Server) {
+			s = server
+			s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+			s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
+				counts <- s.InFlightCount()
+				if failure != nil {
+					return nil, failure
+				}
+				return links.Dial(ctx, address)
+			}
+		}, e)
+		c, err := s.ConnectForPeer(context.Background(), tunnel.Request{From: "n2", Endpoint: "ep", Address: e.address})
+		test.Eq(t, failure == nil, err == nil)
+		test.Eq(t, 1, <-counts)
+		if failure == nil {
+			test.Eq(t, 1, s.InFlightCount())
+			c.Close()
+		}
+		test.Eq(t, 0, s.InFlightCount())
+	}
+}
+
+// Guards against a drain that ends while a caller may still use its connection, counted from
+// its last response and by the idle timeout in force.
+func TestMayStopOnlyWhenNoCallerWouldUseItsConnection(t *testing.T) {
+	cases := []struct {
+		name    string
+		request string
+		idle    time.Duration
+		after   time.Duration
+		inUse   bool
+		want    bool
+	}{
+		{"no request yet", "", 10 * time.Second, 7 * time.Second, false, false},
+		{"never a request", "", 10 * time.Second, 9 * time.Second, false, true},
+		{"served a moment ago", request("GET", "/safe/", "r", ""), 10 * time.Second, 7 * time.Second, false, false},
+		{"served long ago", request("GET", "/safe/", "r", ""), 10 * time.Second, 9 * time.Second, false, true},
+		{"served long ago, the timeout has been lengthened", request("GET", "/safe/", "r", ""), time.Minute, 9 * time.Second, false, false},
+		{"request under way", request("GET", "/stream/", "r", ""), 10 * time.Second, time.Hour, true, false},
+		{"part of a request", "GET", 10 * time.Second, time.Hour, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, newEndpoint(t, "e", func(conn net.Conn, g receivedRequest) bool {
+				if string(g.head.Target) == "/stream/" {
+					return neverResponds(conn, g)
+				}
+				return ok("yes")(conn, g)
+			}))
+			conn := r.dial()
+			io.WriteString(conn, c.request)
+			if strings.Contains(c.request, "/safe/") {
+				_, err := readResponse(conn)
+				must.NoError(t, err)
+			}
+			for !r.server.hasConn(c.inUse) {
+				time.Sleep(time.Millisecond)
+			}
+			r.setLimits(func(l *topol.Limits) { l.IdleTimeout = c.idle })
+			test.Eq(t, c.want, r.server.MayStop(time.Now().Add(c.after)))
+		})
+	}
+}
+
+// hasConn reports whether there is a connection that is in use, or one that is idle.
+func (s *Server) hasConn(inUse bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		idle := c.isIdle
+		c.mu.Unlock()
+		if idle != inUse {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -62,8 +62,10 @@
 	request *http1.Request
 	body    []byte
 	arrived time.Time
-	// deadline is when the caller must have the whole response.
-	deadline time.Time
+	// deadline is when the caller must have the whole response. endsWithNode is set if the
+	// node must stop by then, and the caller would wait for longer.
+	deadline     time.Time
+	endsWithNode bool
 
 	reqHeader relay.RequestHeader
 	catalog   *topol.Catalog
@@ -217,6 +219,7 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.arrived.Add(limit)
+	x.boundByStop()
 	x.position.lastID = x.reqHeader.LastEvent
 	x.tried = ident.Set[ident.EndpointName]{}
 	x.unreservedEngines = ident.Set[ident.EndpointName]{}
@@ -288,12 +291,11 @@
 	return x.announcedClose
 }
 
-// writeResponse writes a whole response to the caller.
-func (x *exchange) writeResponse(r *fullResponse) bool {
-	return x.writeToCaller(append(endHeader(r.header, x.announcesClose()), r.body...))
-}
-
 func (x *exchange) writeToCaller(b []byte) bool {
+	if !x.caller.beginReply() {
+		x.closing = closeEnd
+		return false
+	}
 	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := x.caller.Write(b); err != nil {
 		x.closing = closeWrite
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -172,6 +172,8 @@
 		}
 	case o.linkLost, o.result == superseded:
 		// The silence of one that was superseded has been recorded.
+	case x.endsWithNode && !now.Before(x.deadline):
+		// The endpoint might have answered in time.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil && !o.rests:
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -21,11 +21,15 @@
 	maxStaleResponses = 2
 )
 
+// wholeResponse is a response of an endpoint with its body.
+type wholeResponse struct {
+	head *http1.Response
+	body []byte
+}
+
 // answer is what an attempt has read of its endpoint's answer.
 type answer struct {
-	head *http1.Response
-	// full is the whole response, nil for a stream.
-	full   *fullResponse
+	wholeResponse
 	buffer *bodyBuffer
 	reader eventReader
 	// events reads the events of a stream; nil for other answers. The events in next were
@@ -148,8 +152,8 @@
 	res, o := a.answer.head, &a.outcome
 	a.wait.end()
 	a.setReadDeadline()
-	body, buffer, err := a.server.readBody(a.link.Reader, res)
-	a.answer.buffer = buffer
+	var err error
+	a.answer.body, a.answer.buffer, err = a.server.readBody(a.link.Reader, res)
 	if err != nil {
 		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
 		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
@@ -158,14 +162,13 @@
 		}
 		return false
 	}
-	a.answer.full = newFullResponse(res, body)
 	a.answer.isIntact = !res.Close && kind != unsignedAnswer
 	switch kind {
 	case refusalAnswer:
-		o.result, o.reason, o.response = refused, kind.describe(res), a.answer.full
+		o.result, o.reason, o.response = refused, kind.describe(res), &a.answer.wholeResponse
 		return false
 	case errorAnswer:
-		o.result, o.reason, o.response = failed, kind.describe(res), a.answer.full
+		o.result, o.reason, o.response = failed, kind.describe(res), &a.answer.wholeResponse
 		return false
 	case unsignedAnswer:
 		o.result, o.reason = unanswered, kind.describe(res)
@@ -182,7 +185,12 @@
 	}
 	res, o := a.answer.head, &a.outcome
 	a.goesOn()
-	a.writeResponse(a.answer.full)
+	a.writeResponse(&a.answer.wholeResponse)
 	o.result = complete
 	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
 }
+
+// writeResponse writes a response to the caller.
+func (x *exchange) writeResponse(r *wholeResponse) {
+	x.writeToCaller(fullResponse(r.head, r.body, x.announcesClose()))
+}
