gate: start no further attempt for a caller who has left

After the current attempt had ended, with another one still reserving or connecting, the exchange went on to start further attempts until the deadline although the caller had closed the connection. No byte of the request reached an endpoint, but memory, connections, limits and retries were used for nobody. TestNoFurtherAttemptForACallerWhoHasLeft failed before.

--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -118,7 +118,7 @@
 		running++
 	}
 	return x.route.Repeatable() && x.position.isResumable() && x.possibleRuns+running < x.route.Attempts &&
-		x.sends < maxSends && len(x.onTrial) == 0 && now.Before(x.deadline)
+		x.sends < maxSends && len(x.onTrial) == 0 && now.Before(x.deadline) && !x.isCallerDisconnected()
 }
 
 func (x *exchange) addOther(b *attempt) {
--- a/internal/trans/gate/hedge_test.go
+++ b/internal/trans/gate/hedge_test.go
@@ -304,3 +304,13 @@
 	_, err := near.Read(make([]byte, 1))
 	test.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against memory, connections and retries that are used for a caller who has left while
+// one attempt has ended and another is still connecting.
+func TestNoFurtherAttemptForACallerWhoHasLeft(t *testing.T) {
+	route := &topol.Route{Kind: topol.Idempotent, Attempts: 3}
+	x := &exchange{route: route, deadline: time.Now().Add(time.Hour), others: []*attempt{{}}}
+	must.True(t, x.mayRunElsewhere(time.Now()))
+	x.callerDisconnected = true
+	test.False(t, x.mayRunElsewhere(time.Now()))
+}
