gate: judge an answer by the start of its attempt alone

An attempt beside the current one read, in its own goroutine, whether the response header had been sent, which the exchange's goroutine writes. Found in review as a data race; no wrong answer was seen, since the current attempt cancels the others before it writes. TestAnswerIsJudgedByTheStartOfItsAttempt failed before.

--- a/internal/trans/gate/classify.go
+++ b/internal/trans/gate/classify.go
@@ -28,8 +28,8 @@
 	unusableAnswer
 )
 
-// classify returns what the answer to a send means. Once a part of a stream has been
-// forwarded, only events can follow it.
+// classify returns what the answer to a send means. If a part of a stream had been forwarded
+// when the attempt began, only events can follow it.
 func (a *attempt) classify(res *http1.Response, header relay.ResponseHeader) answerKind {
 	isSuccess := res.Status/100 == 2
 	switch {
@@ -41,7 +41,7 @@
 		return unsignedAnswer
 	case a.route.Kind == topol.Stream && carriesEvents(res):
 		return eventAnswer
-	case a.headerSent:
+	case a.isResumed:
 		return unusableAnswer
 	}
 	return finalAnswer
--- a/internal/trans/gate/hedge_test.go
+++ b/internal/trans/gate/hedge_test.go
@@ -16,7 +16,9 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -314,3 +316,15 @@
 	x.callerDisconnected = true
 	test.False(t, x.mayRunElsewhere(time.Now()))
 }
+
+// Guards against an answer that is judged, beside the attempt that writes to the caller, by
+// what that one has written meanwhile.
+func TestAnswerIsJudgedByTheStartOfItsAttempt(t *testing.T) {
+	x := &exchange{route: &topol.Route{Kind: topol.Stream}}
+	res := &http1.Response{Status: http.StatusNotFound}
+	begun, resumed := &attempt{exchange: x}, &attempt{exchange: x, isResumed: true}
+	for _, x.headerSent = range []bool{false, true} {
+		test.Eq(t, finalAnswer, begun.classify(res, relay.ResponseHeader{}))
+		test.Eq(t, unusableAnswer, resumed.classify(res, relay.ResponseHeader{}))
+	}
+}
