peer: a node that was not heard of yet may be alive

Mesh.Alive took each node without a heartbeat for gone, also one whose first heartbeat was still to come, or which had been heard of only before its restart; so the holder of a key, or of reserved memory, counted as dead.

A node counts as gone now only if it has been silent for as long as a dead one, counted from this node's start, or if a later run of it is known. TestNodeNotHeardOfYetMayBeAlive failed before in both cases.

--- a/internal/coord/membr/membr.go
+++ b/internal/coord/membr/membr.go
@@ -19,7 +19,7 @@
 	Leaving State = "leaving"
 	// Suspect nodes have sent no heartbeat for suspectAfter.
 	Suspect State = "suspect"
-	// Dead nodes have sent no heartbeat for deadAfter.
+	// Dead nodes have sent no heartbeat for DeadAfter.
 	Dead State = "dead"
 )
 
@@ -27,9 +27,9 @@
 	// suspectAfter is the time without a heartbeat after which a node becomes
 	// suspect.
 	suspectAfter = 3 * time.Second
-	// deadAfter is the time without a heartbeat after which a node counts as
+	// DeadAfter is the time without a heartbeat after which a node counts as
 	// dead.
-	deadAfter = 6 * time.Second
+	DeadAfter = 6 * time.Second
 	// forgetAfter is the time without a heartbeat after which a node is removed.
 	forgetAfter = 5 * time.Minute
 )
@@ -116,7 +116,7 @@
 
 func stateAfter(s State, silence time.Duration) State {
 	switch {
-	case silence > deadAfter:
+	case silence > DeadAfter:
 		return Dead
 	case silence > suspectAfter && s == Alive:
 		return Suspect
--- a/internal/trans/peer/mesh.go
+++ b/internal/trans/peer/mesh.go
@@ -63,8 +63,9 @@
 	// MergeProofs records proofs announced by a peer.
 	MergeProofs func([]strik.Proof)
 
-	mu      sync.Mutex
-	members *membr.Table
+	mu        sync.Mutex
+	startedAt time.Time
+	members   *membr.Table
 	// peerAddrs holds the peer addresses from the VM list, and those learned from
 	// heartbeats since the list was last read.
 	peerAddrs ident.Set[string]
@@ -74,6 +75,7 @@
 
 // Init prepares the mesh. It must be called once before all other methods.
 func (m *Mesh) Init() {
+	m.startedAt = time.Now()
 	m.members = membr.New()
 	m.clients = map[string]*rpc.Client{}
 	m.peerAddrs = ident.Set[string]{}
@@ -102,8 +104,9 @@
 	return m.members.Entries()
 }
 
-// Alive reports whether a node's latest heartbeat has the given boot number and
-// the node isn't dead. It may be suspect or leaving.
+// Alive reports whether a node with the given boot number may be alive: its latest heartbeat
+// has that number and the node isn't dead, or this node may not have heard of that run yet.
+// The node may be suspect or leaving.
 func (m *Mesh) Alive(n ident.NodeName, boot int64) bool {
 	if s := m.Self(); s.Name == n {
 		return s.Boot == boot
@@ -111,7 +114,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.members.Get(n)
-	return ok && e.Boot == boot && e.State != membr.Dead
+	if !ok {
+		return time.Since(m.startedAt) < membr.DeadAfter
+	}
+	return e.Boot <= boot && e.State != membr.Dead
 }
 
 // Rank returns the index of this node in the list of nodes in state membr.Alive,
