--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -211,8 +211,9 @@
 	}
 }
 
-// abandonAll makes the requests of all attempts over links of this node be sent again, where
-// that is possible. The attempts go on until others have answered.
+// abandonAll records that the links of all attempts over links of this node are lost. Their
+// requests are sent to other endpoints as well, if they may run there; the attempts go on
+// until those have answered.
 func (d *directLinks) abandonAll() {
 	// The lock keeps attempts from ending, and their links from being reused, meanwhile.
 	d.mu.Lock()
--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -8,8 +8,9 @@
 	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
-// Drain starts the graceful shutdown: from now on, responses close the
-// caller's connection, and requests that may not finish in time are rejected.
+// Drain starts the graceful shutdown: from now on, responses announce the close of the
+// caller's connection when their header is written, and requests that may not finish in
+// time are rejected.
 func (s *Server) Drain() {
 	s.drainFrom(time.Now())
 	s.AnnounceStatus()
--- a/internal/trans/gate/wait.go
+++ b/internal/trans/gate/wait.go
@@ -52,8 +52,8 @@
 	w.askAt = now.Add(max(minAskInterval, w.length))
 }
 
-// setReadDeadline sets the deadline of reads from the endpoint, after which outlast is called.
-// If something has happened since that outlast acts on, they fail at once.
+// setReadDeadline sets the deadline of reads from the endpoint, after which OutlastsDeadline is
+// called. It is called at once if something has happened meanwhile that it acts on.
 func (a *attempt) setReadDeadline() {
 	t := a.hardDeadline()
 	if a.wait.length > 0 && a.wait.askAt.Before(t) {
