views, share: a node of a large fleet sees a part of it

Cause: each node kept a connection to each other one, in both directions, and two hubs of its data centre called it for nearly each start of a prompt.

Change: package views decides, without network, with whom a node keeps a connection: the candidates of its data centre, and as a hub its group, the other hub and the candidates elsewhere. The hubs of a data centre split its nodes. Hubs tell which members they heard of; other contacts are opened on demand and kept for 5 s. Nodes of older builds are served as before.

Also found: a forwarded list of a node's requests, or a hub's copy of it, could arrive after later changes of that node and undo them; lists have a number now. An announcement made while the first connection opens is no longer dropped.

--- a/internal/node/edge/metrics.go
+++ b/internal/node/edge/metrics.go
@@ -28,6 +28,7 @@
 		Name: "laburnum_rejected_records_total", Help: "Records of endpoints that could not be decoded.",
 	}, func() float64 { return float64(n.feeds.RejectedRecords()) }))
 	n.gate.Register(registry)
+	n.mesh.Register(registry)
 	handle := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	srv := &fasthttp.Server{
 		NoDefaultServerHeader: true,
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"runtime/debug"
@@ -238,11 +239,17 @@
 	if err != nil {
 		return err
 	}
+	addrs := make([]string, 0, len(page.Records))
 	for _, r := range page.Records {
 		if a := string(r.Value); isNodeAddress(a) {
-			n.mesh.AddPeer(a)
+			addrs = append(addrs, a)
 		}
 	}
+	// A node connects to the first ones at once: these should be others at each node.
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	for _, a := range addrs {
+		n.mesh.AddPeer(a)
+	}
 	return nil
 }
 
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -23,6 +23,18 @@
 	// Isolated is set if the node has lost its links to the endpoints, Leaving if it
 	// is stopping. Both are of the moment at which the node sent them.
 	Isolated, Leaving bool
+	// Streams is set if the node takes the updates of its hub as a stream and hears of
+	// other nodes over it. Nodes of older builds don't.
+	Streams bool
+}
+
+// HeardMember is what a node heard of another one, possibly over others.
+type HeardMember struct {
+	Member Member
+	// Age is the time since the member was last heard of.
+	Age time.Duration
+	// Lost is set if the connection to the member broke and can't be opened again.
+	Lost bool
 }
 
 // AgedRequest is a request in flight at an endpoint. It carries the age of the
@@ -92,9 +104,20 @@
 // Update carries the latest changes at one node to its peers.
 type Update struct {
 	From Member
+	// Joins is set in the first update on a connection: the answer is to tell which nodes
+	// the receiver knows. Heard lists what the sender heard of other nodes.
+	Joins bool
+	Heard []HeardMember
 	// Reset is set if Began lists all requests in flight of the node and
 	// replaces those that the receiver has recorded for it.
 	Reset bool
+	// Copied is set, beside Reset, if it is not the node itself that lists its requests but a
+	// hub that knows them.
+	Copied bool
+	// Seq grows with each change of the node's requests in flight; zero from nodes of older
+	// builds. By it a receiver finds out that a forwarded list of requests is older than
+	// what it knows.
+	Seq uint64
 	// Began lists requests that the node sends to endpoints, Wrote those that
 	// are prefilled and now decode, and Done those that have ended.
 	Began []AgedRequest
@@ -134,19 +157,27 @@
 	ScopeDataCentre
 	// ScopeAll is all nodes.
 	ScopeAll
+	// ScopeGroup is the nodes to which the receiver sends as their hub.
+	ScopeGroup
+	// ScopeRedirected is all nodes, for an update that a node took for a hub has passed on
+	// to its own hub.
+	ScopeRedirected
 )
 
 // Empty reports whether the update contains no changes at the node From. It
-// ignores Forwarded.
+// ignores Forwarded and Heard.
 func (u *Update) Empty() bool {
 	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided) == 0
 }
 
 // UpdateReply is the answer to an update.
 type UpdateReply struct {
-	// Members lists the nodes known to the peer, itself included. It is set
-	// only if the update had Reset set.
+	// Members lists the nodes known to the peer, itself included. It is set only if the
+	// update had Reset set and came from a node that doesn't take Heard.
 	Members []Member
+	// Heard lists the nodes that the peer heard of, itself first. It is set only if the
+	// update had Joins set.
+	Heard []HeardMember
 }
 
 // StateArgs requests a peer's copy of the configuration and of the endpoint
--- a/internal/state/works/works.go
+++ b/internal/state/works/works.go
@@ -50,6 +50,9 @@
 type Table struct {
 	mu     sync.Mutex
 	byNode map[ident.NodeName]map[ID]*Request
+	// seqs holds, for the nodes of which all requests are known, the number of the last
+	// change, see Reset.
+	seqs map[ident.NodeName]uint64
 }
 
 // Put adds or replaces a request.
@@ -101,6 +104,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.byNode, n)
+	delete(t.seqs, n)
+}
+
+// Reset removes all requests of a node, whose present ones are added next. From then on
+// the node's requests are known completely. seq is the number of the node's last change.
+func (t *Table) Reset(n ident.NodeName, seq uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byNode, n)
+	if t.seqs == nil {
+		t.seqs = map[ident.NodeName]uint64{}
+	}
+	t.seqs[n] = seq
+}
+
+// Observe records the number of the last change of a node that was applied.
+func (t *Table) Observe(n ident.NodeName, seq uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.seqs[n]; ok {
+		t.seqs[n] = max(known, seq)
+	}
+}
+
+// Seq returns the number of the last change of a node that was applied. It returns false
+// unless the requests of the node are known completely.
+func (t *Table) Seq(n ident.NodeName) (uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seq, ok := t.seqs[n]
+	return seq, ok
 }
 
 // ByNode returns the requests of a node.
--- a/internal/trans/share/announce.go
+++ b/internal/trans/share/announce.go
@@ -12,6 +12,7 @@
 
 // AnnounceStart informs the peers that a request is being sent to an endpoint.
 func (m *Mesh) AnnounceStart(w works.Request) {
+	m.seq.Add(1)
 	m.announce(true, func(u *relay.Update) {
 		u.Began = append(u.Began, relay.AgedRequest{Work: w})
 	})
@@ -20,11 +21,13 @@
 // AnnounceDecoding informs the peers that the prompt of a request is prefilled
 // and decoding has begun.
 func (m *Mesh) AnnounceDecoding(id works.ID) {
+	m.seq.Add(1)
 	m.announce(false, func(u *relay.Update) { u.Wrote = append(u.Wrote, id) })
 }
 
 // AnnounceEnd informs the peers that a request is no longer in flight.
 func (m *Mesh) AnnounceEnd(id works.ID) {
+	m.seq.Add(1)
 	m.announce(false, func(u *relay.Update) { u.Done = append(u.Done, id) })
 }
 
@@ -72,14 +75,7 @@
 }
 
 func (m *Mesh) announce(urgent bool, add func(*relay.Update)) {
-	for _, p := range m.allPeers() {
-		p.mu.Lock()
-		direct := p.direct
-		p.mu.Unlock()
-		if direct {
-			p.queue(urgent, add)
-		}
-	}
+	m.queueFor(urgent, func(*peer) func(*relay.Update) { return add })
 }
 
 // The following functions return the entries of an update. Their ages, or the times left, are
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"laburnumstack.org/laburnum/internal/coord/views"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -15,173 +14,167 @@
 const DefaultHubThreshold = 24
 
 const (
-	// hubsPerDataCentre is the number of hubs in each data centre: nodes that
-	// forward the updates of the others.
-	hubsPerDataCentre = 2
-	// hubCandidates is how many nodes of the whole deployment, and of a data
-	// centre, are watched closely (see peer.watched), so that one of them can
-	// take over as a hub or as a reader of the store, or read it while the readers
-	// can't. They are the first ones in the order of Mesh.connected.
-	hubCandidates = 4
+	// maxProbes is the number of unknown nodes to which a node connects at one time, if
+	// hubs are in use, to learn who they are.
+	maxProbes = 8
+	// maxUnforwarded bounds the number of updates kept by keepUnforwarded.
+	maxUnforwarded = 256
+	// maxHeldAge is the age up to which they are forwarded.
+	maxHeldAge = 2 * watchedAliveTimeout
 )
 
 // usesHubs reports whether updates are sent through hubs.
 func (m *Mesh) usesHubs() bool { return m.HubThreshold > 0 && m.NodeCount() >= m.HubThreshold }
 
-// connectedNode is this node or a peer that it is connected to. For this node,
-// peer is nil.
-type connectedNode struct {
-	relay.Member
-	alive bool
-	peer  *peer
+// groupDelay returns how long a hub collects updates for its group.
+func (m *Mesh) groupDelay() time.Duration {
+	return min(maxGroupDelay, max(batchDelay, time.Duration(m.NodeCount())*groupDelayPerNode))
 }
 
-// connected returns this node and the peers that it is connected to, sorted by
-// descending number of cores and then by name.
-func (m *Mesh) connected(now time.Time) []connectedNode {
-	ns := []connectedNode{{m.Self, true, nil}}
-	for _, p := range m.allPeers() {
-		p.mu.Lock()
-		if p.Name != "" && p.client != nil {
-			ns = append(ns, connectedNode{p.Member, now.Sub(p.lastSeen) < p.aliveTimeout(), p})
-		}
-		p.mu.Unlock()
-	}
-	slices.SortFunc(ns, func(a, b connectedNode) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
-	})
-	return ns
-}
-
-// hubPlan is the result of choosing the hubs, as far as it concerns this node.
-type hubPlan struct {
-	// hub is the hub in this node's data centre that forwards this node's
-	// updates; nil if this node is a hub itself.
-	hub *peer
-	// remoteHubs are the hubs in other data centres, one for each, to which this
-	// node sends updates if it is a hub.
-	remoteHubs map[*peer]bool
-	// watched are the peers to watch closely.
-	watched map[*peer]bool
-}
-
-// planHubs chooses the hubs. Nodes are spread over the hubs of a data centre by
-// a hash of their names.
-func (m *Mesh) planHubs(ns []connectedNode) hubPlan {
-	plan := hubPlan{remoteHubs: map[*peer]bool{}, watched: map[*peer]bool{}}
-	watch := func(list []connectedNode) {
-		for _, n := range list[:min(hubCandidates, len(list))] {
-			plan.watched[n.peer] = true
-		}
-	}
-	watch(ns)
-	byDataCentre := map[ident.DataCentre][]connectedNode{}
-	for _, n := range ns {
-		byDataCentre[n.DataCentre] = append(byDataCentre[n.DataCentre], n)
+// replan chooses the hubs and sets to which peers this node keeps a connection, and which
+// of them get its updates. Without hubs these are all peers.
+func (m *Mesh) replan(now time.Time) {
+	m.planning.Lock()
+	defer m.planning.Unlock()
+	useHubs := m.usesHubs()
+	var plan views.Plan
+	if useHubs {
+		plan = m.plan(now)
 	}
-	local := byDataCentre[m.Self.DataCentre]
-	watch(local)
-	hubs := hubsOf(local)
-	if !slices.ContainsFunc(hubs, func(n connectedNode) bool { return n.peer == nil }) {
-		plan.hub = m.pickHub(hubs)
-		return plan
+	var missed []heldUpdate
+	if !m.isHub.Swap(plan.IsHub) && plan.IsHub {
+		missed = m.takeUnforwarded(now)
 	}
-	for c, list := range byDataCentre {
-		if c == m.Self.DataCentre {
-			continue
-		}
-		watch(list)
-		if p := m.pickHub(hubsOf(list)); p != nil {
-			plan.remoteHubs[p] = true
+	m.delaysNonUrgent.Store(useHubs)
+	probes := m.chooseProbes(useHubs)
+	for _, p := range m.allPeers() {
+		switch {
+		case !useHubs:
+			p.setRole(role{linked: true, direct: true, watched: true}, now)
+		case p.name() == "":
+			p.setRole(role{linked: probes.Has(p.address), watched: true}, now)
+		default:
+			p.setRole(m.roleOf(p.name(), &plan), now)
 		}
 	}
-	return plan
+	for _, u := range missed {
+		m.forward(u.Update)
+	}
 }
 
-// hubsOf returns the hubs of a data centre: the first of its sorted nodes that
-// are alive.
-func hubsOf(ns []connectedNode) []connectedNode {
-	alive := slices.DeleteFunc(slices.Clone(ns), func(n connectedNode) bool { return !n.alive })
-	return alive[:min(hubsPerDataCentre, len(alive))]
+// plan returns this node's part in passing on updates.
+func (m *Mesh) plan(now time.Time) views.Plan {
+	var ms []views.Member
+	var self views.Member
+	for _, n := range m.known(now) {
+		ms = append(ms, n.view())
+		if n.peer == nil {
+			self = n.view()
+		}
+	}
+	return views.For(self, ms)
 }
 
-// pickHub picks one of the hubs by a hash of this node's name. It returns nil if
-// there are none.
-func (m *Mesh) pickHub(hubs []connectedNode) *peer {
-	if len(hubs) == 0 {
-		return nil
+// roleOf returns the role of a peer by the plan of this node.
+func (m *Mesh) roleOf(n ident.NodeName, plan *views.Plan) role {
+	r := role{linked: plan.Linked.Has(n), watched: plan.Watched.Has(n), direct: true}
+	switch {
+	case plan.Hub != "" && n == plan.Hub:
+		r.scope = relay.ScopeAll
+	case plan.RemoteHubs.Has(n):
+		r.scope = relay.ScopeDataCentre
+	case plan.Siblings.Has(n):
+		r.scope = relay.ScopeGroup
+	case plan.Group.Has(n):
+		r.grouped = true
+	default:
+		r.direct = false
 	}
-	return hubs[xxhash.Sum64String(string(m.Self.Name))%uint64(len(hubs))].peer
+	return r
 }
 
-// chooseHubs chooses the hubs and sets the peers that get this node's updates
-// directly. Without hubs these are all peers. With hubs, a node that is no hub
-// sends to its own hub only, and a hub sends to all nodes of its data centre and
-// to one hub of each other data centre.
-func (m *Mesh) chooseHubs(now time.Time) {
-	useHubs := m.usesHubs()
-	var plan hubPlan
-	if useHubs {
-		plan = m.planHubs(m.connected(now))
+// chooseProbes returns the addresses of the unknown nodes to connect to: those that were
+// not tried for the longest time.
+func (m *Mesh) chooseProbes(useHubs bool) ident.Set[string] {
+	if !useHubs {
+		return nil
 	}
-	isHub := useHubs && plan.hub == nil
-	var missed []relay.Update
-	if !m.isHub.Swap(isHub) && isHub {
-		missed = m.takeUnforwarded()
+	type candidate struct {
+		address string
+		triedAt time.Time
 	}
-	m.delaysNonUrgent.Store(useHubs)
+	var unknown []candidate
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
-		local := p.DataCentre == "" || p.DataCentre == m.Self.DataCentre
-		direct := !useHubs || p == plan.hub || plan.hub == nil && (local || plan.remoteHubs[p])
-		if direct && !p.direct && p.client != nil {
-			full := m.ownRequests(true)
-			p.pending.Reset, p.pending.Began = true, full.Began
-			p.pending.Wrote, p.pending.Done = nil, nil
-			p.wakeUp()
-		}
-		if plan.remoteHubs[p] && p.client != nil && len(missed) > 0 {
-			for _, u := range missed {
-				p.pending.Forwarded = append(p.pending.Forwarded, copyOf(u, relay.ScopeDataCentre))
-			}
-			p.wakeUp()
-		}
-		watched := !useHubs || plan.watched[p] || p.Name == ""
-		if watched && !p.watched {
-			// The peer's timeout is now shorter, so its last contact may be too
-			// long ago for it to count as alive until the next one.
-			p.wakeUp()
-		}
-		p.direct, p.watched, p.scope = direct, watched, relay.ScopePeer
-		if useHubs && p == plan.hub {
-			p.scope = relay.ScopeAll
-		}
-		if plan.remoteHubs[p] {
-			p.scope = relay.ScopeDataCentre
+		if p.Name == "" {
+			unknown = append(unknown, candidate{p.address, p.failedAt})
 		}
 		p.mu.Unlock()
 	}
+	slices.SortFunc(unknown, func(a, b candidate) int {
+		return cmp.Or(a.triedAt.Compare(b.triedAt), cmp.Compare(a.address, b.address))
+	})
+	chosen := ident.Set[string]{}
+	for _, c := range unknown[:min(maxProbes, len(unknown))] {
+		chosen.Add(c.address)
+	}
+	return chosen
 }
 
-// requestsOfOthers returns updates with the requests in flight of all other
-// nodes, for a peer. It returns nil unless this node is a hub and the peer is
-// known to be in its data centre.
-func (m *Mesh) requestsOfOthers(p *peer) []relay.Update {
+// othersFor returns updates with the requests in flight of other nodes that this hub tells a
+// peer of. The caller must not hold p.mu.
+func (m *Mesh) othersFor(p *peer) []relay.Update {
 	p.mu.Lock()
-	receiver := p.Member
+	r, receiver := p.role, p.Member
 	p.mu.Unlock()
-	if !m.isHub.Load() || receiver.DataCentre != m.Self.DataCentre {
+	if r.grouped || r.scope == relay.ScopeGroup || r.scope == relay.ScopeDataCentre {
+		return m.requestsOfOthers(receiver, r.scope)
+	}
+	return nil
+}
+
+// requestsOfOthers returns updates with the requests in flight of the other nodes that a hub
+// tells a receiver of. The nodes of its group learn of all nodes; other hubs learn of the nodes
+// that send to this hub, since of the others they hear earlier on another way. It leaves out
+// nodes of whose requests it doesn't know all.
+func (m *Mesh) requestsOfOthers(receiver relay.Member, scope relay.Scope) []relay.Update {
+	if !m.isHub.Load() {
 		return nil
 	}
 	var us []relay.Update
 	for _, o := range m.Members() {
-		if o.Name != "" && o.Name != m.Self.Name && o.Name != receiver.Name {
-			us = append(us, m.requestsOf(o))
+		seq, complete := m.InFlight.Seq(o.Name)
+		if o.Name == "" || o.Name == m.Self.Name || o.Name == receiver.Name || !complete {
+			continue
+		}
+		if scope != relay.ScopePeer && !m.isEntry(o.Name) || scope == relay.ScopeDataCentre && o.DataCentre != m.Self.DataCentre {
+			continue
 		}
+		u := m.requestsOf(o)
+		u.Copied, u.Seq, u.Reach = true, seq, scope
+		us = append(us, u)
 	}
 	return us
 }
 
+// setEntry records whether the updates of a node reach this node's data centre here, or over
+// another hub.
+func (m *Mesh) setEntry(n ident.NodeName, here bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if here {
+		m.entries.Add(n)
+		return
+	}
+	delete(m.entries, n)
+}
+
+func (m *Mesh) isEntry(n ident.NodeName) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries.Has(n)
+}
+
 // requestsOf returns an update with all requests in flight of a node.
 func (m *Mesh) requestsOf(o relay.Member) relay.Update {
 	u := relay.Update{From: o, Reset: true}
@@ -191,27 +184,73 @@
 	return u
 }
 
-// forward queues an update of another node for the peers in its scope. Its ages
+// forward queues an update of another node for the nodes in its scope. Its ages
 // must have been converted to times by apply.
 func (m *Mesh) forward(u relay.Update) {
 	if u.Reach == relay.ScopePeer || u.Empty() {
 		return
 	}
-	if u.Reach == relay.ScopeAll && !m.isHub.Load() {
+	if !m.isHub.Load() {
 		m.keepUnforwarded(u)
+		if u.Reach == relay.ScopeAll {
+			m.redirect(u)
+		}
+		return
 	}
+	urgent := len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated)+len(u.Rests) > 0
+	m.queueFor(urgent, func(p *peer) func(*relay.Update) {
+		scope := relay.ScopePeer
+		if p != nil {
+			scope = p.scope
+		}
+		switch {
+		case p != nil && p.Name == u.From.Name,
+			scope == relay.ScopeDataCentre && u.Reach != relay.ScopeAll && u.Reach != relay.ScopeRedirected,
+			scope == relay.ScopeGroup && u.Reach == relay.ScopeGroup:
+			return nil
+		}
+		copied := copyOf(u, scope)
+		return func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) }
+	})
+}
+
+// redirect queues an update for the hub of this node: its sender took this node for a hub.
+func (m *Mesh) redirect(u relay.Update) {
+	m.queueFor(true, func(p *peer) func(*relay.Update) {
+		if p == nil || p.scope != relay.ScopeAll || p.Name == u.From.Name {
+			return nil
+		}
+		copied := copyOf(u, relay.ScopeRedirected)
+		return func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) }
+	})
+}
+
+// queueFor queues a change for the peers that get this node's updates directly. change is
+// called with each of them, while its lock is held, and with nil for all those that get
+// them as a stream; it returns nil if there is nothing to tell.
+func (m *Mesh) queueFor(urgent bool, change func(*peer) func(*relay.Update)) {
+	streaming := false
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
-		local, remoteHub, origin := p.DataCentre == m.Self.DataCentre, p.scope == relay.ScopeDataCentre, p.Name == u.From.Name
-		p.mu.Unlock()
-		if origin || !local && (u.Reach != relay.ScopeAll || !remoteHub) {
-			continue
-		}
-		copied := copyOf(u, relay.ScopePeer)
-		if !local {
-			copied.Reach = relay.ScopeDataCentre
+		switch {
+		case !p.direct:
+			p.mu.Unlock()
+		case p.outlet != nil:
+			streaming = true
+			p.mu.Unlock()
+		default:
+			add := change(p)
+			p.mu.Unlock()
+			if add != nil {
+				p.queue(urgent, add)
+			}
 		}
-		p.queue(len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated)+len(u.Rests) > 0, func(to *relay.Update) { to.Forwarded = append(to.Forwarded, copied) })
+	}
+	if !streaming {
+		return
+	}
+	if add := change(nil); add != nil {
+		m.fanout.queue(urgent, add)
 	}
 }
 
@@ -229,10 +268,13 @@
 	return u
 }
 
-// maxUnforwarded bounds the number of updates kept by keepUnforwarded.
-const maxUnforwarded = 256
+// heldUpdate is an update kept by keepUnforwarded.
+type heldUpdate struct {
+	relay.Update
+	receivedAt time.Time
+}
 
-// keepUnforwarded keeps an update until this node becomes a hub: another node may
+// keepUnforwarded keeps an update in case this node becomes a hub soon: another node may
 // choose this node as its hub before this node has found out that it is one. At
 // maxUnforwarded updates, it drops the oldest.
 func (m *Mesh) keepUnforwarded(u relay.Update) {
@@ -241,13 +283,15 @@
 	if len(m.unforwarded) == maxUnforwarded {
 		m.unforwarded = m.unforwarded[1:]
 	}
-	m.unforwarded = append(m.unforwarded, copyOf(u, relay.ScopeDataCentre))
+	m.unforwarded = append(m.unforwarded, heldUpdate{copyOf(u, u.Reach), time.Now()})
 }
 
-func (m *Mesh) takeUnforwarded() []relay.Update {
+// takeUnforwarded returns the updates that were kept, but for those that are older than
+// maxHeldAge: what they tell may have ended since.
+func (m *Mesh) takeUnforwarded(now time.Time) []heldUpdate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	us := m.unforwarded
 	m.unforwarded = nil
-	return us
+	return slices.DeleteFunc(us, func(u heldUpdate) bool { return now.Sub(u.receivedAt) > maxHeldAge })
 }
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -21,7 +21,6 @@
 	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/bysize"
 	"laburnumstack.org/laburnum/internal/coord/quota"
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
@@ -67,6 +66,8 @@
 	// maxRedialPause while the peer is silent for deadAfter or longer.
 	minRedialPause = 200 * time.Millisecond
 	maxRedialPause = 2 * time.Second
+	// neededTime is how long a connection to a peer that isn't linked is kept after a call.
+	neededTime = 5 * time.Second
 )
 
 // Mesh holds the connections to the other nodes. The exported fields must be set
@@ -120,21 +121,40 @@
 	// isHub is set if this node is a hub, delaysNonUrgent if hubs are in use.
 	isHub, delaysNonUrgent atomic.Bool
 
+	// seq is the number of the last change of this node's requests in flight.
+	seq atomic.Uint64
+
 	ctx context.Context
 	mu  sync.Mutex
 	// unforwarded are updates to forward when this node becomes a hub.
-	unforwarded []relay.Update
+	unforwarded []heldUpdate
 	peers       map[string]*peer
+	// entries holds the nodes whose updates reach this node's data centre here.
+	entries ident.Set[ident.NodeName]
+
+	// planning is held while roles are chosen.
+	planning sync.Mutex
+	// digestAt is when Sweep last sent what this node heard of all members.
+	digestAt time.Time
+	fanout   fanout
+	stats    stats
 }
 
 // Init initializes the mesh. It must be called once, before any other method.
 func (m *Mesh) Init(ctx context.Context) {
 	m.ctx = ctx
 	m.peers = map[string]*peer{}
+	m.entries = ident.Set[ident.NodeName]{}
+	m.stats = newStats(m)
+	// Numbers of a restarted node are higher than those of before.
+	m.seq.Store(uint64(time.Now().UnixNano()))
+	m.fanout.sign = func(u *relay.Update) { u.From, u.Seq = m.self(), m.seq.Load() }
+	m.fanout.delay, m.fanout.sent = m.groupDelay, m.stats.frameSent
 }
 
 // AddPeer starts exchanging updates with the node at an address. It does nothing
-// for known peers and for this node's own address.
+// for known peers and for this node's own address. In a large fleet, replan decides
+// whether this node connects to the peer.
 func (m *Mesh) AddPeer(address string) {
 	if address == m.Self.Address || address == "" {
 		return
@@ -144,9 +164,16 @@
 	if m.peers[address] != nil {
 		return
 	}
-	p := &peer{mesh: m, address: address, Member: relay.Member{Address: address}, wake: make(chan struct{}, 1), lastSeen: time.Now(), direct: true, watched: true}
+	now := time.Now()
+	small := m.HubThreshold == 0 || len(m.peers)+1 < m.HubThreshold
+	p := &peer{
+		mesh: m, address: address, Member: relay.Member{Address: address}, wake: make(chan struct{}, 1), lastSeen: now, linkedAt: now,
+		role: role{linked: small, direct: small, watched: true},
+	}
 	m.peers[address] = p
-	go p.run(m.ctx)
+	if small {
+		p.start()
+	}
 }
 
 func (m *Mesh) allPeers() []*peer {
@@ -159,95 +186,39 @@
 	return ps
 }
 
-// NodeCount returns the number of known nodes, including this one.
-func (m *Mesh) NodeCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.peers) + 1
-}
-
-// Members returns the known nodes, including this one.
-func (m *Mesh) Members() []relay.Member {
-	ms := []relay.Member{m.self()}
-	for _, p := range m.allPeers() {
-		p.mu.Lock()
-		ms = append(ms, p.Member)
-		p.mu.Unlock()
-	}
-	return ms
-}
-
-// self returns this node with its status.
-func (m *Mesh) self() relay.Member {
-	self := m.Self
-	if m.Status != nil {
-		self.Isolated, self.Leaving = m.Status()
-	}
-	return self
-}
-
-// Peers returns the peers that are alive, over which this node may send requests.
-func (m *Mesh) Peers(now time.Time) []reach.Peer {
-	var ps []reach.Peer
-	for _, n := range m.aliveNodes(now) {
-		if n.peer == nil {
-			continue
-		}
-		ps = append(ps, reach.Peer{
-			Name: n.Name, Address: n.Address, DataCentre: n.DataCentre, Cores: n.Cores, Isolated: n.Isolated, Leaving: n.Leaving,
-			Requests: m.InFlight.CountOf(n.Name),
-		})
-	}
-	return ps
-}
-
-// markSeen records contact with a node and adds it as a peer if it is new.
-func (m *Mesh) markSeen(from relay.Member) {
-	m.AddPeer(from.Address)
-	m.mu.Lock()
-	p := m.peers[from.Address]
-	m.mu.Unlock()
-	if p == nil {
-		return
-	}
-	p.mu.Lock()
-	isNew := p.Name == ""
-	p.Member = from
-	p.lastSeen = time.Now()
-	p.mu.Unlock()
-	if isNew {
-		m.Logger.Info().Str("peer", string(from.Name)).Str("address", from.Address).Msg("share: first contact with node")
-	}
-}
-
 func (m *Mesh) forget(p *peer, err error) {
 	m.mu.Lock()
 	delete(m.peers, p.address)
 	m.mu.Unlock()
-	p.mu.Lock()
-	name := p.Name
-	p.mu.Unlock()
+	name := p.name()
+	m.setEntry(name, false)
 	m.Logger.Info().Str("peer", string(name)).Str("address", p.address).Err(err).Msg("share: removed a silent node")
 }
 
 // Sweep chooses the hubs and drops the requests of dead nodes. It must be called
 // at intervals well below watchedAliveTimeout, so that dead hubs are replaced soon.
 func (m *Mesh) Sweep(now time.Time) {
-	m.chooseHubs(now)
+	m.findLost(now)
+	m.replan(now)
+	m.sendDigest(now)
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
 		silent := now.Sub(p.lastSeen)
-		dead := p.Name != "" && (silent > unwatchedAliveTimeout || silent > deadAfter && (p.watched || p.client == nil))
-		name := p.Name
+		unreachable := p.lost || p.linked && p.client == nil
+		dead := p.Name != "" && (silent > unwatchedAliveTimeout || silent > deadAfter && (p.linked && p.watched || unreachable))
+		name, forgotten := p.Name, silent > forgetAfter && !p.running
 		p.mu.Unlock()
 		if dead {
 			m.InFlight.RemoveNode(name)
 		}
+		if forgotten {
+			m.forget(p, nil)
+		}
 	}
 }
 
 // FetchState requests a peer's copy of the configuration and of the endpoint
-// list. It returns rpc.ErrShutdown if this node isn't connected to the peer.
+// list. It returns rpc.ErrShutdown if this node can't connect to the peer.
 func (m *Mesh) FetchState(address string, a relay.StateArgs) (relay.State, error) {
 	a.From = m.self()
 	var s relay.State
@@ -258,7 +229,7 @@
 }
 
 // FetchChange requests a part of an encoded change from a peer. It returns
-// rpc.ErrShutdown if this node isn't connected to the peer.
+// rpc.ErrShutdown if this node can't connect to the peer.
 func (m *Mesh) FetchChange(address string, a relay.ChangeArgs) (relay.ChangePart, error) {
 	a.From = m.self()
 	var p relay.ChangePart
@@ -269,7 +240,7 @@
 }
 
 // FetchPermit asks a node for the permission to send one request to an endpoint. It
-// returns rpc.ErrShutdown if this node isn't connected to that node.
+// returns rpc.ErrShutdown if this node can't connect to that node.
 func (m *Mesh) FetchPermit(n ident.NodeName, k quota.Key) (relay.Permit, error) {
 	var p relay.Permit
 	if err := m.fetch(m.addressOf(n), permitTimeout, "Node.Permit", relay.PermitArgs{From: m.self(), Key: k}, &p); err != nil {
@@ -278,18 +249,8 @@
 	return p, nil
 }
 
-// addressOf returns the address of a node, or an empty string if it isn't known.
-func (m *Mesh) addressOf(n ident.NodeName) string {
-	for _, o := range m.Members() {
-		if o.Name == n {
-			return o.Address
-		}
-	}
-	return ""
-}
-
-// fetch calls a method of a peer. The reply must not be used if fetch returns an
-// error.
+// fetch calls a method of a peer, and connects to it first if this node keeps no connection
+// to it. The reply must not be used if fetch returns an error.
 func (m *Mesh) fetch(address string, timeout time.Duration, method string, args, reply any) error {
 	m.mu.Lock()
 	p := m.peers[address]
@@ -297,9 +258,8 @@
 	if p == nil {
 		return rpc.ErrShutdown
 	}
-	p.mu.Lock()
-	c := p.client
-	p.mu.Unlock()
+	m.stats.callsMade.Inc()
+	c := p.use(m.ctx, timeout)
 	if c == nil {
 		return rpc.ErrShutdown
 	}
--- a/internal/trans/share/order.go
+++ b/internal/trans/share/order.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/views"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -42,21 +43,15 @@
 // index of this node in the order of its data centre.
 func (m *Mesh) Backups(now time.Time) (addrs []string, rank int) {
 	local := m.localNodes(now)
-	for _, n := range local[:min(hubCandidates, len(local))] {
+	for _, n := range local[:min(views.Candidates, len(local))] {
 		addrs = append(addrs, n.Address)
 	}
-	return addrs, slices.IndexFunc(local, func(n connectedNode) bool { return n.peer == nil })
+	return addrs, slices.IndexFunc(local, func(n knownNode) bool { return n.peer == nil })
 }
 
 // localNodes returns the nodes of aliveNodes in this node's data centre.
-func (m *Mesh) localNodes(now time.Time) []connectedNode {
-	return slices.DeleteFunc(m.aliveNodes(now), func(n connectedNode) bool { return n.DataCentre != m.Self.DataCentre })
-}
-
-// aliveNodes returns this node and the connected peers that are alive, in the order
-// of connected.
-func (m *Mesh) aliveNodes(now time.Time) []connectedNode {
-	return slices.DeleteFunc(m.connected(now), func(n connectedNode) bool { return !n.alive })
+func (m *Mesh) localNodes(now time.Time) []knownNode {
+	return slices.DeleteFunc(m.aliveNodes(now), func(n knownNode) bool { return n.DataCentre != m.Self.DataCentre })
 }
 
 // Nodes returns the nodes that share the limits of endpoints.
@@ -70,12 +65,12 @@
 
 // Relays returns the addresses of the peers from which this node takes a large
 // configuration, the nearest first. The nodes of a data centre form a tree in the
-// order of connected, so that no node sends it to more than relayFanout others. The
+// order of known, so that no node sends it to more than relayFanout others. The
 // first nodes, which have no relay, are as many as relayFanout.
 func (m *Mesh) Relays(now time.Time) []string {
 	local := m.localNodes(now)
 	var relays []string
-	i := slices.IndexFunc(local, func(n connectedNode) bool { return n.peer == nil })
+	i := slices.IndexFunc(local, func(n knownNode) bool { return n.peer == nil })
 	for i >= relayFanout {
 		i = i/relayFanout - 1
 		relays = append(relays, local[i].Address)
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -12,8 +12,25 @@
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+// role is the part of a peer in this node's exchange of updates.
+type role struct {
+	// linked is set if this node keeps a connection to the peer.
+	linked bool
+	// direct is set if this node sends its own updates to the peer. Otherwise
+	// they reach it through hubs.
+	direct bool
+	// grouped is set if the peer gets them as one of the group of this hub.
+	grouped bool
+	// scope selects the nodes to which the peer forwards this node's updates.
+	scope relay.Scope
+	// watched is set if the peer is watched closely: heartbeats are frequent and
+	// timeouts short.
+	watched bool
+}
+
 // peer is another node.
 type peer struct {
 	mesh *Mesh
@@ -25,16 +42,19 @@
 
 	mu sync.Mutex
 	relay.Member
-	// direct is set if this node sends its own updates to the peer. Otherwise
-	// they reach it through hubs.
-	direct bool
-	// scope selects the nodes to which the peer forwards this node's updates.
-	scope relay.Scope
-	// watched is set if the peer is watched closely: heartbeats are frequent and
-	// timeouts short.
-	watched bool
-	// lastSeen is the time of the last contact in either direction, or of
-	// AddPeer if there was none.
+	role
+	// linkedAt is when linked was last set. neededUntil is the time until which a
+	// connection is kept although the peer isn't linked, since it is in use.
+	linkedAt, neededUntil time.Time
+	// running is set while run keeps a connection, failedAt is when a connection to the
+	// peer last failed, zero after one was opened.
+	running  bool
+	failedAt time.Time
+	// lost is set if the connection to the peer broke, here or at a hub, and can't be
+	// opened again.
+	lost bool
+	// lastSeen is the time of the last contact in either direction or, if that was
+	// later, with another node that told of it; or the time of AddPeer.
 	lastSeen time.Time
 	// pending holds the changes for the next update.
 	pending relay.Update
@@ -42,16 +62,74 @@
 	// started since the last update.
 	flushScheduled bool
 	client         *rpc.Client
+	// connected is closed when client is set; nil if nobody waits for that.
+	connected chan struct{}
+	// outlet is the stream to the peer, if there is one.
+	outlet *outlet
+}
+
+func (p *peer) name() ident.NodeName {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Name
+}
+
+// heard returns what this node heard of the peer. The caller holds p.mu.
+func (p *peer) heard(now time.Time) relay.HeardMember {
+	return relay.HeardMember{Member: p.Member, Age: now.Sub(p.lastSeen), Lost: p.lost}
+}
+
+// setRole sets the role of the peer, and queues what it has missed so far if it gets this
+// node's updates directly from now on.
+func (p *peer) setRole(r role, now time.Time) {
+	p.mu.Lock()
+	old := p.role
+	p.role = r
+	if r.linked && !old.linked {
+		p.linkedAt = now
+	}
+	missesState := r.direct && (!old.direct || r.scope != old.scope) && p.client != nil
+	p.mu.Unlock()
+	if missesState {
+		p.queueState()
+	}
+	if r.linked {
+		p.start()
+	}
+	// The timeout of a peer that is now watched is shorter, so its last contact may be too
+	// long ago for it to count as alive until the next one. Other peers may have to open or
+	// close a stream or a connection.
+	if r != old {
+		p.wakeUp()
+	}
+}
+
+// queueState puts the state that the peer lacks in front of the changes in the next update:
+// this node's requests in flight and, from a hub, those of other nodes.
+func (p *peer) queueState() {
+	others := p.mesh.othersFor(p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := &p.pending
+	u.Forwarded = append(others, u.Forwarded...)
+	if !p.direct {
+		return
+	}
+	// Changes that are queued already are part of this.
+	own := p.mesh.requestsOf(p.mesh.Self)
+	u.Reset, u.Began = own.Reset, own.Began
+	u.Wrote, u.Done = nil, nil
 }
 
-// queue adds a change to the next update for the peer, if there is a connection.
+// queue adds a change to the next update for the peer, if there is a connection or one is
+// being opened.
 // If hubs are in use, non-urgent changes are delayed so that the hubs, which
 // forward the changes of many nodes, send fewer updates.
 func (p *peer) queue(urgent bool, add func(*relay.Update)) {
 	delayed := !urgent && p.mesh.delaysNonUrgent.Load()
 	p.mu.Lock()
 	connected := p.client != nil
-	if connected {
+	if connected || p.connecting(time.Now()) {
 		add(&p.pending)
 	}
 	scheduled := p.flushScheduled
@@ -73,12 +151,60 @@
 	}
 }
 
-// run keeps a connection to the peer and sends updates, until the context ends or
-// the peer has been silent for forgetAfter.
+// connecting reports whether the first connection to the peer, since it is linked, is being
+// opened. The caller holds p.mu.
+func (p *peer) connecting(now time.Time) bool {
+	return p.client == nil && p.linked && p.failedAt.IsZero() && now.Sub(p.linkedAt) < linkGrace
+}
+
+// alive reports whether the peer was heard of recently and, as far as this node knows, can
+// be reached. The caller holds p.mu.
+func (p *peer) alive(now time.Time) bool {
+	if p.Name == "" || p.lost || now.Sub(p.lastSeen) >= p.aliveTimeout() {
+		return false
+	}
+	return p.client != nil || !p.linked && now.Sub(p.failedAt) > linkHoldDown || p.connecting(now)
+}
+
+// aliveTimeout returns the silence after which the peer no longer counts as
+// alive. The caller holds p.mu.
+func (p *peer) aliveTimeout() time.Duration {
+	if p.watched && p.client != nil {
+		return watchedAliveTimeout
+	}
+	return unwatchedAliveTimeout
+}
+
+// needed reports whether a connection to the peer is to be kept. The caller holds p.mu.
+func (p *peer) needed(now time.Time) bool { return p.linked || now.Before(p.neededUntil) }
+
+// start runs the peer unless it already runs.
+func (p *peer) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running {
+		p.running = true
+		go p.run(p.mesh.ctx)
+	}
+}
+
+// ended reports whether run is to end since no connection is needed any more.
+func (p *peer) ended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running = p.needed(time.Now())
+	return !p.running
+}
+
+// run keeps a connection to the peer and sends updates, until the context ends, the
+// connection isn't needed or the peer has been silent for forgetAfter.
 func (p *peer) run(ctx context.Context) {
 	pause := minRedialPause
 	for ctx.Err() == nil {
 		err := p.connectAndSend(ctx)
+		if p.ended() {
+			return
+		}
 		p.mu.Lock()
 		silent := time.Since(p.lastSeen)
 		p.mu.Unlock()
@@ -94,34 +220,70 @@
 	}
 }
 
-// connectAndSend connects to the peer and sends updates until a call fails or the
-// context ends.
+// connectAndSend connects to the peer and sends updates until a call fails, the
+// connection isn't needed or the context ends.
 func (p *peer) connectAndSend(ctx context.Context) error {
-	d := net.Dialer{Timeout: dialTimeout, Control: conns.SetTCPUserTimeout}
-	c, err := d.DialContext(ctx, "tcp", p.address)
+	client, err := p.dial(ctx)
 	if err != nil {
 		return err
 	}
-	client := rpc.NewClient(c)
 	defer client.Close()
-	p.attach(client)
 	defer p.detach()
+	p.attach(client)
 	for {
+		if err := p.updateStream(ctx); err != nil {
+			return p.fail(err)
+		}
 		if err := p.sendPending(client); err != nil {
 			p.mesh.Logger.Debug().Err(err).Str("address", p.address).Msg("share: call to node failed")
-			return err
+			return p.fail(err)
 		}
-		t := time.NewTimer(p.heartbeatPause())
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		p.releaseStream()
+		if !p.waitForChange(ctx) {
 			return ctx.Err()
-		case <-p.wake:
-			t.Stop()
+		}
+	}
+}
+
+// dial opens a connection for calls.
+func (p *peer) dial(ctx context.Context) (*rpc.Client, error) {
+	d := net.Dialer{Timeout: dialTimeout, Control: conns.SetTCPUserTimeout}
+	c, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, p.fail(err)
+	}
+	return rpc.NewClient(c), nil
+}
+
+// fail records that a connection to the peer failed, and returns the error.
+func (p *peer) fail(err error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failedAt = time.Now()
+	return err
+}
+
+// waitForChange waits until there is something to send, or until the next heartbeat. It
+// returns false if the connection isn't needed any more.
+func (p *peer) waitForChange(ctx context.Context) bool {
+	t := time.NewTimer(p.heartbeatPause())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-p.wake:
+		p.mu.Lock()
+		toOwnHub := p.scope == relay.ScopeAll
+		p.mu.Unlock()
+		// A node alone has few updates for its hub; those of others come in numbers.
+		if !toOwnHub {
 			time.Sleep(batchDelay)
-		case <-t.C:
 		}
+	case <-t.C:
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.needed(time.Now())
 }
 
 // heartbeatPause returns the longest pause between two updates to the peer.
@@ -134,49 +296,76 @@
 	return unwatchedHeartbeatInterval
 }
 
-// aliveTimeout returns the silence after which the peer no longer counts as
-// alive. The caller holds p.mu.
-func (p *peer) aliveTimeout() time.Duration {
-	if p.watched {
-		return watchedAliveTimeout
+// attach sets the connection to the peer and queues the first update.
+func (p *peer) attach(client *rpc.Client) {
+	p.mu.Lock()
+	p.client, p.failedAt = client, time.Time{}
+	p.pending.Joins = true
+	linked := p.linked
+	if p.connected != nil {
+		close(p.connected)
+		p.connected = nil
+	}
+	p.mu.Unlock()
+	p.queueState()
+	if linked {
+		p.queueKnowledge()
 	}
-	return unwatchedAliveTimeout
 }
 
-// attach sets the connection to the peer and queues the first update: this
-// node's requests in flight, if the peer gets them directly, and from a hub those
-// of the other nodes.
-func (p *peer) attach(client *rpc.Client) {
-	others := p.mesh.requestsOfOthers(p)
+// queueKnowledge queues what this node knows of endpoints and of parts of prompts.
+func (p *peer) queueKnowledge() {
 	limits := mapAll(p.mesh.Limits(), agedLimit)
 	parts := mapAll(p.mesh.PartStates(), agedPart)
 	stated := mapAll(p.mesh.Availability(), statedAvailability)
 	rests := mapAll(p.mesh.Rests(), restLeft)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.client = client
-	p.pending = p.mesh.ownRequests(p.direct)
-	p.pending.Forwarded = others
-	p.pending.Limits = limits
-	p.pending.Parts = parts
-	p.pending.Stated = stated
-	p.pending.Rests = rests
+	u := &p.pending
+	u.Limits = append(limits, u.Limits...)
+	u.Parts = append(parts, u.Parts...)
+	u.Stated = append(stated, u.Stated...)
+	u.Rests = append(rests, u.Rests...)
 }
 
-// ownRequests returns an update with all requests in flight of this node, or an
-// empty one if the peer doesn't get them directly.
-func (m *Mesh) ownRequests(direct bool) relay.Update {
-	if !direct {
-		return relay.Update{}
+func (p *peer) detach() {
+	p.mu.Lock()
+	o := p.outlet
+	p.client, p.outlet = nil, nil
+	p.pending = relay.Update{}
+	p.mu.Unlock()
+	if o != nil {
+		p.mesh.fanout.leave(o)
 	}
-	return m.requestsOf(m.Self)
 }
 
-func (p *peer) detach() {
+// use returns the client of the peer. If there is none and this node keeps no connection to
+// the peer, use opens one, which is kept for neededTime; it waits for that for the given time at
+// most, and then returns nil.
+func (p *peer) use(ctx context.Context, timeout time.Duration) *rpc.Client {
+	p.mu.Lock()
+	if p.client != nil || p.linked {
+		defer p.mu.Unlock()
+		p.neededUntil = time.Now().Add(neededTime)
+		return p.client
+	}
+	p.neededUntil = time.Now().Add(neededTime)
+	if p.connected == nil {
+		p.connected = make(chan struct{})
+	}
+	connected := p.connected
+	p.mu.Unlock()
+	p.start()
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-connected:
+	case <-t.C:
+	case <-ctx.Done():
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.client = nil
-	p.pending = relay.Update{}
+	return p.client
 }
 
 // sendPending sends the pending changes, or an empty update as a heartbeat.
@@ -187,25 +376,43 @@
 	p.flushScheduled = false
 	u.Reach = p.scope
 	p.mu.Unlock()
-	u.From = p.mesh.self()
-	now := time.Now()
-	setAges(&u, now)
-	for i := range u.Forwarded {
-		setAges(&u.Forwarded[i], now)
-	}
+	u.From, u.Seq = p.mesh.self(), p.mesh.seq.Load()
+	stamp(&u, time.Now())
+	p.mesh.stats.callsMade.Inc()
 	var r relay.UpdateReply
 	if err := call(client, "Node.Tell", u, &r); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.lastSeen = time.Now()
-	p.mu.Unlock()
+	p.mesh.hear(r.Heard)
 	for _, m := range r.Members {
 		p.mesh.AddPeer(m.Address)
 	}
+	p.answered()
 	return nil
 }
 
+// answered records that the peer answered a call.
+func (p *peer) answered() {
+	now := time.Now()
+	p.mu.Lock()
+	p.lastSeen = now
+	found := p.lost
+	p.lost = false
+	h := p.heard(now)
+	p.mu.Unlock()
+	if found && h.Member.Name != "" {
+		p.mesh.passOn(h, now)
+	}
+}
+
+// stamp replaces the times in an update, and in those that it forwards, by ages.
+func stamp(u *relay.Update, now time.Time) {
+	setAges(u, now)
+	for i := range u.Forwarded {
+		setAges(&u.Forwarded[i], now)
+	}
+}
+
 // setAges replaces the times in an update by ages.
 func setAges(u *relay.Update, now time.Time) {
 	for i := range u.Began {
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -23,27 +23,61 @@
 // forwards each to the peers in its scope.
 func (s *service) Tell(u relay.Update, r *relay.UpdateReply) error {
 	m := s.mesh
-	m.markSeen(u.From)
-	if u.Reset {
+	m.stats.callsServed.Inc()
+	m.accept(&u)
+	switch {
+	case u.Joins:
+		r.Heard = m.heardOf(time.Now())
+	case u.Reset && !u.From.Streams:
 		r.Members = m.Members()
 	}
+	return nil
+}
+
+// accept applies an update of a peer and the updates that the peer forwards, and
+// forwards each to the nodes in its scope.
+func (m *Mesh) accept(u *relay.Update) {
+	m.markSeen(u.From)
+	m.hear(u.Heard)
 	forwarded := u.Forwarded
 	u.Forwarded = nil
-	m.apply(&u)
-	m.forward(u)
+	m.acceptOne(u)
 	for i := range forwarded {
-		m.apply(&forwarded[i])
-		m.forward(forwarded[i])
+		f := &forwarded[i]
+		if f.From.Name != m.Self.Name && !m.isOld(f) {
+			m.acceptOne(f)
+		}
 	}
-	return nil
+}
+
+// acceptOne applies an update and forwards it.
+func (m *Mesh) acceptOne(u *relay.Update) {
+	m.stats.updatesReceived.Inc()
+	if u.Reach != relay.ScopePeer {
+		m.setEntry(u.From.Name, u.Reach != relay.ScopeGroup)
+	}
+	m.apply(u)
+	m.forward(*u)
+}
+
+// isOld reports whether a forwarded update lists a node's requests as they were before the
+// last change that this node knows, so that it came on a longer way. A copy with the same
+// changes has nothing new either.
+func (m *Mesh) isOld(u *relay.Update) bool {
+	if !u.Reset || u.Seq == 0 {
+		return false
+	}
+	known, complete := m.InFlight.Seq(u.From.Name)
+	return complete && (u.Seq < known || u.Copied && u.Seq == known)
 }
 
 // apply applies an update to this node's state, and converts its ages to times.
 func (m *Mesh) apply(u *relay.Update) {
 	now := time.Now()
 	if u.Reset {
-		m.InFlight.RemoveNode(u.From.Name)
+		m.InFlight.Reset(u.From.Name, u.Seq)
 	}
+	m.InFlight.Observe(u.From.Name, u.Seq)
 	for i := range u.Began {
 		n := &u.Began[i]
 		n.Work.Since = now.Add(-n.Age)
@@ -122,7 +156,7 @@
 
 // Run serves the calls of peers until the context ends.
 func (m *Mesh) Run(ctx context.Context, l net.Listener) error {
-	var branches []conns.Branch
+	branches := []conns.Branch{{Preamble: streamPreamble, Serve: m.serveStream}}
 	if m.ServeTunnel != nil {
 		branches = append(branches, conns.Branch{Preamble: tunnel.Preamble, Serve: m.ServeTunnel})
 	}
--- /dev/null
+++ b/internal/trans/share/stream.go
@@ -0,0 +1,88 @@
+package share
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+)
+
+// streamPreamble is the first byte of a stream of updates. A connection for net/rpc
+// never begins with it.
+const streamPreamble byte = 0x82
+
+// streamTimeout is the silence after which a node closes the stream of its hub, which
+// then opens another one.
+const streamTimeout = 3 * heartbeatInterval
+
+// updateStream opens a stream to the peer if it is one of the group of this hub, and closes
+// it if it no longer is. It returns an error if the stream failed.
+func (p *peer) updateStream(ctx context.Context) error {
+	p.mu.Lock()
+	o, wanted := p.outlet, p.grouped && p.Streams
+	p.mu.Unlock()
+	switch {
+	case o == nil && wanted:
+		return p.openStream(ctx)
+	case o != nil && !wanted:
+		p.mu.Lock()
+		p.outlet = nil
+		p.mu.Unlock()
+		p.mesh.fanout.leave(o)
+	case o != nil:
+		return o.failure()
+	}
+	return nil
+}
+
+// openStream opens a stream to the peer. Its frames wait until releaseStream, so that they
+// follow the pending update.
+func (p *peer) openStream(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout, Control: conns.SetTCPUserTimeout}
+	c, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write([]byte{streamPreamble}); err != nil {
+		c.Close()
+		return err
+	}
+	o := p.mesh.fanout.join(c)
+	p.mu.Lock()
+	p.outlet = o
+	p.mu.Unlock()
+	go o.write(p.wakeUp)
+	return nil
+}
+
+// releaseStream lets the frames of the stream, if there is one, be written.
+func (p *peer) releaseStream() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.outlet != nil {
+		p.outlet.release()
+	}
+}
+
+// serveStream accepts the updates that a hub sends as a stream.
+func (m *Mesh) serveStream(ctx context.Context, c net.Conn, r *bufio.Reader) {
+	defer c.Close()
+	d := gob.NewDecoder(r)
+	for ctx.Err() == nil {
+		c.SetReadDeadline(time.Now().Add(streamTimeout))
+		var u relay.Update
+		if err := d.Decode(&u); err != nil {
+			m.Logger.Debug().Err(err).Str("address", c.RemoteAddr().String()).Msg("share: stream of a hub ended")
+			return
+		}
+		// The first update only describes the types.
+		if u.From.Name != "" {
+			m.stats.framesReceived.Inc()
+			m.accept(&u)
+		}
+	}
+}
