share, feeds: fewer wake-ups of a node without traffic

Cause: each node called four candidates every second, asked ten times a second for each of two streams whether another node reads it, and connected to 23 nodes at its start. Change: only hubs watch the candidates closely; frames of the hub replace heartbeats to it; the followers of the streams wait until their turn and are woken when it changes; a node connects to eight nodes at first.

--- a/internal/coord/views/views.go
+++ b/internal/coord/views/views.go
@@ -17,9 +17,9 @@
 	// hubsPerDataCentre is the number of hubs in each data centre: nodes that
 	// forward the updates of the others.
 	hubsPerDataCentre = 2
-	// Candidates is how many nodes of a data centre are watched closely, so that one
-	// of them can take over as a hub or as a reader of the store, or read it while the
-	// readers can't. They are the first ones in the order of Sort.
+	// Candidates is how many nodes of a data centre can take over as a hub or as a reader
+	// of the store, or read it while the readers can't. They are the first ones in the
+	// order of Sort. All nodes keep connections to them, the hubs watch them closely.
 	Candidates = 4
 )
 
@@ -79,7 +79,6 @@
 		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 	}
 	local := byDataCentre[self.DataCentre]
-	p.watch(self, local)
 	if len(onlyAlive(members)) <= 1 {
 		// The connections of this node broke, or it has just started.
 		p.linkAll(self, members)
@@ -87,9 +86,13 @@
 	hubs := hubsOf(local)
 	p.IsHub = slices.ContainsFunc(hubs, func(m Member) bool { return m.Name == self.Name })
 	if !p.IsHub {
+		for _, m := range candidates(local) {
+			p.link(self, m)
+		}
 		p.planMember(self, hubs, members)
 		return p
 	}
+	p.watch(self, local)
 	p.planGroup(self, hubs, local)
 	for c, ms := range byDataCentre {
 		if c == self.DataCentre {
@@ -108,12 +111,17 @@
 // tell which nodes are alive either, so the node then keeps connections to all of them.
 func (p *Plan) planMember(self Member, hubs, members []Member) {
 	h, ok := pick(self.Name, hubs)
-	p.Hub = h.Name
-	if ok && h.Streams {
-		p.Linked.Add(h.Name)
+	if !ok {
+		p.linkAll(self, members)
 		return
 	}
-	p.linkAll(self, members)
+	p.Hub = h.Name
+	p.Watched.Add(h.Name)
+	p.Linked.Add(h.Name)
+	if !h.Streams {
+		p.linkAll(self, members)
+		p.watch(self, members)
+	}
 }
 
 // planGroup plans to which nodes of its data centre a hub sends. The hubs split them if
@@ -137,11 +145,9 @@
 }
 
 // watch adds the candidates among the sorted nodes of a data centre to those that are
-// watched closely: the first ones that are alive, and the first ones of all, so that a node
-// whose connections broke finds the others again.
+// watched closely.
 func (p *Plan) watch(self Member, ms []Member) {
-	alive := onlyAlive(ms)
-	for _, m := range slices.Concat(ms[:min(Candidates, len(ms))], alive[:min(Candidates, len(alive))]) {
+	for _, m := range candidates(ms) {
 		if m.Name != self.Name {
 			p.Watched.Add(m.Name)
 			p.Linked.Add(m.Name)
@@ -149,6 +155,14 @@
 	}
 }
 
+// candidates returns the candidates among the sorted nodes of a data centre: the first ones
+// that are alive, and the first ones of all, so that a node whose connections broke finds the
+// others again.
+func candidates(ms []Member) []Member {
+	alive := onlyAlive(ms)
+	return slices.Concat(ms[:min(Candidates, len(ms))], alive[:min(Candidates, len(alive))])
+}
+
 // onlyAlive returns the members that are alive.
 func onlyAlive(ms []Member) []Member {
 	return slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return !m.Alive })
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -137,7 +137,7 @@
 	}
 	n.mesh.Init(ctx)
 	n.stateSync = newStateSync(n.feeds, n.mesh, n.DecodeCatalog, n.Logger)
-	n.feeds.ServedByPeer = n.stateSync.servedByReader
+	n.feeds.ServedFor = n.stateSync.servedFor
 	n.gate = &gate.Server{
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, MaxUnusedMemory: s.MaxUnusedMemory, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -82,18 +82,18 @@
 	return s
 }
 
-// servedByReader reports whether this node need not read a stream from the store
+// servedFor returns for how long this node need not read a stream from the store
 // itself: it currently gets a fresh copy from a reader, or it is not yet its turn to
 // stand in for the readers.
-func (s *stateSync) servedByReader(st feeds.Stream) bool {
+func (s *stateSync) servedFor(st feeds.Stream) time.Duration {
 	if s.isReader.Load() || st == feeds.Configuration && s.transferFailed.Load() {
-		return false
+		return 0
 	}
 	now := clock.Now()
 	if t := s.turnAt[st].Load(); t > 0 {
-		return now < t
+		return t.Sub(now)
 	}
-	return now.Sub(s.servedAt[st].Load()) < readerTimeout
+	return s.servedAt[st].Load().Add(readerTimeout).Sub(now)
 }
 
 // turnDelay returns how long a node waits until it reads the store itself, once no node
@@ -157,7 +157,9 @@
 func (s *stateSync) pull() {
 	readers := s.mesh.Readers(time.Now())
 	isReader := slices.Contains(readers, s.mesh.Self.Address)
-	s.isReader.Store(isReader)
+	if !s.isReader.Swap(isReader) && isReader {
+		s.feeds.Recheck()
+	}
 	matchesSource := s.feeds.OutsideGracePeriod(clock.Now())
 	if isReader && !s.feeds.SourceDown() && matchesSource {
 		s.takeNewerVersion(readers)
@@ -219,6 +221,7 @@
 			s.turnAt[i].Store(0)
 		case rank == 0:
 			s.turnAt[i].Store(1)
+			s.feeds.Recheck()
 		case s.turnAt[i].Load() == 0:
 			s.turnAt[i].Store(clock.Now().Add(turnDelay(rank)))
 		}
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -87,6 +87,9 @@
 	return !unnamed && len(p.mesh.ConnectedAddresses()) == peers
 }
 
+// servedByReader reports whether another node reads a stream for this one.
+func (s *stateSync) servedByReader(st feeds.Stream) bool { return s.servedFor(st) > 0 }
+
 // setState gives a node a configuration and an endpoint list that were last
 // confirmed the given time ago.
 func (p *testNode) setState(version byte, age time.Duration) {
--- a/internal/node/edge/transfer.go
+++ b/internal/node/edge/transfer.go
@@ -57,6 +57,7 @@
 		}
 		s.changes.abandon(t.change)
 		s.transferFailed.Store(true)
+		s.feeds.Recheck()
 	}()
 }
 
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -28,9 +28,10 @@
 	// graceReadInterval is the pause between two reads of the endpoints during the
 	// grace period after an outage.
 	graceReadInterval = 200 * time.Millisecond
-	// peerCheckInterval is the pause between two checks whether another node still
-	// reads the source for this one.
-	peerCheckInterval = 100 * time.Millisecond
+	// peerCheckInterval is the longest pause between two checks whether another node
+	// still reads the source for this one. Timers stand still while the VM is suspended,
+	// so the pause is short even if the other node reads for longer.
+	peerCheckInterval = 400 * time.Millisecond
 	// outageGrace is the grace period after an outage of the source, during
 	// which endpoints stay listed although their records are deleted: they may
 	// have expired because of the outage.
@@ -50,9 +51,9 @@
 	Source  Source
 	Decoder Decoder
 	Logger  zerolog.Logger
-	// ServedByPeer reports whether another node currently reads a stream for this
-	// one. Nil means never.
-	ServedByPeer func(Stream) bool
+	// ServedFor returns for how long another node reads a stream for this one; zero or less
+	// if none does. Nil means that none ever does.
+	ServedFor func(Stream) time.Duration
 
 	era     atomic.Uint64
 	catalog atomic.Pointer[topol.Catalog]
@@ -69,6 +70,8 @@
 	// failing is set for each stream whose last read failed. The Members stream,
 	// the last one, is not followed.
 	failing [Members]atomic.Bool
+	// rechecks make the followers ask ServedFor again.
+	rechecks [Members]signal
 
 	mu sync.Mutex
 	// recent holds the configurations that were in force last, the newest one last.
@@ -135,6 +138,13 @@
 	return g.Wait()
 }
 
+// Recheck makes this node ask ServedFor again at once, whatever it returned last.
+func (f *Feeds) Recheck() {
+	for i := range f.rechecks {
+		f.rechecks[i].set()
+	}
+}
+
 // pause returns the time until the next read of a stream.
 func (f *Feeds) pause(s Stream, interval time.Duration) time.Duration {
 	if s == Endpoints && !f.OutsideGracePeriod(clock.Now()) {
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -362,7 +362,12 @@
 			f.Source = s
 			var served atomic.Bool
 			served.Store(true)
-			f.ServedByPeer = func(Stream) bool { return served.Load() }
+			f.ServedFor = func(Stream) time.Duration {
+				if served.Load() {
+					return time.Minute
+				}
+				return 0
+			}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx)
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,9 +36,9 @@
 	w.restart()
 	w.retryPause = minRetryPause
 	for ctx.Err() == nil {
-		if served := w.feeds.ServedByPeer; served != nil && served(w.stream) {
+		if served := w.servedFor(); served > 0 {
 			w.restart()
-			delay.For(ctx, peerCheckInterval)
+			w.feeds.rechecks[w.stream].wait(ctx, min(served, peerCheckInterval))
 			continue
 		}
 		at := clock.Now()
@@ -55,6 +56,13 @@
 	}
 }
 
+func (w *follower) servedFor() time.Duration {
+	if w.feeds.ServedFor == nil {
+		return 0
+	}
+	return w.feeds.ServedFor(w.stream)
+}
+
 // restart begins anew after the state that this node got otherwise, for example from
 // a peer: where that is known to end in the stream, and else with the newest record
 // of each key.
@@ -118,3 +126,33 @@
 	}
 	return f.pause(w.stream, w.interval)
 }
+
+// signal wakes one waiting goroutine. The zero value is ready for use.
+type signal struct {
+	once sync.Once
+	c    chan struct{}
+}
+
+func (s *signal) channel() chan struct{} {
+	s.once.Do(func() { s.c = make(chan struct{}, 1) })
+	return s.c
+}
+
+// set ends the present call of wait or, if there is none, the next one.
+func (s *signal) set() {
+	select {
+	case s.channel() <- struct{}{}:
+	default:
+	}
+}
+
+// wait waits for set, at most for d.
+func (s *signal) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.channel():
+	case <-t.C:
+	}
+}
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -66,6 +66,9 @@
 	// maxRedialPause while the peer is silent for deadAfter or longer.
 	minRedialPause = 200 * time.Millisecond
 	maxRedialPause = 2 * time.Second
+	// maxFirstLinks is the number of peers to which a node connects before it knows how large
+	// the fleet is.
+	maxFirstLinks = 8
 	// neededTime is how long a connection to a peer that isn't linked is kept after a call.
 	neededTime = 5 * time.Second
 )
@@ -153,8 +156,8 @@
 }
 
 // AddPeer starts exchanging updates with the node at an address. It does nothing
-// for known peers and for this node's own address. In a large fleet, replan decides
-// whether this node connects to the peer.
+// for known peers and for this node's own address. This node connects to the first peers
+// at once; replan decides whether it connects to the others.
 func (m *Mesh) AddPeer(address string) {
 	if address == m.Self.Address || address == "" {
 		return
@@ -165,13 +168,13 @@
 		return
 	}
 	now := time.Now()
-	small := m.HubThreshold == 0 || len(m.peers)+1 < m.HubThreshold
+	first := m.HubThreshold == 0 || len(m.peers) < maxFirstLinks
 	p := &peer{
 		mesh: m, address: address, Member: relay.Member{Address: address}, wake: make(chan struct{}, 1), lastSeen: now, linkedAt: now,
-		role: role{linked: small, direct: small, watched: true},
+		role: role{linked: first, direct: first, watched: true},
 	}
 	m.peers[address] = p
-	if small {
+	if first {
 		p.start()
 	}
 }
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -64,6 +64,8 @@
 	client         *rpc.Client
 	// connected is closed when client is set; nil if nobody waits for that.
 	connected chan struct{}
+	// frameAt is when the last frame came from the peer.
+	frameAt time.Time
 	// outlet is the stream to the peer, if there is one.
 	outlet *outlet
 }
@@ -266,24 +268,44 @@
 // waitForChange waits until there is something to send, or until the next heartbeat. It
 // returns false if the connection isn't needed any more.
 func (p *peer) waitForChange(ctx context.Context) bool {
-	t := time.NewTimer(p.heartbeatPause())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-p.wake:
-		p.mu.Lock()
-		toOwnHub := p.scope == relay.ScopeAll
-		p.mu.Unlock()
-		// A node alone has few updates for its hub; those of others come in numbers.
-		if !toOwnHub {
-			time.Sleep(batchDelay)
+	sentAt := time.Now()
+	for {
+		t := time.NewTimer(p.heartbeatPause())
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		case <-p.wake:
+			t.Stop()
+			p.waitForMore()
+		case now := <-t.C:
+			if p.sendsFrames(now) && now.Sub(sentAt) < unwatchedHeartbeatInterval {
+				continue
+			}
 		}
-	case <-t.C:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.needed(time.Now())
+	}
+}
+
+// waitForMore waits so that one update carries several changes. A node alone has few
+// changes for its hub, so it doesn't wait.
+func (p *peer) waitForMore() {
+	p.mu.Lock()
+	toOwnHub := p.scope == relay.ScopeAll
+	p.mu.Unlock()
+	if !toOwnHub {
+		time.Sleep(batchDelay)
 	}
+}
+
+// sendsFrames reports whether the stream of the peer shows that it is alive, so that no
+// heartbeat is needed.
+func (p *peer) sendsFrames(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.needed(time.Now())
+	return now.Sub(p.frameAt) < heartbeatInterval+batchDelay
 }
 
 // heartbeatPause returns the longest pause between two updates to the peer.
--- a/internal/trans/share/stream.go
+++ b/internal/trans/share/stream.go
@@ -19,6 +19,10 @@
 // then opens another one.
 const streamTimeout = 3 * heartbeatInterval
 
+// streamAckTimeout bounds how long sent bytes of a stream may remain unacknowledged, so
+// that a hub replaces a connection that has gone silent.
+const streamAckTimeout = 3 * heartbeatInterval / 2
+
 // updateStream opens a stream to the peer if it is one of the group of this hub, and closes
 // it if it no longer is. It returns an error if the stream failed.
 func (p *peer) updateStream(ctx context.Context) error {
@@ -42,7 +46,7 @@
 // openStream opens a stream to the peer. Its frames wait until releaseStream, so that they
 // follow the pending update.
 func (p *peer) openStream(ctx context.Context) error {
-	d := net.Dialer{Timeout: dialTimeout, Control: conns.SetTCPUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: conns.TCPUserTimeout(streamAckTimeout)}
 	c, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return err
@@ -83,6 +87,16 @@
 		if u.From.Name != "" {
 			m.stats.framesReceived.Inc()
 			m.accept(&u)
+			m.markFrame(u.From.Address)
 		}
 	}
 }
+
+// markFrame records that a frame came from the node at an address.
+func (m *Mesh) markFrame(address string) {
+	if p := m.peerAt(address); p != nil {
+		p.mu.Lock()
+		p.frameAt = time.Now()
+		p.mu.Unlock()
+	}
+}
