share: the death and the status of a node reach nodes without a connection to it

Counters of calls, frames and links; a benchmark of fleets with 10 to 80 nodes. Result: tests of share with the race detector.

--- a/internal/coord/views/views.go
+++ b/internal/coord/views/views.go
@@ -29,8 +29,10 @@
 	DataCentre ident.DataCentre
 	// Cores is the CPU capacity of the node in cores; zero if unknown.
 	Cores float64
-	// Alive is set if the node was heard of recently.
-	Alive bool
+	// Alive is set if the node was heard of recently and, as far as is known, can be
+	// reached. Recent is set if it was heard of a moment ago, so that it is worth opening
+	// a connection that broke again.
+	Alive, Recent bool
 	// Streams is set if the node takes the updates of its hub as a stream. Nodes of
 	// older builds don't.
 	Streams bool
@@ -134,9 +136,9 @@
 			p.link(self, h)
 		}
 	}
-	for _, m := range onlyAlive(local) {
+	for _, m := range local {
 		h, _ := pick(m.Name, hubs)
-		if m.Name == self.Name || p.Siblings.Has(m.Name) || split && h.Name != self.Name {
+		if !m.Alive && !m.Recent || m.Name == self.Name || p.Siblings.Has(m.Name) || split && h.Name != self.Name {
 			continue
 		}
 		p.Group.Add(m.Name)
--- a/internal/trans/share/members.go
+++ b/internal/trans/share/members.go
@@ -18,7 +18,7 @@
 	// connection to it is being opened, and linkHoldDown how long it doesn't after that
 	// failed.
 	linkGrace    = time.Second
-	linkHoldDown = 10 * time.Second
+	linkHoldDown = deadAfter
 	// lostTolerance allows for the time that messages take: a node that is lost may have
 	// seemed to be heard of a little later than it was.
 	lostTolerance = 500 * time.Millisecond
@@ -27,23 +27,23 @@
 // knownNode is this node or a peer whose name is known. For this node, peer is nil.
 type knownNode struct {
 	relay.Member
-	alive bool
-	peer  *peer
+	alive, recent bool
+	peer          *peer
 }
 
 // view returns the node as package views needs it.
 func (n knownNode) view() views.Member {
-	return views.Member{Name: n.Name, DataCentre: n.DataCentre, Cores: n.Cores, Alive: n.alive, Streams: n.Streams}
+	return views.Member{Name: n.Name, DataCentre: n.DataCentre, Cores: n.Cores, Alive: n.alive, Recent: n.recent, Streams: n.Streams}
 }
 
 // known returns this node and the peers whose names are known, in the order of
 // views.Sort.
 func (m *Mesh) known(now time.Time) []knownNode {
-	ns := []knownNode{{m.self(), true, nil}}
+	ns := []knownNode{{m.self(), true, true, nil}}
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
 		if p.Name != "" {
-			ns = append(ns, knownNode{p.Member, p.alive(now), p})
+			ns = append(ns, knownNode{p.Member, p.alive(now), now.Sub(p.lastSeen) < deadAfter, p})
 		}
 		p.mu.Unlock()
 	}
@@ -130,7 +130,7 @@
 		return
 	}
 	now := time.Now()
-	if isNew := m.learn(p, relay.HeardMember{Member: from}, now); isNew {
+	if found := m.learn(p, relay.HeardMember{Member: from}, now); found {
 		m.replan(now)
 	}
 }
@@ -159,15 +159,16 @@
 }
 
 // learn records what is heard of a peer, unless something later is known, and reports whether
-// the peer was unknown. A hub passes on what is new.
-func (m *Mesh) learn(p *peer, h relay.HeardMember, now time.Time) (isNew bool) {
+// the peer was unknown or lost and no longer is. A hub passes on what is new.
+func (m *Mesh) learn(p *peer, h relay.HeardMember, now time.Time) (found bool) {
 	heardAt := now.Add(-h.Age)
 	p.mu.Lock()
 	if p.Name != "" && heardAt.Before(p.lastSeen) && !(h.Lost && heardAt.Add(lostTolerance).After(p.lastSeen)) {
 		p.mu.Unlock()
 		return false
 	}
-	isNew = p.Name == ""
+	isNew := p.Name == ""
+	found = isNew || p.lost && !h.Lost
 	changed := isNew || p.Member != h.Member || p.lost != h.Lost
 	p.Member, p.lastSeen, p.lost = h.Member, heardAt, h.Lost
 	p.mu.Unlock()
@@ -177,7 +178,7 @@
 	if changed {
 		m.passOn(h, now)
 	}
-	return isNew
+	return found
 }
 
 // passOn tells the other nodes, if this node is a hub, what it learned of a member.
@@ -243,7 +244,7 @@
 func (m *Mesh) findLost(now time.Time) {
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
-		lost := p.Name != "" && !p.lost && p.linked && p.client == nil && now.Sub(p.lastSeen) > watchedAliveTimeout && now.Sub(p.linkedAt) > linkGrace
+		lost := p.Name != "" && !p.lost && p.linked && p.client == nil && !p.failedAt.IsZero() && now.Sub(p.lastSeen) > watchedAliveTimeout
 		p.lost = p.lost || lost
 		h := p.heard(now)
 		p.mu.Unlock()
--- /dev/null
+++ b/internal/trans/share/members_test.go
@@ -0,0 +1,209 @@
+package share
+
+import (
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// namesOf returns the names of nodes, perDataCentre of them in each of some data centres.
+func namesOf(dataCentres, perDataCentre int) []string {
+	var names []string
+	for c := range dataCentres {
+		for i := range perDataCentre {
+			names = append(names, fmt.Sprintf("%c%d", 'a'+c, i))
+		}
+	}
+	return names
+}
+
+// waitFor waits until a condition holds.
+func waitFor(holds func() bool) {
+	for !holds() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against connections and memory of a node that grow with the fleet.
+func TestMostNodesAreConnectedToCandidatesOnly(t *testing.T) {
+	const perDataCentre, candidates = 8, 4
+	ns := start(t, namesOf(4, perDataCentre)...)
+	for _, n := range ns {
+		waitFor(func() bool {
+			most := candidates
+			if n.isHub.Load() {
+				most = perDataCentre - 1 + 3*candidates
+			}
+			return len(n.ConnectedAddresses()) <= most
+		})
+		test.Eq(t, len(ns), len(n.Nodes(time.Now()).Alive), test.Sprint(n.Self.Name, " knows which nodes are alive"))
+	}
+}
+
+// Guards against permits and configurations that can't be fetched from a node to which no
+// connection is kept.
+func TestNodeFetchesFromAnyNode(t *testing.T) {
+	ns := start(t, namesOf(3, 6)...)
+	last := ns[len(ns)-1]
+	from := ns[5]
+	waitFor(func() bool { return len(last.ConnectedAddresses()) <= 4 })
+	p, err := last.FetchPermit(from.Self.Name, quota.Key{})
+	must.NoError(t, err)
+	test.True(t, p.Granted)
+}
+
+// Guards against requests in flight of a dead node that count for ever at nodes without a
+// connection to it, and against nodes that take it for alive.
+func TestDeathOfANodeIsHeardOfEverywhere(t *testing.T) {
+	ns := start(t, namesOf(2, 6)...)
+	dead := ns[5]
+	w := works.Request{ID: 7, Node: dead.Self.Name, First: "e", Since: time.Now()}
+	dead.InFlight.Put(w)
+	dead.AnnounceStart(w)
+	for _, n := range ns {
+		n.waitForRequest(7, dead.Self.Name, true)
+	}
+	dead.stop()
+	for _, n := range ns {
+		if n == dead {
+			continue
+		}
+		waitFor(func() bool { return len(n.Nodes(time.Now()).Alive) == len(ns)-1 })
+		n.waitForRequest(7, dead.Self.Name, false)
+	}
+}
+
+// Guards against a status that only the connected nodes hear of.
+func TestStatusOfANodeReachesAllNodes(t *testing.T) {
+	ns := start(t, namesOf(3, 5)...)
+	leaving := ns[4]
+	leaving.leaving.Store(true)
+	leaving.AnnounceStatus()
+	for _, n := range ns {
+		waitFor(func() bool {
+			for _, m := range n.Members() {
+				if m.Name == leaving.Self.Name && m.Leaving {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// Guards against a list of requests that came on a longer way than later changes of the same
+// node, and undid them.
+func TestOlderListOfRequestsIsIgnored(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		u    relay.Update
+		kept int
+	}{
+		{"older", relay.Update{Seq: 4}, 1},
+		{"the same changes, of the node itself", relay.Update{Seq: 5}, 0},
+		{"the same changes, of a hub", relay.Update{Seq: 5, Copied: true}, 1},
+		{"newer, of a hub", relay.Update{Seq: 6, Copied: true}, 0},
+		{"of an older build", relay.Update{}, 0},
+	} {
+		m := newConnectedMesh(t, "a1")
+		m.accept(&relay.Update{From: relay.Member{Name: "a2"}, Reset: true, Seq: 3})
+		m.accept(&relay.Update{From: relay.Member{Name: "a2"}, Seq: 5, Began: []relay.AgedRequest{{Work: works.Request{ID: 1, Node: "a2"}}}})
+		c.u.From, c.u.Reset = relay.Member{Name: "a2"}, true
+		m.accept(&relay.Update{From: relay.Member{Name: "a3"}, Forwarded: []relay.Update{c.u}})
+		test.SliceLen(t, c.kept, m.InFlight.ByNode("a2"), test.Sprint(c.name))
+	}
+}
+
+// Guards against a hub that keeps all frames for a node that doesn't read them.
+func TestSlowNodeIsDroppedFromTheGroup(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	m := newConnectedMesh(t, "a1")
+	o := m.fanout.join(near)
+	failed := make(chan struct{})
+	go o.write(func() { close(failed) })
+	o.release()
+	for o.failure() == nil {
+		m.fanout.queue(true, func(u *relay.Update) { u.Wrote = append(u.Wrote, 1) })
+		m.fanout.flush()
+	}
+	<-failed
+	test.ErrorIs(t, o.failure(), errSlowPeer)
+}
+
+// Guards against changes that are lost since they were announced while the first
+// connection to a hub was being opened.
+func TestChangesDuringTheFirstConnectionAreSent(t *testing.T) {
+	m := newConnectedMesh(t, "a1")
+	p := &peer{mesh: m, address: "a2", Member: relay.Member{Name: "a2", Address: "a2"}, wake: make(chan struct{}, 1), running: true, linkedAt: time.Now(), role: role{linked: true, direct: true}}
+	m.peers["a2"] = p
+	m.AnnounceProof(strik.Proof{Parts: []ident.PartID{3}})
+	test.SliceLen(t, 1, p.pending.Proofs)
+	p.linkedAt = time.Now().Add(-time.Minute)
+	m.AnnounceProof(strik.Proof{Parts: []ident.PartID{4}})
+	test.SliceLen(t, 1, p.pending.Proofs, test.Sprint("changes don't pile up for a node that can't be reached"))
+}
+
+// A fleet settles for settleTime before its calls are counted for measureTime.
+const (
+	settleTime  = 5 * time.Second
+	measureTime = 10 * time.Second
+)
+
+// BenchmarkFleet shows what a node costs in a fleet, ten nodes in each data centre: its heap
+// and stacks, its connections, and the calls that it makes without any traffic.
+func BenchmarkFleet(b *testing.B) {
+	for _, dataCentres := range []int{1, 2, 4, 8} {
+		names := namesOf(dataCentres, 10)
+		b.Run(fmt.Sprint(len(names), "_nodes"), func(b *testing.B) {
+			before := memoryInUse()
+			ns := start(b, names...)
+			var links int
+			var calls float64
+			for b.Loop() {
+				time.Sleep(settleTime)
+				links, calls = 0, callsOf(ns)
+				time.Sleep(measureTime)
+				calls = (callsOf(ns) - calls) / measureTime.Seconds()
+				for _, n := range ns {
+					links += len(n.ConnectedAddresses())
+				}
+			}
+			count := float64(len(ns))
+			b.ReportMetric(float64(memoryInUse()-before)/count/1024, "KB/node")
+			b.ReportMetric(float64(links)/count, "links/node")
+			b.ReportMetric(calls/count, "calls/s/node")
+			for _, n := range ns {
+				n.stop()
+			}
+		})
+	}
+}
+
+// memoryInUse returns the bytes of live heap and of stacks.
+func memoryInUse() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc + s.StackInuse)
+}
+
+// callsOf returns the number of calls that the nodes have made.
+func callsOf(ns []*node) float64 {
+	var calls uint64
+	for _, n := range ns {
+		calls += n.stats.callsMade.Load()
+	}
+	return float64(calls)
+}
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -148,7 +148,6 @@
 	m.ctx = ctx
 	m.peers = map[string]*peer{}
 	m.entries = ident.Set[ident.NodeName]{}
-	m.stats = newStats(m)
 	// Numbers of a restarted node are higher than those of before.
 	m.seq.Store(uint64(time.Now().UnixNano()))
 	m.fanout.sign = func(u *relay.Update) { u.From, u.Seq = m.self(), m.seq.Load() }
@@ -261,7 +260,7 @@
 	if p == nil {
 		return rpc.ErrShutdown
 	}
-	m.stats.callsMade.Inc()
+	m.stats.callsMade.Add(1)
 	c := p.use(m.ctx, timeout)
 	if c == nil {
 		return rpc.ErrShutdown
--- a/internal/trans/share/metrics.go
+++ b/internal/trans/share/metrics.go
@@ -1,40 +1,44 @@
 package share
 
 import (
+	"sync/atomic"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// stats holds the metrics of a mesh.
+// stats counts what a mesh exchanges with other nodes.
 type stats struct {
-	callsMade, callsServed, updatesReceived, framesReceived, framesSent, frameBytes prometheus.Counter
-	links                                                                           prometheus.GaugeFunc
-}
-
-func newStats(m *Mesh) stats {
-	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
-	}
-	return stats{
-		callsMade:       counter("laburnum_peer_calls_made_total", "Calls of other nodes."),
-		callsServed:     counter("laburnum_peer_calls_served_total", "Updates of other nodes received by calls."),
-		updatesReceived: counter("laburnum_peer_updates_received_total", "Updates of nodes received directly or over others."),
-		framesReceived:  counter("laburnum_peer_frames_received_total", "Frames received on streams of hubs."),
-		framesSent:      counter("laburnum_peer_frames_sent_total", "Frames sent on streams, counted at each receiver."),
-		frameBytes:      counter("laburnum_peer_frame_bytes_total", "Bytes of the frames sent on streams."),
-		links: prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "laburnum_peer_links", Help: "Nodes to which this node is connected."}, func() float64 {
-			return float64(len(m.ConnectedAddresses()))
-		}),
-	}
+	// callsMade and callsServed are calls of and by other nodes; those served count updates
+	// only.
+	callsMade, callsServed atomic.Uint64
+	// updatesReceived are updates of nodes, received from them or over others.
+	updatesReceived atomic.Uint64
+	// framesSent and frameBytes are counted at each receiver.
+	framesSent, framesReceived, frameBytes atomic.Uint64
 }
 
 // frameSent counts a frame and its receivers.
 func (s *stats) frameSent(frameBytes, receivers int) {
-	s.framesSent.Add(float64(receivers))
-	s.frameBytes.Add(float64(frameBytes * receivers))
+	s.framesSent.Add(uint64(receivers))
+	s.frameBytes.Add(uint64(frameBytes * receivers))
 }
 
 // Register registers the metrics of the mesh.
 func (m *Mesh) Register(r prometheus.Registerer) {
-	s := &m.stats
-	r.MustRegister(s.callsMade, s.callsServed, s.updatesReceived, s.framesReceived, s.framesSent, s.frameBytes, s.links)
+	for _, c := range []struct {
+		name, help string
+		value      *atomic.Uint64
+	}{
+		{"laburnum_peer_calls_made_total", "Calls of other nodes.", &m.stats.callsMade},
+		{"laburnum_peer_calls_served_total", "Updates of other nodes received by calls.", &m.stats.callsServed},
+		{"laburnum_peer_updates_received_total", "Updates of nodes, received from them or over others.", &m.stats.updatesReceived},
+		{"laburnum_peer_frames_sent_total", "Frames sent on streams, counted at each receiver.", &m.stats.framesSent},
+		{"laburnum_peer_frames_received_total", "Frames received on streams of hubs.", &m.stats.framesReceived},
+		{"laburnum_peer_frame_bytes_total", "Bytes of the frames sent on streams.", &m.stats.frameBytes},
+	} {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help}, func() float64 { return float64(c.value.Load()) }))
+	}
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "laburnum_peer_links", Help: "Nodes to which this node is connected."}, func() float64 {
+		return float64(len(m.ConnectedAddresses()))
+	}))
 }
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -400,7 +400,7 @@
 	p.mu.Unlock()
 	u.From, u.Seq = p.mesh.self(), p.mesh.seq.Load()
 	stamp(&u, time.Now())
-	p.mesh.stats.callsMade.Inc()
+	p.mesh.stats.callsMade.Add(1)
 	var r relay.UpdateReply
 	if err := call(client, "Node.Tell", u, &r); err != nil {
 		return err
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -23,7 +23,7 @@
 // forwards each to the peers in its scope.
 func (s *service) Tell(u relay.Update, r *relay.UpdateReply) error {
 	m := s.mesh
-	m.stats.callsServed.Inc()
+	m.stats.callsServed.Add(1)
 	m.accept(&u)
 	switch {
 	case u.Joins:
@@ -52,7 +52,7 @@
 
 // acceptOne applies an update and forwards it.
 func (m *Mesh) acceptOne(u *relay.Update) {
-	m.stats.updatesReceived.Inc()
+	m.stats.updatesReceived.Add(1)
 	if u.Reach != relay.ScopePeer {
 		m.setEntry(u.From.Name, u.Reach != relay.ScopeGroup)
 	}
--- a/internal/trans/share/stream.go
+++ b/internal/trans/share/stream.go
@@ -85,7 +85,7 @@
 		}
 		// The first update only describes the types.
 		if u.From.Name != "" {
-			m.stats.framesReceived.Inc()
+			m.stats.framesReceived.Add(1)
 			m.accept(&u)
 			m.markFrame(u.From.Address)
 		}
