--- a/internal/coord/views/views.go
+++ b/internal/coord/views/views.go
@@ -19,7 +19,8 @@
 	hubsPerDataCentre = 2
 	// Candidates is how many nodes of a data centre can take over as a hub or as a reader
 	// of the store, or read it while the readers can't. They are the first ones in the
-	// order of Sort. All nodes keep connections to them, the hubs watch them closely.
+	// order of Sort. All nodes of the data centre keep connections to them, its hubs
+	// watch them closely.
 	Candidates = 4
 )
 
@@ -88,19 +89,19 @@
 	hubs := hubsOf(local)
 	p.IsHub = slices.ContainsFunc(hubs, func(m Member) bool { return m.Name == self.Name })
 	if !p.IsHub {
-		for _, m := range candidates(local) {
+		for _, m := range first(Candidates, local) {
 			p.link(self, m)
 		}
 		p.planMember(self, hubs, members)
 		return p
 	}
-	p.watch(self, local)
+	p.watch(self, first(Candidates, local))
 	p.planGroup(self, hubs, local)
 	for c, ms := range byDataCentre {
 		if c == self.DataCentre {
 			continue
 		}
-		p.watch(self, ms)
+		p.watch(self, first(hubsPerDataCentre, ms))
 		if h, ok := pick(self.Name, hubsOf(ms)); ok {
 			p.RemoteHubs.Add(h.Name)
 			p.Linked.Add(h.Name)
@@ -122,7 +123,7 @@
 	p.Linked.Add(h.Name)
 	if !h.Streams {
 		p.linkAll(self, members)
-		p.watch(self, members)
+		p.watch(self, first(Candidates, members))
 	}
 }
 
@@ -146,10 +147,9 @@
 	}
 }
 
-// watch adds the candidates among the sorted nodes of a data centre to those that are
-// watched closely.
+// watch adds nodes to those that are watched closely.
 func (p *Plan) watch(self Member, ms []Member) {
-	for _, m := range candidates(ms) {
+	for _, m := range ms {
 		if m.Name != self.Name {
 			p.Watched.Add(m.Name)
 			p.Linked.Add(m.Name)
@@ -157,12 +157,11 @@
 	}
 }
 
-// candidates returns the candidates among the sorted nodes of a data centre: the first ones
-// that are alive, and the first ones of all, so that a node whose connections broke finds the
-// others again.
-func candidates(ms []Member) []Member {
+// first returns the first n of the sorted nodes of a data centre that are alive, and the
+// first n of all, so that a node whose connections broke finds the others again.
+func first(n int, ms []Member) []Member {
 	alive := onlyAlive(ms)
-	return slices.Concat(ms[:min(Candidates, len(ms))], alive[:min(Candidates, len(alive))])
+	return slices.Concat(ms[:min(n, len(ms))], alive[:min(n, len(alive))])
 }
 
 // onlyAlive returns the members that are alive.
