edge: the nodes that start share the scan of the engines

Cause: each starting node asked each engine four times for its load, to find what dead nodes left running. Change: each engine is scanned by one of the nodes alive, which tells the others; what was found expires also if that node dies.

--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -58,7 +58,15 @@
 // Leads reports whether this node is the one that acts on a subject for all nodes. It
 // isn't if it can't reach most of the others.
 func (n Nodes) Leads(subject string) bool {
-	return !n.isCutOff() && n.byRank(Key{Endpoint: ident.EndpointName(subject)})[0] == n.Self
+	return !n.isCutOff() && n.IsFirst(subject)
+}
+
+// IsFirst reports whether this node is the one for a subject among those that it knows to be
+// alive.
+func (n Nodes) IsFirst(subject string) bool {
+	k := Key{Endpoint: ident.EndpointName(subject)}
+	own := rank(k, n.Self)
+	return !slices.ContainsFunc(n.Alive, func(o ident.NodeName) bool { return o != n.Self && rank(k, o) > own })
 }
 
 // isCutOff reports whether this node reaches less than half of the nodes.
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -73,6 +73,7 @@
 	mesh      *share.Mesh
 	stateSync *stateSync
 	inFlight  *works.Table
+	orphans   orphanTable
 }
 
 // Run serves requests until stop is cancelled, then drains: it waits for the
@@ -151,6 +152,7 @@
 	n.mesh.Availability, n.mesh.OnAvailability = n.gate.Availability, n.gate.AddPeerAvailability
 	n.mesh.Rests, n.mesh.OnRests = n.gate.Rests, n.gate.AddPeerRests
 	n.mesh.OnDecisions = n.gate.AddPeerDecisions
+	n.mesh.OnOrphans = n.addOrphans
 	if n.UseDialer != nil {
 		n.UseDialer(n.gate.DialListed)
 	}
--- a/internal/node/edge/orphans.go
+++ b/internal/node/edge/orphans.go
@@ -22,6 +22,8 @@
 	// for orphaned requests, orphanScanInterval the pause after each scan.
 	orphanScans        = 4
 	orphanScanInterval = 700 * time.Millisecond
+	// orphanLife is how long the requests that a scan found count as running.
+	orphanLife = orphanScans * orphanScanInterval
 	// reportTimeout limits the wait for the load reports of one scan.
 	reportTimeout = 300 * time.Millisecond
 	// minOrphanTokens is the minimum size assumed for an orphaned request. It is
@@ -35,12 +37,66 @@
 // table of requests in flight.
 const orphanNode ident.NodeName = "(orphans)"
 
-// findOrphans scans the engines for orphaned requests, which still run there
-// although their nodes have died, and adds them to the table of requests in
-// flight. Each scan replaces the entries of the scan before, since the engines
-// finish these requests; after the last scan the entries are dropped.
+// orphanTable holds what the nodes found at the engines, each engine being scanned by one
+// of them.
+type orphanTable struct {
+	mu       sync.Mutex
+	byEngine map[ident.EndpointName]foundOrphans
+}
+
+type foundOrphans struct {
+	relay.Orphans
+	at time.Time
+}
+
+// add records what was found at engines.
+func (t *orphanTable) add(os []relay.Orphans, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byEngine == nil {
+		t.byEngine = map[ident.EndpointName]foundOrphans{}
+	}
+	for _, o := range os {
+		o.Count, o.Tokens = min(o.Count, maxOrphansPerEngine), max(o.Tokens, minOrphanTokens)
+		t.byEngine[o.Endpoint] = foundOrphans{o, now}
+	}
+}
+
+// requests returns an entry for each orphaned request that was found within orphanLife. It
+// forgets the older ones.
+func (t *orphanTable) requests(now time.Time) []works.Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ws []works.Request
+	for name, o := range t.byEngine {
+		if now.Sub(o.at) > orphanLife {
+			delete(t.byEngine, name)
+			continue
+		}
+		for range o.Count {
+			ws = append(ws, works.Request{
+				ID: works.ID(len(ws)), Node: orphanNode, First: name, Prompt: o.Tokens, Share: o.Tokens, Since: o.at, Writing: true,
+			})
+		}
+	}
+	return ws
+}
+
+// addOrphans records what this node or another one found at engines.
+func (n *Node) addOrphans(os []relay.Orphans) {
+	now := time.Now()
+	n.orphans.add(os, now)
+	n.inFlight.ReplaceNode(orphanNode, n.orphans.requests(now))
+	time.AfterFunc(orphanLife+orphanScanInterval, func() {
+		n.inFlight.ReplaceNode(orphanNode, n.orphans.requests(time.Now()))
+	})
+}
+
+// findOrphans scans engines for orphaned requests, which still run there although their
+// nodes have died, and tells all nodes of them. The nodes that start at the same time share
+// the engines. Each scan replaces what the scan before found, since the engines finish these
+// requests.
 func (n *Node) findOrphans(ctx context.Context) {
-	defer n.inFlight.RemoveNode(orphanNode)
 	for range orphanScans {
 		for n.feeds.Catalog() == nil || n.feeds.Endpoints() == nil {
 			if ctx.Err() != nil {
@@ -48,22 +104,25 @@
 			}
 			delay.For(ctx, pollInterval)
 		}
-		n.inFlight.ReplaceNode(orphanNode, n.scanOrphans(ctx))
+		if os := n.scanOrphans(ctx); len(os) > 0 {
+			n.mesh.AnnounceOrphans(os)
+			n.addOrphans(os)
+		}
 		delay.For(ctx, orphanScanInterval)
 	}
 }
 
-// scanOrphans fetches the load reports of all engines in parallel and returns the
-// orphaned requests at those that responded in time.
-func (n *Node) scanOrphans(ctx context.Context) []works.Request {
+// scanOrphans fetches the load reports of this node's part of the engines in parallel and
+// returns the orphaned requests at those that responded in time.
+func (n *Node) scanOrphans(ctx context.Context) []relay.Orphans {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	reports := map[ident.EndpointName]relay.LoadReport{}
-	catalog := n.feeds.Catalog()
+	catalog, nodes := n.feeds.Catalog(), n.mesh.Nodes(time.Now())
 	for _, e := range n.feeds.Endpoints().ByName {
-		if s := catalog.Services[e.Service]; s == nil || s.Engine == nil || e.Leaving {
+		if s := catalog.Services[e.Service]; s == nil || s.Engine == nil || e.Leaving || !nodes.IsFirst(string(e.Name)) {
 			continue
 		}
 		wg.Go(func() {
@@ -78,12 +137,12 @@
 		})
 	}
 	wg.Wait()
-	return orphanedRequests(reports, n.inFlight.All(), time.Now())
+	return orphansIn(reports, n.inFlight.All())
 }
 
-// orphanedRequests returns an entry for each request that an engine reports in
-// addition to the known requests of nodes.
-func orphanedRequests(reports map[ident.EndpointName]relay.LoadReport, known []works.Request, now time.Time) []works.Request {
+// orphansIn returns for each engine how many requests it reports in addition to the known
+// requests of nodes.
+func orphansIn(reports map[ident.EndpointName]relay.LoadReport, known []works.Request) []relay.Orphans {
 	count := map[ident.EndpointName]int{}
 	used := map[ident.EndpointName]ident.Tokens{}
 	for _, w := range known {
@@ -92,18 +151,13 @@
 			used[w.First] += w.Share
 		}
 	}
-	var ws []works.Request
+	var os []relay.Orphans
 	for name, r := range reports {
-		extra := min(r.Running+r.Waiting-count[name], maxOrphansPerEngine)
-		if extra <= 0 {
-			continue
-		}
-		size := max(minOrphanTokens, (r.Used-used[name])/ident.Tokens(extra))
-		for range extra {
-			ws = append(ws, works.Request{
-				ID: works.ID(len(ws)), Node: orphanNode, First: name, Prompt: size, Share: size, Since: now, Writing: true,
-			})
+		o := relay.Orphans{Endpoint: name, Count: max(0, min(r.Running+r.Waiting-count[name], maxOrphansPerEngine))}
+		if o.Count > 0 {
+			o.Tokens = max(minOrphanTokens, (r.Used-used[name])/ident.Tokens(o.Count))
 		}
+		os = append(os, o)
 	}
-	return ws
+	return os
 }
--- a/internal/node/edge/orphans_test.go
+++ b/internal/node/edge/orphans_test.go
@@ -1,17 +1,27 @@
 package edge
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+// orphanedRequests returns the entries for what the reports of engines show.
+func orphanedRequests(reports map[ident.EndpointName]relay.LoadReport, known []works.Request, now time.Time) []works.Request {
+	var t orphanTable
+	t.add(orphansIn(reports, known), now)
+	return t.requests(now)
+}
+
 // When all nodes fail at once, the engines still run the requests that the nodes
 // had sent. Nodes that start must count these, or they send an engine more
 // requests than it has slots for.
@@ -53,3 +63,33 @@
 		test.LessEq(t, maxOrphansPerEngine, len(orphanedRequests(map[ident.EndpointName]relay.LoadReport{"odd": r}, nil, time.Now())))
 	}
 }
+
+// Guards against calls of the engines that grow with the square of the fleet when all its
+// nodes start at once.
+func TestNodesShareTheScanOfEngines(t *testing.T) {
+	names := make([]ident.NodeName, 195)
+	for i := range names {
+		names[i] = ident.NodeName(fmt.Sprint("n", i))
+	}
+	for e := range 195 {
+		scans := 0
+		for _, n := range names {
+			if (quota.Nodes{Self: n, Alive: names}).IsFirst(fmt.Sprint("engine", e)) {
+				scans++
+			}
+		}
+		must.Eq(t, 1, scans)
+	}
+}
+
+// Guards against orphaned requests that count for ever, also if the node that found them has
+// died.
+func TestOrphansExpire(t *testing.T) {
+	var found orphanTable
+	now := time.Now()
+	found.add([]relay.Orphans{{Endpoint: "e", Count: 2, Tokens: 9_000}, {Endpoint: "odd", Count: -1, Tokens: -1}}, now)
+	test.SliceLen(t, 2, found.requests(now))
+	found.add([]relay.Orphans{{Endpoint: "e", Count: 1, Tokens: 9_000}}, now.Add(orphanScanInterval))
+	test.SliceLen(t, 1, found.requests(now.Add(orphanLife)))
+	test.SliceEmpty(t, found.requests(now.Add(orphanScanInterval+orphanLife+1)))
+}
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -87,6 +87,14 @@
 	Age      time.Duration
 }
 
+// Orphans are requests that run at an engine although no living node has sent them.
+type Orphans struct {
+	Endpoint ident.EndpointName
+	Count    int
+	// Tokens is the assumed size of each.
+	Tokens ident.Tokens
+}
+
 // PermitArgs asks a node that has a share of the limit of an endpoint for the
 // permission to send one request there.
 type PermitArgs struct {
@@ -140,6 +148,9 @@
 	Rests  []RestLeft
 	// Decided lists the node's decisions on prompts that may be deferred.
 	Decided []AgedDecision
+	// Orphans lists the engines at which the node found orphaned requests, and those at
+	// which it found none, with a count of zero.
+	Orphans []Orphans
 	// Reach selects the nodes to which the receiver forwards the update.
 	// Forwarded holds updates of other nodes that the sender forwards.
 	Reach     Scope
@@ -167,7 +178,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded and Heard.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided)+len(u.Orphans) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/share/announce.go
+++ b/internal/trans/share/announce.go
@@ -61,6 +61,11 @@
 	m.announce(false, func(u *relay.Update) { u.Decided = append(u.Decided, relay.AgedDecision{Decision: d}) })
 }
 
+// AnnounceOrphans informs the peers of engines with or without orphaned requests.
+func (m *Mesh) AnnounceOrphans(os []relay.Orphans) {
+	m.announce(true, func(u *relay.Update) { u.Orphans = append(u.Orphans, os...) })
+}
+
 // AnnounceLimits informs the peers of limits that endpoints named or that have
 // ended.
 func (m *Mesh) AnnounceLimits(ls ...quota.Limit) {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -111,6 +111,9 @@
 	OnRests        func([]avail.Rest)
 	// OnDecisions is called with the decisions of a peer on prompts.
 	OnDecisions func([]bysize.Decision)
+	// OnOrphans, if it is set, is called with the engines at which a peer looked for
+	// orphaned requests.
+	OnOrphans func([]relay.Orphans)
 	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
 	// with the strikes that a peer recorded, OnProofs and OnPartStates with the parts of
 	// prompts that a peer cleared or suspects, and OnLimits with the limits of endpoints
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -92,6 +92,9 @@
 	if len(u.Failed) > 0 {
 		m.OnFailed(u.Failed)
 	}
+	if len(u.Orphans) > 0 && m.OnOrphans != nil {
+		m.OnOrphans(u.Orphans)
+	}
 	deliver(u.Struck, m.OnStruck, func(a *relay.AgedStrike) strik.Strike {
 		a.Strike.At = now.Add(-a.Age)
 		return a.Strike
