gate: refuse at once what may outlive a stopping node

What callers saw: in a planned stop, requests that may not be repeated were passed on although their route's time was longer than the node lived, and got 504 while the endpoint was at work. Cause: plain requests were taken until 2.5 s before the end whatever their time, decided at their header, and cut by a deadline of the node. Change: the node asks by the route's time and the caller's, when the request is whole, before each send and again when the link is there. A request that may not finish is refused as not run, with a time after which another node serves it. Streams are asked the same when they are sent, with the expected time to their first event; one that the caller receives is resumed.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -168,6 +168,10 @@
 		a.outcome = outcome{result: notSent, reason: "connect: " + err.Error()}
 		return false
 	}
+	if a.isCurrent() && a.mayOutliveNode(time.Now(), 0) {
+		a.outcome = outcome{result: notSent, reason: errStopping.Error()}
+		return false
+	}
 	if a.isCurrent() {
 		a.recordDecision(true)
 	}
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -19,6 +19,9 @@
 	if x.crashesEndpoints(now) {
 		return place.Choice{}, place.Request{}, errCrashesEndpoints
 	}
+	if x.mayOutliveNode(now, 0) {
+		return place.Choice{}, place.Request{}, errStopping
+	}
 	endpoints := s.Feeds.Endpoints()
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
@@ -29,6 +32,9 @@
 	r := x.placeRequest(now)
 	c, err := place.Choose(x.serviceState(candidates, now), r)
 	x.estimate, x.load = c.Estimate, c.Load
+	if err == nil && x.mayOutliveNode(now, c.Estimate) {
+		err = errStopping
+	}
 	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
 		if s.restsForThisNode(x.service.Name, now) {
 			err = errResting
@@ -64,6 +70,8 @@
 // placed should retry.
 func (x *exchange) retryAfter(err error, c place.Choice, r place.Request) time.Duration {
 	switch {
+	case errors.Is(err, errStopping):
+		return retryElsewhere
 	case errors.Is(err, errCrashesEndpoints):
 		return x.server.strikes.barredFor(x.digest(), time.Now())
 	case errors.Is(err, errResting):
--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 )
@@ -21,43 +23,35 @@
 	s.draining.Store(true)
 }
 
-// rejectsNew reports whether new requests of a kind are rejected because the
-// node may stop before they finish.
-func (s *Server) rejectsNew(k topol.Kind, now time.Time) bool {
-	if !s.draining.Load() {
-		return false
-	}
-	since := now.Sub(time.Unix(0, s.drainStart.Load()))
-	if k == topol.Stream {
-		return since > streamAcceptPeriod
-	}
-	return since > s.GracePeriod-plainAcceptMargin
-}
-
 const (
-	// streamAcceptPeriod is how long after the stop signal new streams are
-	// accepted. Other requests are accepted until plainAcceptMargin before the
-	// end of the grace period.
+	// streamAcceptPeriod is how long after the stop signal new streams are sent. A stream
+	// rarely takes as long as its route allows, so that time does not decide.
 	streamAcceptPeriod = 2500 * time.Millisecond
-	plainAcceptMargin  = 2500 * time.Millisecond
-	// answerMargin is the time before the end of the grace period at which requests that
-	// arrived during a drain are answered at the latest.
+	// answerMargin is the time before the end of the grace period by which a request must be
+	// answered to be sent during a drain.
 	answerMargin = 700 * time.Millisecond
 	// stopPollInterval is the pause between two looks for open connections.
 	stopPollInterval = 5 * time.Millisecond
 )
 
-// boundByStop sets the deadline to the time by which the caller must be answered before the
-// process ends, if that is earlier. A stream may go on to the end.
-func (x *exchange) boundByStop() {
+// errStopping means that the node may stop before the request finishes.
+const errStopping = errors.ConstError("node may stop before the request finishes")
+
+// mayOutliveNode reports whether the request may take longer than the node lives, so that it
+// must not be sent: by the time that its route and its caller allow or, if it is a stream, by
+// the time since the drain began and the time until its first event. A stream that the caller
+// has begun to receive goes on.
+func (x *exchange) mayOutliveNode(now time.Time, toFirst time.Duration) bool {
 	s := x.server
-	if !s.draining.Load() || x.route.Kind == topol.Stream {
-		return
+	if !s.draining.Load() || x.headerSent {
+		return false
 	}
-	end := time.Unix(0, s.drainStart.Load()).Add(s.GracePeriod - answerMargin)
-	if x.deadline.After(end) {
-		x.deadline, x.endsWithNode = end, true
+	began := time.Unix(0, s.drainStart.Load())
+	end := began.Add(s.GracePeriod - answerMargin)
+	if x.route.Kind != topol.Stream {
+		return x.deadline.After(end)
 	}
+	return now.Sub(began) > streamAcceptPeriod || now.Add(toFirst).After(end)
 }
 
 // MayStop reports whether no request is under way and no caller may still send one on its
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -38,6 +38,8 @@
 	// retrySoon is the Retry-After of most rejections. It is short, since
 	// another node may accept the request.
 	retrySoon = 200 * time.Millisecond
+	// retryElsewhere is the Retry-After of a node that stops, since others serve.
+	retryElsewhere = 50 * time.Millisecond
 	// retryLater is the Retry-After if memory could not be reserved. It leaves
 	// time for the load to go down.
 	retryLater = 700 * time.Millisecond
@@ -62,10 +64,8 @@
 	request *http1.Request
 	body    []byte
 	arrived time.Time
-	// deadline is when the caller must have the whole response. endsWithNode is set if the
-	// node must stop by then, and the caller would wait for longer.
-	deadline     time.Time
-	endsWithNode bool
+	// deadline is when the caller must have the whole response.
+	deadline time.Time
 
 	reqHeader relay.RequestHeader
 	catalog   *topol.Catalog
@@ -202,10 +202,6 @@
 	if !x.authorize(age) {
 		return false
 	}
-	if s.rejectsNew(x.route.Kind, x.arrived) {
-		x.reject(503, retrySoon/4, "node may stop before the request finishes")
-		return false
-	}
 	x.service = x.catalog.Services[x.route.PickService(random())]
 	if x.service == nil {
 		x.reject(503, retrySoon, "route has no service")
@@ -219,7 +215,10 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.arrived.Add(limit)
-	x.boundByStop()
+	if x.mayOutliveNode(time.Now(), 0) {
+		x.reject(503, retryElsewhere, errStopping.Error())
+		return false
+	}
 	x.position.lastID = x.reqHeader.LastEvent
 	x.tried = ident.Set[ident.EndpointName]{}
 	x.unreservedEngines = ident.Set[ident.EndpointName]{}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -37,7 +37,7 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case isCausedByLoad(err):
 		x.reject(503, retryAfter, err.Error())
-	case errors.Is(err, errResting):
+	case errors.Is(err, errResting), errors.Is(err, errStopping):
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errLimited):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
@@ -172,8 +172,8 @@
 		}
 	case o.linkLost, o.result == superseded:
 		// The silence of one that was superseded has been recorded.
-	case x.endsWithNode && !now.Before(x.deadline):
-		// The endpoint might have answered in time.
+	case o.reason == errStopping.Error():
+		// Nothing is known of the endpoint.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil && !o.rests:
