front: reject at the end of a stop what may outlive the process

Such a request is rejected as not run, at its header and again when its body is whole. TestLateRequestsOfAStopAreRejected failed before.

--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -62,6 +62,9 @@
 	active     activeRequests
 	bodyMemory memoryBudget
 	draining   atomic.Bool
+	// endsAt is the Unix time in nanoseconds up to which Stop waits for requests; zero
+	// before.
+	endsAt atomic.Int64
 }
 
 // Init prepares the server; it is called once before Run and Stop.
@@ -105,14 +108,24 @@
 func (s *Server) Active() int { return s.active.len() }
 
 // Stop closes the listener and the idle connections, and waits for the
-// requests in flight. A request that has arrived is served. Drain must have been called.
+// requests in flight. A request that has arrived is served, or rejected if it may take longer
+// than until the context ends. Drain must have been called.
 func (s *Server) Stop(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		s.endsAt.Store(end.UnixNano())
+	}
 	// fasthttp closes connections without a look for bytes that have arrived, and after
 	// responses that didn't announce it.
 	s.conns.end(ctx)
 	return errors.Trace(s.http.ShutdownWithContext(ctx))
 }
 
+// mayEndBefore reports whether the process may end before a time.
+func (s *Server) mayEndBefore(t time.Time) bool {
+	end := s.endsAt.Load()
+	return end != 0 && t.UnixNano() > end
+}
+
 // IsReady reports whether the load balancer may send requests to this node.
 func (s *Server) IsReady() bool { return s.HasConfig() && !s.Draining() }
 
@@ -215,11 +228,22 @@
 		d = min(d, requested)
 	}
 	q.req.Deadline = q.arrived.Add(d)
+	if f := q.checkEnd(); f != nil {
+		return f
+	}
 	q.ctx.Conn().SetReadDeadline(q.req.Deadline)
 	q.ctx.Conn().SetWriteDeadline(q.req.Deadline.Add(writeGrace))
 	return nil
 }
 
+// checkEnd returns a failure if the node may stop before the request finishes.
+func (q *exchange) checkEnd() *serve.Failure {
+	if q.server.mayEndBefore(q.req.Deadline) {
+		return q.notRunFailure(fasthttp.StatusServiceUnavailable, "stopping", "the node may stop before the request finishes")
+	}
+	return nil
+}
+
 // register adds the request to those in flight. The returned context ends at the
 // deadline or when the caller closes the connection. The returned function
 // cancels the context, removes the request and releases the memory of its body.
--- a/internal/trans/front/plain.go
+++ b/internal/trans/front/plain.go
@@ -31,6 +31,9 @@
 	if f != nil {
 		return f
 	}
+	if f := q.checkEnd(); f != nil {
+		return f
+	}
 	out := q.outgoingRequest(body)
 	defer fasthttp.ReleaseRequest(out)
 	ctx, end := q.register()
--- a/internal/trans/front/stop_test.go
+++ b/internal/trans/front/stop_test.go
@@ -7,14 +7,19 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
+	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/serve"
+	"laburnumstack.org/laburnum/pkg/confg"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // Guards against requests that have arrived on idle connections when the node stops, and
@@ -72,3 +77,38 @@
 		})
 	}
 }
+
+// Guards against requests that arrive on an open connection at the end of a planned stop, may
+// take longer than the process lives, and are passed on all the same.
+func TestLateRequestsOfAStopAreRejected(t *testing.T) {
+	s := &Server{Logger: zerolog.Nop()}
+	s.Init()
+	cases := []struct {
+		name     string
+		limit    time.Duration
+		stopping bool
+		want     bool
+	}{
+		{"before the stop", time.Hour, false, false},
+		{"in time", time.Second, true, false},
+		{"longer than the process lives", time.Hour, true, true},
+	}
+	for _, c := range cases {
+		if c.stopping {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			s.Drain()
+			must.NoError(t, s.Stop(ctx))
+			cancel()
+		}
+		near, far := net.Pipe()
+		defer far.Close()
+		var ctx fasthttp.RequestCtx
+		ctx.Init2(near, silentLogger{}, false)
+		q := &exchange{server: s, ctx: &ctx, arrived: time.Now(), req: &serve.Request{Route: &table.Route{Route: confg.Route{TimeLimit: confg.Duration(c.limit)}}}}
+		f := q.setDeadline()
+		test.Eq(t, c.want, f != nil, test.Sprint(c.name))
+		if f != nil {
+			test.Eq(t, ident.NotRun, f.Outcome)
+		}
+	}
+}
