--- a/internal/trans/http1/http1_test.go
+++ b/internal/trans/http1/http1_test.go
@@ -152,7 +152,14 @@
 	for _, s := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 100 \r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", "HTTP/1.1 2xx\r\n\r\n", "HTTP",
+		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nSum: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab",
 	} {
+		// An answer may break off after each of its bytes.
+		for n := range len(s) {
+			f.Add([]byte(s[:n]))
+		}
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
