conns: an interim response is not the response

What callers of the product's own interface saw: status 100 with the raw text of the response, where a server sends 100 or 103 before it. Cause: the first header on the connection counted as that of the response. Change: interim responses are skipped, eight at most. Evidence: TestNoByteOfABrokenAnswerLooksWhole of conns failed for this form; no cut answer of the others looked whole.

--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -35,6 +35,12 @@
 // one to an earlier call.
 const errOtherCall = errors.ConstError("response to another call")
 
+// maxInterimResponses bounds the interim responses before a response.
+const maxInterimResponses = 8
+
+// errManyInterim means that the server sends interim responses and no other.
+const errManyInterim = errors.ConstError("too many interim responses")
+
 // lastCallID is the ID of the last identified call of this process.
 var lastCallID atomic.Uint64
 
@@ -119,7 +125,7 @@
 	if c.HeaderTimeout > 0 {
 		r.SetReadDeadline(time.Now().Add(c.HeaderTimeout))
 	}
-	if err := r.Header.Read(cn.reader); err != nil {
+	if err := r.readHeader(); err != nil {
 		return nil, err
 	}
 	if c.Identified {
@@ -133,6 +139,19 @@
 	return r, nil
 }
 
+// readHeader reads the header of the response and skips interim responses before it.
+func (r *Response) readHeader() error {
+	for range maxInterimResponses + 1 {
+		if err := r.Header.Read(r.conn.reader); err != nil {
+			return err
+		}
+		if s := r.Header.StatusCode(); s >= fasthttp.StatusOK || s == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	return errManyInterim
+}
+
 // checkID returns an error unless the response is the one to the call with an ID. The
 // first response on a connection is, also if the server doesn't copy IDs.
 func (r *Response) checkID(id []byte) error {
--- a/internal/trans/conns/conns_test.go
+++ b/internal/trans/conns/conns_test.go
@@ -50,12 +50,16 @@
 	}
 }
 
-func get(p *conns.Pool, timeout time.Duration) ([]byte, error) {
+func request(p *conns.Pool, timeout time.Duration) (*conns.Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("/")
 	req.Header.SetHost("h")
-	r, err := p.Do(context.Background(), conns.Call{Request: req, HeaderTimeout: timeout})
+	return p.Do(context.Background(), conns.Call{Request: req, HeaderTimeout: timeout})
+}
+
+func get(p *conns.Pool, timeout time.Duration) ([]byte, error) {
+	r, err := request(p, timeout)
 	if err != nil {
 		return nil, err
 	}
