--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -27,7 +27,7 @@
 // that can't reach most of the others takes an equal part, which is within the rate
 // whatever the others do.
 func (n Nodes) Share(k Key, rate float64) float64 {
-	if n.isCutOff() {
+	if n.IsCutOff() {
 		return rate / float64(n.Known)
 	}
 	users := n.Users(k, rate)
@@ -41,7 +41,7 @@
 // the highest hashes, so that all nodes choose the same ones. It returns none if this
 // node can't reach most of the others.
 func (n Nodes) Users(k Key, rate float64) []ident.NodeName {
-	if n.isCutOff() {
+	if n.IsCutOff() {
 		return nil
 	}
 	names := n.byRank(k)
@@ -58,7 +58,7 @@
 // Leads reports whether this node is the one that acts on a subject for all nodes. It
 // isn't if it can't reach most of the others.
 func (n Nodes) Leads(subject string) bool {
-	return !n.isCutOff() && n.IsFirst(subject)
+	return !n.IsCutOff() && n.IsFirst(subject)
 }
 
 // IsFirst reports whether this node is the one for a subject among those that it knows to be
@@ -69,8 +69,8 @@
 	return !slices.ContainsFunc(n.Alive, func(o ident.NodeName) bool { return o != n.Self && rank(k, o) > own })
 }
 
-// isCutOff reports whether this node reaches less than half of the nodes.
-func (n Nodes) isCutOff() bool { return 2*len(n.Alive) < n.Known }
+// IsCutOff reports whether this node reaches less than half of the nodes.
+func (n Nodes) IsCutOff() bool { return 2*len(n.Alive) < n.Known }
 
 func rank(k Key, n ident.NodeName) uint64 {
 	return xxhash.Sum64String(string(k.Endpoint) + "\x00" + string(n))
--- a/internal/node/edge/orphans.go
+++ b/internal/node/edge/orphans.go
@@ -9,6 +9,7 @@
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/share"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -113,14 +114,19 @@
 }
 
 // scanOrphans fetches the load reports of this node's part of the engines in parallel and
-// returns the orphaned requests at those that responded in time.
+// returns the orphaned requests at those that responded in time. A node that doesn't know yet
+// which of many nodes are alive would scan nearly all engines, so it waits for the next scan.
 func (n *Node) scanOrphans(ctx context.Context) []relay.Orphans {
+	nodes := n.mesh.Nodes(time.Now())
+	if nodes.IsCutOff() && nodes.Known >= share.DefaultHubThreshold {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	reports := map[ident.EndpointName]relay.LoadReport{}
-	catalog, nodes := n.feeds.Catalog(), n.mesh.Nodes(time.Now())
+	catalog := n.feeds.Catalog()
 	for _, e := range n.feeds.Endpoints().ByName {
 		if s := catalog.Services[e.Service]; s == nil || s.Engine == nil || e.Leaving || !nodes.IsFirst(string(e.Name)) {
 			continue
