--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -98,6 +98,7 @@
 		vs = append(vs, j.checkUnanswered(c, b)...)
 		vs = append(vs, j.checkRefusalOfAnswered(c, b)...)
 		vs = append(vs, j.checkSilence(c, b)...)
+		vs = append(vs, j.checkLate(c, b)...)
 		if j.isLate(c, b) {
 			late++
 		}
