share: a heartbeat without requests has no number; a cut node knows nobody alive

Only updates with the node's requests are numbered now (TestHeartbeatTellsNothingOfRequests). A node whose connections all broke no longer counts nodes as alive that others told of before, and a call without an answer is followed by a heartbeat at once, which closes a connection that has gone silent.

--- a/internal/trans/share/members.go
+++ b/internal/trans/share/members.go
@@ -40,13 +40,21 @@
 // views.Sort.
 func (m *Mesh) known(now time.Time) []knownNode {
 	ns := []knownNode{{m.self(), true, true, nil}}
+	connected := false
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
 		if p.Name != "" {
 			ns = append(ns, knownNode{p.Member, p.alive(now), now.Sub(p.lastSeen) < deadAfter, p})
+			connected = connected || p.client != nil || p.connecting(now)
 		}
 		p.mu.Unlock()
 	}
+	if !connected {
+		// What others told of nodes doesn't hold for one whose connections all broke.
+		for i := range ns {
+			ns[i].alive = ns[i].peer == nil
+		}
+	}
 	slices.SortFunc(ns, func(a, b knownNode) int { return views.Compare(a.view(), b.view()) })
 	return ns
 }
--- a/internal/trans/share/members_test.go
+++ b/internal/trans/share/members_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"runtime"
@@ -125,6 +126,24 @@
 	}
 }
 
+// Guards against a node that takes a heartbeat, which holds no requests, for knowledge of them,
+// and then ignores the list of a hub.
+func TestHeartbeatTellsNothingOfRequests(t *testing.T) {
+	m := newConnectedMesh(t, "a1")
+	m.accept(&relay.Update{From: relay.Member{Name: "a2"}, Reset: true, Seq: 3})
+	sent := newConnectedMesh(t, "a2", "a1")
+	p := sent.peers["a1"]
+	p.mu.Lock()
+	p.direct = false
+	p.mu.Unlock()
+	sent.seq.Store(4)
+	u := p.takePending()
+	m.accept(&u)
+	seq, complete := m.InFlight.Seq("a2")
+	must.True(t, complete)
+	test.Eq(t, 3, seq)
+}
+
 // Guards against a hub that keeps all frames for a node that doesn't read them.
 func TestSlowNodeIsDroppedFromTheGroup(t *testing.T) {
 	near, far := net.Pipe()
@@ -155,6 +174,28 @@
 	test.SliceLen(t, 1, p.pending.Proofs, test.Sprint("changes don't pile up for a node that can't be reached"))
 }
 
+// Guards against a node that is cut off and takes the others for alive, as they told of each
+// other before.
+func TestNodeWithoutConnectionsKnowsNobodyAlive(t *testing.T) {
+	now := time.Now()
+	m := newConnectedMesh(t, "a1", "a2", "a3", "b1")
+	for _, p := range m.peers {
+		p.client.Close()
+		p.client, p.failedAt = nil, now
+	}
+	m.peers["b1"].role, m.peers["b1"].failedAt = role{}, time.Time{}
+	test.SliceLen(t, 1, m.Nodes(now).Alive)
+	must.True(t, m.Nodes(now).IsCutOff())
+}
+
+// Guards against a connection that has gone silent and that every pull of the state waits for.
+func TestCallWithoutAnAnswerIsFollowedByAHeartbeat(t *testing.T) {
+	m := newConnectedMesh(t, "a1", "a2")
+	_, err := m.FetchState("a2", relay.StateArgs{})
+	test.ErrorIs(t, err, context.DeadlineExceeded)
+	test.Eq(t, 1, len(m.peers["a2"].wake))
+}
+
 // A fleet settles for settleTime before its calls are counted for measureTime.
 const (
 	settleTime  = 5 * time.Second
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/coord/avail"
@@ -268,7 +269,12 @@
 	if c == nil {
 		return rpc.ErrShutdown
 	}
-	return conns.CallRPC(m.ctx, c, timeout, method, args, reply)
+	err := conns.CallRPC(m.ctx, c, timeout, method, args, reply)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// A heartbeat shows soon whether the connection has gone silent.
+		p.wakeUp()
+	}
+	return err
 }
 
 // ConnectedAddresses returns the addresses of the peers that this node is
--- a/internal/trans/share/order_test.go
+++ b/internal/trans/share/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/rpc"
 	"strings"
@@ -26,6 +27,7 @@
 	for _, n := range others {
 		near, far := net.Pipe()
 		t.Cleanup(func() { far.Close() })
+		go io.Copy(io.Discard, far)
 		m.peers[n] = &peer{
 			mesh: m, address: n, Member: relay.Member{Name: ident.NodeName(n), Address: n, DataCentre: ident.DataCentre(n[:1])},
 			client: rpc.NewClient(near), wake: make(chan struct{}, 1), lastSeen: time.Now(), running: true, role: role{linked: true, watched: true},
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -392,14 +392,7 @@
 
 // sendPending sends the pending changes, or an empty update as a heartbeat.
 func (p *peer) sendPending(client *rpc.Client) error {
-	p.mu.Lock()
-	u := p.pending
-	p.pending = relay.Update{}
-	p.flushScheduled = false
-	u.Reach = p.scope
-	p.mu.Unlock()
-	u.From, u.Seq = p.mesh.self(), p.mesh.seq.Load()
-	stamp(&u, time.Now())
+	u := p.takePending()
 	p.mesh.stats.callsMade.Add(1)
 	var r relay.UpdateReply
 	if err := call(client, "Node.Tell", u, &r); err != nil {
@@ -413,6 +406,23 @@
 	return nil
 }
 
+// takePending returns the next update for the peer.
+func (p *peer) takePending() relay.Update {
+	p.mu.Lock()
+	u := p.pending
+	p.pending = relay.Update{}
+	p.flushScheduled = false
+	u.Reach = p.scope
+	// An update without the node's requests must not look as if they were in it.
+	if p.direct {
+		u.Seq = p.mesh.seq.Load()
+	}
+	p.mu.Unlock()
+	u.From = p.mesh.self()
+	stamp(&u, time.Now())
+	return u
+}
+
 // answered records that the peer answered a call.
 func (p *peer) answered() {
 	now := time.Now()
