--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -228,15 +228,14 @@
 		d = min(d, requested)
 	}
 	q.req.Deadline = q.arrived.Add(d)
-	if f := q.checkEnd(); f != nil {
-		return f
-	}
 	q.ctx.Conn().SetReadDeadline(q.req.Deadline)
 	q.ctx.Conn().SetWriteDeadline(q.req.Deadline.Add(writeGrace))
 	return nil
 }
 
-// checkEnd returns a failure if the node may stop before the request finishes.
+// checkEnd returns a failure if the node may stop before the request finishes. The body must
+// have been received: a close with bytes unread would reset the connection, and the caller
+// could lose the response.
 func (q *exchange) checkEnd() *serve.Failure {
 	if q.server.mayEndBefore(q.req.Deadline) {
 		return q.notRunFailure(fasthttp.StatusServiceUnavailable, "stopping", "the node may stop before the request finishes")
--- a/internal/trans/front/prompt.go
+++ b/internal/trans/front/prompt.go
@@ -66,6 +66,9 @@
 	if f := q.setDeadline(); f != nil {
 		return f
 	}
+	if f := q.checkEnd(); f != nil {
+		return f
+	}
 	return q.answerPrompt(p, body)
 }
 
--- a/internal/trans/front/stop_test.go
+++ b/internal/trans/front/stop_test.go
@@ -105,7 +105,8 @@
 		var ctx fasthttp.RequestCtx
 		ctx.Init2(near, silentLogger{}, false)
 		q := &exchange{server: s, ctx: &ctx, arrived: time.Now(), req: &serve.Request{Route: &table.Route{Route: confg.Route{TimeLimit: confg.Duration(c.limit)}}}}
-		f := q.setDeadline()
+		must.Nil(t, q.setDeadline())
+		f := q.checkEnd()
 		test.Eq(t, c.want, f != nil, test.Sprint(c.name))
 		if f != nil {
 			test.Eq(t, ident.NotRun, f.Outcome)
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -106,46 +106,6 @@
 	}
 }
 
-// queueState puts the state that the peer lacks in front of the changes in the next update:
-// this node's requests in flight and, from a hub, those of other nodes.
-func (p *peer) queueState() {
-	others := p.mesh.othersFor(p)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := &p.pending
-	u.Forwarded = append(others, u.Forwarded...)
-	if !p.direct {
-		return
-	}
-	// Changes that are queued already are part of this.
-	own := p.mesh.requestsOf(p.mesh.Self)
-	u.Reset, u.Began = own.Reset, own.Began
-	u.Wrote, u.Done = nil, nil
-}
-
-// queue adds a change to the next update for the peer, if there is a connection or one is
-// being opened.
-// If hubs are in use, non-urgent changes are delayed so that the hubs, which
-// forward the changes of many nodes, send fewer updates.
-func (p *peer) queue(urgent bool, add func(*relay.Update)) {
-	delayed := !urgent && p.mesh.delaysNonUrgent.Load()
-	p.mu.Lock()
-	connected := p.client != nil
-	if connected || p.connecting(time.Now()) {
-		add(&p.pending)
-	}
-	scheduled := p.flushScheduled
-	p.flushScheduled = scheduled || delayed
-	p.mu.Unlock()
-	switch {
-	case !connected || delayed && scheduled:
-	case delayed:
-		time.AfterFunc(nonUrgentDelay, p.wakeUp)
-	default:
-		p.wakeUp()
-	}
-}
-
 func (p *peer) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
@@ -335,21 +295,6 @@
 	}
 }
 
-// queueKnowledge queues what this node knows of endpoints and of parts of prompts.
-func (p *peer) queueKnowledge() {
-	limits := mapAll(p.mesh.Limits(), agedLimit)
-	parts := mapAll(p.mesh.PartStates(), agedPart)
-	stated := mapAll(p.mesh.Availability(), statedAvailability)
-	rests := mapAll(p.mesh.Rests(), restLeft)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	u := &p.pending
-	u.Limits = append(limits, u.Limits...)
-	u.Parts = append(parts, u.Parts...)
-	u.Stated = append(stated, u.Stated...)
-	u.Rests = append(rests, u.Rests...)
-}
-
 func (p *peer) detach() {
 	p.mu.Lock()
 	o := p.outlet
@@ -406,23 +351,6 @@
 	return nil
 }
 
-// takePending returns the next update for the peer.
-func (p *peer) takePending() relay.Update {
-	p.mu.Lock()
-	u := p.pending
-	p.pending = relay.Update{}
-	p.flushScheduled = false
-	u.Reach = p.scope
-	// An update without the node's requests must not look as if they were in it.
-	if p.direct {
-		u.Seq = p.mesh.seq.Load()
-	}
-	p.mu.Unlock()
-	u.From = p.mesh.self()
-	stamp(&u, time.Now())
-	return u
-}
-
 // answered records that the peer answered a call.
 func (p *peer) answered() {
 	now := time.Now()
@@ -437,46 +365,6 @@
 	}
 }
 
-// stamp replaces the times in an update, and in those that it forwards, by ages.
-func stamp(u *relay.Update, now time.Time) {
-	setAges(u, now)
-	for i := range u.Forwarded {
-		setAges(&u.Forwarded[i], now)
-	}
-}
-
-// setAges replaces the times in an update by ages.
-func setAges(u *relay.Update, now time.Time) {
-	for i := range u.Began {
-		u.Began[i].Age = now.Sub(u.Began[i].Work.Since)
-		u.Began[i].Work.Since = time.Time{}
-	}
-	for i := range u.Struck {
-		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
-		u.Struck[i].Strike.At = time.Time{}
-	}
-	for i := range u.Proofs {
-		u.Proofs[i].Age = now.Sub(u.Proofs[i].Proof.At)
-		u.Proofs[i].Proof.At = time.Time{}
-	}
-	for i := range u.Parts {
-		u.Parts[i].Age = now.Sub(u.Parts[i].State.StruckAt)
-		u.Parts[i].State.StruckAt, u.Parts[i].State.EndedWellAt = time.Time{}, time.Time{}
-	}
-	for i := range u.Rests {
-		u.Rests[i].Left = u.Rests[i].Rest.Until.Sub(now)
-		u.Rests[i].Rest.Until = time.Time{}
-	}
-	for i := range u.Decided {
-		u.Decided[i].Age = now.Sub(u.Decided[i].Decision.At)
-		u.Decided[i].Decision.At = time.Time{}
-	}
-	for i := range u.Limits {
-		u.Limits[i].Age = now.Sub(u.Limits[i].Limit.ObservedAt)
-		u.Limits[i].Limit.ObservedAt = time.Time{}
-	}
-}
-
 // call makes a call that ends after callTimeout at the latest. If it times out,
 // the client can't be used again and is closed.
 func call(c *rpc.Client, method string, args, reply any) error {
