share: the loss of a node counts from when it was found out

TestDeathOfANodeIsHeardOfEverywhere waited for ever in one of six runs at once with the race detector: a contact of the dead node with another hub, later than its last one with its own, undid the loss, and the node counted as alive for 25 s.

--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -31,7 +31,8 @@
 // HeardMember is what a node heard of another one, possibly over others.
 type HeardMember struct {
 	Member Member
-	// Age is the time since the member was last heard of.
+	// Age is the time since the member was last heard of or, if it is lost, since that was
+	// found out.
 	Age time.Duration
 	// Lost is set if the connection to the member broke and can't be opened again.
 	Lost bool
--- a/internal/trans/share/members.go
+++ b/internal/trans/share/members.go
@@ -19,9 +19,6 @@
 	// failed.
 	linkGrace    = time.Second
 	linkHoldDown = deadAfter
-	// lostTolerance allows for the time that messages take: a node that is lost may have
-	// seemed to be heard of a little later than it was.
-	lostTolerance = 500 * time.Millisecond
 )
 
 // knownNode is this node or a peer whose name is known. For this node, peer is nil.
@@ -171,14 +168,19 @@
 func (m *Mesh) learn(p *peer, h relay.HeardMember, now time.Time) (found bool) {
 	heardAt := now.Add(-h.Age)
 	p.mu.Lock()
-	if p.Name != "" && heardAt.Before(p.lastSeen) && !(h.Lost && heardAt.Add(lostTolerance).After(p.lastSeen)) {
+	if p.Name != "" && (heardAt.Before(p.lastSeen) || p.lost && heardAt.Before(p.lostAt)) {
 		p.mu.Unlock()
 		return false
 	}
 	isNew := p.Name == ""
 	found = isNew || p.lost && !h.Lost
 	changed := isNew || p.Member != h.Member || p.lost != h.Lost
-	p.Member, p.lastSeen, p.lost = h.Member, heardAt, h.Lost
+	p.Member, p.lost = h.Member, h.Lost
+	if h.Lost {
+		p.lostAt = heardAt
+	} else {
+		p.lastSeen = heardAt
+	}
 	p.mu.Unlock()
 	if isNew {
 		m.Logger.Info().Str("peer", string(h.Member.Name)).Str("address", h.Member.Address).Msg("share: first contact with node")
@@ -253,7 +255,9 @@
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
 		lost := p.Name != "" && !p.lost && p.linked && p.client == nil && !p.failedAt.IsZero() && now.Sub(p.lastSeen) > watchedAliveTimeout
-		p.lost = p.lost || lost
+		if lost {
+			p.lost, p.lostAt = true, now
+		}
 		h := p.heard(now)
 		p.mu.Unlock()
 		if lost {
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -51,8 +51,9 @@
 	running  bool
 	failedAt time.Time
 	// lost is set if the connection to the peer broke, here or at a hub, and can't be
-	// opened again.
-	lost bool
+	// opened again; lostAt is when that was found out.
+	lost   bool
+	lostAt time.Time
 	// lastSeen is the time of the last contact in either direction or, if that was
 	// later, with another node that told of it; or the time of AddPeer.
 	lastSeen time.Time
@@ -78,7 +79,10 @@
 
 // heard returns what this node heard of the peer. The caller holds p.mu.
 func (p *peer) heard(now time.Time) relay.HeardMember {
-	return relay.HeardMember{Member: p.Member, Age: now.Sub(p.lastSeen), Lost: p.lost}
+	if p.lost {
+		return relay.HeardMember{Member: p.Member, Age: now.Sub(p.lostAt), Lost: true}
+	}
+	return relay.HeardMember{Member: p.Member, Age: now.Sub(p.lastSeen)}
 }
 
 // setRole sets the role of the peer, and queues what it has missed so far if it gets this
