--- a/internal/node/edge/orphans.go
+++ b/internal/node/edge/orphans.go
@@ -94,9 +94,9 @@
 }
 
 // findOrphans scans engines for orphaned requests, which still run there although their
-// nodes have died, and tells all nodes of them. The nodes that start at the same time share
-// the engines. Each scan replaces what the scan before found, since the engines finish these
-// requests.
+// nodes have died, and tells all nodes of them. The nodes alive have a part of the engines
+// each, so that all are scanned if all nodes start together. Each scan replaces what the scan
+// before found, since the engines finish these requests.
 func (n *Node) findOrphans(ctx context.Context) {
 	for range orphanScans {
 		for n.feeds.Catalog() == nil || n.feeds.Endpoints() == nil {
