share: an update holds all changes up to its number

A change was numbered before it was queued, so an update sent between the two claimed a change that it did not hold, and a hub's list with the same number was ignored. The number goes with the change now, and a list with the same number is applied.

--- a/internal/trans/share/announce.go
+++ b/internal/trans/share/announce.go
@@ -12,23 +12,18 @@
 
 // AnnounceStart informs the peers that a request is being sent to an endpoint.
 func (m *Mesh) AnnounceStart(w works.Request) {
-	m.seq.Add(1)
-	m.announce(true, func(u *relay.Update) {
-		u.Began = append(u.Began, relay.AgedRequest{Work: w})
-	})
+	m.announceChange(true, func(u *relay.Update) { u.Began = append(u.Began, relay.AgedRequest{Work: w}) })
 }
 
 // AnnounceDecoding informs the peers that the prompt of a request is prefilled
 // and decoding has begun.
 func (m *Mesh) AnnounceDecoding(id works.ID) {
-	m.seq.Add(1)
-	m.announce(false, func(u *relay.Update) { u.Wrote = append(u.Wrote, id) })
+	m.announceChange(false, func(u *relay.Update) { u.Wrote = append(u.Wrote, id) })
 }
 
 // AnnounceEnd informs the peers that a request is no longer in flight.
 func (m *Mesh) AnnounceEnd(id works.ID) {
-	m.seq.Add(1)
-	m.announce(false, func(u *relay.Update) { u.Done = append(u.Done, id) })
+	m.announceChange(false, func(u *relay.Update) { u.Done = append(u.Done, id) })
 }
 
 // AnnounceFailure informs the peers that an endpoint can't be reached.
@@ -79,6 +74,17 @@
 	}
 }
 
+// announceChange announces a change of this node's requests in flight and numbers it.
+func (m *Mesh) announceChange(urgent bool, add func(*relay.Update)) {
+	m.numbering.Lock()
+	defer m.numbering.Unlock()
+	seq := m.seq.Add(1)
+	m.announce(urgent, func(u *relay.Update) {
+		add(u)
+		u.Seq = seq
+	})
+}
+
 func (m *Mesh) announce(urgent bool, add func(*relay.Update)) {
 	m.queueFor(urgent, func(*peer) func(*relay.Update) { return add })
 }
--- a/internal/trans/share/fanout.go
+++ b/internal/trans/share/fanout.go
@@ -142,7 +142,7 @@
 		f.pending = relay.Update{}
 		return
 	}
-	f.pending.From, f.pending.Seq = u.From, u.Seq
+	f.pending.From = u.From
 	u, f.pending = f.pending, relay.Update{}
 	stamp(&u, time.Now())
 	frame := f.encode(&u)
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -130,6 +130,9 @@
 
 	// seq is the number of the last change of this node's requests in flight.
 	seq atomic.Uint64
+	// numbering is held while a change is numbered and queued, so that an update holds all
+	// changes up to its number.
+	numbering sync.Mutex
 
 	ctx context.Context
 	mu  sync.Mutex
@@ -154,7 +157,7 @@
 	m.entries = ident.Set[ident.NodeName]{}
 	// Numbers of a restarted node are higher than those of before.
 	m.seq.Store(uint64(time.Now().UnixNano()))
-	m.fanout.sign = func(u *relay.Update) { u.From, u.Seq = m.self(), m.seq.Load() }
+	m.fanout.sign = func(u *relay.Update) { u.From = m.self() }
 	m.fanout.delay, m.fanout.sent = m.groupDelay, m.stats.frameSent
 }
 
--- a/internal/trans/share/pending.go
+++ b/internal/trans/share/pending.go
@@ -18,8 +18,9 @@
 		return
 	}
 	// Changes that are queued already are part of this.
+	seq := p.mesh.seq.Load()
 	own := p.mesh.requestsOf(p.mesh.Self)
-	u.Reset, u.Began = own.Reset, own.Began
+	u.Reset, u.Began, u.Seq = own.Reset, own.Began, seq
 	u.Wrote, u.Done = nil, nil
 }
 
@@ -68,10 +69,6 @@
 	p.pending = relay.Update{}
 	p.flushScheduled = false
 	u.Reach = p.scope
-	// An update without the node's requests must not look as if they were in it.
-	if p.direct {
-		u.Seq = p.mesh.seq.Load()
-	}
 	p.mu.Unlock()
 	u.From = p.mesh.self()
 	stamp(&u, time.Now())
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -61,14 +61,13 @@
 }
 
 // isOld reports whether a forwarded update lists a node's requests as they were before the
-// last change that this node knows, so that it came on a longer way. A copy with the same
-// changes has nothing new either.
+// last change that this node knows, so that it came on a longer way.
 func (m *Mesh) isOld(u *relay.Update) bool {
 	if !u.Reset || u.Seq == 0 {
 		return false
 	}
 	known, complete := m.InFlight.Seq(u.From.Name)
-	return complete && (u.Seq < known || u.Copied && u.Seq == known)
+	return complete && u.Seq < known
 }
 
 // apply applies an update to this node's state, and converts its ages to times.
