--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -39,6 +39,8 @@
 func (m *Mesh) accept(u *relay.Update) {
 	m.markSeen(u.From)
 	m.hear(u.Heard)
+	// What is new of it has been passed on.
+	u.Heard = nil
 	forwarded := u.Forwarded
 	u.Forwarded = nil
 	m.acceptOne(u)
