gate: measure the time since the stop signal on the monotonic clock

Cause: the start of the drain was kept as Unix nanoseconds, so its age moved with the time of day. A node whose clock stepped back after SIGTERM took streams for 2 s longer than it may and cut them at its end; callers got half an answer. Change: clock.Moment keeps a time.Time with its monotonic reading; the drain's start is one and replaces the flag beside it. jumps.Step makes a time as it is read after a step, for tests.

--- a/internal/state/clock/clock.go
+++ b/internal/state/clock/clock.go
@@ -1,7 +1,7 @@
 // Package clock reads a monotonic clock that keeps running while the VM is
 // suspended. The ages of the configuration and of the endpoint list are
 // measured with it; other timers and measurements use the clock of the Go
-// runtime.
+// runtime. Neither moves when the time of day is set.
 package clock
 
 import (
@@ -49,3 +49,22 @@
 		}
 	}
 }
+
+// Moment is a time of the Go runtime's clock that is safe for concurrent use. It is zero
+// until one is stored. It keeps the monotonic reading, which a number of nanoseconds since
+// 1970 has not, so that a step of the time of day changes neither its age nor its order.
+type Moment struct{ v atomic.Pointer[time.Time] }
+
+// Load returns the stored time.
+func (m *Moment) Load() time.Time {
+	if t := m.v.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// Store stores a time.
+func (m *Moment) Store(t time.Time) { m.v.Store(&t) }
+
+// IsSet reports whether a time has been stored.
+func (m *Moment) IsSet() bool { return m.v.Load() != nil }
--- a/internal/trans/gate/close.go
+++ b/internal/trans/gate/close.go
@@ -44,5 +44,5 @@
 		return
 	}
 	s.requestLog(false).Str("why", string(r)).Int("unread", unread).Int64("served", c.served).Str("caller", c.RemoteAddr().String()).
-		Bool("draining", s.draining.Load()).Msg("gate: closed a caller's connection")
+		Bool("draining", s.Draining()).Msg("gate: closed a caller's connection")
 }
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -147,7 +147,7 @@
 	switch {
 	case list == nil || !known:
 		return nil, errors.New("unknown node or no endpoints yet")
-	case s.draining.Load():
+	case s.Draining():
 		// How long the peer's request may take isn't known here.
 		return nil, errors.New("node is stopping")
 	case s.Isolated():
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -89,9 +89,6 @@
 // Isolated reports whether this node has lost its links to the endpoints.
 func (s *Server) Isolated() bool { return s.direct.isolated.Load() }
 
-// Draining reports whether the graceful shutdown has begun.
-func (s *Server) Draining() bool { return s.draining.Load() }
-
 // endpointCount returns the number of known endpoints.
 func (s *Server) endpointCount() int {
 	if l := s.Feeds.Endpoints(); l != nil {
--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -18,10 +18,10 @@
 	s.AnnounceStatus()
 }
 
-func (s *Server) drainFrom(t time.Time) {
-	s.drainStart.Store(t.UnixNano())
-	s.draining.Store(true)
-}
+// Draining reports whether the graceful shutdown has begun.
+func (s *Server) Draining() bool { return s.drainStart.IsSet() }
+
+func (s *Server) drainFrom(t time.Time) { s.drainStart.Store(t) }
 
 const (
 	// streamAcceptPeriod is how long after the stop signal new streams are sent. A stream
@@ -43,10 +43,10 @@
 // has begun to receive goes on.
 func (x *exchange) mayOutliveNode(now time.Time, toFirst time.Duration) bool {
 	s := x.server
-	if !s.draining.Load() || x.headerSent {
+	if !s.Draining() || x.headerSent {
 		return false
 	}
-	began := time.Unix(0, s.drainStart.Load())
+	began := s.drainStart.Load()
 	end := began.Add(s.GracePeriod - answerMargin)
 	if x.route.Kind != topol.Stream {
 		return x.deadline.After(end)
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -286,7 +286,7 @@
 // announcesClose decides whether the caller's connection is closed after the response, whose
 // header tells the caller so. It is called when that header is written.
 func (x *exchange) announcesClose() bool {
-	x.announcedClose = x.request.Close || x.server.draining.Load()
+	x.announcedClose = x.request.Close || x.server.Draining()
 	return x.announcedClose
 }
 
--- a/internal/trans/gate/late_test.go
+++ b/internal/trans/gate/late_test.go
@@ -13,6 +13,8 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/lab/jumps"
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
@@ -78,6 +80,28 @@
 	}
 }
 
+// Guards against streams that are taken late in a stop and cut at its end since the time of
+// day has jumped after the stop signal.
+func TestStepOfTheTimeOfDayPostponesNoStop(t *testing.T) {
+	const gracePeriod = 8 * time.Second
+	for _, seconds := range []int{2, -2, 3600} {
+		s := &Server{GracePeriod: gracePeriod}
+		now := time.Now()
+		s.drainFrom(jumps.Step(now, seconds))
+		stream := &exchange{server: s, route: &topol.Route{Kind: topol.Stream}, deadline: now.Add(gracePeriod)}
+		test.False(t, stream.mayOutliveNode(now.Add(streamAcceptPeriod-time.Millisecond), 0), test.Sprintf("step of %d s", seconds))
+		test.True(t, stream.mayOutliveNode(now.Add(streamAcceptPeriod+time.Millisecond), 0), test.Sprintf("step of %d s", seconds))
+		end := now.Add(gracePeriod - answerMargin)
+		for _, c := range []struct {
+			deadline time.Time
+			want     bool
+		}{{end.Add(-time.Millisecond), false}, {end.Add(time.Millisecond), true}} {
+			plain := &exchange{server: s, route: &topol.Route{}, deadline: c.deadline}
+			test.Eq(t, c.want, plain.mayOutliveNode(now, 0), test.Sprintf("step of %d s, deadline %v", seconds, c.deadline.Sub(end)))
+		}
+	}
+}
+
 // Guards against a decision at the header of a request whose body takes long, so that the
 // stop begins, or goes on, until the request is whole.
 func TestLateBodyInAStopIsRefused(t *testing.T) {
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -22,6 +22,7 @@
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
@@ -169,10 +170,9 @@
 	retryBudgets retryBudgets
 	// lastID is the last number used in the ID of an in-flight request or a
 	// reservation.
-	lastID   atomic.Uint64
-	draining atomic.Bool
-	// drainStart is the Unix time of the stop signal in nanoseconds.
-	drainStart atomic.Int64
+	lastID atomic.Uint64
+	// drainStart is when the stop signal came, if it has.
+	drainStart clock.Moment
 	// inFlightCount counts the requests of callers that this node serves.
 	inFlightCount atomic.Int64
 	// bufferedBytes counts the bytes of endpoints' responses that the node holds.
