gate: measure the silence of links on the monotonic clock

Cause: the time of the last sign of life was kept as Unix nanoseconds. After a step of the time of day ahead all links of a node looked silent, and it could take itself for isolated and leave sound attempts; after a step back silent links looked heard. Evidence: TestStepOfTheTimeOfDayChangesNoLink failed before with steps of 2, -2 and 3600 s. Result: the test passes.

--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -180,7 +180,7 @@
 func (c *peerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.server.direct.hear()
+		c.server.direct.hear(time.Now())
 	}
 	return n, err
 }
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
@@ -24,8 +25,8 @@
 // directLinks tracks whether this node's links to the endpoints work. It is safe for
 // concurrent use.
 type directLinks struct {
-	// heardAt is the Unix time in nanoseconds at which bytes last arrived over a link.
-	heardAt atomic.Int64
+	// heardAt is when bytes last arrived over a link.
+	heardAt clock.Moment
 	// lostCount is the number of lost links, isolated is set if all are.
 	lostCount atomic.Int64
 	isolated  atomic.Bool
@@ -37,10 +38,10 @@
 }
 
 // hear records that bytes arrived over a link.
-func (d *directLinks) hear() { d.heardAt.Store(time.Now().UnixNano()) }
+func (d *directLinks) hear(now time.Time) { d.heardAt.Store(now) }
 
 // heardSince reports whether bytes arrived over any link since a time.
-func (d *directLinks) heardSince(t time.Time) bool { return d.heardAt.Load() > t.UnixNano() }
+func (d *directLinks) heardSince(t time.Time) bool { return d.heardAt.Load().After(t) }
 
 // update calls f with the state of the links.
 func (d *directLinks) update(endpoints int, f func(*reach.Links)) {
@@ -49,7 +50,7 @@
 	if d.links == nil {
 		d.links = reach.New()
 	}
-	d.links.Hear(time.Unix(0, d.heardAt.Load()))
+	d.links.Hear(d.heardAt.Load())
 	f(d.links)
 	d.lostCount.Store(int64(d.links.Len()))
 	d.isolated.Store(d.links.Isolated(endpoints))
@@ -133,7 +134,7 @@
 	if s.direct.lostCount.Load() > 0 {
 		s.updateLinks(func(r *reach.Links) { r.Restore(e.Name, s.endpointCount(), time.Now()) })
 	}
-	s.direct.hear()
+	s.direct.hear(time.Now())
 }
 
 // watchLinks checks lost and silent links until the context ends.
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -17,6 +17,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/internal/lab/jumps"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
@@ -304,3 +305,21 @@
 		})
 	}
 }
+
+// Guards against links that count as silent, or as heard, since the time of day has jumped: a
+// node that takes itself for isolated leaves sound attempts.
+func TestStepOfTheTimeOfDayChangesNoLink(t *testing.T) {
+	for _, seconds := range []int{2, -2, 3600} {
+		step := test.Sprintf("step of %d s", seconds)
+		var d directLinks
+		now := time.Now()
+		d.hear(jumps.Step(now, seconds))
+		test.True(t, d.heardSince(now.Add(-time.Millisecond)), step)
+		test.False(t, d.heardSince(now.Add(time.Millisecond)), step)
+		waitingSince := now.Add(-reach.SilenceLimit)
+		d.update(1, func(l *reach.Links) {
+			test.False(t, l.StartSilenceCheck(waitingSince, now.Add(reach.SilenceLimit-time.Millisecond)), step)
+			test.True(t, l.StartSilenceCheck(waitingSince, now.Add(reach.SilenceLimit)), step)
+		})
+	}
+}
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -86,7 +86,7 @@
 // hear records that bytes arrived, if they came over a link of this node.
 func (a *attempt) hear() {
 	if !a.isOverPeer() {
-		a.server.direct.hear()
+		a.server.direct.hear(time.Now())
 	}
 }
 
