gate: count log lines per second on the monotonic clock

Cause: the limiter began a new count whenever the Unix second differed, so each step of the time of day allowed a further second's lines.

--- a/internal/trans/gate/lines.go
+++ b/internal/trans/gate/lines.go
@@ -19,11 +19,10 @@
 // concurrent use.
 type logLimiter struct {
 	mu sync.Mutex
-	// second is the Unix time in seconds for which successes and failures are
-	// counted.
-	second    int64
-	successes int
-	failures  int
+	// countedSince is when the second began for which successes and failures are counted.
+	countedSince time.Time
+	successes    int
+	failures     int
 	// omitted counts the lines omitted since the last one that was logged.
 	omitted int
 }
@@ -33,8 +32,8 @@
 func (l *logLimiter) allow(success bool, now time.Time) (ok bool, omitted int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := now.Unix(); s != l.second {
-		l.second, l.successes, l.failures = s, 0, 0
+	if now.Sub(l.countedSince) >= time.Second {
+		l.countedSince, l.successes, l.failures = now, 0, 0
 	}
 	count, limit := &l.failures, maxFailureLines
 	if success {
--- a/internal/trans/gate/lines_test.go
+++ b/internal/trans/gate/lines_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -14,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/lab/jumps"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -128,3 +130,19 @@
 	}
 	return 0
 }
+
+// Guards against more lines than are allowed in a second since the time of day jumps in it.
+func TestStepsOfTheTimeOfDayAllowNoFurtherLines(t *testing.T) {
+	var l logLimiter
+	now := time.Now()
+	allowed := 0
+	for i := range 2 * maxFailureLines {
+		if ok, _ := l.allow(false, jumps.Step(now, i%3)); ok {
+			allowed++
+		}
+	}
+	test.Eq(t, maxFailureLines, allowed)
+	ok, omitted := l.allow(false, now.Add(time.Second))
+	test.True(t, ok)
+	test.Eq(t, maxFailureLines, omitted)
+}
