--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/serve"
@@ -62,9 +63,8 @@
 	active     activeRequests
 	bodyMemory memoryBudget
 	draining   atomic.Bool
-	// endsAt is the Unix time in nanoseconds up to which Stop waits for requests; zero
-	// before.
-	endsAt atomic.Int64
+	// endsAt is the time up to which Stop waits for requests; not set before.
+	endsAt clock.Moment
 }
 
 // Init prepares the server; it is called once before Run and Stop.
@@ -112,7 +112,7 @@
 // than until the context ends. Drain must have been called.
 func (s *Server) Stop(ctx context.Context) error {
 	if end, ok := ctx.Deadline(); ok {
-		s.endsAt.Store(end.UnixNano())
+		s.endsAt.Store(end)
 	}
 	// fasthttp closes connections without a look for bytes that have arrived, and after
 	// responses that didn't announce it.
@@ -122,8 +122,7 @@
 
 // mayEndBefore reports whether the process may end before a time.
 func (s *Server) mayEndBefore(t time.Time) bool {
-	end := s.endsAt.Load()
-	return end != 0 && t.UnixNano() > end
+	return s.endsAt.IsSet() && t.After(s.endsAt.Load())
 }
 
 // IsReady reports whether the load balancer may send requests to this node.
--- a/internal/trans/front/stop_test.go
+++ b/internal/trans/front/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
+	"laburnumstack.org/laburnum/internal/lab/jumps"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/internal/trans/serve"
@@ -22,6 +23,22 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+// Guards against requests that are taken and cut at the end of the process since the time of
+// day has jumped after the stop began.
+func TestStepOfTheTimeOfDayPostponesNoStop(t *testing.T) {
+	for _, seconds := range []int{2, -2, 3600} {
+		s := &Server{}
+		s.Init()
+		test.False(t, s.mayEndBefore(time.Now().Add(time.Hour)), test.Sprint("before the stop"))
+		end := time.Now().Add(time.Minute)
+		ctx, cancel := context.WithDeadline(context.Background(), jumps.Step(end, seconds))
+		must.NoError(t, s.Stop(ctx))
+		cancel()
+		test.False(t, s.mayEndBefore(end.Add(-time.Millisecond)), test.Sprintf("step of %d s", seconds))
+		test.True(t, s.mayEndBefore(end.Add(time.Millisecond)), test.Sprintf("step of %d s", seconds))
+	}
+}
+
 // Guards against requests that have arrived on idle connections when the node stops, and
 // are dropped with them.
 func TestStopServesRequestsThatHaveArrived(t *testing.T) {
