--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -44,10 +44,6 @@
 // lastCallID is the ID of the last identified call of this process.
 var lastCallID atomic.Uint64
 
-// expiredDeadline is a deadline in the past, which makes blocked reads and writes
-// fail at once.
-var expiredDeadline = time.Unix(1, 0)
-
 // Call is an HTTP request with the options for sending it.
 type Call struct {
 	Request *fasthttp.Request
@@ -95,7 +91,7 @@
 	if err != nil {
 		return nil, errors.WithType(errors.Annotate(err, "connect"), ErrNotSent)
 	}
-	stopWatching := context.AfterFunc(ctx, func() { cn.SetDeadline(expiredDeadline) })
+	stopWatching := context.AfterFunc(ctx, func() { cn.SetDeadline(Expired) })
 	r, err := p.roundTrip(ctx, cn, c)
 	if err != nil {
 		stopWatching()
@@ -232,12 +228,12 @@
 func (r *Response) SetReadDeadline(t time.Time) {
 	r.conn.SetReadDeadline(t)
 	if r.ctx.Err() != nil {
-		r.conn.SetReadDeadline(expiredDeadline)
+		r.conn.SetReadDeadline(Expired)
 	}
 }
 
 // Interrupt makes a blocked Read return an error. It is safe for concurrent use.
-func (r *Response) Interrupt() { r.conn.SetDeadline(expiredDeadline) }
+func (r *Response) Interrupt() { r.conn.SetDeadline(Expired) }
 
 // Close returns the connection to its pool if the body was read completely and
 // the connection can be reused. Otherwise it closes the connection.
--- a/internal/trans/front/conn.go
+++ b/internal/trans/front/conn.go
@@ -19,9 +19,6 @@
 	endPollInterval = 5 * time.Millisecond
 )
 
-// expiredDeadline is a deadline in the past, which makes reads fail at once.
-var expiredDeadline = time.Unix(1, 0)
-
 // callerConns holds the listener for callers and their open connections, so that the idle
 // ones can be closed without the loss of a request that has arrived. The zero value is
 // ready to use. It is safe for concurrent use.
@@ -112,7 +109,7 @@
 	defer c.mu.Unlock()
 	c.ending = true
 	if c.isIdle {
-		c.LingeringConn.SetReadDeadline(expiredDeadline)
+		c.LingeringConn.SetReadDeadline(conns.Expired)
 	}
 }
 
@@ -121,7 +118,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isIdle && c.ending {
-		t = expiredDeadline
+		t = conns.Expired
 	}
 	return c.LingeringConn.SetReadDeadline(t)
 }
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -11,6 +11,7 @@
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -213,7 +214,7 @@
 // interrupt makes reads and writes on the link fail at once. The caller holds exchange.mu.
 func (a *attempt) interrupt() {
 	if a.isAttached {
-		a.link.SetDeadline(expiredDeadline)
+		a.link.SetDeadline(conns.Expired)
 	}
 }
 
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -11,6 +11,7 @@
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -226,5 +227,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.linkLost, a.wantsOther = true, true
-	a.link.SetReadDeadline(expiredDeadline)
+	a.link.SetReadDeadline(conns.Expired)
 }
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -13,6 +13,7 @@
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -139,7 +140,7 @@
 	watchEnded := make(chan struct{})
 	go x.watchCaller(watchEnded)
 	x.forward()
-	x.caller.SetReadDeadline(expiredDeadline)
+	x.caller.SetReadDeadline(conns.Expired)
 	<-watchEnded
 	x.caller.SetReadDeadline(time.Time{})
 }
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 // Reasons for which a silent endpoint is waited for and no other one is tried beside it.
@@ -152,7 +153,7 @@
 	}
 	a.reports <- a
 	if c := a.current; c != nil && c.isAttached {
-		c.link.SetReadDeadline(expiredDeadline)
+		c.link.SetReadDeadline(conns.Expired)
 	}
 	return true
 }
--- a/internal/trans/gate/idle.go
+++ b/internal/trans/gate/idle.go
@@ -144,7 +144,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isIdle {
-		c.SetReadDeadline(expiredDeadline)
+		c.SetReadDeadline(conns.Expired)
 	}
 }
 
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -41,10 +41,6 @@
 	maxConns = 3000
 )
 
-// expiredDeadline is a deadline in the past, which makes reads and writes fail
-// at once.
-var expiredDeadline = time.Unix(1, 0)
-
 // Dialect reads and writes the header fields that are specific to a
 // deployment.
 type Dialect interface {
--- a/internal/trans/gate/wait.go
+++ b/internal/trans/gate/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 const (
@@ -62,7 +63,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.callerDisconnected || a.isCancelled || a.wantsOther || a.current == a && len(a.reports) > 0 {
-		t = expiredDeadline
+		t = conns.Expired
 	}
 	a.link.SetReadDeadline(t)
 }
--- a/internal/trans/links/links_test.go
+++ b/internal/trans/links/links_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/trans/conns"
 )
 
 // tcpUserTimeoutOption is TCP_USER_TIMEOUT on Linux.
@@ -80,12 +82,12 @@
 	io.WriteString(endpoint, "one ")
 	_, err = l.Reader.Peek(4)
 	must.NoError(t, err)
-	l.SetReadDeadline(time.Unix(1, 0))
+	l.SetReadDeadline(conns.Expired)
 	line, err := l.Reader.ReadString('\n')
 	must.NoError(t, err)
 	test.Eq(t, "one line\n", line)
 
-	l.SetReadDeadline(time.Unix(1, 0))
+	l.SetReadDeadline(conns.Expired)
 	_, err = l.Reader.ReadByte()
 	test.ErrorIs(t, err, os.ErrDeadlineExceeded, test.Sprint("the handler gives up"))
 }
--- a/internal/trans/tunnel/tunnel.go
+++ b/internal/trans/tunnel/tunnel.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	c := nc.(*net.TCPConn)
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(conns.Expired) })
 	patient := &conns.PatientReader{Conn: c}
 	reader, err := handshake(c, patient, r)
 	if !stop() && err == nil {
--- a/internal/trans/tunnel/tunnel_test.go
+++ b/internal/trans/tunnel/tunnel_test.go
@@ -153,7 +153,7 @@
 		c.SetReadDeadline(time.Time{})
 		return true
 	})
-	c.SetReadDeadline(time.Unix(1, 0))
+	c.SetReadDeadline(conns.Expired)
 	b := make([]byte, 9)
 	_, err = io.ReadFull(c, b)
 	must.NoError(t, err)
