gate: count and log requests that were read whole and get no response

Cause: beside changes of the configuration some request in thousands ends without an answer, and no line of a node tells of it: expected closes have none, and all lines about requests share one limit. Change: laburnum_unanswered_requests_total by reason, and a line with the reason, the version and the age, under a limit of its own. A request without a response closes its connection.

--- a/internal/trans/gate/close_test.go
+++ b/internal/trans/gate/close_test.go
@@ -8,8 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
 // Guards against connections that are closed without a trace of the reason.
@@ -94,3 +97,51 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against requests that were read whole and end without a response, with nothing that
+// tells of them.
+func TestRequestWithoutAResponseIsCounted(t *testing.T) {
+	cases := []struct {
+		name    string
+		closing closeReason
+		line    bool
+	}{
+		{"no reason is known", closeUnanswered, true},
+		{"the process ends", closeEnd, true},
+		{"the caller has left", closeLeft, false},
+	}
+	for _, c := range cases {
+		var log logBuffer
+		s := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(&log) }).server
+		for range 2 * maxFailureLines {
+			s.requestLog(false).Msg("gate: refused")
+		}
+		x := &exchange{server: s, catalog: &topol.Catalog{Version: 7}, closing: c.closing}
+		x.reqHeader.ID = "r1"
+		x.recordUnanswered(time.Now())
+		test.Eq(t, 1, counterValue(t, s, "laburnum_unanswered_requests_total", string(c.closing)), test.Sprint(c.name))
+		if c.line {
+			line := log.firstLine(t, "gate: request has no response")
+			test.Eq(t, "r1", line["request"], test.Sprint(c.name))
+			test.Eq(t, any(7.0), line["version"], test.Sprint(c.name))
+		}
+	}
+}
+
+// Guards against callers who left that are missing among the requests without a response.
+func TestRequestOfACallerWhoLeftIsCounted(t *testing.T) {
+	begun, left := make(chan struct{}), make(chan struct{})
+	defer close(left)
+	r := newRig(t, newEndpoint(t, "e", func(net.Conn, receivedRequest) bool {
+		close(begun)
+		<-left
+		return false
+	}))
+	c := r.dial()
+	io.WriteString(c, request("GET", "/safe/", "r1", ""))
+	<-begun
+	c.Close()
+	for counterValue(t, r.server, "laburnum_unanswered_requests_total", string(closeLeft)) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -78,7 +79,10 @@
 	c.waitUntil(time.Time{})
 	c.reply.Store(replyAwaited)
 	x.run()
-	c.reply.Store(noRequest)
+	if c.reply.Swap(noRequest) == replyAwaited {
+		x.closing = cmp.Or(x.closing, closeUnanswered)
+		x.recordUnanswered(time.Now())
+	}
 	switch {
 	case x.closing != keepOpen:
 		return x.closing
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -23,6 +23,7 @@
 	strikes      prometheus.Counter
 	omittedLines prometheus.Counter
 	closes       *prometheus.CounterVec
+	unanswered   *prometheus.CounterVec
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -72,13 +73,16 @@
 		closes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_connections_closed_total", Help: "Callers' connections that were closed, by reason; unread is true if bytes of another request had been read.",
 		}, []string{"why", "unread"}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_unanswered_requests_total", Help: "Requests that were read whole and got no response, by the reason of the close; left is a caller who left.",
+		}, []string{"why"}),
 	}
 }
 
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -160,7 +160,9 @@
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
 	logLimiter logLimiter
-	metrics    *metrics
+	// unansweredLog limits the lines about requests without a response.
+	unansweredLog logLimiter
+	metrics       *metrics
 	// metricsOnce guards the creation of metrics.
 	metricsOnce  sync.Once
 	retryBudgets retryBudgets
