gate: answers without end cost no other caller an answer

Callers saw 502 for requests that a sound endpoint had run, while another endpoint sent bytes without end. Cause: the bound on the bytes of answers was shared without regard to who fills it; whoever read next when it was reached was ended. Buffers of events did not count. Change: coord/memory ends the largest answer of the endpoint whose answers take the most; small ones and those that have been read stay. Bodies are kept in pieces. An endpoint that sends more than an answer may have is avoided for 8 s, with a line, a counter and a gauge.

--- a/internal/trans/gate/answer.go
+++ b/internal/trans/gate/answer.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -42,21 +43,33 @@
 	return b
 }
 
-// fullResponse returns an endpoint's response with its body, as the caller
+// fullResponse returns the pieces of an endpoint's response with its body, as the caller
 // gets it. If the endpoint announced a length but sent no body, as in a
-// response to HEAD, the Content-Length is kept.
-func fullResponse(r *http1.Response, body []byte, closeConn bool) []byte {
+// response to HEAD, the Content-Length is kept. Most bodies have one piece, which is joined
+// with the header.
+func fullResponse(r *http1.Response, body net.Buffers, closeConn bool) net.Buffers {
 	b := forwardedResponseHeader(r)
 	switch {
 	case r.Framing != http1.None:
-		b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(body)))
+		b = http1.AppendField(b, "Content-Length", strconv.Itoa(bodySize(body)))
 	case r.Status != http.StatusNoContent:
 		if v, n := r.Get("Content-Length"); n > 0 {
 			b = http1.AppendField(b, "Content-Length", v)
 		}
 	}
 	b = endHeader(b, closeConn)
-	return append(b, body...)
+	if len(body) == 1 && len(body[0]) <= maxInlineBody {
+		return net.Buffers{append(b, body[0]...)}
+	}
+	return append(net.Buffers{b}, body...)
+}
+
+func bodySize(body net.Buffers) int {
+	size := 0
+	for _, b := range body {
+		size += len(b)
+	}
+	return size
 }
 
 // appendChunk appends data as one chunk of a chunked body.
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -76,6 +76,8 @@
 	// linkLost is set if the send failed for reasons that lie between this node and the
 	// endpoint: its link is lost, or, with peerLost, the peer over which it went.
 	linkLost, peerLost bool
+	// flooded is set if the endpoint sent more than an answer may have.
+	flooded bool
 	// rests is set if the endpoint stated that it wants no requests for a time.
 	rests bool
 	// faultAddress is the address of another endpoint that caused the failure,
@@ -135,6 +137,8 @@
 	// linkLost is set if the link is lost, wantsOther if another endpoint is to be tried
 	// at once.
 	linkLost, wantsOther bool
+	// isGivenUp is set if the answer takes too much memory.
+	isGivenUp bool
 }
 
 // newAttempt returns an attempt at the chosen endpoint, and counts it.
@@ -260,7 +264,7 @@
 	if a.reserved != nil {
 		a.reserved.stopAndRelease()
 	}
-	a.answer.buffer.release()
+	a.releaseMemory()
 	a.outcome.startedAt = a.startedAt
 }
 
--- a/internal/trans/gate/buffer.go
+++ b/internal/trans/gate/buffer.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"io"
+	"net"
+	"sync"
 
-	"github.com/juju/errors"
-
+	"laburnumstack.org/laburnum/internal/coord/memory"
+	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 )
 
@@ -15,48 +17,122 @@
 	// maxStaleBody bounds the body of a response to another request, which is
 	// skipped, in bytes.
 	maxStaleBody = 64 << 10
+	// minPiece and maxPiece are the sizes of the pieces in which a body is kept, in bytes. A
+	// body of unknown length begins with a small one, each further one is twice as large.
+	minPiece = 2 << 10
+	maxPiece = 64 << 10
 )
 
-// errBufferFull means that the node holds too many bytes of responses.
-const errBufferFull = errors.ConstError("too many bytes of responses are buffered")
+// takeMemory takes memory for the answer. Small answers need no account. It returns
+// memory.ErrExceeded if the answer was given up.
+func (a *attempt) takeMemory(n int64) error {
+	r := &a.answer
+	r.held += n
+	if r.held <= memory.FreeBytes {
+		return nil
+	}
+	if r.account == nil {
+		r.account = a.server.answers.Open(a.choice.Primary.Name, a.giveUp)
+		n = r.held
+	}
+	return r.account.Take(n)
+}
+
+// keepMemory keeps the answer from being given up, since it has been read.
+func (a *attempt) keepMemory() error {
+	if a.answer.account == nil {
+		return nil
+	}
+	return a.answer.account.Keep()
+}
+
+func (a *attempt) releaseMemory() {
+	if a.answer.account != nil {
+		a.answer.account.Close()
+	}
+}
 
-// bodyBuffer reads response bodies and counts their bytes in Server.bufferedBytes
-// until they are released.
-type bodyBuffer struct {
-	server *Server
-	source io.Reader
-	size   int64
+// giveUp ends the reads of an answer that was given up for another one.
+func (a *attempt) giveUp() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isGivenUp = true
+	if a.isAttached {
+		a.link.SetReadDeadline(conns.Expired)
+	}
 }
 
-// readBody reads the whole body of a response. The buffer must be released, also
-// after an error.
-func (s *Server) readBody(br *bufio.Reader, res *http1.Response) ([]byte, *bodyBuffer, error) {
-	b := &bodyBuffer{server: s, source: http1.NewBodyReader(br, res.Framing, res.Length)}
-	if res.Framing == http1.Sized && res.Length > maxResponseBody {
-		return nil, b, http1.ErrBodyTooLong
+// readBody reads the whole body of a response. Its memory must be released, also after an
+// error.
+func (a *attempt) readBody(res *http1.Response) (net.Buffers, error) {
+	switch {
+	case res.Framing == http1.None:
+		return nil, nil
+	case res.Framing == http1.Sized && res.Length > maxResponseBody:
+		return nil, http1.ErrBodyTooLong
+	}
+	var pieces net.Buffers
+	source := http1.NewBodyReader(a.link.Reader, res.Framing, res.Length)
+	next := int64(minPiece)
+	if res.Framing == http1.Sized {
+		next = min(res.Length, maxPiece)
 	}
-	body, err := io.ReadAll(io.LimitReader(b, maxResponseBody+1))
-	if err == nil && len(body) > maxResponseBody {
-		return nil, b, http1.ErrBodyTooLong
+	for size := int64(0); ; next = min(2*next, maxPiece) {
+		if res.Framing == http1.Sized {
+			next = min(next, res.Length-size)
+		}
+		if err := a.takeMemory(next); err != nil {
+			recycle(pieces)
+			return nil, err
+		}
+		piece, err := readPiece(source, newPiece(next))
+		size += int64(len(piece))
+		pieces = append(pieces, piece)
+		switch {
+		case size > maxResponseBody:
+			err = http1.ErrBodyTooLong
+		case err == io.EOF || err == nil && res.Framing == http1.Sized && size == res.Length:
+			return pieces, a.keepMemory()
+		}
+		if err != nil {
+			recycle(pieces)
+			return nil, err
+		}
+	}
+}
+
+// freePieces holds pieces of the largest size. Answers that end early return theirs, so that
+// those without end make little garbage.
+var freePieces = sync.Pool{New: func() any { return new([maxPiece]byte) }}
+
+func newPiece(size int64) []byte {
+	if size == maxPiece {
+		return freePieces.Get().(*[maxPiece]byte)[:]
 	}
-	return body, b, err
+	return make([]byte, size)
 }
 
-// Read reads the body and counts its bytes.
-func (b *bodyBuffer) Read(p []byte) (int, error) {
-	n, err := b.source.Read(p)
-	b.size += int64(n)
-	if held := b.server.bufferedBytes.Add(int64(n)); b.server.MaxBufferedBytes > 0 && held > b.server.MaxBufferedBytes {
-		return n, errBufferFull
+// recycle returns the pieces of a body that nothing else refers to.
+func recycle(pieces net.Buffers) {
+	for _, p := range pieces {
+		if cap(p) == maxPiece {
+			freePieces.Put((*[maxPiece]byte)(p[:maxPiece]))
+		}
 	}
-	return n, err
 }
 
-// release stops counting the bytes. It does nothing if b is nil.
-func (b *bodyBuffer) release() {
-	if b != nil {
-		b.server.bufferedBytes.Add(-b.size)
+// readPiece fills a piece, up to the end of the body. The error is io.EOF there; there may be
+// bytes with an error.
+func readPiece(r io.Reader, piece []byte) ([]byte, error) {
+	n := 0
+	for n < len(piece) {
+		m, err := r.Read(piece[n:])
+		n += m
+		if err != nil {
+			return piece[:n], err
+		}
 	}
+	return piece, nil
 }
 
 // skipBody reads a body that is not used.
--- a/internal/trans/gate/endless_test.go
+++ b/internal/trans/gate/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -32,23 +33,33 @@
 	for _, c := range []struct {
 		name   string
 		script script
+		// isMalformed is set if the first bytes show that they are no answer.
+		isMalformed bool
 	}{
-		{"no line end", endless("", kilobyte, 0)},
-		{"lines", endless("", "x\n", 0)},
-		{"fields", endless("HTTP/1.1 200 OK\r\n", "A: b\r\n", 0)},
-		{"interim responses", endless("", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20), 0)},
-		{"response to another request", endless(other, chunked(kilobyte), 0)},
-		{"chunks", endless(signed+"Transfer-Encoding: chunked\r\n\r\n", chunked(kilobyte), 0)},
-		{"body without a length", endless(signed+"\r\n", kilobyte, 0)},
-		{"chunk extension", endless(signed+"Transfer-Encoding: chunked\r\n\r\n1;", kilobyte, 0)},
-		{"trailer", endless(signed+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", 0)},
+		{"no line end", endless("", kilobyte, 0), false},
+		{"lines", endless("", "x\n", 0), true},
+		{"fields", endless("HTTP/1.1 200 OK\r\n", "A: b\r\n", 0), false},
+		{"interim responses", endless("", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20), 0), false},
+		{"response to another request", endless(other, chunked(kilobyte), 0), false},
+		{"chunks", endless(signed+"Transfer-Encoding: chunked\r\n\r\n", chunked(kilobyte), 0), false},
+		{"body without a length", endless(signed+"\r\n", kilobyte, 0), false},
+		{"chunk extension", endless(signed+"Transfer-Encoding: chunked\r\n\r\n1;", kilobyte, 0), false},
+		{"trailer", endless(signed+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", 0), false},
 	} {
 		e := newEndpoint(t, "e", c.script)
-		r := newRig(t, e)
-		r.server.MaxBufferedBytes = 1 << 20
+		r := newConfiguredRig(t, 0, func(s *Server) { s.MaxBufferedBytes = 1 << 20 }, e)
 		res := r.do(request("POST", "/once/", "r1", ""))
 		test.Eq(t, 502, res.status, test.Sprint(c.name, ": 504 is the deadline"))
-		test.Eq(t, 0, r.server.bufferedBytes.Load(), test.Sprint(c.name))
+		test.Eq(t, 0, r.server.answers.Held(), test.Sprint(c.name))
+		// Other answers don't make up for one without end.
+		r.server.endpointHealth.recordSuccess("ep")
+		test.Eq(t, !c.isMalformed, r.server.endpointHealth.isAvoided("ep", time.Now().Add(floodAvoidTime/2)), test.Sprint(c.name))
+		test.False(t, r.server.endpointHealth.isAvoided("ep", time.Now().Add(floodAvoidTime)), test.Sprint(c.name))
+		floods := 1.0
+		if c.isMalformed {
+			floods = 0
+		}
+		test.Eq(t, floods, counterValue(t, r.server, "laburnum_endless_answers_total"), test.Sprint(c.name))
 	}
 }
 
@@ -80,3 +91,57 @@
 	test.NoError(t, res.err)
 	test.Eq(t, event(1)+event(2)+event(3), res.body)
 }
+
+// slowly answers with a body of the given size, in parts with pauses between them.
+func slowly(size int) script {
+	const parts = 20
+	return func(c net.Conn, g receivedRequest) bool {
+		head := "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n"
+		io.WriteString(c, strings.ReplaceAll(head, "%ID", g.field("Id")))
+		for range parts {
+			time.Sleep(20 * time.Millisecond)
+			io.WriteString(c, strings.Repeat("y", size/parts))
+		}
+		return true
+	}
+}
+
+// Guards against requests of other callers that end, after they have run, since an endpoint
+// that sends without end has taken the memory for answers.
+func TestEndlessAnswersEndNoOthers(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: 1\r\n"
+	const callers, soundSize = 60, 60_000
+	text := strings.Repeat("x", 1<<10)
+	for _, c := range []struct {
+		name   string
+		target string
+		script script
+	}{
+		{"chunks", "/once/", endless(signed+"Transfer-Encoding: chunked\r\n\r\n", chunked(text), 0)},
+		{"body without a length", "/once/", endless(signed+"\r\n", text, 0)},
+		{"an event", "/stream/", endless(streamHead, chunked(text), 0)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sound, faulty := newEndpoint(t, "sound", slowly(soundSize)), newEndpoint(t, "faulty", c.script)
+			r := newConfiguredRig(t, 0, func(s *Server) { s.MaxBufferedBytes = 8 << 20 }, sound, faulty)
+			responses := make(chan response, callers)
+			for i := range callers {
+				go func() { responses <- r.do(request("POST", c.target, "r"+strconv.Itoa(i), "", "Prompt: 100")) }()
+			}
+			answered := 0
+			for range callers {
+				if res := <-responses; res.status == 200 {
+					answered++
+					test.Eq(t, soundSize, strings.Count(res.body, "y"), test.Sprintf("%d bytes, %v", len(res.body), res.err))
+				}
+			}
+			test.Positive(t, len(faulty.requests()))
+			test.Positive(t, len(sound.requests()))
+			test.Eq(t, len(sound.requests()), answered, test.Sprint("a sound answer was lost"))
+			for r.server.InFlightCount() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			test.Eq(t, 0, r.server.answers.Held())
+		})
+	}
+}
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -291,15 +291,17 @@
 	return x.announcedClose
 }
 
-func (x *exchange) writeToCaller(b []byte) bool {
+func (x *exchange) writeToCaller(pieces ...[]byte) bool {
 	if !x.caller.beginReply() {
 		x.closing = closeEnd
 		return false
 	}
 	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := x.caller.Write(b); err != nil {
-		x.closing = closeWrite
-		return false
+	for _, b := range pieces {
+		if _, err := x.caller.Write(b); err != nil {
+			x.closing = closeWrite
+			return false
+		}
 	}
 	return true
 }
--- a/internal/trans/gate/health.go
+++ b/internal/trans/gate/health.go
@@ -19,6 +19,9 @@
 	// suspectTime is how long an endpoint that failed is not used as a helper
 	// after it is no longer avoided, unless it answers earlier.
 	suspectTime = 4 * time.Second
+	// floodAvoidTime is how long an endpoint is avoided after it sent an answer without end,
+	// whatever else it answers.
+	floodAvoidTime = 8 * time.Second
 )
 
 // endpointHealth tracks the endpoints that have not answered since they failed.
@@ -27,6 +30,8 @@
 type endpointHealth struct {
 	mu      sync.Mutex
 	failing map[ident.EndpointName]*failureState
+	// floodedAt is when endpoints last sent an answer without end.
+	floodedAt map[ident.EndpointName]time.Time
 }
 
 // failureState is the state of an endpoint that has not answered since it
@@ -59,6 +64,31 @@
 	return true
 }
 
+// recordFlood records that an endpoint sent an answer without end, and reports whether it is
+// newly avoided for that.
+func (h *endpointHealth) recordFlood(n ident.EndpointName, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isNew := !h.isFlooding(n, now)
+	for o := range h.floodedAt {
+		if !h.isFlooding(o, now) {
+			delete(h.floodedAt, o)
+		}
+	}
+	if h.floodedAt == nil {
+		h.floodedAt = map[ident.EndpointName]time.Time{}
+	}
+	h.floodedAt[n] = now
+	return isNew
+}
+
+// isFlooding reports whether an endpoint is avoided for an answer without end. The caller must
+// hold h.mu.
+func (h *endpointHealth) isFlooding(n ident.EndpointName, now time.Time) bool {
+	at, ok := h.floodedAt[n]
+	return ok && now.Sub(at) < floodAvoidTime
+}
+
 // recordSuccess clears the failures of an endpoint.
 func (h *endpointHealth) recordSuccess(n ident.EndpointName) {
 	h.mu.Lock()
@@ -83,7 +113,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := h.failing[n]
-	return f != nil && now.Before(f.avoidUntil)
+	return f != nil && now.Before(f.avoidUntil) || h.isFlooding(n, now)
 }
 
 // isSuspect reports whether an endpoint failed recently and has not answered
@@ -92,5 +122,5 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := h.failing[n]
-	return f != nil && now.Before(f.avoidUntil.Add(suspectTime))
+	return f != nil && now.Before(f.avoidUntil.Add(suspectTime)) || h.isFlooding(n, now)
 }
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -43,7 +43,7 @@
 	defer a.mu.Unlock()
 	wantsOther = a.wantsOther
 	a.wantsOther = false
-	return wantsOther, a.callerDisconnected || a.isCancelled
+	return wantsOther, a.callerDisconnected || a.isCancelled || a.isGivenUp
 }
 
 func (a *attempt) isCurrent() bool {
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -24,6 +24,7 @@
 	omittedLines prometheus.Counter
 	closes       *prometheus.CounterVec
 	unanswered   *prometheus.CounterVec
+	floods       prometheus.Counter
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -76,18 +77,22 @@
 		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_unanswered_requests_total", Help: "Requests that were read whole and got no response, by the reason of the close; left is a caller who left.",
 		}, []string{"why"}),
+		floods: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_endless_answers_total", Help: "Answers that were given up since the endpoint sent more than an answer may have, or since they took too much memory.",
+		}),
 	}
 }
 
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
 		gauge("laburnum_parts_with_strikes", "Parts of prompts that have or recently had strikes.", func() float64 { return float64(s.partStrikes.count.Load()) }),
 		gauge("laburnum_unavailable_endpoints", "Statements of endpoints that are leaving, or that want no requests of a node.", func() float64 { return float64(s.availability.count.Load()) }),
+		gauge("laburnum_answer_bytes", "Memory taken by endpoints' answers, but for small ones.", func() float64 { return float64(s.answers.Held()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
 		gauge("laburnum_nodes", "Nodes known, this one included.", func() float64 { return float64(s.NodeCount()) }),
 		gauge("laburnum_configuration_version", "Version in force.", func() float64 {
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -170,6 +170,8 @@
 		if o.whole {
 			x.recordEndedWell(o, c.Primary.Name)
 		}
+	case o.flooded:
+		s.recordFlood(c.Primary, now)
 	case o.linkLost, o.result == superseded:
 		// The silence of one that was superseded has been recorded.
 	case o.reason == errStopping.Error():
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/coord/memory"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
@@ -24,14 +26,17 @@
 // wholeResponse is a response of an endpoint with its body.
 type wholeResponse struct {
 	head *http1.Response
-	body []byte
+	body net.Buffers
 }
 
 // answer is what an attempt has read of its endpoint's answer.
 type answer struct {
 	wholeResponse
-	buffer *bodyBuffer
-	reader eventReader
+	// held is the memory for the body or for events in bytes, account its account once it
+	// is no longer small.
+	held    int64
+	account *memory.Account
+	reader  eventReader
 	// events reads the events of a stream; nil for other answers. The events in next were
 	// read last, together with the error in err.
 	events *eventReader
@@ -53,6 +58,7 @@
 	res, header, err := a.readResponseHeader()
 	if err != nil {
 		a.outcome = failedSend("read response", err)
+		a.outcome.flooded = a.isFlood(err)
 		return false
 	}
 	a.hear()
@@ -153,8 +159,10 @@
 	a.wait.end()
 	a.setReadDeadline()
 	var err error
-	a.answer.body, a.answer.buffer, err = a.server.readBody(a.link.Reader, res)
+	a.answer.body, err = a.readBody(res)
 	if err != nil {
+		err = a.readError(err)
+		o.flooded = a.isFlood(err)
 		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
 		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
 		if kind == refusalAnswer {
@@ -192,5 +200,5 @@
 
 // writeResponse writes a response to the caller.
 func (x *exchange) writeResponse(r *wholeResponse) {
-	x.writeToCaller(fullResponse(r.head, r.body, x.announcesClose()))
+	x.writeToCaller(fullResponse(r.head, r.body, x.announcesClose())...)
 }
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -18,6 +18,7 @@
 	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/bysize"
 	"laburnumstack.org/laburnum/internal/coord/extra"
+	"laburnumstack.org/laburnum/internal/coord/memory"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -102,7 +103,7 @@
 	MaxUnusedMemory time.Duration
 	Budget          Budget
 	// MaxBufferedBytes bounds the bytes of endpoints' responses that the node holds
-	// at one time; zero means no bound.
+	// at one time, but for small ones; zero means no bound.
 	MaxBufferedBytes int64
 	// MinGapWait is the least time for which a stream is silent, and HeaderSlack that for
 	// which its header is overdue, before another endpoint is tried; zero means the
@@ -173,8 +174,8 @@
 	drainStart clock.Moment
 	// inFlightCount counts the requests of callers that this node serves.
 	inFlightCount atomic.Int64
-	// bufferedBytes counts the bytes of endpoints' responses that the node holds.
-	bufferedBytes atomic.Int64
+	// answers is the memory for endpoints' responses.
+	answers memory.Budget
 	// openConns counts the connections of callers, refusedConns those beyond maxConns.
 	openConns    atomic.Int64
 	refusedConns atomic.Int64
@@ -228,6 +229,7 @@
 // Run serves callers on a listener until the context ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	s.startMillis = time.Now().UnixMilli()
+	s.answers.Limit = s.MaxBufferedBytes
 	acceptEnded := make(chan struct{})
 	s.mu.Lock()
 	s.conns = map[*callerConn]struct{}{}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,6 +30,9 @@
 // the stream.
 type eventReader struct {
 	body io.Reader
+	// takeMemory is called before the buffer grows by a number of bytes. Its error ends the
+	// stream.
+	takeMemory func(int64) error
 	// isResumed is set if the caller has got a part of the stream from an earlier run,
 	// isFramed if more than the end of the connection marks the end of the body.
 	isResumed, isFramed bool
@@ -49,8 +53,9 @@
 
 func (a *attempt) newEventReader(res *http1.Response) eventReader {
 	return eventReader{
-		body:      http1.NewBodyReader(a.link.Reader, res.Framing, res.Length),
-		isResumed: a.isResumed, isFramed: res.Framing != http1.UntilClose,
+		body:       http1.NewBodyReader(a.link.Reader, res.Framing, res.Length),
+		takeMemory: a.takeMemory,
+		isResumed:  a.isResumed, isFramed: res.Framing != http1.UntilClose,
 		position: a.resumesAt,
 		buf:      make([]byte, 0, initialStreamBuffer),
 	}
@@ -76,7 +81,10 @@
 		if len(r.buf) >= maxEventSize {
 			return nil, errLongEvent
 		}
-		r.buf = append(r.buf, 0)[:len(r.buf)]
+		if err := r.takeMemory(int64(cap(r.buf))); err != nil {
+			return nil, err
+		}
+		r.buf = slices.Grow(r.buf, cap(r.buf))
 	}
 	n, err := r.body.Read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
@@ -131,7 +139,7 @@
 			return true
 		}
 		if a.answer.err != nil {
-			failStream(&a.outcome, a.answer.err)
+			a.failStream()
 			return false
 		}
 	}
@@ -183,18 +191,20 @@
 			a.answer.isIntact = !a.answer.head.Close
 			return
 		case err != nil:
-			failStream(o, err)
+			a.failStream()
 			return
 		}
 	}
 }
 
 // failStream sets the outcome of a send whose stream ended early.
-func failStream(o *outcome, err error) {
+func (a *attempt) failStream() {
+	o, err := &a.outcome, a.readError(a.answer.err)
 	if errors.Is(err, errNoEvents) || errors.Is(err, errMissingEvents) || errors.Is(err, errUnnumbered) {
 		o.result, o.reason = unusable, err.Error()
 		return
 	}
+	o.flooded = a.isFlood(err)
 	o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "stream truncated: "+err.Error()
 	o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
 }
--- a/internal/trans/gate/wait.go
+++ b/internal/trans/gate/wait.go
@@ -62,7 +62,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.callerDisconnected || a.isCancelled || a.wantsOther || a.current == a && len(a.reports) > 0 {
+	if a.callerDisconnected || a.isCancelled || a.isGivenUp || a.wantsOther || a.current == a && len(a.reports) > 0 {
 		t = conns.Expired
 	}
 	a.link.SetReadDeadline(t)
--- a/internal/trans/http1/body.go
+++ b/internal/trans/http1/body.go
@@ -134,6 +134,9 @@
 		return 0, io.EOF
 	}
 	n, err := c.Reader.Read(b)
+	if errors.Is(err, httputil.ErrLineTooLong) {
+		return n, errors.WithType(errors.Annotate(ErrEndless, "length of a chunk"), ErrMalformed)
+	}
 	if err != io.EOF {
 		return n, err
 	}
@@ -147,7 +150,7 @@
 			return n, io.EOF
 		}
 		if size += len(line); size > maxTrailer {
-			return n, errors.Annotate(ErrMalformed, "trailer is too long")
+			return n, errors.WithType(errors.Annotate(ErrEndless, "trailer"), ErrMalformed)
 		}
 	}
 }
--- a/internal/trans/http1/head.go
+++ b/internal/trans/http1/head.go
@@ -20,6 +20,9 @@
 	ErrHeaderTooLong = errors.ConstError("header is too long")
 	// ErrBodyTooLong means that a body exceeds its limit.
 	ErrBodyTooLong = errors.ConstError("body is too long")
+	// ErrEndless means that a part of a message exceeds its limit that other messages have
+	// only a little of: interim responses before a response, or the trailer.
+	ErrEndless = errors.ConstError("message has no end")
 )
 
 // Field is one header field. Its slices alias the buffer that holds the whole
--- a/internal/trans/http1/messg.go
+++ b/internal/trans/http1/messg.go
@@ -113,7 +113,7 @@
 		}
 		return r, r.setFraming(method)
 	}
-	return nil, errors.Annotate(ErrMalformed, "too many interim responses")
+	return nil, errors.WithType(errors.Annotate(ErrEndless, "too many interim responses"), ErrMalformed)
 }
 
 func (r *Response) parseStatusLine() error {
