gate: keep idle connections open for as long as the configuration may be late

Callers may see a connection closed on which they send a request, beside a change of the idle timeout. Cause: a node may know a longer idle timeout up to 3.5 s later than callers do, but closed idle connections 1 s after the one it knew. Evidence: TestIdleConnectionsStayOpenUntilTheConfigurationIsKnown failed before (unexpected EOF). Result: the test passes.

--- a/internal/trans/gate/idle.go
+++ b/internal/trans/gate/idle.go
@@ -15,7 +15,7 @@
 	readBufferBytes = 4 << 10
 	// idleSlack is added to the idle timeout: callers may know a longer one before this
 	// node does.
-	idleSlack = time.Second
+	idleSlack = staleAfter
 	// arrivedTimeout bounds the read of bytes that have arrived.
 	arrivedTimeout = time.Second
 	// reuseNumerator / reuseDenominator is the fraction of the idle timeout for
--- a/internal/trans/gate/idle_test.go
+++ b/internal/trans/gate/idle_test.go
@@ -47,6 +47,24 @@
 	get()
 }
 
+// Guards against connections that are closed by the idle timeout of an earlier configuration
+// since this node hears of the new one later than callers do.
+func TestIdleConnectionsStayOpenUntilTheConfigurationIsKnown(t *testing.T) {
+	r := newRig(t, newEndpoint(t, "e", ok("yes")))
+	r.setLimits(func(l *topol.Limits) { l.IdleTimeout = 300 * time.Millisecond })
+	c := r.dial()
+	br := bufio.NewReader(c)
+	get := func() {
+		io.WriteString(c, request("GET", "/safe/", "r", ""))
+		res, err := readResponseFrom(br)
+		must.NoError(t, err)
+		test.Eq(t, 200, res.status)
+	}
+	get()
+	time.Sleep(300*time.Millisecond + staleAfter - 500*time.Millisecond)
+	get()
+}
+
 // Guards against limits that are taken when a connection becomes idle, or when the header
 // begins, and then outlive their configuration.
 func TestLimitsInForceHoldForARequest(t *testing.T) {
