avail: know for a minute that an endpoint left after its record is gone

Endpoints that had said that they leave got requests again after a drill of the store. Cause: the statement was dropped with the record, and a store that comes back as an older copy lists the endpoint as ready. In the list, a late write of an earlier record ended leaving as well. A next start of the endpoint is used at once.

--- a/internal/coord/avail/avail.go
+++ b/internal/coord/avail/avail.go
@@ -11,6 +11,14 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+const (
+	// keepTime is how long it is known that an endpoint left after its record is gone: a
+	// source that comes back as an older copy lists it again.
+	keepTime = time.Minute
+	// maxKept bounds the number of endpoints that left and are gone.
+	maxKept = 4096
+)
+
 // State is what an endpoint states to all nodes.
 type State struct {
 	quota.Key
@@ -29,20 +37,22 @@
 
 // Table holds the statements of endpoints. It is not safe for concurrent use.
 type Table struct {
-	leaving map[quota.Key]bool
+	// leaving holds the endpoints that are leaving, with the time since which they don't
+	// exist; zero while they do.
+	leaving map[quota.Key]time.Time
 	// rests holds for each endpoint the ends of its rests by the node that was asked.
 	rests map[quota.Key]map[ident.NodeName]time.Time
 }
 
 // Record adds what an endpoint stated to all nodes. It reports whether that is news.
 func (t *Table) Record(s State) bool {
-	if !s.Leaving || t.leaving[s.Key] {
+	if !s.Leaving || t.Leaves(s.Key) {
 		return false
 	}
 	if t.leaving == nil {
-		t.leaving = map[quota.Key]bool{}
+		t.leaving = map[quota.Key]time.Time{}
 	}
-	t.leaving[s.Key] = true
+	t.leaving[s.Key] = time.Time{}
 	return true
 }
 
@@ -62,7 +72,10 @@
 }
 
 // Leaves reports whether an endpoint is leaving.
-func (t *Table) Leaves(k quota.Key) bool { return t.leaving[k] }
+func (t *Table) Leaves(k quota.Key) bool {
+	_, ok := t.leaving[k]
+	return ok
+}
 
 // RestFor returns how long an endpoint still wants no requests of a node.
 func (t *Table) RestFor(k quota.Key, n ident.NodeName, now time.Time) time.Duration {
@@ -107,11 +120,21 @@
 	return rs
 }
 
-// Expire drops the rests that have ended, and what endpoints stated that don't exist.
+// Expire drops the rests that have ended, and what endpoints stated that don't exist. That an
+// endpoint left is kept for some time, unless its next start would look the same.
 func (t *Table) Expire(now time.Time, exists func(quota.Key) bool) {
-	for k := range t.leaving {
-		if !exists(k) {
+	kept := 0
+	for k, goneSince := range t.leaving {
+		switch {
+		case exists(k):
+			t.leaving[k] = time.Time{}
+		case k.Born == 0 || kept == maxKept || !goneSince.IsZero() && now.Sub(goneSince) >= keepTime:
 			delete(t.leaving, k)
+		default:
+			kept++
+			if goneSince.IsZero() {
+				t.leaving[k] = now
+			}
 		}
 	}
 	for k, byNode := range t.rests {
--- a/internal/coord/avail/avail_test.go
+++ b/internal/coord/avail/avail_test.go
@@ -37,6 +37,45 @@
 	test.False(t, tab.Accepts(b, "n1", now.Add(time.Hour)))
 }
 
+// Guards against requests to an endpoint that left, after the source has come back as an older
+// copy that lists it.
+func TestEndpointsThatLeftStayKnown(t *testing.T) {
+	var tab avail.Table
+	left, again := quota.Key{Endpoint: "a", Born: 1}, quota.Key{Endpoint: "a", Born: 2}
+	listed := true
+	exists := func(k quota.Key) bool { return listed && k == left }
+	tab.Record(avail.State{Key: left, Leaving: true})
+	for _, c := range []struct {
+		after  time.Duration
+		listed bool
+		leaves bool
+	}{
+		{time.Second, true, true},
+		{2 * time.Second, false, true},
+		{30 * time.Second, false, true},
+		{31 * time.Second, true, true},
+		{32 * time.Second, false, true},
+		{91 * time.Second, false, true},
+		{92 * time.Second, false, false},
+	} {
+		listed = c.listed
+		tab.Expire(now.Add(c.after), exists)
+		test.Eq(t, c.leaves, tab.Leaves(left), test.Sprint(c.after))
+		test.Eq(t, !c.leaves, tab.Accepts(left, "n", now.Add(c.after)), test.Sprint(c.after))
+		test.True(t, tab.Accepts(again, "n", now.Add(c.after)), test.Sprint("its next start"))
+	}
+}
+
+// Guards against a table that grows with each endpoint that ever left.
+func TestEndpointsThatLeftAreBounded(t *testing.T) {
+	var tab avail.Table
+	for i := range 10_000 {
+		tab.Record(avail.State{Key: quota.Key{Endpoint: "a", Born: int64(i + 1)}, Leaving: true})
+	}
+	tab.Expire(now, func(quota.Key) bool { return false })
+	test.Eq(t, 4096, tab.Len())
+}
+
 func TestTableExpires(t *testing.T) {
 	var tab avail.Table
 	a, b := quota.Key{Endpoint: "a"}, quota.Key{Endpoint: "b"}
--- a/internal/trans/feeds/endpoints.go
+++ b/internal/trans/feeds/endpoints.go
@@ -73,8 +73,9 @@
 	}
 	delete(f.removeAt, n)
 	old, ok := f.endpoints[n]
-	if ok && old.Leaving && old.Born == e.Born && f.inGracePeriod(at) {
-		// The source may show the endpoint as it was before it began to leave.
+	if ok && old.Leaving && old.Born == e.Born && (e.Born != 0 || f.inGracePeriod(at)) {
+		// The source may show the endpoint as it was before it began to leave, or have
+		// carried out an earlier write of it late. No endpoint stops leaving.
 		e.Leaving = true
 	}
 	if ok && old == e {
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -33,11 +34,15 @@
 }
 
 func (plainDecoder) Endpoint(r Record) (topol.Endpoint, error) {
-	service, state, ok := strings.Cut(string(r.Value), " ")
-	if !ok {
+	fields := strings.Fields(string(r.Value))
+	if len(fields) < 2 {
 		return topol.Endpoint{}, errors.New("no state")
 	}
-	return topol.Endpoint{Name: ident.EndpointName(r.Key), Service: ident.ServiceName(service), Address: r.Key, Leaving: state == "leaving"}, nil
+	e := topol.Endpoint{Name: ident.EndpointName(r.Key), Service: ident.ServiceName(fields[0]), Address: r.Key, Leaving: fields[1] == "leaving"}
+	if len(fields) > 2 {
+		e.Born, _ = strconv.ParseInt(fields[2], 10, 64)
+	}
+	return e, nil
 }
 
 func newFeeds() *Feeds { return &Feeds{Decoder: plainDecoder{}, Logger: zerolog.Nop()} }
@@ -60,6 +65,18 @@
 	return strings.Join(ns, " ")
 }
 
+// Guards against requests to an endpoint that leaves, after an earlier write of its record has
+// been carried out late. Its next start is used at once.
+func TestLateRecordDoesNotEndLeaving(t *testing.T) {
+	f := newFeeds()
+	f.applyEndpoints([]Record{record("a", "s up 1"), record("b", "s up")}, true, at(0))
+	f.applyEndpoints([]Record{record("a", "s leaving 1"), record("b", "s leaving")}, false, at(time.Second))
+	f.applyEndpoints([]Record{record("a", "s up 1"), record("b", "s up")}, false, at(2*time.Second))
+	test.Eq(t, "a- b", f.names("s"), test.Sprint("a start of b can't be told from another"))
+	f.applyEndpoints([]Record{record("a", "s up 2")}, false, at(3*time.Second))
+	test.Eq(t, "a b", f.names("s"))
+}
+
 func TestHighestVersionWins(t *testing.T) {
 	f := newFeeds()
 	f.applyConfig([]Record{record("config", "5"), record("config", "3"), record("config", "x")}, true, at(0))
--- a/internal/trans/gate/avail.go
+++ b/internal/trans/gate/avail.go
@@ -10,6 +10,7 @@
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -171,10 +172,24 @@
 	return rs
 }
 
+// recordListedLeaving records the endpoints that are leaving by the list, so that it stays known
+// if the source comes back as an older copy.
+func (s *Server) recordListedLeaving(list *feeds.EndpointList) {
+	for _, e := range list.ByName {
+		if e.Leaving && e.Born != 0 {
+			s.recordLeaving(avail.State{Key: limitKey(e), Leaving: true})
+		}
+	}
+}
+
 // expireAvailability drops what is over, or of endpoints that are gone.
 func (s *Server) expireAvailability(now time.Time) {
 	list := s.Feeds.Endpoints()
-	if list == nil || s.availability.count.Load() == 0 {
+	if list == nil {
+		return
+	}
+	s.recordListedLeaving(list)
+	if s.availability.count.Load() == 0 {
 		return
 	}
 	s.availability.update(func(t *avail.Table) {
