conns: a failed accept doesn't end the process

Cause: ServeRPC returned each error of Accept, and the node ended with it. The gate had a loop of its own that went on. Change: conns.Patient waits and goes on after errors, for both listeners, with a line and a counter.

--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -25,6 +25,7 @@
 	closes       *prometheus.CounterVec
 	unanswered   *prometheus.CounterVec
 	floods       prometheus.Counter
+	acceptErrors prometheus.Counter
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -77,6 +78,9 @@
 		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_unanswered_requests_total", Help: "Requests that were read whole and got no response, by the reason of the close; left is a caller who left.",
 		}, []string{"why"}),
+		acceptErrors: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_accept_errors_total", Help: "Connections of callers that could not be accepted, for example since no descriptors were left.",
+		}),
 		floods: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_endless_answers_total", Help: "Answers that were given up since the endpoint sent more than an answer may have, or since they took too much memory.",
 		}),
@@ -86,7 +90,7 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -251,18 +251,14 @@
 
 // accept accepts connections and serves each, until the context ends or Stop is called.
 func (s *Server) accept(ctx context.Context, l net.Listener) error {
+	patient := conns.Patient(l, s.Logger, s.getMetrics().acceptErrors.Inc)
 	for {
-		c, err := l.Accept()
+		c, err := patient.Accept()
 		if err != nil && (ctx.Err() != nil || s.stopping.Load()) {
 			return nil
 		}
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			s.Logger.Warn().Err(err).Msg("gate: accept failed")
-			time.Sleep(acceptPause)
-			continue
+			return err
 		}
 		if s.openConns.Load() >= maxConns {
 			go s.refuseConn(c)
@@ -273,12 +269,8 @@
 	}
 }
 
-const (
-	// acceptPause is the wait after a failed accept.
-	acceptPause = 20 * time.Millisecond
-	// sweepInterval is how often expired strikes and connections are dropped.
-	sweepInterval = time.Second
-)
+// sweepInterval is how often expired strikes and connections are dropped.
+const sweepInterval = time.Second
 
 // sweep periodically drops expired strikes, and closes idle connections to
 // endpoints that have expired or whose endpoint is gone.
--- a/internal/trans/peer/serve.go
+++ b/internal/trans/peer/serve.go
@@ -41,5 +41,5 @@
 
 // serve answers peers until the context ends.
 func (m *Mesh) serve(ctx context.Context, l net.Listener) error {
-	return conns.ServeRPC(ctx, l, "Node", &service{m})
+	return conns.ServeRPC(ctx, conns.Patient(l, m.Logger, nil), "Node", &service{m})
 }
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -164,5 +164,5 @@
 	if m.ServeTunnel != nil {
 		branches = append(branches, conns.Branch{Preamble: tunnel.Preamble, Serve: m.ServeTunnel})
 	}
-	return conns.ServeRPC(ctx, l, "Node", &service{m}, branches...)
+	return conns.ServeRPC(ctx, conns.Patient(l, m.Logger, nil), "Node", &service{m}, branches...)
 }
