edge: a starting node asks its peers before it believes the store

A node that started while the store showed an older copy served a key that had been taken away, for about 0.4 s. Cause: it put in force what the store showed first and was ready at once; its first pull from a peer came later, and a loss of records is noticed only by a node that has read before.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -99,9 +99,15 @@
 	if s.MetricsAddress != "" {
 		g.Go(func() error { n.serveMetrics(ctx); return nil })
 	}
-	g.Go(func() error { return n.feeds.Run(ctx) })
 	g.Go(func() error { n.keepRegistered(ctx); return nil })
-	g.Go(func() error { n.stateSync.run(ctx); return nil })
+	g.Go(func() error {
+		if !s.Bootstrap {
+			n.stateSync.askPeers(ctx)
+		}
+		g.Go(func() error { return n.feeds.Run(ctx) })
+		n.stateSync.run(ctx)
+		return nil
+	})
 	if !s.Bootstrap {
 		g.Go(func() error { n.findOrphans(ctx); return nil })
 	}
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -67,7 +67,7 @@
 // a peer: where that is known to end in the stream, and else with the newest record
 // of each key.
 func (w *follower) restart() {
-	w.cursor = cursor{next: unknownOffset}
+	w.cursor = cursor{next: unknownOffset, era: w.feeds.Era()}
 	if p := w.feeds.configAt.Load(); p != nil && w.stream == Configuration {
 		w.cursor = cursor{next: p.Next, era: p.Era, resumed: true}
 	}
