feeds: an outage that a starting node finds begins the grace period

Cause: a node that started in the last second of an outage saw it for less than minOutage, and its list without the lapsed endpoints ended the grace period of the others. Evidence: by reading (review); TestOutageAtTheStartBeginsTheGracePeriod failed before. Result: the test passes.

--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -77,6 +77,20 @@
 	test.Eq(t, "a b", f.names("s"))
 }
 
+// Guards against lists of endpoints without those that lapsed in an outage: a node that starts
+// in its last second gives its list to the others, and ends their grace period.
+func TestOutageAtTheStartBeginsTheGracePeriod(t *testing.T) {
+	f := newFeeds()
+	w := &follower{feeds: f, stream: Endpoints}
+	w.failedSince = at(0)
+	w.succeed(at(minOutage / 2))
+	test.False(t, f.OutsideGracePeriod(at(minOutage/2+outageGrace-1)))
+	test.True(t, f.OutsideGracePeriod(at(minOutage/2+outageGrace)))
+	w.failedSince = at(time.Minute)
+	w.succeed(at(time.Minute + minOutage/2))
+	test.True(t, f.OutsideGracePeriod(at(time.Minute+minOutage)), test.Sprint("a short one later"))
+}
+
 func TestHighestVersionWins(t *testing.T) {
 	f := newFeeds()
 	f.applyConfig([]Record{record("config", "5"), record("config", "3"), record("config", "x")}, true, at(0))
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -28,7 +28,9 @@
 	// failedSince is when the first of the last reads failed; zero if the last one
 	// succeeded.
 	failedSince clock.Instant
-	retryPause  time.Duration
+	// hasSucceeded is set once a read has succeeded.
+	hasSucceeded bool
+	retryPause   time.Duration
 }
 
 // run reads the stream until the context ends.
@@ -100,9 +102,14 @@
 func (w *follower) succeed(at clock.Instant) {
 	w.retryPause = minRetryPause
 	if w.failedSince > 0 {
-		w.feeds.recordRecovery(w.stream, at, at.Sub(w.failedSince))
+		outage := at.Sub(w.failedSince)
+		if !w.hasSucceeded {
+			// The outage may have begun before this node did.
+			outage = max(outage, minOutage)
+		}
+		w.feeds.recordRecovery(w.stream, at, outage)
 	}
-	w.failedSince = 0
+	w.failedSince, w.hasSucceeded = 0, true
 }
 
 // handle handles a page, whose read began at the given time, and returns the pause
