gate: a part that nearly all prompts have is never barred

Callers were refused for seconds after one prompt had crashed all engines in turn. Cause: strikes count against each shared part in flight at a crash; the part that all prompts share is in flight at each.

--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -89,6 +89,8 @@
 	// predicted, load the load that it was based on.
 	estimate time.Duration
 	load     place.Load
+	// isPromptCounted is set once the prompt's parts count among the last ones.
+	isPromptCounted bool
 	// onTrial holds the barred parts of which the prompt is sent as a trial.
 	onTrial []ident.PartID
 	// failedReservations counts the placements for which memory could not be
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,33 @@
 
 	mu    sync.Mutex
 	table *strik.Parts
+	// recent holds the parts of the last prompts for each service.
+	recent map[ident.ServiceName]*strik.Recent
+}
+
+// countPrompt adds the parts of a prompt to the last ones for its service.
+func (p *partStrikes) countPrompt(n ident.ServiceName, parts []ident.PartID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.recent[n]
+	if r == nil {
+		if p.recent == nil {
+			p.recent = map[ident.ServiceName]*strik.Recent{}
+		}
+		r = &strik.Recent{}
+		p.recent[n] = r
+	}
+	r.Add(parts)
+}
+
+// withoutCommon returns those of some parts that don't occur in nearly all prompts for a service.
+// The caller holds p.mu.
+func (p *partStrikes) withoutCommon(n ident.ServiceName, parts []ident.PartID) []ident.PartID {
+	r := p.recent[n]
+	if r == nil {
+		return parts
+	}
+	return slices.DeleteFunc(slices.Clone(parts), r.IsCommon)
 }
 
 // update calls f with the table.
@@ -110,16 +138,24 @@
 }
 
 // checkParts reports whether the prompt has no barred part or may be sent as a trial of
-// them. Otherwise it returns the time until the next trial.
+// them. Otherwise it returns the time until the next trial. A part that nearly all prompts have
+// bars none: strikes are no evidence against it.
 func (x *exchange) checkParts(now time.Time) (ok bool, wait time.Duration) {
 	s := x.server
-	if len(x.reqHeader.SharedParts) == 0 || s.partStrikes.count.Load() == 0 || len(x.onTrial) > 0 {
+	if len(x.reqHeader.SharedParts) == 0 {
+		return true, 0
+	}
+	if !x.isPromptCounted {
+		s.partStrikes.countPrompt(x.service.Name, x.reqHeader.SharedParts)
+		x.isPromptCounted = true
+	}
+	if s.partStrikes.count.Load() == 0 || len(x.onTrial) > 0 {
 		return true, 0
 	}
 	var barred []ident.PartID
 	var due time.Time
 	s.partStrikes.update(func(t *strik.Parts) {
-		barred, due = t.Check(x.reqHeader.SharedParts)
+		barred, due = t.Check(s.partStrikes.withoutCommon(x.service.Name, x.reqHeader.SharedParts))
 		if len(barred) > 0 && !now.Before(due) && s.Nodes(now).Leads(barred[0].String()) && t.StartTrial(barred) {
 			x.onTrial = barred
 		}
--- a/internal/trans/gate/parts_test.go
+++ b/internal/trans/gate/parts_test.go
@@ -42,6 +42,22 @@
 	test.Eq(t, 200, r.do(prompt("r2", "1 3")).status)
 }
 
+// Guards against the refusal of all prompts after several endpoints have crashed: a part that all
+// prompts share is in flight at each crash, whatever its cause.
+func TestPartOfAllPromptsBarsNone(t *testing.T) {
+	const before = 60
+	e := newEndpoint(t, "e", streams(1, 2, true))
+	r := newRig(t, e)
+	for i := range before {
+		test.Eq(t, 200, r.do(prompt("before"+strconv.Itoa(i), "1 "+strconv.Itoa(100+i))).status)
+	}
+	r.server.AddStrikes(strikesOf(1, 3, 0))
+	r.server.AddStrikes(strikesOf(2, 3, 0))
+	test.Eq(t, 200, r.do(prompt("r1", "1 3")).status)
+	test.Eq(t, 503, r.do(prompt("r2", "1 2")).status)
+	test.SliceLen(t, before+1, e.requests())
+}
+
 // Guards against a part that was barred by chance and stays barred.
 func TestTrialClearsAPart(t *testing.T) {
 	e := newEndpoint(t, "e", streams(1, 2, true))
