gate: bound the bytes of callers' requests that a node holds

Cause: the node made room for the announced length of each body, up to the configuration's limit, on each connection; nothing bounded their sum. Evidence: by reading; not shown. TestBodiesOfCallersAreBounded checks the bound. The counter is the one that the own interface has, moved to coord/memory.

--- a/internal/coord/memory/memory_test.go
+++ b/internal/coord/memory/memory_test.go
@@ -110,3 +110,13 @@
 		})
 	})
 }
+
+func TestCounter(t *testing.T) {
+	var c Counter
+	test.True(t, c.Reserve(6, 10))
+	test.False(t, c.Reserve(5, 10))
+	test.True(t, c.Reserve(4, 10))
+	c.Release(6)
+	test.True(t, c.Reserve(6, 10))
+	test.Eq(t, 10, c.Used())
+}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -44,6 +44,9 @@
 	// memoryPercent is the soft memory limit of the Go runtime as a percentage of
 	// Settings.MemoryMB.
 	memoryPercent = 60
+	// requestDivisor divides Settings.MemoryMB; the result bounds the bytes of callers'
+	// requests.
+	requestDivisor = 4
 	// bufferDivisor divides Settings.MemoryMB; the result bounds the buffered
 	// responses of endpoints.
 	bufferDivisor = 8
@@ -149,8 +152,8 @@
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, MaxUnusedMemory: s.MaxUnusedMemory, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
 		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, AnnounceAvailability: n.mesh.AnnounceAvailability, AnnounceRest: n.mesh.AnnounceRest, AnnounceDecision: n.mesh.AnnounceDecision, Peers: n.mesh.Peers,
-		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor,
-		AnnounceStart:    n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
+		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor, MaxRequestBytes: int64(s.MemoryMB) << 20 / requestDivisor,
+		AnnounceStart: n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddStrikes
--- a/internal/trans/front/body.go
+++ b/internal/trans/front/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 
@@ -10,23 +9,6 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// memoryBudget bounds the total size in bytes of the request bodies in memory.
-// It is safe for concurrent use.
-type memoryBudget struct {
-	used atomic.Int64
-}
-
-// reserve takes n bytes from the budget and reports whether the limit allowed it.
-func (b *memoryBudget) reserve(n, limit int64) bool {
-	if b.used.Add(n) > limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
-
 // Values of fasthttp's ContentLength for requests without a content length.
 const (
 	chunkedBody = -1
@@ -49,13 +31,13 @@
 	case noBody:
 		n = 0
 	}
-	if !q.server.bodyMemory.reserve(n, int64(l.MemoryBytes)) {
+	if !q.server.bodyMemory.Reserve(n, int64(l.MemoryBytes)) {
 		return nil, &serve.Failure{
 			Status: fasthttp.StatusServiceUnavailable, Code: "memory-full",
 			Message: "the node holds too many request bodies", Outcome: ident.NotRun, RetryAfter: bodyRetryAfter,
 		}
 	}
-	q.releaseMemory = func() { q.server.bodyMemory.release(n) }
+	q.releaseMemory = func() { q.server.bodyMemory.Release(n) }
 	return q.readBody(n)
 }
 
--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"laburnumstack.org/laburnum/internal/coord/memory"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/table"
 	"laburnumstack.org/laburnum/internal/state/trace"
@@ -61,7 +62,8 @@
 	http       *fasthttp.Server
 	conns      callerConns
 	active     activeRequests
-	bodyMemory memoryBudget
+	// bodyMemory counts the bytes of request bodies.
+	bodyMemory memory.Counter
 	draining   atomic.Bool
 	// endsAt is the time up to which Stop waits for requests; not set before.
 	endsAt clock.Moment
--- a/internal/trans/front/front_test.go
+++ b/internal/trans/front/front_test.go
@@ -46,15 +46,6 @@
 	}
 }
 
-func TestMemoryBudget(t *testing.T) {
-	var b memoryBudget
-	test.True(t, b.reserve(6, 10))
-	test.False(t, b.reserve(5, 10))
-	test.True(t, b.reserve(4, 10))
-	b.release(6)
-	test.True(t, b.reserve(6, 10))
-}
-
 func TestReadUpTo(t *testing.T) {
 	cases := []struct {
 		body        string
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/coord/memory"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 )
@@ -71,7 +72,9 @@
 		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	c.waitUntil(arrived.Add(bodyTimeout))
-	x.body, err = http1.ReadBody(c.reader, req.Framing, req.Length, s.limits().MaxBodyBytes)
+	var held int64
+	x.body, held, err = s.readRequestBody(c, req)
+	defer s.requestBytes.Release(held)
 	if err != nil {
 		s.rejectUnreadable(c, err)
 		return closeUnreadable
@@ -92,12 +95,45 @@
 	return keepOpen
 }
 
+// errBodiesFull means that the node holds too many bytes of requests.
+const errBodiesFull = errors.ConstError("node holds too many bytes of requests")
+
+// readRequestBody reads the body of a request. It returns the bytes to release from
+// Server.requestBytes, also with an error. Small bodies are always read. The length of a chunked
+// body isn't known, so that the largest one is reserved until it has been read.
+func (s *Server) readRequestBody(c *callerConn, req *http1.Request) (body []byte, held int64, err error) {
+	limit := s.limits().MaxBodyBytes
+	switch req.Framing {
+	case http1.Chunked:
+		held = int64(limit)
+	case http1.Sized:
+		held = min(req.Length, int64(limit))
+	}
+	if held <= memory.FreeBytes {
+		held = 0
+	}
+	if held > 0 && s.MaxRequestBytes > 0 && !s.requestBytes.Reserve(held, s.MaxRequestBytes) {
+		return nil, 0, errBodiesFull
+	}
+	if s.MaxRequestBytes == 0 {
+		held = 0
+	}
+	body, err = http1.ReadBody(c.reader, req.Framing, req.Length, limit)
+	if rest := held - int64(len(body)); err == nil && rest > 0 {
+		s.requestBytes.Release(rest)
+		held -= rest
+	}
+	return body, held, err
+}
+
 // rejectUnreadable responds to a request that is malformed, too long or too
-// slow. After other errors, such as the end of the connection within the body, it
+// slow, or for which there is no memory. After other errors, such as the end of the connection within the body, it
 // does nothing. After a response, the close lingers.
 func (s *Server) rejectUnreadable(c *callerConn, err error) {
-	status := 0
+	status, retryAfter := 0, time.Duration(0)
 	switch {
+	case errors.Is(err, errBodiesFull):
+		status, retryAfter = 503, retrySoon
 	case errors.Is(err, http1.ErrHeaderTooLong):
 		status = 431
 	case errors.Is(err, http1.ErrBodyTooLong):
@@ -113,6 +149,6 @@
 	s.getMetrics().requests.WithLabelValues("unknown", strconv.Itoa(status)).Inc()
 	s.requestLog(false).Err(err).Int("status", status).Msg("gate: rejected an unreadable request")
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	c.Write(emptyResponse(status, 0, true))
+	c.Write(emptyResponse(status, retryAfter, true))
 	linger(c.Conn)
 }
--- a/internal/trans/gate/endless_test.go
+++ b/internal/trans/gate/endless_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
 )
 
 // endless writes a beginning and then a text again and again, with a pause after each,
@@ -145,3 +148,42 @@
 		})
 	}
 }
+
+// Guards against callers whose bodies take the memory of the node, so that the requests of
+// others end with its process.
+func TestBodiesOfCallersAreBounded(t *testing.T) {
+	const size, served = 1 << 20, 4
+	e := newEndpoint(t, "e", ok("yes"))
+	r := newConfiguredRig(t, 0, func(s *Server) { s.MaxRequestBytes = served * size }, e)
+	r.setLimits(func(l *topol.Limits) { l.MaxBodyBytes = 2 << 20 })
+	head := func(framing string) string {
+		return "POST /safe/ HTTP/1.1\r\nHost: h.example\r\nId: r\r\nKey: secret\r\n" + framing + "\r\n\r\n"
+	}
+	sized := head("Content-Length: " + strconv.Itoa(size))
+	var waiting []net.Conn
+	for i := range served {
+		c := r.dial()
+		io.WriteString(c, sized+"x")
+		for r.server.requestBytes.Used() < int64(i+1)*size {
+			time.Sleep(time.Millisecond)
+		}
+		waiting = append(waiting, c)
+	}
+	res := r.do(sized + "x")
+	test.Eq(t, 503, res.status)
+	test.True(t, res.closesConn)
+	test.NotEq(t, "", res.header.Get("Retry-After"))
+	test.Eq(t, 503, r.do(head("Transfer-Encoding: chunked")+chunked("hello")+lastChunk).status)
+	test.Eq(t, 200, r.do(request("POST", "/safe/", "r", "small")).status)
+	for _, c := range waiting {
+		io.WriteString(c, strings.Repeat("x", size-1))
+		res, err := readResponse(c)
+		must.NoError(t, err)
+		test.Eq(t, 200, res.status)
+	}
+	test.Eq(t, 200, r.do(head("Transfer-Encoding: chunked")+chunked("hello")+lastChunk).status)
+	for r.server.InFlightCount() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	test.Eq(t, 0, r.server.requestBytes.Used())
+}
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -96,6 +96,7 @@
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
 		gauge("laburnum_parts_with_strikes", "Parts of prompts that have or recently had strikes.", func() float64 { return float64(s.partStrikes.count.Load()) }),
 		gauge("laburnum_unavailable_endpoints", "Statements of endpoints that are leaving, or that want no requests of a node.", func() float64 { return float64(s.availability.count.Load()) }),
+		gauge("laburnum_request_bytes", "Memory taken by callers' requests, but for small ones.", func() float64 { return float64(s.requestBytes.Used()) }),
 		gauge("laburnum_answer_bytes", "Memory taken by endpoints' answers, but for small ones.", func() float64 { return float64(s.answers.Held()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
 		gauge("laburnum_nodes", "Nodes known, this one included.", func() float64 { return float64(s.NodeCount()) }),
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -105,6 +105,9 @@
 	// MaxBufferedBytes bounds the bytes of endpoints' responses that the node holds
 	// at one time, but for small ones; zero means no bound.
 	MaxBufferedBytes int64
+	// MaxRequestBytes bounds the bytes of callers' requests that the node holds at one time,
+	// but for small ones; zero means no bound.
+	MaxRequestBytes int64
 	// MinGapWait is the least time for which a stream is silent, and HeaderSlack that for
 	// which its header is overdue, before another endpoint is tried; zero means the
 	// defaults.
@@ -174,6 +177,8 @@
 	drainStart clock.Moment
 	// inFlightCount counts the requests of callers that this node serves.
 	inFlightCount atomic.Int64
+	// requestBytes counts the bytes of callers' requests.
+	requestBytes memory.Counter
 	// answers is the memory for endpoints' responses.
 	answers memory.Budget
 	// openConns counts the connections of callers, refusedConns those beyond maxConns.
