gate: a stopping node takes no stream that probably outlives it

Callers got half an answer from a node that was stopped: streams taken within 2.5 s of the signal, whose answers take over 5 s, were cut at the end of the process. Cause: only the time to the first event was weighed, not the length of the answer. TestLongStreamsAreNotTakenInAStop failed before in the cases of long answers. Change: three times the time of the decode steps must be left, by the length that the caller expects.

--- a/internal/trans/gate/drain.go
+++ b/internal/trans/gate/drain.go
@@ -30,6 +30,9 @@
 	// answerMargin is the time before the end of the grace period by which a request must be
 	// answered to be sent during a drain.
 	answerMargin = 700 * time.Millisecond
+	// decodeSlowdown is the factor from the time of the decode steps of an answer alone at an
+	// idle engine to the time by which most such answers have ended.
+	decodeSlowdown = 3
 	// stopPollInterval is the pause between two looks for open connections.
 	stopPollInterval = 5 * time.Millisecond
 )
@@ -39,8 +42,8 @@
 
 // mayOutliveNode reports whether the request may take longer than the node lives, so that it
 // must not be sent: by the time that its route and its caller allow or, if it is a stream, by
-// the time since the drain began and the time until its first event. A stream that the caller
-// has begun to receive goes on.
+// the time since the drain began, the time until its first event and the expected length of its
+// answer. A stream that the caller has begun to receive goes on.
 func (x *exchange) mayOutliveNode(now time.Time, toFirst time.Duration) bool {
 	s := x.server
 	if !s.Draining() || x.headerSent {
@@ -51,7 +54,18 @@
 	if x.route.Kind != topol.Stream {
 		return x.deadline.After(end)
 	}
-	return now.Sub(began) > streamAcceptPeriod || now.Add(toFirst).After(end)
+	return now.Sub(began) > streamAcceptPeriod || now.Add(toFirst+x.decodeTime()).After(end)
+}
+
+// decodeTime returns the time by which the answer to a prompt has probably ended, counted from
+// its first event; zero if nothing is known of its length or of the engines.
+func (x *exchange) decodeTime() time.Duration {
+	if x.service == nil || x.service.Engine == nil {
+		return 0
+	}
+	perToken := x.service.Engine.StepTime.Seconds()
+	expected := float64(x.expectedOutput()) * perToken * decodeSlowdown
+	return time.Duration(min(expected, topol.MaxTime.Seconds()) * float64(time.Second))
 }
 
 // MayStop reports whether no request is under way and no caller may still send one on its
--- a/internal/trans/gate/late_test.go
+++ b/internal/trans/gate/late_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -17,6 +18,7 @@
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // newStoppingRig returns a rig whose routes have the given timeout.
@@ -102,6 +104,39 @@
 	}
 }
 
+// Guards against streams that are taken in a stop and cut at its end since their answers are
+// long.
+func TestLongStreamsAreNotTakenInAStop(t *testing.T) {
+	const gracePeriod = 8 * time.Second
+	const left = gracePeriod - answerMargin
+	engine := &topol.Service{Engine: &topol.Engine{StepTime: time.Millisecond}}
+	tokens := func(d time.Duration) ident.Tokens { return ident.Tokens(d / time.Millisecond / decodeSlowdown) }
+	cases := []struct {
+		name    string
+		service *topol.Service
+		output  ident.Tokens
+		since   time.Duration
+		toFirst time.Duration
+		want    bool
+	}{
+		{"short", engine, 100, 0, 0, false},
+		{"too long from the start", engine, tokens(left) + 1, 0, 0, true},
+		{"ends in time", engine, tokens(left - 2*time.Second), 2 * time.Second, 0, false},
+		{"too long by now", engine, tokens(left-2*time.Second) + 1, 2 * time.Second, 0, true},
+		{"too long after the time to its first event", engine, tokens(left - 2*time.Second), time.Second, 1100 * time.Millisecond, true},
+		{"without a bound", engine, math.MaxInt64, 0, 0, true},
+		{"nothing is known of the engines", &topol.Service{}, math.MaxInt64, 0, 0, false},
+	}
+	for _, c := range cases {
+		s := &Server{GracePeriod: gracePeriod}
+		now := time.Now()
+		s.drainFrom(now.Add(-c.since))
+		x := &exchange{server: s, route: &topol.Route{Kind: topol.Stream}, service: c.service}
+		x.reqHeader.MaxOutput = c.output
+		test.Eq(t, c.want, x.mayOutliveNode(now, c.toFirst), test.Sprint(c.name))
+	}
+}
+
 // Guards against a decision at the header of a request whose body takes long, so that the
 // stop begins, or goes on, until the request is whole.
 func TestLateBodyInAStopIsRefused(t *testing.T) {
