--- a/internal/trans/front/front.go
+++ b/internal/trans/front/front.go
@@ -59,9 +59,9 @@
 	// HasConfig reports whether a configuration is in force.
 	HasConfig func() bool
 
-	http       *fasthttp.Server
-	conns      callerConns
-	active     activeRequests
+	http   *fasthttp.Server
+	conns  callerConns
+	active activeRequests
 	// bodyMemory counts the bytes of request bodies.
 	bodyMemory memory.Counter
 	draining   atomic.Bool
