--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -126,9 +126,9 @@
 	return body, held, err
 }
 
-// rejectUnreadable responds to a request that is malformed, too long or too
-// slow, or for which there is no memory. After other errors, such as the end of the connection within the body, it
-// does nothing. After a response, the close lingers.
+// rejectUnreadable responds to a request that is malformed, too long or too slow, or for
+// which there is no memory. After other errors, such as the end of the connection within the
+// body, it does nothing. After a response, the close lingers.
 func (s *Server) rejectUnreadable(c *callerConn, err error) {
 	status, retryAfter := 0, time.Duration(0)
 	switch {
--- a/internal/trans/gate/idle_test.go
+++ b/internal/trans/gate/idle_test.go
@@ -27,19 +27,25 @@
 	r.server.Feeds.UpdateCatalog(catalog)
 }
 
-// Guards against connections that are closed by the idle timeout of an earlier
-// configuration: callers reuse them as long as the one in force allows.
-func TestLongerIdleTimeoutHoldsForIdleConnections(t *testing.T) {
-	r := newRig(t, newEndpoint(t, "e", ok("yes")))
+// newIdleRig returns a rig with an idle timeout of 300 ms, and a function that sends a request on
+// a connection that stays open between its calls.
+func newIdleRig(t *testing.T) (r *rig, get func()) {
+	r = newRig(t, newEndpoint(t, "e", ok("yes")))
 	r.setLimits(func(l *topol.Limits) { l.IdleTimeout = 300 * time.Millisecond })
 	c := r.dial()
 	br := bufio.NewReader(c)
-	get := func() {
+	return r, func() {
 		io.WriteString(c, request("GET", "/safe/", "r", ""))
 		res, err := readResponseFrom(br)
 		must.NoError(t, err)
 		test.Eq(t, 200, res.status)
 	}
+}
+
+// Guards against connections that are closed by the idle timeout of an earlier
+// configuration: callers reuse them as long as the one in force allows.
+func TestLongerIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	r, get := newIdleRig(t)
 	get()
 	time.Sleep(100 * time.Millisecond)
 	r.setLimits(func(l *topol.Limits) { l.IdleTimeout = 20 * time.Second })
@@ -50,16 +56,7 @@
 // Guards against connections that are closed by the idle timeout of an earlier configuration
 // since this node hears of the new one later than callers do.
 func TestIdleConnectionsStayOpenUntilTheConfigurationIsKnown(t *testing.T) {
-	r := newRig(t, newEndpoint(t, "e", ok("yes")))
-	r.setLimits(func(l *topol.Limits) { l.IdleTimeout = 300 * time.Millisecond })
-	c := r.dial()
-	br := bufio.NewReader(c)
-	get := func() {
-		io.WriteString(c, request("GET", "/safe/", "r", ""))
-		res, err := readResponseFrom(br)
-		must.NoError(t, err)
-		test.Eq(t, 200, res.status)
-	}
+	_, get := newIdleRig(t)
 	get()
 	time.Sleep(300*time.Millisecond + staleAfter - 500*time.Millisecond)
 	get()
