--- a/internal/lab/soak/connfaults.go
+++ b/internal/lab/soak/connfaults.go
@@ -69,6 +69,8 @@
 	case FailResumes:
 		defer s.journal.StartDisturbance(Disturbance{Kind: f.Kind.String()})()
 		s.failResumes.hold(ctx, soundFaultTime)
+	case KillInDrill:
+		return s.killInDrill(ctx, n, f.Index)
 	case OddRecord:
 		s.addOddRecord(f.Index)
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -97,7 +97,7 @@
 	"", "store loses records", "limit endpoint", "grow configuration",
 	"cut node by resets", "cut node silently", "refuse new links of node", "crash by a part", "rest endpoint", "endpoint states leaving",
 	"", "change idle timeout", "series of configurations", "stop node in a series of configurations", "silence streams", "repeat answers",
-	"fail resumed streams", "odd record",
+	"fail resumed streams", "odd record", "", "kill node in a drill",
 }
 
 // String returns the name of a fault for reports.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -65,6 +65,8 @@
 	// StateFaults adds faults of the state that nodes share to those of the seed:
 	// losses of the store, limits of endpoints and large configurations.
 	StateFaults bool
+	// Drills adds losses of the store beside restarts of nodes, see planDrills.
+	Drills bool
 	// LinkFaults adds cuts of single nodes from all endpoints, parts of prompts that
 	// crash endpoints, and what endpoints state about themselves.
 	LinkFaults bool
@@ -165,6 +167,9 @@
 	if s.StateFaults {
 		faults = append(faults, planState(s.Seed, s.FaultTime)...)
 	}
+	if s.Drills {
+		faults = append(faults, planDrills(s.Seed, s.FaultTime)...)
+	}
 	if s.LinkFaults {
 		faults = append(faults, planLinks(s.Seed, s.FaultTime)...)
 	}
--- a/internal/lab/soak/state.go
+++ b/internal/lab/soak/state.go
@@ -33,6 +33,12 @@
 func (s *Soak) loseRecords(ctx context.Context, n int) error {
 	s.store.Lose(1 + n%maxLostRecords)
 	delay.For(ctx, rand.N(maxRewriteDelay))
+	return s.rewriteRecords()
+}
+
+// rewriteRecords writes the records of the operator and of the endpoints again, and removes those
+// of endpoints that are gone.
+func (s *Soak) rewriteRecords() error {
 	if err := s.rewriteConfig(); err != nil {
 		return err
 	}
