edge: a starting node goes on asking once a peer has told its state

Cause: the check for peers without state came first, so a node that had just learned the state did not ask the peers that it connected to meanwhile, and logged that nobody had any.

--- a/internal/node/edge/start.go
+++ b/internal/node/edge/start.go
@@ -48,7 +48,7 @@
 		case knownAt > 0 && now.Sub(knownAt) >= settleTime:
 			s.logger.Info().Uint64("version", uint64(s.feeds.Catalog().Version)).Dur("after", after).Msg("sync: state of the peers is known")
 			return
-		case answered && after >= minAskTime:
+		case knownAt == 0 && answered && after >= minAskTime:
 			s.logger.Info().Dur("after", after).Msg("sync: peers have no state, starting with that of the store")
 			return
 		}
