--- a/internal/lab/soak/drill.go
+++ b/internal/lab/soak/drill.go
@@ -36,9 +36,11 @@
 
 // killInDrill injects KillInDrill.
 func (s *Soak) killInDrill(ctx context.Context, n *process, index int) error {
-	defer s.journal.StartDisturbance(Disturbance{Kind: KillInDrill.String()})()
+	defer s.journal.StartDisturbance(Disturbance{Kind: LoseRecords.String()})()
 	s.store.Lose(1 + index%maxLostRecords)
+	killed := s.journal.StartDisturbance(Disturbance{Node: n.name(), Kind: KillNode.String()})
 	err := n.withSignalLock(func() error { return n.killAndRestart(ctx, drillDowntime) })
+	killed()
 	if err != nil {
 		return err
 	}
