gate: endpoints of the test rig answer their own rig alone

Tests that count what an endpoint got failed three times beside a load (TestSilentEndpointsCountAsAttempts twice, TestSilentEndpointGoesOnIfThereIsNoOther once): one to two requests more than were sent. Cause: the system gives ports out again; nodes of another package's test still called their store at a port that an endpoint of the rig had by then. Evidence: with a line for each request with another Host, the rig's endpoints got five calls for the records of a store in one run of the package beside the tests of cmd/laburnumlab, platform/stand, internal/lab and internal/node. Change: the rig's endpoints close connections that carry another Host than the rig's callers send. The checks are the same.

--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -204,6 +204,9 @@
 	return &scriptedEndpoint{name: name, address: e.address}
 }
 
+// rigHost is the Host of all requests that a rig's callers send to its routes.
+const rigHost = "h.example"
+
 func (e *scriptedEndpoint) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
@@ -212,6 +215,11 @@
 		if err != nil {
 			return
 		}
+		if req.Host != rigHost && string(req.Target) != probePath {
+			// Not of this rig: the system gives ports out again to which the nodes of other
+			// packages' tests still connect.
+			return
+		}
 		if e.beforeBody != nil {
 			e.beforeBody(c, req)
 		}
