--- a/internal/trans/gate/decide_test.go
+++ b/internal/trans/gate/decide_test.go
@@ -77,12 +77,11 @@
 	}
 	for _, c := range cases {
 		es := twelveEngines(t, true)
-		r := newRig(t, es...)
+		l := &logBuffer{}
+		r := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(l) }, es...)
 		for _, e := range es {
 			r.reserver.full[e.name+"m"] = c.full
 		}
-		l := &logBuffer{}
-		r.server.Logger = zerolog.New(l)
 		conn := r.dial()
 		for _, text := range []string{request("POST", "/stream/", "r1", "x", "Prompt: 300000"), request("POST", "/stream/", "r2", "x", "Prompt: 5000")} {
 			// The first request has ended once the second is answered.
--- a/internal/trans/gate/lines_test.go
+++ b/internal/trans/gate/lines_test.go
@@ -51,9 +51,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	listener.Close()
-	r := newRig(t, &scriptedEndpoint{name: "e", address: listener.Addr().String()})
 	l := &logBuffer{}
-	r.server.Logger = zerolog.New(l)
+	r := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(l) }, &scriptedEndpoint{name: "e", address: listener.Addr().String()})
 	must.Eq(t, 503, r.do(request("POST", "/once/", "r1", "x")).status)
 	m := l.firstLine(t, "gate: sent")
 	test.Eq(t, any("not-sent"), m["result"])
@@ -82,15 +81,14 @@
 		for _, n := range []string{"b", "c", "d", "e", "f"} {
 			es = append(es, e.alias(n))
 		}
-		r := newRig(t, es...)
+		l := &logBuffer{}
+		r := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(l) }, es...)
 		for _, e := range es {
 			r.reserver.full[e.name+"m"] = true
 			if tc.filled {
 				r.server.InFlight.Put(works.Request{Node: "n2", ID: works.ID(len(r.server.InFlight.All())), First: ident.EndpointName(e.name + "m"), Share: 90_000, Writing: true})
 			}
 		}
-		l := &logBuffer{}
-		r.server.Logger = zerolog.New(l)
 		res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: "+tc.prompt))
 		must.Eq(t, 503, res.status)
 		test.Eq(t, tc.returns, res.header.Get("Retry-After") != "", test.Sprint(tc.why))
