--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -22,11 +22,10 @@
 	if x.mayOutliveNode(now, 0) {
 		return place.Choice{}, place.Request{}, errStopping
 	}
-	endpoints := s.Feeds.Endpoints()
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
-	candidates := s.availability.accepting(endpoints.ByService[x.service.Name], s.Node, now)
+	candidates := x.candidates(now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
 	r := x.placeRequest(now)
@@ -43,6 +42,13 @@
 	return c, r, err
 }
 
+// candidates returns the endpoints of the service that may get the request, but for those that
+// are full, at their limits or tried before.
+func (x *exchange) candidates(now time.Time) []*topol.Endpoint {
+	s := x.server
+	return s.availability.accepting(s.Feeds.Endpoints().ByService[x.service.Name], s.Node, now)
+}
+
 // placeRequest describes the request for its placement.
 func (x *exchange) placeRequest(now time.Time) place.Request {
 	r := place.Request{
--- a/internal/trans/gate/limit.go
+++ b/internal/trans/gate/limit.go
@@ -189,7 +189,7 @@
 // one; otherwise it updates the time after which the caller should retry.
 func (x *exchange) fetchPermit() bool {
 	s := x.server
-	for _, e := range s.Feeds.Endpoints().ByService[x.service.Name] {
+	for _, e := range x.candidates(time.Now()) {
 		if !x.limited.atLimit.Has(e.Name) || x.tried.Has(e.Name) {
 			continue
 		}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -115,8 +115,7 @@
 // tried or are at their limits.
 func (x *exchange) allTried() bool {
 	excluded := x.excluded()
-	all := x.server.Feeds.Endpoints().ByService[x.service.Name]
-	for _, e := range x.server.availability.accepting(all, x.server.Node, time.Now()) {
+	for _, e := range x.candidates(time.Now()) {
 		if !e.Leaving && !excluded.Has(e.Name) {
 			return false
 		}
