--- a/internal/lab/engsrv/engsrv.go
+++ b/internal/lab/engsrv/engsrv.go
@@ -51,6 +51,8 @@
 	streams  map[ident.RequestID]*stream
 	wake     chan struct{}
 	listener *flaky.Listener
+	// portHold keeps the port while the server is down after a crash.
+	portHold *flaky.PortHold
 	// generation counts the starts of the engine.
 	generation int
 	faults     faults
@@ -69,8 +71,14 @@
 // Listen opens the listener and sets Address to the actual address. It is separate
 // from Run so that clients can be given the address before.
 func (s *Server) Listen() error {
+	h, err := flaky.HoldPort(s.Address)
+	if err != nil {
+		return err
+	}
+	s.portHold, s.Address = h, h.Address
 	l, err := httpd.Listen(&s.Address)
 	if err != nil {
+		h.Close()
 		return err
 	}
 	s.listener = l
@@ -94,6 +102,7 @@
 // same address at the end of its downtime, without its sequences, reservations and
 // cache.
 func (s *Server) Run(ctx context.Context) error {
+	defer s.portHold.Close()
 	for {
 		down, err := s.runOnce(ctx)
 		if err != nil || ctx.Err() != nil {
