place, gate: spread prompts over the engines after a start

When all nodes lost power and came back, each of 75 sent its short prompts to the same first engines: none knew the requests of the others yet. 40 prompts went to one engine within 0.3 s and were silent for 2 s. For a second after its start, a node now ranks the engines in a random order and keeps no interactive pool.

--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -25,7 +25,7 @@
 	// for callers who accept only short pauses.
 	interactive bool
 	// rank is the engine's index among the engines sorted by name, which is the
-	// same at all nodes.
+	// same at all nodes, or a random one with ServiceState.UnknownLoad.
 	rank int
 	// requests counts the requests that occupy a slot, decoding those among them
 	// that are being decoded.
@@ -126,7 +126,11 @@
 	for i, v := range vs {
 		v.rank = i
 	}
-	markInteractivePool(vs, s)
+	if s.UnknownLoad {
+		shuffleRanks(vs, s.Random)
+	} else {
+		markInteractivePool(vs, s)
+	}
 	for _, w := range s.InFlight {
 		addRequest(byName[w.First], w)
 		for _, h := range w.Held {
@@ -148,6 +152,14 @@
 	return vs
 }
 
+// shuffleRanks gives the engines ranks in a random order.
+func shuffleRanks(vs []*engineView, random func() float64) {
+	for i, v := range vs {
+		j := int(random() * float64(i+1))
+		v.rank, vs[j].rank = vs[j].rank, v.rank
+	}
+}
+
 func addRequest(v *engineView, w works.Request) {
 	if v == nil {
 		return
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -101,6 +101,10 @@
 	Engine *topol.Engine
 	// InFlight are the requests in flight at all endpoints, oldest first.
 	InFlight []works.Request
+	// UnknownLoad is set while this node knows little of the requests of other nodes, as in
+	// the moments after a start. Prompts are then spread over all engines: if all nodes start
+	// together, each would fill the same first engine.
+	UnknownLoad bool
 	// Avoid reports whether an endpoint failed recently and should be chosen only
 	// if there is no other.
 	Avoid func(ident.EndpointName) bool
--- a/internal/coord/place/prompt_test.go
+++ b/internal/coord/place/prompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -55,6 +56,36 @@
 	test.LessEq(t, 2, len(primaries))
 }
 
+// Guards against nodes that start together, none of which knows the requests of the others,
+// and all of which send their short prompts to the same engine.
+func TestNodesWithUnknownLoadSpreadShortPrompts(t *testing.T) {
+	const nodes = 40
+	s := testState(40)
+	s.UnknownLoad = true
+	s.Random = rand.New(rand.NewPCG(1, 1)).Float64
+	count := map[ident.EndpointName]int{}
+	for range nodes {
+		c, err := Choose(s, shortRequest)
+		must.NoError(t, err)
+		count[c.Primary.Name]++
+	}
+	for n, c := range count {
+		test.LessEq(t, s.Engine.Slots, c, test.Sprint(n))
+	}
+	test.Greater(t, nodes/3, len(count))
+}
+
+// Guards against long prompts without helpers after a start, because the engines count as
+// those of the interactive pool.
+func TestLongPromptsUseHelpersWithUnknownLoad(t *testing.T) {
+	s := testState(23)
+	s.UnknownLoad = true
+	s.Random = rand.New(rand.NewPCG(1, 1)).Float64
+	c, err := Choose(s, longRequest)
+	must.NoError(t, err)
+	test.Greater(t, 10, len(c.Helpers))
+}
+
 func TestLongPromptsStayOutOfTheInteractivePool(t *testing.T) {
 	var ws []works.Request
 	for range 8 {
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -65,7 +65,7 @@
 	resting := s.availability.restingForOthers(accepting, now)
 	return place.ServiceState{
 		Now: now, Endpoints: accepting, Engine: x.service.Engine,
-		InFlight: s.InFlight.All(),
+		InFlight: s.InFlight.All(), UnknownLoad: s.isSettling(now),
 		Avoid:    func(n ident.EndpointName) bool { return resting.Has(n) || s.endpointHealth.isAvoided(n, now) },
 		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
 		Random:   random,
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -151,7 +151,9 @@
 
 	// startMillis is the Unix time of the start in milliseconds. It keeps
 	// reservation IDs unique across restarts.
-	startMillis    int64
+	startMillis int64
+	// startedAt is when Run began.
+	startedAt      time.Time
 	pools          links.Pools
 	endpointHealth endpointHealth
 	strikes        strikes
@@ -233,7 +235,8 @@
 
 // Run serves callers on a listener until the context ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	s.startMillis = time.Now().UnixMilli()
+	s.startedAt = time.Now()
+	s.startMillis = s.startedAt.UnixMilli()
 	s.answers.Limit = s.MaxBufferedBytes
 	acceptEnded := make(chan struct{})
 	s.mu.Lock()
@@ -254,6 +257,13 @@
 	return nil
 }
 
+// settleTime is how long after its start a node counts as knowing little of the requests of
+// the others. Nodes that start together connect to each other within about half of it.
+const settleTime = time.Second
+
+// isSettling reports whether the node has just started.
+func (s *Server) isSettling(now time.Time) bool { return now.Sub(s.startedAt) < settleTime }
+
 // accept accepts connections and serves each, until the context ends or Stop is called.
 func (s *Server) accept(ctx context.Context, l net.Listener) error {
 	patient := conns.Patient(l, s.Logger, s.getMetrics().acceptErrors.Inc)
