gate: requests wait for the first state of a node that starts

Nodes that came back after a loss of power refused 132 requests within 0.2 s with "no configuration yet" or a configuration of no age; a caller has one further try. Now they wait up to 0.6 s after the start.

--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -184,6 +184,7 @@
 // can't be served, it rejects it and returns false.
 func (x *exchange) admit() bool {
 	s := x.server
+	s.awaitState()
 	x.catalog = s.Feeds.Catalog()
 	endpoints := s.Feeds.Endpoints()
 	if x.catalog == nil || endpoints == nil {
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -257,13 +257,6 @@
 	return nil
 }
 
-// settleTime is how long after its start a node counts as knowing little of the requests of
-// the others. Nodes that start together connect to each other within about half of it.
-const settleTime = time.Second
-
-// isSettling reports whether the node has just started.
-func (s *Server) isSettling(now time.Time) bool { return now.Sub(s.startedAt) < settleTime }
-
 // accept accepts connections and serves each, until the context ends or Stop is called.
 func (s *Server) accept(ctx context.Context, l net.Listener) error {
 	patient := conns.Patient(l, s.Logger, s.getMetrics().acceptErrors.Inc)
--- /dev/null
+++ b/internal/trans/gate/start.go
@@ -0,0 +1,31 @@
+package gate
+
+import "time"
+
+const (
+	// settleTime is how long after its start a node counts as knowing little of the requests
+	// of the others. Nodes that start together connect to each other within about half of it.
+	settleTime = time.Second
+	// startWait is how long after the start of a node requests wait for its first state, that
+	// is, its configuration and list of endpoints. A node usually has them sooner, and a
+	// caller who is refused would come back to it later than that.
+	startWait = 600 * time.Millisecond
+	// statePollInterval is the pause between two checks whether the state has arrived.
+	statePollInterval = 5 * time.Millisecond
+)
+
+// isSettling reports whether the node has just started.
+func (s *Server) isSettling(now time.Time) bool { return now.Sub(s.startedAt) < settleTime }
+
+// hasState reports whether the node knows a configuration that was confirmed, and endpoints.
+func (s *Server) hasState() bool {
+	return s.Feeds.Catalog() != nil && s.Feeds.Endpoints() != nil && s.Feeds.CatalogConfirmedAt() > 0
+}
+
+// awaitState waits until the node has its first state, at most until startWait after its
+// start. It returns at once later on.
+func (s *Server) awaitState() {
+	for !s.hasState() && time.Since(s.startedAt) < startWait {
+		time.Sleep(statePollInterval)
+	}
+}
