feeds, edge, gate: evacuation of data centres

An operator drains a data centre by a key in the topic of the configuration. Nodes keep the set beside the configuration, pass it on with its position in the stream, and send nothing to endpoints of evacuated data centres.

--- a/internal/node/edge/apply.go
+++ b/internal/node/edge/apply.go
@@ -14,21 +14,38 @@
 // state may have a newer version of the configuration than this node, which then
 // isn't confirmed. A negative age counts as zero.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
-	st.ListedAge, st.ProvenAge = max(0, st.ListedAge), max(0, st.ProvenAge)
+	st.ListedAge, st.ProvenAge, st.EvacuationsAge = max(0, st.ListedAge), max(0, st.ProvenAge), max(0, st.EvacuationsAge)
 	s.feeds.ObserveEra(st.Era)
 	if st.Listed {
 		s.applyList(st, sentAt.Add(-st.ListedAge))
 	}
 	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
 		s.transferFailed.Store(false)
-		s.feeds.SetConfigPosition(feeds.Position{Era: st.ConfigEra, Next: st.ConfigNext})
 		s.feeds.ConfirmCatalog(sentAt.Add(-st.ProvenAge))
 	}
-	fresh[feeds.Configuration] = st.Proven && st.ProvenAge < freshConfigAge
+	s.applyEvacuations(st, sentAt)
+	fresh[feeds.Configuration] = st.Proven && st.ProvenAge < freshConfigAge && st.EvacuationsKnown && st.EvacuationsAge < freshConfigAge
 	fresh[feeds.Endpoints] = st.Listed && st.ListedAge < freshListAge
 	return fresh
 }
 
+// applyEvacuations merges the evacuated data centres that a peer knows into those that this
+// node knows. Only with them, and if both have the same version of the configuration, it
+// takes the position at which the stream goes on: records before it are not read again.
+func (s *stateSync) applyEvacuations(st relay.State, sentAt clock.Instant) {
+	if !st.EvacuationsKnown {
+		return
+	}
+	resume := feeds.Position{}
+	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
+		resume = feeds.Position{Era: st.ConfigEra, Next: st.ConfigNext}
+	}
+	s.feeds.MergeEvacuations(feeds.Evacuations{
+		InForce: st.Evacuated, Lapsing: st.Lapsing, LapseAt: sentAt.Add(min(st.LapseIn, maxLapseIn)),
+		At: feeds.Position{Era: st.EvacuationsEra, Next: st.EvacuationsNext}, ConfirmedAt: sentAt.Add(-st.EvacuationsAge),
+	}, resume)
+}
+
 // applyList merges the endpoint list of a peer into this node's. at is when the peer
 // last confirmed it to be the newest.
 func (s *stateSync) applyList(st relay.State, at clock.Instant) {
--- a/internal/node/edge/large_test.go
+++ b/internal/node/edge/large_test.go
@@ -94,6 +94,7 @@
 	must.NoError(t, err)
 	p.feeds.UpdateCatalog(c)
 	p.feeds.ConfirmCatalog(clock.Now())
+	p.feeds.MergeEvacuations(feeds.Evacuations{ConfirmedAt: clock.Now()}, feeds.Position{})
 	p.feeds.UpdateEndpoints([]topol.Endpoint{{Name: "e", Service: "s", Address: "127.0.0.1:1"}}, clock.Now())
 }
 
@@ -102,6 +103,7 @@
 func (p *testNode) pullUntil(v ident.Version, reader *testNode, pulls int) bool {
 	for range pulls {
 		reader.feeds.ConfirmCatalog(clock.Now())
+		reader.feeds.MergeEvacuations(feeds.Evacuations{ConfirmedAt: clock.Now()}, feeds.Position{})
 		reader.feeds.UpdateEndpoints([]topol.Endpoint{{Name: "e", Service: "s", Address: "127.0.0.1:1"}}, clock.Now())
 		p.pull()
 		if c := p.feeds.Catalog(); c != nil && c.Version >= v {
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -177,7 +177,7 @@
 
 // ready reports whether the node can serve callers.
 func (n *Node) ready() bool {
-	return n.feeds.Catalog() != nil && n.feeds.Endpoints() != nil && !n.stale()
+	return n.feeds.Catalog() != nil && n.feeds.Endpoints() != nil && n.feeds.EvacuationsKnown() && !n.stale()
 }
 
 // stale reports whether the configuration is too old for checking keys: a key
--- a/internal/node/edge/orphans.go
+++ b/internal/node/edge/orphans.go
@@ -126,9 +126,9 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	reports := map[ident.EndpointName]relay.LoadReport{}
-	catalog := n.feeds.Catalog()
+	catalog, evacuated := n.feeds.Catalog(), n.feeds.Evacuated()
 	for _, e := range n.feeds.Endpoints().ByName {
-		if s := catalog.Services[e.Service]; s == nil || s.Engine == nil || e.Leaving || !nodes.IsFirst(string(e.Name)) {
+		if s := catalog.Services[e.Service]; s == nil || s.Engine == nil || e.Leaving || evacuated.Has(e.DataCentre) || !nodes.IsFirst(string(e.Name)) {
 			continue
 		}
 		wg.Go(func() {
--- a/internal/node/edge/start.go
+++ b/internal/node/edge/start.go
@@ -40,7 +40,7 @@
 			delay.For(ctx, askPause)
 		}
 		now := clock.Now()
-		if knownAt == 0 && s.feeds.Catalog() != nil {
+		if knownAt == 0 && s.feeds.Catalog() != nil && s.feeds.EvacuationsKnown() {
 			knownAt = now
 		}
 		after := now.Sub(began)
--- a/internal/node/edge/start_test.go
+++ b/internal/node/edge/start_test.go
@@ -47,6 +47,8 @@
 
 func (versionDecoder) Catalog(r feeds.Record) (*topol.Catalog, error) { return decodeVersion(r.Value) }
 
+func (versionDecoder) Evacuation(feeds.Record) (ident.DataCentre, bool) { return "", false }
+
 func (versionDecoder) Endpoint(feeds.Record) (topol.Endpoint, error) { return topol.Endpoint{}, nil }
 
 // lineBuffer collects log lines. It is safe for concurrent use.
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -41,6 +41,9 @@
 	// from its last request that a reader answered with fresh state. It also
 	// applies while a later request is still blocked.
 	readerTimeout = 800 * time.Millisecond
+	// maxLapseIn bounds the time for which a peer may keep evacuations whose records the
+	// store has lost.
+	maxLapseIn = 10 * time.Second
 )
 
 // stateSync keeps a node's copy of the deployment's state, that is, of the
@@ -115,7 +118,13 @@
 	now := clock.Now()
 	// Position and time are read before the configuration, so that they aren't those
 	// of a newer one.
-	position, provenAt := s.feeds.ConfigPosition(), s.feeds.CatalogConfirmedAt()
+	evacuations, position, known := s.feeds.EvacuationState()
+	provenAt := s.feeds.CatalogConfirmedAt()
+	if known {
+		st.EvacuationsKnown, st.Evacuated, st.EvacuationsAge = true, evacuations.InForce, now.Sub(evacuations.ConfirmedAt)
+		st.Lapsing, st.LapseIn = evacuations.Lapsing, evacuations.LapseAt.Sub(now)
+		st.EvacuationsEra, st.EvacuationsNext = evacuations.At.Era, evacuations.At.Next
+	}
 	if c := s.feeds.Catalog(); c != nil {
 		st.ConfigEra, st.ConfigNext = position.Era, position.Next
 		st.Version = c.Version
@@ -228,15 +237,18 @@
 	}
 }
 
-// takeNewerVersion takes a version of the configuration that another reader got
-// earlier. It confirms nothing: this node reads the store itself.
+// takeNewerVersion takes a version of the configuration, and evacuations, that another
+// reader got earlier. It confirms no configuration: this node reads the store itself.
 func (s *stateSync) takeNewerVersion(readers []string) {
 	i := slices.IndexFunc(readers, func(a string) bool { return a != s.mesh.Self.Address })
 	if i < 0 {
 		return
 	}
-	if st, ok := s.fetchState(readers[i], clock.Now()); ok {
+	sentAt := clock.Now()
+	if st, ok := s.fetchState(readers[i], sentAt); ok {
 		s.applyNewer(readers[i], st)
+		s.feeds.ObserveEra(st.Era)
+		s.applyEvacuations(st, sentAt)
 	}
 }
 
@@ -265,7 +277,8 @@
 // from a reader succeed.
 func (s *stateSync) outdated() bool {
 	now := clock.Now()
-	return now.Sub(s.feeds.CatalogConfirmedAt()) > freshConfigAge+pullInterval || now.Sub(s.feeds.EndpointsConfirmedAt()) > freshListAge+pullInterval
+	confirmedAt := min(s.feeds.CatalogConfirmedAt(), s.feeds.EvacuationsConfirmedAt())
+	return now.Sub(confirmedAt) > freshConfigAge+pullInterval || now.Sub(s.feeds.EndpointsConfirmedAt()) > freshListAge+pullInterval
 }
 
 // fetchFromAny fetches the state from the connected peers, one after the other,
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -97,6 +97,7 @@
 	p.feeds.UpdateCatalog(c)
 	at := clock.Now().Add(-age)
 	p.feeds.ConfirmCatalog(at)
+	p.feeds.MergeEvacuations(feeds.Evacuations{ConfirmedAt: at}, feeds.Position{})
 	p.feeds.UpdateEndpoints([]topol.Endpoint{{Name: "e", Service: "s", Address: "127.0.0.1:1"}}, at)
 }
 
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -224,9 +224,20 @@
 	Proven    bool
 	ProvenAge time.Duration
 	// ConfigEra and ConfigNext are the position in the platform's store after the
-	// configuration; ConfigEra is zero if it isn't known.
+	// configuration and the evacuations; ConfigEra is zero if it isn't known.
 	ConfigEra  uint64
 	ConfigNext ident.Offset
+	// EvacuationsKnown is set if the peer knows which data centres are evacuated: those in
+	// Evacuated. The records of those in Lapsing, which are evacuated too, were lost by the
+	// store; they end in LapseIn. EvacuationsEra and EvacuationsNext are the position in
+	// the store up to which the set reflects it, EvacuationsAge is the time since it was
+	// last confirmed to be the newest. Peers of older builds don't know it.
+	EvacuationsKnown   bool
+	Evacuated, Lapsing []ident.DataCentre
+	LapseIn            time.Duration
+	EvacuationsEra     uint64
+	EvacuationsNext    ident.Offset
+	EvacuationsAge     time.Duration
 	// Recovering is set instead of Listed during the grace period after an outage of
 	// the store.
 	Recovering bool
--- /dev/null
+++ b/internal/trans/feeds/evacuate.go
@@ -0,0 +1,310 @@
+package feeds
+
+import (
+	"maps"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Evacuations is a copy of the set of evacuated data centres, for a peer.
+type Evacuations struct {
+	// InForce lists the evacuated data centres in order. Lapsing lists those of them
+	// whose records the source lost: they leave the set once it is confirmed as of
+	// LapseAt or later.
+	InForce, Lapsing []ident.DataCentre
+	LapseAt          clock.Instant
+	// At is the position in the stream up to which the set reflects it.
+	At Position
+	// ConfirmedAt is when the set was last confirmed to be the newest.
+	ConfirmedAt clock.Instant
+}
+
+// evacuationRecord is a record of the evacuation of a data centre.
+type evacuationRecord struct {
+	dataCentre ident.DataCentre
+	deleted    bool
+}
+
+// evacuations is the set of evacuated data centres. It is not safe for concurrent use.
+//
+// Offsets order the states of the set within an era of the source. The times of
+// confirmation don't: they are those at which reads began, and a read that began earlier
+// may have seen more. They order the states only if the source has no eras.
+type evacuations struct {
+	// known is set once the set has been read whole or taken from a peer.
+	known   bool
+	inForce ident.Set[ident.DataCentre]
+	// lapsing holds the members whose records are missing since the source lost records
+	// or was out of reach. They are removed once the set is confirmed as of lapseAt, the
+	// end of the grace period, or later.
+	lapsing ident.Set[ident.DataCentre]
+	lapseAt clock.Instant
+	// graceEra is the era in which this node last learned, by itself or from a peer,
+	// which records the source lost.
+	graceEra    uint64
+	position    Position
+	confirmedAt clock.Instant
+}
+
+// beginGrace begins a grace period, in which no evacuation ends because its record is
+// missing. era is that of the source; zero if it isn't known.
+func (e *evacuations) beginGrace(era uint64, now clock.Instant) {
+	e.lapseAt = max(e.lapseAt, now.Add(outageGrace))
+	e.graceEra = max(e.graceEra, era)
+}
+
+// read applies records that were read up to a position, in a read that began at the
+// given time. complete is set if they are the newest records of all keys.
+func (e *evacuations) read(rs []evacuationRecord, complete bool, p Position, at, now clock.Instant) {
+	switch {
+	case complete:
+		if e.known && p.isBefore(e.position) {
+			// The source shows an older state, in which records may be missing.
+			e.beginGrace(p.Era, now)
+		}
+		e.replace(inForceOf(rs), at)
+	case !e.known || p.isBefore(e.position):
+		// A peer has told a later state.
+		return
+	case p != e.position || p.Era == 0:
+		e.change(rs)
+	}
+	e.known, e.position = true, p
+	e.confirm(at)
+}
+
+// isBefore reports whether a position is known to be before another one.
+func (p Position) isBefore(o Position) bool {
+	if p.Era == 0 || o.Era == 0 {
+		return false
+	}
+	return p.Era < o.Era || p.Era == o.Era && p.Next < o.Next
+}
+
+func inForceOf(rs []evacuationRecord) ident.Set[ident.DataCentre] {
+	set := ident.Set[ident.DataCentre]{}
+	for _, r := range rs {
+		if !r.deleted {
+			set.Add(r.dataCentre)
+		}
+	}
+	return set
+}
+
+// replace replaces the set by one that was the newest at the given time. During a grace
+// period, members that are missing in it stay.
+func (e *evacuations) replace(next ident.Set[ident.DataCentre], at clock.Instant) {
+	lapsing := ident.Set[ident.DataCentre]{}
+	for n := range e.inForce {
+		if !next.Has(n) && at < e.lapseAt {
+			next.Add(n)
+			lapsing.Add(n)
+		}
+	}
+	e.inForce, e.lapsing = next, lapsing
+}
+
+// change applies single records in order.
+func (e *evacuations) change(rs []evacuationRecord) {
+	for _, r := range rs {
+		delete(e.lapsing, r.dataCentre)
+		if r.deleted {
+			delete(e.inForce, r.dataCentre)
+		} else {
+			e.inForce.Add(r.dataCentre)
+		}
+	}
+}
+
+// confirm records that the set was the newest at the given time, and removes the lapsing
+// members if the grace period was over by then.
+func (e *evacuations) confirm(at clock.Instant) {
+	e.confirmedAt = max(e.confirmedAt, at)
+	if e.confirmedAt < e.lapseAt {
+		return
+	}
+	for n := range e.lapsing {
+		delete(e.inForce, n)
+	}
+	clear(e.lapsing)
+}
+
+// merge takes the set of a peer if it is newer. It returns false if it is older than this
+// node's.
+func (e *evacuations) merge(o Evacuations) bool {
+	hasOrder := e.known && e.position.Era != 0 && o.At.Era != 0
+	switch {
+	case hasOrder && o.At.isBefore(e.position), e.known && !hasOrder && o.ConfirmedAt <= e.confirmedAt:
+		return false
+	case hasOrder && o.At == e.position:
+		e.adoptLapsing(o)
+	default:
+		e.take(o)
+	}
+	e.confirm(o.ConfirmedAt)
+	return true
+}
+
+// take replaces the set by that of a peer.
+func (e *evacuations) take(o Evacuations) {
+	next := ident.SetOf(o.InForce...)
+	for _, n := range o.Lapsing {
+		delete(next, n)
+	}
+	present := maps.Clone(next)
+	for _, n := range o.Lapsing {
+		if e.inForce.Has(n) {
+			// It ends at the later end of the two grace periods.
+			e.lapseAt = max(e.lapseAt, o.LapseAt)
+			next.Add(n)
+		}
+	}
+	e.replace(next, o.ConfirmedAt)
+	for n := range e.inForce {
+		if !present.Has(n) {
+			e.lapsing.Add(n)
+		}
+	}
+	e.known, e.position = true, o.At
+	e.adoptLapsing(o)
+}
+
+// adoptLapsing takes over the lapsing evacuations of a peer that this node doesn't know,
+// since it started after the source had lost them. A node that saw the loss itself has
+// removed them before.
+func (e *evacuations) adoptLapsing(o Evacuations) {
+	if len(o.Lapsing) == 0 || o.At.Era != 0 && e.graceEra >= o.At.Era {
+		return
+	}
+	for _, n := range o.Lapsing {
+		if !e.inForce.Has(n) {
+			e.inForce.Add(n)
+			e.lapsing.Add(n)
+		}
+	}
+	e.lapseAt = max(e.lapseAt, o.LapseAt)
+	e.graceEra = max(e.graceEra, o.At.Era)
+}
+
+// copyForPeer returns a copy of the set.
+func (e *evacuations) copyForPeer() Evacuations {
+	return Evacuations{InForce: e.inForce.Sorted(), Lapsing: e.lapsing.Sorted(), LapseAt: e.lapseAt, At: e.position, ConfirmedAt: e.confirmedAt}
+}
+
+// Evacuated returns the evacuated data centres. The set is nil until it is known. It must not
+// be modified.
+func (f *Feeds) Evacuated() ident.Set[ident.DataCentre] {
+	if s := f.evacuated.Load(); s != nil {
+		return *s
+	}
+	return nil
+}
+
+// EvacuationsKnown reports whether it is known which data centres are evacuated.
+func (f *Feeds) EvacuationsKnown() bool { return f.evacuated.Load() != nil }
+
+// EvacuationsConfirmedAt returns when the set of evacuated data centres was last confirmed
+// to be the newest; zero if it isn't known.
+func (f *Feeds) EvacuationsConfirmedAt() clock.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations.confirmedAt
+}
+
+// EvacuationState returns a copy of the set of evacuated data centres, and where the
+// stream goes on after it and after the configuration in force. It returns false if the
+// set isn't known.
+func (f *Feeds) EvacuationState() (e Evacuations, resume Position, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations.copyForPeer(), f.configAt, f.evacuations.known
+}
+
+// MergeEvacuations takes the set of a peer if it is newer. Together with it, or with an equal
+// one, it takes the position at which the stream goes on, so that this node need not read
+// it whole if it has to follow it itself. resume is the zero value if it isn't known.
+func (f *Feeds) MergeEvacuations(e Evacuations, resume Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.evacuations.merge(e) {
+		return
+	}
+	if resume.Era > 0 && !resume.isBefore(f.configAt) {
+		f.configAt = resume
+	}
+	f.publishEvacuations(e.ConfirmedAt)
+}
+
+// applyEvacuations applies those of the records of a page of the Configuration stream that
+// are of evacuations. The stream goes on at p. The records of the configuration itself
+// have been applied before.
+func (f *Feeds) applyEvacuations(rs []Record, complete bool, p Position, at clock.Instant) {
+	var es []evacuationRecord
+	for _, r := range rs {
+		if n, ok := f.Decoder.Evacuation(r); ok {
+			es = append(es, evacuationRecord{dataCentre: n, deleted: r.Value == nil})
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations.read(es, complete, p, at, clock.Now())
+	if p.Era > 0 && f.evacuations.known {
+		f.configAt = p
+	}
+	f.publishEvacuations(at)
+}
+
+// publishEvacuations publishes the set if it has changed, and logs each change. at is when
+// the change was last confirmed. The caller holds f.mu.
+func (f *Feeds) publishEvacuations(at clock.Instant) {
+	e := &f.evacuations
+	old := f.Evacuated()
+	if !e.known || old != nil && maps.Equal(old, e.inForce) {
+		return
+	}
+	set := maps.Clone(e.inForce)
+	f.evacuated.Store(&set)
+	age := clock.Now().Sub(at)
+	for _, n := range set.Sorted() {
+		if !old.Has(n) {
+			f.Logger.Info().Str("dataCentre", string(n)).Dur("age", age).Msg("feeds: evacuation of a data centre in force")
+		}
+	}
+	for _, n := range old.Sorted() {
+		if !set.Has(n) {
+			f.Logger.Info().Str("dataCentre", string(n)).Dur("age", age).Msg("feeds: evacuation of a data centre taken back")
+		}
+	}
+}
+
+// beginEvacuationGrace begins a grace period of the evacuations, see evacuations.beginGrace.
+func (f *Feeds) beginEvacuationGrace(era uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations.beginGrace(era, clock.Now())
+	if n := len(f.evacuations.inForce); n > 0 {
+		f.Logger.Info().Int("evacuations", n).Uint64("era", era).Dur("for", outageGrace).Msg("feeds: evacuations whose records are missing stay in force for a while")
+	}
+}
+
+// configWaitNow returns the longest wait for a record of the Configuration stream: while
+// evacuations lapse, a read must begin soon after the end of the grace period.
+func (f *Feeds) configWaitNow(limit time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.evacuations.lapsing) == 0 {
+		return limit
+	}
+	left := f.evacuations.lapseAt.Sub(clock.Now())
+	return min(limit, max(left, graceReadInterval))
+}
+
+// resumeAt returns where the Configuration stream goes on after the configuration and the
+// evacuations in force; its era is zero if that isn't known.
+func (f *Feeds) resumeAt() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.configAt
+}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -64,8 +64,8 @@
 	// the newest.
 	endpointsConfirmedAt clock.Atomic
 
-	// configAt is where to read on after the configuration in force.
-	configAt atomic.Pointer[Position]
+	// evacuated is the published set of evacuated data centres; nil until it is known.
+	evacuated atomic.Pointer[ident.Set[ident.DataCentre]]
 
 	// failing is set for each stream whose last read failed. The Members stream,
 	// the last one, is not followed.
@@ -74,6 +74,11 @@
 	rechecks [Members]signal
 
 	mu sync.Mutex
+	// evacuations holds the evacuated data centres. configAt is where the Configuration
+	// stream goes on after them and the configuration in force; its era is zero if that
+	// isn't known.
+	evacuations evacuations
+	configAt    Position
 	// recent holds the configurations that were in force last, the newest one last.
 	recent []*topol.Catalog
 	// updated is closed when the next configuration is put in force; nil if nobody
@@ -153,23 +158,6 @@
 	return interval
 }
 
-// SetConfigPosition records where the stream goes on after the configuration in
-// force, so that this node need not read it whole if it has to follow the stream
-// itself. It ignores a position that is not known.
-func (f *Feeds) SetConfigPosition(p Position) {
-	if p.Era > 0 {
-		f.configAt.Store(&p)
-	}
-}
-
-// ConfigPosition returns the position last recorded by SetConfigPosition.
-func (f *Feeds) ConfigPosition() Position {
-	if p := f.configAt.Load(); p != nil {
-		return *p
-	}
-	return Position{}
-}
-
 // recordLoss records that the source lost records. If they were those of endpoints,
 // the grace period begins: the endpoints write theirs again.
 func (f *Feeds) recordLoss(s Stream, era uint64, at clock.Instant) {
@@ -182,11 +170,18 @@
 	f.recoveredAt = at
 }
 
-// ObserveEra records an era of the source, which this node or a peer read.
+// ObserveEra records an era of the source, which this node or a peer read. A new one begins
+// the grace period of the evacuations: the operator writes lost ones again.
 func (f *Feeds) ObserveEra(era uint64) {
 	for {
 		old := f.era.Load()
-		if era <= old || f.era.CompareAndSwap(old, era) {
+		if era <= old {
+			return
+		}
+		if f.era.CompareAndSwap(old, era) {
+			if old != 0 {
+				f.beginEvacuationGrace(era)
+			}
 			return
 		}
 	}
@@ -195,12 +190,18 @@
 // Era returns the highest era of the source that this node knows, see Page.Era.
 func (f *Feeds) Era() uint64 { return f.era.Load() }
 
-// recordRecovery records that reads of a stream succeed again. If those of the
-// endpoints failed for at least minOutage, the grace period begins.
+// recordRecovery records that reads of a stream succeed again. If they failed for at
+// least minOutage, a grace period begins.
 func (f *Feeds) recordRecovery(s Stream, at clock.Instant, outage time.Duration) {
 	f.Logger.Info().Str("stream", s.String()).Dur("after", outage).Msg("feeds: source answers again")
 	f.failing[s].Store(false)
-	if s != Endpoints || outage < minOutage {
+	if outage < minOutage {
+		return
+	}
+	if s == Configuration {
+		f.beginEvacuationGrace(0)
+	}
+	if s != Endpoints {
 		return
 	}
 	f.mu.Lock()
@@ -210,6 +211,9 @@
 
 func (f *Feeds) applyConfig(rs []Record, _ bool, at clock.Instant) {
 	for _, r := range rs {
+		if _, ok := f.Decoder.Evacuation(r); ok {
+			continue
+		}
 		c, err := f.Decoder.Catalog(r)
 		if err != nil {
 			f.Logger.Error().Err(err).Str("key", r.Key).Msg("feeds: cannot decode configuration")
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -33,6 +33,14 @@
 	return &topol.Catalog{Version: v}, nil
 }
 
+// evacuationPrefix precedes the data centre in the key of an evacuation.
+const evacuationPrefix = "evacuate/"
+
+func (plainDecoder) Evacuation(r Record) (ident.DataCentre, bool) {
+	n, ok := strings.CutPrefix(r.Key, evacuationPrefix)
+	return ident.DataCentre(n), ok
+}
+
 func (plainDecoder) Endpoint(r Record) (topol.Endpoint, error) {
 	fields := strings.Fields(string(r.Value))
 	if len(fields) < 2 {
@@ -404,8 +412,8 @@
 			go (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx)
 			synctest.Wait()
 			f.UpdateCatalog(&topol.Catalog{Version: 7})
-			f.SetConfigPosition(Position{Era: 2, Next: 9})
-			f.SetConfigPosition(Position{})
+			f.MergeEvacuations(Evacuations{At: Position{Era: 2, Next: 9}}, Position{Era: 2, Next: 9})
+			f.MergeEvacuations(Evacuations{At: Position{Era: 2, Next: 9}}, Position{})
 			time.Sleep(2 * peerCheckInterval)
 			synctest.Wait()
 			test.SliceEmpty(t, s.calls)
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -70,7 +70,7 @@
 // of each key.
 func (w *follower) restart() {
 	w.cursor = cursor{next: unknownOffset, era: w.feeds.Era()}
-	if p := w.feeds.configAt.Load(); p != nil && w.stream == Configuration {
+	if p := w.feeds.resumeAt(); p.Era > 0 && w.stream == Configuration {
 		w.cursor = cursor{next: p.Next, era: p.Era, resumed: true}
 	}
 }
@@ -82,6 +82,8 @@
 	case w.cursor.resumed:
 		// The state must be confirmed at once.
 		return w.feeds.Source.Read(ctx, w.stream, w.cursor.next, 0)
+	case w.stream == Configuration:
+		return w.feeds.Source.Read(ctx, w.stream, w.cursor.next, w.feeds.configWaitNow(w.wait))
 	default:
 		return w.feeds.Source.Read(ctx, w.stream, w.cursor.next, w.wait)
 	}
@@ -129,7 +131,7 @@
 	}
 	w.apply(p.Records, kind == newest, at)
 	if w.stream == Configuration {
-		f.SetConfigPosition(Position{Era: w.cursor.era, Next: w.cursor.next})
+		f.applyEvacuations(p.Records, kind == newest, Position{Era: w.cursor.era, Next: w.cursor.next}, at)
 	}
 	return f.pause(w.stream, w.interval)
 }
--- a/internal/trans/feeds/source.go
+++ b/internal/trans/feeds/source.go
@@ -20,7 +20,8 @@
 
 // Streams of a source.
 const (
-	// Configuration holds the operators' configuration.
+	// Configuration holds the operators' configuration and the evacuations of data
+	// centres.
 	Configuration Stream = iota
 	// Endpoints holds the records that the endpoints write about themselves.
 	Endpoints
@@ -69,6 +70,9 @@
 	// Catalog decodes a record of the Configuration stream. It returns nil and
 	// no error if the record is deleted or isn't the configuration.
 	Catalog(r Record) (*topol.Catalog, error)
+	// Evacuation returns the data centre whose evacuation a record of the Configuration
+	// stream begins or, if it is deleted, ends. It returns false for another record.
+	Evacuation(r Record) (ident.DataCentre, bool)
 	// Endpoint decodes a record of the Endpoints stream.
 	Endpoint(r Record) (topol.Endpoint, error)
 }
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -36,6 +36,8 @@
 	superseded
 	// cancelled means that another endpoint answered first.
 	cancelled
+	// evacuated means that nothing was sent since a data centre was evacuated meanwhile.
+	evacuated
 	// unreserved means that KV memory could not be reserved.
 	unreserved
 	// refused means that the endpoint reported that it did not run the
@@ -55,7 +57,7 @@
 )
 
 func (r result) String() string {
-	return [...]string{"not-sent", "superseded", "cancelled", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
+	return [...]string{"not-sent", "superseded", "cancelled", "evacuated", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
 }
 
 // outcome describes how one send ended.
@@ -162,9 +164,17 @@
 // else to its end. It reports whether the answer can be passed on. Otherwise the outcome is
 // set.
 func (a *attempt) begin() bool {
+	if a.isEvacuated() {
+		a.withdraw()
+		return false
+	}
 	if len(a.choice.Reservations) > 0 {
 		var failedEngines ident.Set[ident.EndpointName]
-		if a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice); a.reserved == nil {
+		if a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice); a.reserved == nil && a.isEvacuated() {
+			a.withdraw()
+			return false
+		}
+		if a.reserved == nil {
 			a.outcome = outcome{result: unreserved, reason: errUnreserved.Error(), unreservedEngines: failedEngines}
 			return false
 		}
@@ -173,6 +183,11 @@
 		a.outcome = outcome{result: notSent, reason: "connect: " + err.Error()}
 		return false
 	}
+	if a.isEvacuated() {
+		// The reservation and the connection may have taken long.
+		a.withdraw()
+		return false
+	}
 	if a.isCurrent() && a.mayOutliveNode(time.Now(), 0) {
 		a.outcome = outcome{result: notSent, reason: errStopping.Error()}
 		return false
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -25,6 +25,9 @@
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
+	if s.allEvacuated(x.service.Name) {
+		return place.Choice{}, place.Request{}, errEvacuated
+	}
 	candidates := x.candidates(now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
@@ -43,10 +46,10 @@
 }
 
 // candidates returns the endpoints of the service that may get the request, but for those that
-// are full, at their limits or tried before.
+// are full, at their limits or tried before. Endpoints of evacuated data centres get none.
 func (x *exchange) candidates(now time.Time) []*topol.Endpoint {
 	s := x.server
-	return s.availability.accepting(s.Feeds.Endpoints().ByService[x.service.Name], s.Node, now)
+	return s.outsideEvacuated(s.availability.accepting(s.Feeds.Endpoints().ByService[x.service.Name], s.Node, now))
 }
 
 // placeRequest describes the request for its placement.
@@ -80,6 +83,8 @@
 		return retryElsewhere
 	case errors.Is(err, errCrashesEndpoints):
 		return x.server.strikes.barredFor(x.digest(), time.Now())
+	case errors.Is(err, errEvacuated):
+		return retryEvacuated
 	case errors.Is(err, errResting):
 		return max(retrySoon, x.server.restForAllNodes(x.service.Name, time.Now()))
 	}
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -49,6 +49,9 @@
 	if list == nil || list.ByAddress[address] == nil {
 		return nil, errors.Errorf("no endpoint is listed at %s", address)
 	}
+	if s.isEvacuated(list.ByAddress[address]) && !carriesNoRequest(ctx) {
+		return nil, errEvacuated
+	}
 	l, _, err := s.connectTo(ctx, list.ByAddress[address])
 	if err != nil {
 		return nil, err
@@ -132,7 +135,7 @@
 func (s *Server) dialOver(ctx context.Context, p reach.Peer, e *topol.Endpoint) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
-	c, err := tunnel.Dial(ctx, p.Address, tunnel.Request{From: s.Node, Endpoint: e.Name, Address: e.Address, Timeout: peerConnectTimeout})
+	c, err := tunnel.Dial(ctx, p.Address, tunnel.Request{From: s.Node, Endpoint: e.Name, Address: e.Address, Timeout: peerConnectTimeout, NoRequest: carriesNoRequest(ctx)})
 	if err != nil {
 		s.requestLog(false).Err(err).Str("peer", string(p.Name)).Str("endpoint", string(e.Name)).Msg("gate: no tunnel over a peer")
 	}
@@ -140,7 +143,8 @@
 }
 
 // ConnectForPeer connects to an endpoint for a peer, over a link of this node only. The
-// endpoint must be listed, and the peer known.
+// endpoint must be listed, and the peer known. The peer may not know yet that the endpoint's
+// data centre is evacuated.
 func (s *Server) ConnectForPeer(ctx context.Context, r tunnel.Request) (net.Conn, error) {
 	list := s.Feeds.Endpoints()
 	known := slices.ContainsFunc(s.Peers(time.Now()), func(p reach.Peer) bool { return p.Name == r.From })
@@ -160,12 +164,20 @@
 	if !s.availability.accepts(e, s.Node, time.Now()) {
 		return nil, errors.New("endpoint states that it wants no requests")
 	}
+	if s.isEvacuated(e) && !r.NoRequest {
+		return nil, errEvacuated
+	}
 	s.inFlightCount.Add(1)
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
 	if err != nil {
 		s.inFlightCount.Add(-1)
 		return nil, err
 	}
+	if s.isEvacuated(e) && !r.NoRequest {
+		s.inFlightCount.Add(-1)
+		l.Close()
+		return nil, errEvacuated
+	}
 	return &peerConn{Conn: l.Conn, server: s}, nil
 }
 
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -159,7 +159,7 @@
 		due = l.DueChecks(now, func(n ident.EndpointName) bool { return list.ByName[n] != nil })
 	})
 	for _, n := range due {
-		if e := list.ByName[n]; s.mayProbe(e) {
+		if e := list.ByName[n]; s.mayProbe(e) && !s.isEvacuated(e) {
 			go s.probeDirectly(ctx, e)
 		}
 	}
@@ -192,6 +192,9 @@
 		add(a.choice.Primary)
 	}
 	for _, e := range s.Feeds.Endpoints().ByName {
+		if s.isEvacuated(e) {
+			continue
+		}
 		add(e)
 	}
 	return es
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -186,7 +186,7 @@
 	s := x.server
 	x.catalog = s.Feeds.Catalog()
 	endpoints := s.Feeds.Endpoints()
-	if x.catalog == nil || endpoints == nil {
+	if x.catalog == nil || endpoints == nil || !s.Feeds.EvacuationsKnown() {
 		x.reject(503, retrySoon, "no configuration yet")
 		return false
 	}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -23,6 +23,9 @@
 		err = errLimited
 	}
 	x.countRejection(err, x.isRetry())
+	if errors.Is(err, errEvacuated) {
+		x.server.getMetrics().evacuated.Inc()
+	}
 	if isCausedByLoad(err) {
 		x.recordRefused()
 	}
@@ -37,7 +40,7 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case isCausedByLoad(err):
 		x.reject(503, retryAfter, err.Error())
-	case errors.Is(err, errResting), errors.Is(err, errStopping):
+	case errors.Is(err, errResting), errors.Is(err, errStopping), errors.Is(err, errEvacuated):
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errLimited):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
@@ -61,6 +64,9 @@
 	switch a.outcome.result {
 	case complete:
 		return
+	case evacuated:
+		x.sends--
+		return
 	case unreserved:
 		x.recordUnreservedEngines(a.outcome.unreservedEngines)
 		return
@@ -90,7 +96,7 @@
 	switch o.result {
 	case complete:
 		return true
-	case notSent:
+	case notSent, evacuated:
 		return false
 	case unreserved:
 		if x.failedReservations < maxReservationAttempts {
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -36,7 +36,7 @@
 	if !s.mayProbe(e) {
 		return unreachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout+hedgeDelay)
+	ctx, cancel := context.WithTimeout(withoutRequest(ctx), probeTimeout+hedgeDelay)
 	defer cancel()
 	direct := make(chan bool, 1)
 	go func() { direct <- s.probeDirectly(ctx, e) }()
--- a/internal/trans/gate/reserve.go
+++ b/internal/trans/gate/reserve.go
@@ -60,7 +60,7 @@
 		}
 		failed.Add(rs.engines[i].Name)
 		s.Logger.Info().Err(err).Str("endpoint", string(rs.engines[i].Name)).Str("ticket", rs.ids[i]).Int64("tokens", int64(rs.tokens[i])).Msg("gate: reservation failed")
-		if !errors.Is(err, ErrNoMemory) {
+		if !errors.Is(err, ErrNoMemory) && !s.isEvacuated(rs.engines[i]) {
 			s.endpointHealth.recordFailure(rs.engines[i].Name, time.Now())
 		}
 	}
@@ -103,6 +103,7 @@
 // renewPeriodically renews the reservations until the context ends.
 func (rs *reservationSet) renewPeriodically(ctx context.Context) {
 	defer rs.renewing.Done()
+	ctx = withoutRequest(ctx)
 	delay.Every(ctx, renewInterval, func(time.Time) {
 		for i, err := range rs.forEachEngine(ctx, rs.reserveAt) {
 			if err != nil && ctx.Err() == nil {
@@ -124,7 +125,7 @@
 // releaseAll retries each release until the engine has confirmed it or the
 // reservation has expired.
 func (rs *reservationSet) releaseAll() {
-	ctx, cancel := context.WithTimeout(context.Background(), reservationTTL)
+	ctx, cancel := context.WithTimeout(withoutRequest(context.Background()), reservationTTL)
 	defer cancel()
 	rs.forEachEngine(ctx, func(ctx context.Context, i int) error {
 		for {
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -334,6 +334,7 @@
 	f.UpdateCatalog(testCatalog())
 	f.ConfirmCatalog(clock.Now().Add(-age))
 	f.UpdateEndpoints(list, clock.Now())
+	f.MergeEvacuations(feeds.Evacuations{ConfirmedAt: clock.Now()}, feeds.Position{})
 	r := &rig{t: t, reserver: &fakeReserver{full: map[string]bool{}}}
 	r.server = &Server{
 		Dialect: testDialect{}, Reserver: r.reserver, Feeds: f, InFlight: &works.Table{}, Node: "n1", DataCentre: "a", Logger: zerolog.Nop(),
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -161,6 +161,7 @@
 	availability   statedAvailability
 	endpointLimits endpointLimits
 	decisions      sizeDecisions
+	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
 	logLimiter logLimiter
@@ -286,6 +287,7 @@
 		s.refreshLimits(now)
 		s.expireAvailability(now)
 		s.decisions.expire(now)
+		s.logEvacuations()
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
 			return endpoints == nil || endpoints.ByAddress[addr] != nil
--- a/internal/trans/tunnel/tunnel.go
+++ b/internal/trans/tunnel/tunnel.go
@@ -58,6 +58,9 @@
 	Address  string
 	// Timeout bounds the time to connect.
 	Timeout time.Duration
+	// NoRequest is set if the connection carries no request of a caller, but a probe, or
+	// an order for memory that is reserved already. Nodes of older builds don't set it.
+	NoRequest bool
 }
 
 // Reply is the answer to a Request.
