--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -60,7 +60,7 @@
 func (e *evacuations) read(rs []evacuationRecord, complete bool, p Position, at, now clock.Instant) {
 	switch {
 	case complete:
-		if e.known && p.isBefore(e.position) {
+		if p.isBefore(e.position) || e.crossesLoss(p) {
 			// The source shows an older state, in which records may be missing.
 			e.beginGrace(p.Era, now)
 		}
@@ -75,6 +75,17 @@
 	e.confirm(at)
 }
 
+// crossesLoss reports whether the source has lost records between the position of the set and
+// another one, without a grace period having begun for it. A node that started after the loss
+// may have the set of a peer that had not read the source since.
+func (e *evacuations) crossesLoss(p Position) bool {
+	return e.position.Era != 0 && p.Era > e.position.Era && !e.sawLoss(p)
+}
+
+// sawLoss reports whether this node has learned what the source had lost when the era of a
+// position began.
+func (e *evacuations) sawLoss(p Position) bool { return p.Era != 0 && e.graceEra >= p.Era }
+
 // isBefore reports whether a position is known to be before another one.
 func (p Position) isBefore(o Position) bool {
 	if p.Era == 0 || o.Era == 0 {
@@ -133,49 +144,40 @@
 
 // merge takes the set of a peer if it is newer. It returns false if it is older than this
 // node's.
-func (e *evacuations) merge(o Evacuations) bool {
+func (e *evacuations) merge(o Evacuations, now clock.Instant) bool {
 	hasOrder := e.known && e.position.Era != 0 && o.At.Era != 0
+	sawLoss := e.sawLoss(o.At)
 	switch {
 	case hasOrder && o.At.isBefore(e.position), e.known && !hasOrder && o.ConfirmedAt <= e.confirmedAt:
 		return false
-	case hasOrder && o.At == e.position:
+	case !hasOrder || o.At != e.position:
+		e.take(o, now)
+	}
+	if !sawLoss {
 		e.adoptLapsing(o)
-	default:
-		e.take(o)
 	}
 	e.confirm(o.ConfirmedAt)
 	return true
 }
 
-// take replaces the set by that of a peer.
-func (e *evacuations) take(o Evacuations) {
+// take replaces the set by that of a peer, without what is lapsing there.
+func (e *evacuations) take(o Evacuations, now clock.Instant) {
+	if e.crossesLoss(o.At) {
+		e.beginGrace(o.At.Era, now)
+	}
 	next := ident.SetOf(o.InForce...)
 	for _, n := range o.Lapsing {
 		delete(next, n)
 	}
-	present := maps.Clone(next)
-	for _, n := range o.Lapsing {
-		if e.inForce.Has(n) {
-			// It ends at the later end of the two grace periods.
-			e.lapseAt = max(e.lapseAt, o.LapseAt)
-			next.Add(n)
-		}
-	}
 	e.replace(next, o.ConfirmedAt)
-	for n := range e.inForce {
-		if !present.Has(n) {
-			e.lapsing.Add(n)
-		}
-	}
 	e.known, e.position = true, o.At
-	e.adoptLapsing(o)
 }
 
 // adoptLapsing takes over the lapsing evacuations of a peer that this node doesn't know,
 // since it started after the source had lost them. A node that saw the loss itself has
 // removed them before.
 func (e *evacuations) adoptLapsing(o Evacuations) {
-	if len(o.Lapsing) == 0 || o.At.Era != 0 && e.graceEra >= o.At.Era {
+	if len(o.Lapsing) == 0 {
 		return
 	}
 	for _, n := range o.Lapsing {
@@ -228,7 +230,7 @@
 func (f *Feeds) MergeEvacuations(e Evacuations, resume Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.evacuations.merge(e) {
+	if !f.evacuations.merge(e, clock.Now()) {
 		return
 	}
 	if resume.Era > 0 && !resume.isBefore(f.configAt) {
