--- a/internal/trans/gate/start.go
+++ b/internal/trans/gate/start.go
@@ -7,7 +7,7 @@
 	// of the others. Nodes that start together connect to each other within about half of it.
 	settleTime = time.Second
 	// startWait is how long after the start of a node requests wait for its first state, that
-	// is, its configuration and list of endpoints. A node usually has them sooner, and a
+	// is, its configuration, endpoints and evacuations. A node usually has them sooner, and a
 	// caller who is refused would come back to it later than that.
 	startWait = 600 * time.Millisecond
 	// statePollInterval is the pause between two checks whether the state has arrived.
@@ -17,9 +17,10 @@
 // isSettling reports whether the node has just started.
 func (s *Server) isSettling(now time.Time) bool { return now.Sub(s.startedAt) < settleTime }
 
-// hasState reports whether the node knows a configuration that was confirmed, and endpoints.
+// hasState reports whether the node knows a configuration that was confirmed, the endpoints
+// and which data centres are evacuated.
 func (s *Server) hasState() bool {
-	return s.Feeds.Catalog() != nil && s.Feeds.Endpoints() != nil && s.Feeds.CatalogConfirmedAt() > 0
+	return s.Feeds.Catalog() != nil && s.Feeds.Endpoints() != nil && s.Feeds.EvacuationsKnown() && s.Feeds.CatalogConfirmedAt() > 0
 }
 
 // awaitState waits until the node has its first state, at most until startWait after its
--- a/internal/trans/gate/start_test.go
+++ b/internal/trans/gate/start_test.go
@@ -35,6 +35,7 @@
 					f.UpdateCatalog(testCatalog())
 					f.ConfirmCatalog(clock.Now())
 					f.UpdateEndpoints(nil, clock.Now())
+					f.MergeEvacuations(feeds.Evacuations{ConfirmedAt: clock.Now()}, feeds.Position{})
 				})
 				defer timer.Stop()
 				time.Sleep(c.asked)
