homes: home regions bind the endpoints and tunnels of a request

Change: region and zones in the settings, home_regions of routes and tenants, topol.Homes, the decision in coord/homes, candidates and tunnels in the gate, a counter and log lines. ChangeFormat is 2.

--- /dev/null
+++ b/internal/coord/homes/homes.go
@@ -0,0 +1,88 @@
+// Package homes decides where the requests of routes and workspaces with home regions may go:
+// which data centres may serve them, and over which nodes a tunnel may carry them.
+package homes
+
+import (
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Regions holds the regions that a node knows from its settings. The empty region is that of a
+// node or a data centre whose region isn't known.
+type Regions struct {
+	// Own is the region of the node itself.
+	Own ident.Region
+	// Of maps data centres to their regions.
+	Of map[ident.DataCentre]ident.Region
+}
+
+// Known reports whether the region of any data centre is known.
+func (r Regions) Known() bool {
+	for _, region := range r.Of {
+		if region != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// Contradicts reports whether the region of a data centre is known and isn't that of the node,
+// although the node is in that data centre.
+func (r Regions) Contradicts(own ident.DataCentre) bool {
+	region := r.Of[own]
+	return region != "" && region != r.Own
+}
+
+// Rule says where one request may go. The zero Rule allows everything.
+type Rule struct {
+	// route and workspace are the home regions of the request's route and workspace.
+	route, workspace topol.Homes
+	regions          Regions
+}
+
+// Rule returns the rule for a request of a route and a workspace. Where both have home regions,
+// both bind.
+func (r Regions) Rule(route, workspace topol.Homes) Rule {
+	return Rule{route: route, workspace: workspace, regions: r}
+}
+
+// Binds reports whether the request has home regions.
+func (r Rule) Binds() bool { return r.route != "" || r.workspace != "" }
+
+// MayServe reports whether endpoints of a data centre may get the request, as the one that
+// answers it or as a helper.
+func (r Rule) MayServe(c ident.DataCentre) bool {
+	return !r.Binds() || r.isHome(r.regions.Of[c])
+}
+
+// MayCarry reports whether the request may pass, with its body, through a node of a data centre
+// on the way to an endpoint: if that is in a home region or in the region of this node, which
+// the caller has sent the request to.
+func (r Rule) MayCarry(c ident.DataCentre) bool {
+	if !r.Binds() {
+		return true
+	}
+	region := r.regions.Of[c]
+	return r.isHome(region) || region != "" && region == r.regions.Own
+}
+
+// HasHome reports whether any data centre is known whose endpoints may get the request.
+func (r Rule) HasHome() bool {
+	if !r.Binds() {
+		return true
+	}
+	for _, region := range r.regions.Of {
+		if r.isHome(region) {
+			return true
+		}
+	}
+	return false
+}
+
+// isHome reports whether a region is a home region of the request. An unknown one isn't, also
+// if the configuration names the empty region.
+func (r Rule) isHome(region ident.Region) bool {
+	return region != "" && allows(r.route, region) && allows(r.workspace, region)
+}
+
+func allows(h topol.Homes, region ident.Region) bool { return h == "" || h.Has(region) }
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -149,7 +149,7 @@
 	n.stateSync = newStateSync(n.feeds, n.mesh, n.DecodeCatalog, n.Logger)
 	n.feeds.ServedFor = n.stateSync.servedFor
 	n.gate = &gate.Server{
-		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
+		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre, Regions: s.Regions,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, MaxUnusedMemory: s.MaxUnusedMemory, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
 		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, AnnounceAvailability: n.mesh.AnnounceAvailability, AnnounceRest: n.mesh.AnnounceRest, AnnounceDecision: n.mesh.AnnounceDecision, Peers: n.mesh.Peers,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor, MaxRequestBytes: int64(s.MemoryMB) << 20 / requestDivisor,
--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/homes"
 	"laburnumstack.org/laburnum/internal/trans/gate"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -14,6 +15,8 @@
 type Settings struct {
 	Name       ident.NodeName
 	DataCentre ident.DataCentre
+	// Regions holds the regions of this node and of the data centres.
+	Regions homes.Regions
 	// CallerAddress, ReadyAddress and PeerAddress are the addresses on which the
 	// node listens for callers, for readiness checks and for other nodes.
 	CallerAddress, ReadyAddress, PeerAddress string
--- a/internal/state/topol/catalog.go
+++ b/internal/state/topol/catalog.go
@@ -77,6 +77,8 @@
 	Public bool
 	// Resumable streams may be continued by another endpoint.
 	Resumable bool
+	// Homes are the regions whose endpoints may serve the requests.
+	Homes Homes
 	// Services are the services that the route's requests are distributed to.
 	Services []WeightedService
 }
@@ -138,6 +140,8 @@
 	// Priority overrides the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Homes are the regions whose endpoints may serve the workspace's requests.
+	Homes Homes
 }
 
 // Key returns the key of the route.
--- a/internal/state/topol/change.go
+++ b/internal/state/topol/change.go
@@ -23,7 +23,7 @@
 // ChangeFormat identifies the fields of a Change and of what it contains, and the
 // way in which digests are computed. Nodes exchange changes only if their formats
 // are equal; it must be increased with each modification of either.
-const ChangeFormat = 1
+const ChangeFormat = 2
 
 // ID identifies the content of a catalog. The zero ID is that of no catalog.
 type ID struct {
--- a/internal/state/topol/digest.go
+++ b/internal/state/topol/digest.go
@@ -42,6 +42,7 @@
 	b = appendInts(b, r.Priority, r.Attempts)
 	b = appendBool(b, r.Public)
 	b = appendBool(b, r.Resumable)
+	b = appendString(b, r.Homes)
 	for _, s := range r.Services {
 		b = appendString(b, s.Service)
 		b = appendInts(b, s.Weight)
@@ -63,7 +64,8 @@
 	b = appendString(b, o.Key)
 	b = appendString(b, o.Workspace.Name)
 	b = appendInts(b, o.Workspace.Priority)
-	return appendBool(b, o.Workspace.HasPriority)
+	b = appendBool(b, o.Workspace.HasPriority)
+	return appendString(b, o.Workspace.Homes)
 }
 
 // encodedSize is the usual size of an encoded part in bytes.
--- a/internal/state/topol/valid.go
+++ b/internal/state/topol/valid.go
@@ -96,6 +96,9 @@
 	for _, s := range r.Services {
 		bs = append(bs, bound{"weight", int64(s.Weight), 0, maxCount})
 	}
+	if err := r.Homes.validate("route", string(r.Name)); err != nil {
+		return err
+	}
 	return within("route", string(r.Name), bs...)
 }
 
@@ -124,5 +127,8 @@
 	if key == "" {
 		return errors.Annotatef(ErrInvalid, "%s: empty key", quoted("workspace", string(w.Name)))
 	}
+	if err := w.Homes.validate("workspace", string(w.Name)); err != nil {
+		return err
+	}
 	return within("workspace", string(w.Name), bound{"priority", int64(w.Priority), -maxCount, maxCount})
 }
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -293,7 +293,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
 	defer cancel()
 	var err error
-	a.link, a.sender, err = a.server.connectTo(ctx, e)
+	a.link, a.sender, err = a.server.connectTo(ctx, e, a.homes)
 	return err
 }
 
--- a/internal/trans/gate/avail.go
+++ b/internal/trans/gate/avail.go
@@ -89,19 +89,18 @@
 	return rs
 }
 
-// restsForThisNode reports whether an endpoint of a service wants no requests of this node.
-func (s *Server) restsForThisNode(n ident.ServiceName, now time.Time) bool {
+// restsForThisNode reports whether one of some endpoints wants no requests of this node.
+func (s *Server) restsForThisNode(es []*topol.Endpoint, now time.Time) bool {
 	if s.availability.count.Load() == 0 {
 		return false
 	}
-	rs := s.availability.rests(s.Feeds.Endpoints().ByService[n], s.Node, now)
+	rs := s.availability.rests(es, s.Node, now)
 	return len(rs) > 0 && slices.Max(rs) > 0
 }
 
-// restForAllNodes returns the time until an endpoint of a service accepts requests of this
-// node or of a peer.
-func (s *Server) restForAllNodes(n ident.ServiceName, now time.Time) time.Duration {
-	es := s.Feeds.Endpoints().ByService[n]
+// restForAllNodes returns the time until one of some endpoints accepts requests of this node or
+// of a peer.
+func (s *Server) restForAllNodes(es []*topol.Endpoint, now time.Time) time.Duration {
 	rs := s.availability.rests(es, s.Node, now)
 	for _, p := range s.Peers(now) {
 		rs = append(rs, s.availability.rests(es, p.Name, now)...)
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -26,6 +26,9 @@
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
 	candidates := x.candidates(now)
+	if len(candidates) == 0 && x.hasNoHome() {
+		return place.Choice{}, place.Request{}, errNoHome
+	}
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
 	r := x.placeRequest(now)
@@ -35,7 +38,7 @@
 		err = errStopping
 	}
 	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if s.restsForThisNode(x.service.Name, now) {
+		if s.restsForThisNode(x.homeEndpoints(), now) {
 			err = errResting
 		}
 	}
@@ -46,7 +49,12 @@
 // are full, at their limits or tried before.
 func (x *exchange) candidates(now time.Time) []*topol.Endpoint {
 	s := x.server
-	return s.availability.accepting(s.Feeds.Endpoints().ByService[x.service.Name], s.Node, now)
+	return s.availability.accepting(x.homeEndpoints(), s.Node, now)
+}
+
+// homeEndpoints returns the endpoints of the service in data centres that may serve the request.
+func (x *exchange) homeEndpoints() []*topol.Endpoint {
+	return x.withinHomes(x.server.Feeds.Endpoints().ByService[x.service.Name])
 }
 
 // placeRequest describes the request for its placement.
@@ -81,7 +89,9 @@
 	case errors.Is(err, errCrashesEndpoints):
 		return x.server.strikes.barredFor(x.digest(), time.Now())
 	case errors.Is(err, errResting):
-		return max(retrySoon, x.server.restForAllNodes(x.service.Name, time.Now()))
+		return max(retrySoon, x.server.restForAllNodes(x.homeEndpoints(), time.Now()))
+	case errors.Is(err, errNoHome):
+		return retryHome
 	}
 	return place.RetryAfter(c, r)
 }
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/coord/homes"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
@@ -29,27 +30,28 @@
 // errNoPeer means that there is no peer over which requests can be sent.
 const errNoPeer = errors.ConstError("no peer to send over")
 
-// connectTo opens a link to an endpoint, over a peer if this node doesn't reach it. sender is
-// the node from which the link leads to the endpoint.
-func (s *Server) connectTo(ctx context.Context, e *topol.Endpoint) (l *links.Link, sender ident.NodeName, err error) {
+// connectTo opens a link to an endpoint, over a peer if this node doesn't reach it; the rule says
+// over which ones. sender is the node from which the link leads to the endpoint.
+func (s *Server) connectTo(ctx context.Context, e *topol.Endpoint, r homes.Rule) (l *links.Link, sender ident.NodeName, err error) {
 	if !s.sendsDirectly(e) {
-		if c, peer, err := s.dialOverPeer(ctx, e); err == nil {
+		if c, peer, err := s.dialOverPeer(ctx, e, r); err == nil {
 			return links.NewLink(c), peer, nil
 		}
 		l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
 		return l, s.Node, err
 	}
-	return s.connectHedged(ctx, e)
+	return s.connectHedged(ctx, e, r)
 }
 
 // DialListed opens a connection to the endpoint at an address, as connectTo does, for
-// calls other than callers' requests.
+// calls other than callers' requests. These may go over each peer: they hold nothing of a
+// request but the number of its tokens.
 func (s *Server) DialListed(ctx context.Context, address string) (net.Conn, error) {
 	list := s.Feeds.Endpoints()
 	if list == nil || list.ByAddress[address] == nil {
 		return nil, errors.Errorf("no endpoint is listed at %s", address)
 	}
-	l, _, err := s.connectTo(ctx, list.ByAddress[address])
+	l, _, err := s.connectTo(ctx, list.ByAddress[address], anywhere)
 	if err != nil {
 		return nil, err
 	}
@@ -57,8 +59,8 @@
 }
 
 // connectHedged opens a link to an endpoint. If that fails or takes longer than
-// hedgeDelay, it also tries over a peer.
-func (s *Server) connectHedged(ctx context.Context, e *topol.Endpoint) (*links.Link, ident.NodeName, error) {
+// hedgeDelay, it also tries over a peer that the rule allows.
+func (s *Server) connectHedged(ctx context.Context, e *topol.Endpoint, r homes.Rule) (*links.Link, ident.NodeName, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type dialed struct {
@@ -88,7 +90,7 @@
 		direct = &d
 	case <-t.C:
 	}
-	c, peer, err := s.dialOverPeer(ctx, e)
+	c, peer, err := s.dialOverPeer(ctx, e, r)
 	switch {
 	case err == nil:
 		if direct == nil {
@@ -103,10 +105,10 @@
 	return direct.link, s.Node, direct.err
 }
 
-// dialOverPeer opens a tunnel to an endpoint over one of the peers.
-func (s *Server) dialOverPeer(ctx context.Context, e *topol.Endpoint) (net.Conn, ident.NodeName, error) {
+// dialOverPeer opens a tunnel to an endpoint over one of the peers that the rule allows.
+func (s *Server) dialOverPeer(ctx context.Context, e *topol.Endpoint, r homes.Rule) (net.Conn, ident.NodeName, error) {
 	err := error(errNoPeer)
-	for _, p := range s.peersTo(e) {
+	for _, p := range s.peersTo(e, r) {
 		if ctx.Err() != nil {
 			return nil, "", ctx.Err()
 		}
@@ -122,10 +124,11 @@
 	return nil, "", err
 }
 
-// peersTo returns the peers over which requests may be sent to an endpoint, the best first.
-func (s *Server) peersTo(e *topol.Endpoint) []reach.Peer {
+// peersTo returns the peers over which requests under the rule may be sent to an endpoint, the best
+// first.
+func (s *Server) peersTo(e *topol.Endpoint, r homes.Rule) []reach.Peer {
 	now := time.Now()
-	peers := slices.DeleteFunc(s.Peers(now), func(p reach.Peer) bool { return !s.availability.accepts(e, p.Name, now) })
+	peers := slices.DeleteFunc(s.Peers(now), func(p reach.Peer) bool { return !r.MayCarry(p.DataCentre) || !s.availability.accepts(e, p.Name, now) })
 	return reach.Candidates(peers, s.DataCentre, random)
 }
 
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"laburnumstack.org/laburnum/internal/coord/bysize"
+	"laburnumstack.org/laburnum/internal/coord/homes"
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -73,6 +74,8 @@
 	route     *topol.Route
 	service   *topol.Service
 	workspace *topol.Workspace
+	// homes says where the request may go, by the configuration in force when it arrived.
+	homes homes.Rule
 
 	// limited are the endpoints of the service that name limits, as of the last
 	// placement.
@@ -218,6 +221,11 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.arrived.Add(limit)
+	x.homes = x.homeRule()
+	if x.hasNoHome() {
+		x.rejectUnplaced(errNoHome, retryHome)
+		return false
+	}
 	if x.mayOutliveNode(time.Now(), 0) {
 		x.reject(503, retryElsewhere, errStopping.Error())
 		return false
@@ -272,6 +280,9 @@
 	if x.route != nil {
 		e = e.Dur("waited", x.waitedBefore()).Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", clock.Now().Sub(x.server.Feeds.CatalogConfirmedAt()))
 	}
+	if x.homes.Binds() {
+		e = e.Strs("homes", x.homeNames())
+	}
 	e.Msg("gate: refused")
 	x.recordUnserved()
 	if x.headerSent {
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -26,6 +26,7 @@
 	unanswered   *prometheus.CounterVec
 	floods       prometheus.Counter
 	acceptErrors prometheus.Counter
+	noHome       prometheus.Counter
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -78,6 +79,9 @@
 		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_unanswered_requests_total", Help: "Requests that were read whole and got no response, by the reason of the close; left is a caller who left.",
 		}, []string{"why"}),
+		noHome: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_no_home_region_total", Help: "Requests that no home region of their route and workspace could serve.",
+		}),
 		acceptErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_accept_errors_total", Help: "Connections of callers that could not be accepted, for example since no descriptors were left.",
 		}),
@@ -90,7 +94,7 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.noHome,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -26,6 +26,9 @@
 	if isCausedByLoad(err) {
 		x.recordRefused()
 	}
+	if errors.Is(err, errNoHome) {
+		x.recordNoHome()
+	}
 	switch {
 	case x.headerSent:
 		x.reject(0, 0, "stream not resumed: "+err.Error())
@@ -37,7 +40,7 @@
 		x.reject(502, 0, "no response, the request may have run: "+err.Error())
 	case isCausedByLoad(err):
 		x.reject(503, retryAfter, err.Error())
-	case errors.Is(err, errResting), errors.Is(err, errStopping):
+	case errors.Is(err, errResting), errors.Is(err, errStopping), errors.Is(err, errNoHome):
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errLimited):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -77,7 +77,7 @@
 
 // probeOverPeers reports whether an endpoint answers a probe over one of the peers.
 func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) bool {
-	peers := s.peersTo(e)
+	peers := s.peersTo(e, anywhere)
 	answered := make(chan bool, len(peers))
 	for _, p := range peers {
 		go func() {
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -18,6 +18,7 @@
 	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/bysize"
 	"laburnumstack.org/laburnum/internal/coord/extra"
+	"laburnumstack.org/laburnum/internal/coord/homes"
 	"laburnumstack.org/laburnum/internal/coord/memory"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
@@ -93,6 +94,8 @@
 	InFlight   *works.Table
 	Node       ident.NodeName
 	DataCentre ident.DataCentre
+	// Regions holds the regions of this node and of the data centres.
+	Regions homes.Regions
 	// StrictRevocation rejects requests to routes that need a key if the
 	// configuration is older than MaxConfigAge minus revokeMargin, so that a
 	// revoked key works no longer than MaxConfigAge.
@@ -164,6 +167,8 @@
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
 	logLimiter logLimiter
+	// noRegionsOnce guards the log line that the settings name no regions.
+	noRegionsOnce sync.Once
 	// unansweredLog limits the lines about requests without a response.
 	unansweredLog logLimiter
 	metrics       *metrics
@@ -235,6 +240,7 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	s.startMillis = time.Now().UnixMilli()
 	s.answers.Limit = s.MaxBufferedBytes
+	s.logRegions()
 	acceptEnded := make(chan struct{})
 	s.mu.Lock()
 	s.conns = map[*callerConn]struct{}{}
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -22,6 +22,8 @@
 	ModelName string
 	// DataCentre identifies a data centre.
 	DataCentre string
+	// Region identifies a region, which has one or more data centres.
+	Region string
 	// NodeName identifies one process of the serving layer.
 	NodeName string
 )
