--- a/internal/state/topol/change_test.go
+++ b/internal/state/topol/change_test.go
@@ -11,6 +11,10 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+func drawHomes(t *rapid.T) Homes {
+	return rapid.SampledFrom([]Homes{"", "a\n", "a\nb\n"}).Draw(t, "homes")
+}
+
 // drawCatalog draws a catalog from few values, so that two of them have much in
 // common.
 func drawCatalog(t *rapid.T, v ident.Version) *Catalog {
@@ -20,6 +24,7 @@
 		c.Add(&Route{
 			Name: ident.RouteName(fmt.Sprint("r", i)), Host: "H.example", Prefix: fmt.Sprintf("/%d/", rapid.IntRange(0, 5).Draw(t, "prefix")),
 			Attempts: rapid.IntRange(1, 2).Draw(t, "attempts"), Services: []WeightedService{{Service: "s", Weight: rapid.IntRange(1, 2).Draw(t, "weight")}},
+			Homes: drawHomes(t),
 		})
 	}
 	for _, n := range rapid.SliceOfDistinct(rapid.SampledFrom([]ident.ServiceName{"s", "t", "u"}), rapid.ID).Draw(t, "services") {
@@ -31,7 +36,7 @@
 	if rapid.Bool().Draw(t, "keys") {
 		c.Keys = map[string]*Workspace{}
 		for _, k := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"k1", "k2", "k3"}), rapid.ID).Draw(t, "key") {
-			c.Keys[k] = &Workspace{Name: ident.WorkspaceName(rapid.SampledFrom([]string{"w", "x"}).Draw(t, "workspace"))}
+			c.Keys[k] = &Workspace{Name: ident.WorkspaceName(rapid.SampledFrom([]string{"w", "x"}).Draw(t, "workspace")), Homes: drawHomes(t)}
 		}
 	}
 	return c
--- /dev/null
+++ b/internal/trans/gate/homes_test.go
@@ -0,0 +1,479 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"laburnumstack.org/laburnum/internal/coord/avail"
+	"laburnumstack.org/laburnum/internal/coord/homes"
+	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
+	"laburnumstack.org/laburnum/internal/trans/conns"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// testRegions are the regions of the data centres in these tests; those of the data centre "x"
+// and of others aren't known.
+var testRegions = homes.Regions{Own: "eu", Of: map[ident.DataCentre]ident.Region{"a": "eu", "b": "us", "c": "ap"}}
+
+// homed is what the configuration and the endpoints of a rig say about regions.
+type homed struct {
+	route, workspace topol.Homes
+	// of maps the names of scripted endpoints to their data centres; that of others is "a".
+	of map[string]ident.DataCentre
+}
+
+// newHomeRig returns a rig whose routes and workspace have home regions.
+func newHomeRig(t testing.TB, h homed, configure func(*Server), es ...*scriptedEndpoint) *rig {
+	return newConfiguredRig(t, 0, func(s *Server) {
+		s.Regions = testRegions
+		s.Feeds.UpdateCatalog(h.catalog())
+		s.Feeds.UpdateEndpoints(h.endpoints(es...), clock.Now())
+		configure(s)
+	}, es...)
+}
+
+// catalog returns a later version of testCatalog with home regions. The key "free" is that of a
+// workspace without any, the route "public" needs none.
+func (h homed) catalog() *topol.Catalog {
+	c := testCatalog()
+	c.Version++
+	public := *c.Match("h.example", "/safe/")
+	public.Name, public.Prefix, public.Public = "public", "/public/", true
+	c.Add(&public)
+	for _, r := range c.Routes {
+		r.Homes = h.route
+	}
+	c.Keys["secret"].Homes = h.workspace
+	c.Keys["free"] = &topol.Workspace{Name: "free"}
+	return c
+}
+
+func (h homed) endpoints(es ...*scriptedEndpoint) []topol.Endpoint {
+	var list []topol.Endpoint
+	for _, e := range es {
+		place, ok := h.of[e.name]
+		if !ok {
+			place = "a"
+		}
+		for _, s := range []ident.ServiceName{"plain", "model"} {
+			list = append(list, topol.Endpoint{Name: ident.EndpointName(e.name + string(s[:1])), Service: s, Address: e.address, Slots: 8, DataCentre: place})
+		}
+	}
+	return list
+}
+
+func unchanged(*Server) {}
+
+// withKey returns a request with another key.
+func withKey(text, key string) string { return strings.Replace(text, "Key: secret", "Key: "+key, 1) }
+
+// Guards against a request that reaches an endpoint outside the home regions of its route or
+// workspace, and against requests without any that are confined too.
+func TestRequestsStayInTheirHomeRegions(t *testing.T) {
+	cases := []struct {
+		name             string
+		route, workspace topol.Homes
+		target, key      string
+		served           string
+	}{
+		{"of the route", "us\n", "", "/safe/", "secret", "us"},
+		{"of the workspace", "", "us\n", "/safe/", "secret", "us"},
+		{"both", "eu\nus\n", "ap\nus\n", "/safe/", "secret", "us"},
+		{"two regions", "ap\nus\n", "", "/safe/", "secret", "ap us"},
+		{"of another workspace", "", "us\n", "/safe/", "free", "eu us ap x"},
+		{"public route, of the key's workspace", "", "us\n", "/public/", "secret", "us"},
+		{"public route, unknown key", "", "us\n", "/public/", "none", "eu us ap x"},
+		{"public route with homes, unknown key", "ap\n", "us\n", "/public/", "none", "ap"},
+		{"none", "", "", "/safe/", "secret", "eu us ap x"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			es := map[string]*scriptedEndpoint{}
+			for _, n := range []string{"eu", "us", "ap", "x"} {
+				// Each refuses, so that a request is offered to all that it may be sent to.
+				es[n] = newEndpoint(t, n, refuses(503))
+			}
+			r := newHomeRig(t, homed{c.route, c.workspace, map[string]ident.DataCentre{"eu": "a", "us": "b", "ap": "c", "x": "x"}}, unchanged,
+				es["eu"], es["us"], es["ap"], es["x"])
+			test.Eq(t, 503, r.do(withKey(request("GET", c.target, "r1", ""), c.key)).status)
+			for n, e := range es {
+				test.Eq(t, slices.Contains(strings.Fields(c.served), n), len(e.requests()) > 0, test.Sprint(n))
+			}
+		})
+	}
+}
+
+// Guards against callers who wait, or come back at once, although no region may serve them.
+func TestRequestsWithoutAHomeAreRejectedAtOnce(t *testing.T) {
+	cases := []struct {
+		name             string
+		route, workspace topol.Homes
+		regions          homes.Regions
+		none             bool
+	}{
+		{"nothing in common", "eu\n", "us\n", testRegions, true},
+		{"no endpoint there", "ap\n", "", testRegions, true},
+		{"region of no data centre", "", "no such\n", testRegions, true},
+		{"empty region", "\n", "", testRegions, true},
+		{"no regions in the settings", "eu\n", "", homes.Regions{}, true},
+		{"only the region of the node in the settings", "eu\n", "", homes.Regions{Own: "eu"}, true},
+		{"at home", "eu\n", "eu\n", testRegions, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e, f, g := newEndpoint(t, "e", ok("yes")), newEndpoint(t, "f", ok("yes")), newEndpoint(t, "g", ok("yes"))
+			var log syncBuffer
+			r := newHomeRig(t, homed{c.route, c.workspace, map[string]ident.DataCentre{"f": "b", "g": "x"}}, func(s *Server) {
+				s.Regions, s.Logger = c.regions, zerolog.New(&log)
+			}, e, f, g)
+			for _, target := range []string{"/safe/", "/once/", "/stream/"} {
+				res := r.do(request("POST", target, "r1", "x", "Prompt: 100"))
+				if !c.none {
+					test.NotEq(t, 503, res.status)
+					continue
+				}
+				test.Eq(t, 503, res.status)
+				after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+				test.NoError(t, err)
+				test.GreaterEq(t, 1.0, after)
+			}
+			test.SliceEmpty(t, f.requests())
+			test.SliceEmpty(t, g.requests())
+			rejected := 0
+			if c.none {
+				rejected = 3
+				test.SliceEmpty(t, e.requests())
+				test.StrContains(t, log.String(), errNoHome.Error())
+			}
+			test.Eq(t, float64(rejected), counterValue(t, r.server, "laburnum_no_home_region_total"))
+			lines := 0
+			if !c.regions.Known() {
+				lines = 1
+			}
+			test.Eq(t, lines, strings.Count(log.String(), "the settings name no region"))
+		})
+	}
+}
+
+// syncBuffer is a buffer for log lines of several goroutines.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// Guards against a service that has just lost its endpoints everywhere and whose callers are told
+// that their regions are at fault.
+func TestServiceWithoutEndpointsIsNoQuestionOfRegions(t *testing.T) {
+	r := newHomeRig(t, homed{route: "eu\n"}, unchanged)
+	res := r.do(request("GET", "/safe/", "r1", ""))
+	test.Eq(t, 503, res.status)
+	test.Eq(t, "0.20", res.header.Get("Retry-After"))
+	test.Zero(t, counterValue(t, r.server, "laburnum_no_home_region_total"))
+}
+
+// Guards against a stream that goes on in another region after its endpoint has failed.
+func TestStreamIsResumedInAHomeRegion(t *testing.T) {
+	for _, hasOther := range []bool{true, false} {
+		e, f := newEndpoint(t, "e", streams(1, 2, false)), newEndpoint(t, "f", streams(3, 4, true))
+		outside := newEndpoint(t, "o", streams(3, 4, true))
+		es := []*scriptedEndpoint{e, outside, outside.alias("p"), outside.alias("q")}
+		if hasOther {
+			es = append(es, f)
+		}
+		h := homed{workspace: "eu\n", of: map[string]ident.DataCentre{"o": "b", "p": "x", "q": "c"}}
+		r := newHomeRig(t, h, func(s *Server) { s.DialEndpoint = inOrder([]*scriptedEndpoint{e, f}) }, es...)
+		if hasOther {
+			// The endpoint that breaks off is the first one.
+			r.server.endpointHealth.recordFailure("fm", time.Now())
+		}
+		res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
+		test.Eq(t, 200, res.status)
+		test.Eq(t, hasOther, res.err == nil)
+		if hasOther {
+			test.Eq(t, event(1)+event(2)+event(3)+event(4), res.body)
+		}
+		test.SliceEmpty(t, outside.requests())
+	}
+}
+
+// Guards against a hedged send to another region while the endpoint of the home region is silent.
+func TestHedgedSendsStayInAHomeRegion(t *testing.T) {
+	for _, target := range []string{"/safe/", "/stream/"} {
+		e := newEndpoint(t, "e", neverResponds, ok("yes"))
+		outside := newEndpoint(t, "o", ok("yes"))
+		r := newHomeRig(t, homed{route: "eu\n", of: map[string]ident.DataCentre{"o": "b", "p": "x"}}, func(s *Server) {
+			s.MinGapWait, s.HeaderSlack = shortWait, shortWait
+		}, e, e.alias("f"), outside, outside.alias("p"))
+		res := r.do(request("POST", target, "r1", "x", "Prompt: 100"))
+		test.Eq(t, 200, res.status, test.Sprint(target))
+		test.SliceLen(t, 2, e.requests())
+		test.SliceEmpty(t, outside.requests())
+	}
+}
+
+// Guards against a retry time, or a reason, that endpoints outside the home regions give: all
+// that may serve the request rest for this node.
+func TestRestsOutsideTheHomeRegionsDoNotCount(t *testing.T) {
+	e, outside := newEndpoint(t, "e", rests("30")), newEndpoint(t, "o", ok("yes"))
+	r := newHomeRig(t, homed{route: "eu\n", of: map[string]ident.DataCentre{"o": "b"}}, unchanged, e, outside)
+	r.do(request("GET", "/safe/", "r1", ""))
+	res := r.do(request("GET", "/safe/", "r2", ""))
+	test.Eq(t, 503, res.status)
+	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	test.GreaterEq(t, 20.0, after)
+	test.SliceEmpty(t, outside.requests())
+}
+
+// carrier is a peer that carries tunnels and keeps the bytes that passed to endpoints.
+type carrier struct {
+	reach.Peer
+	mu    sync.Mutex
+	bytes bytes.Buffer
+}
+
+// newCarrier returns a peer in a data centre that reaches all endpoints.
+func newCarrier(t *testing.T, name ident.NodeName, at ident.DataCentre) *carrier {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	c := &carrier{Peer: reach.Peer{Name: name, Address: l.Addr().String(), DataCentre: at}}
+	s := &tunnel.Server{Connect: func(_ context.Context, r tunnel.Request) (net.Conn, error) {
+		conn, err := net.Dial("tcp", r.Address)
+		if err != nil {
+			return nil, err
+		}
+		return &carriedConn{conn, c}, nil
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		conns.ServeRPC(ctx, l, "Node", &fakeReserver{}, conns.Branch{Preamble: tunnel.Preamble, Serve: func(ctx context.Context, conn net.Conn, r *bufio.Reader) { s.Serve(ctx, conn, r) }})
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return c
+}
+
+type carriedConn struct {
+	net.Conn
+	carrier *carrier
+}
+
+func (c *carriedConn) Write(b []byte) (int, error) {
+	c.carrier.mu.Lock()
+	c.carrier.bytes.Write(b)
+	c.carrier.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// carried reports whether the peer has carried a text.
+func (c *carrier) carried(text string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return strings.Contains(c.bytes.String(), text)
+}
+
+// Guards against a request's body that passes through a node of another region: this node has
+// lost its links to the endpoints, and sends over its peers.
+func TestTunnelsOfRequestsWithHomesPassThroughAllowedRegions(t *testing.T) {
+	cases := []struct {
+		name    string
+		homes   topol.Homes
+		regions homes.Regions
+		// at is the data centre of the endpoint, peers those of the peers.
+		at      ident.DataCentre
+		peers   []ident.DataCentre
+		carried []ident.DataCentre
+	}{
+		{"home region", "us\n", testRegions, "b", []ident.DataCentre{"b", "c", "x"}, []ident.DataCentre{"b"}},
+		{"region of the node", "us\n", testRegions, "b", []ident.DataCentre{"a", "c", "x"}, []ident.DataCentre{"a"}},
+		{"either", "us\n", testRegions, "b", []ident.DataCentre{"a", "b", "c"}, []ident.DataCentre{"a", "b"}},
+		{"none", "us\n", testRegions, "b", []ident.DataCentre{"c", "x", ""}, nil},
+		{"region of the node unknown", "us\n", homes.Regions{Of: testRegions.Of}, "b", []ident.DataCentre{"a", "x"}, nil},
+		{"at home, others elsewhere", "eu\n", testRegions, "a", []ident.DataCentre{"b", "c"}, nil},
+		{"no homes", "", testRegions, "b", []ident.DataCentre{"c", "x"}, []ident.DataCentre{"c", "x"}},
+	}
+	for _, c := range cases {
+		for _, over := range []string{"a refused link", "a link known as lost"} {
+			t.Run(c.name+", "+over, func(t *testing.T) {
+				e := newEndpoint(t, "e", ok("yes"))
+				carriers := map[ident.DataCentre]*carrier{}
+				var peers []reach.Peer
+				for i, p := range c.peers {
+					carriers[p] = newCarrier(t, ident.NodeName(fmt.Sprint("n", i+2)), p)
+					peers = append(peers, carriers[p].Peer)
+				}
+				r := newHomeRig(t, homed{route: c.homes, of: map[string]ident.DataCentre{"e": c.at}}, func(s *Server) {
+					s.Regions = c.regions
+					s.DialEndpoint = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+					s.Peers = func(time.Time) []reach.Peer { return slices.Clone(peers) }
+				}, e)
+				if over == "a link known as lost" {
+					r.server.loseLink(r.server.Feeds.Endpoints().ByName["ep"])
+				}
+				for i := range 12 {
+					res := r.do(request("POST", "/safe/", fmt.Sprint("r", i), "secret body"))
+					test.Eq(t, len(c.carried) > 0, res.status == 200)
+				}
+				test.Eq(t, len(c.carried) > 0, len(e.requests()) > 0)
+				for p, k := range carriers {
+					// One of those allowed may get none by chance.
+					if !slices.Contains(c.carried, p) {
+						test.False(t, k.carried("secret body"), test.Sprint(p))
+						test.False(t, k.carried("/safe/"), test.Sprint(p))
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against reservations that fail at a node without links for requests with homes: an order
+// holds nothing of a request and may go over each peer.
+func TestOrdersMayGoOverPeersOfAllRegions(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	k := newCarrier(t, "n2", "c")
+	r := newHomeRig(t, homed{route: "eu\n"}, func(s *Server) {
+		s.DialEndpoint = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{k.Peer} }
+	}, e)
+	conn, err := r.server.DialListed(context.Background(), e.address)
+	must.NoError(t, err)
+	defer conn.Close()
+	io.WriteString(conn, request("GET", "/order", "r1", ""))
+	res, err := readResponse(conn)
+	must.NoError(t, err)
+	test.Eq(t, "yes", res.body)
+}
+
+// drawnRequest draws an exchange of a request with homes at a server with endpoints and peers in
+// any data centres.
+func drawnRequest(t *rapid.T) *exchange {
+	centre := rapid.SampledFrom([]ident.DataCentre{"a", "b", "c", "x", ""})
+	region := rapid.SampledFrom([]ident.Region{"eu", "us", "ap", "", "none"})
+	set := func(name string) topol.Homes {
+		h, err := topol.NewHomes(rapid.SliceOfN(region, 0, 3).Draw(t, name)...)
+		must.NoError(t, err)
+		return h
+	}
+	h := homed{route: set("route"), workspace: set("workspace")}
+	var list []topol.Endpoint
+	for i := range rapid.IntRange(0, 12).Draw(t, "endpoints") {
+		list = append(list, topol.Endpoint{
+			Name: ident.EndpointName(fmt.Sprint("e", i)), Service: rapid.SampledFrom([]ident.ServiceName{"plain", "model"}).Draw(t, "service"), Address: fmt.Sprint("e:", i),
+			Slots: 8, DataCentre: centre.Draw(t, "centre"), Born: 1,
+		})
+	}
+	var peers []reach.Peer
+	for i := range rapid.IntRange(0, 8).Draw(t, "peers") {
+		peers = append(peers, reach.Peer{Name: ident.NodeName(fmt.Sprint("n", i)), DataCentre: centre.Draw(t, "peer"), Isolated: rapid.Bool().Draw(t, "isolated")})
+	}
+	f := &feeds.Feeds{Logger: zerolog.Nop()}
+	f.UpdateCatalog(h.catalog())
+	f.UpdateEndpoints(list, clock.Now())
+	s := &Server{
+		Feeds: f, InFlight: &works.Table{}, Node: "n0", DataCentre: "a", Logger: zerolog.Nop(), Dialect: testDialect{},
+		Regions: homes.Regions{Own: region.Draw(t, "own"), Of: testRegions.Of}, Peers: func(time.Time) []reach.Peer { return slices.Clone(peers) },
+	}
+	for _, e := range list {
+		if rapid.IntRange(0, 4).Draw(t, "rests") == 0 {
+			s.recordRest(avail.Rest{Key: limitKey(&e), Node: "n0", Until: time.Now().Add(time.Hour)}, time.Now())
+		}
+	}
+	c := f.Catalog()
+	x := &exchange{
+		server: s, catalog: c, arrived: time.Now(), deadline: time.Now().Add(time.Hour), workspace: c.Keys["secret"],
+		tried: ident.Set[ident.EndpointName]{}, unreservedEngines: ident.Set[ident.EndpointName]{},
+	}
+	x.route = c.Match("h.example", rapid.SampledFrom([]string{"/safe/", "/stream/"}).Draw(t, "target"))
+	x.service = c.Services[x.route.PickService(0)]
+	if x.route.Kind == topol.Stream {
+		x.reqHeader.Prompt = ident.Tokens(rapid.SampledFrom([]int{100, 50_000, 150_000, 400_000}).Draw(t, "prompt"))
+	}
+	x.homes = x.homeRule()
+	return x
+}
+
+// mayBeAt reports whether a data centre is in the home regions of a request, by its
+// configuration alone.
+func (x *exchange) mayBeAt(c ident.DataCentre) bool {
+	r := testRegions.Of[c]
+	for _, h := range []topol.Homes{x.route.Homes, x.workspace.Homes} {
+		if h != "" && (r == "" || !slices.Contains(h.Regions(), r)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a candidate, a helper or a peer for a tunnel outside the home regions, whatever
+// the homes, the regions and the endpoints are.
+func TestNoCandidateIsOutsideTheHomes(t *testing.T) {
+	helped := 0
+	rapid.Check(t, func(t *rapid.T) {
+		x := drawnRequest(t)
+		now := time.Now()
+		inHome := 0
+		for _, e := range x.server.Feeds.Endpoints().ByService[x.service.Name] {
+			if x.mayBeAt(e.DataCentre) {
+				inHome++
+			}
+		}
+		candidates := x.candidates(now)
+		for _, e := range candidates {
+			must.True(t, x.mayBeAt(e.DataCentre), must.Sprint(e.DataCentre))
+		}
+		if x.server.availability.count.Load() == 0 {
+			must.Eq(t, inHome, len(candidates))
+		}
+		c, _, err := x.choose()
+		if err == nil {
+			helped += len(c.Helpers)
+			for _, e := range append(c.Helpers, c.Primary) {
+				must.True(t, x.mayBeAt(e.DataCentre), must.Sprint(e.DataCentre))
+			}
+		}
+		binds := x.route.Homes+x.workspace.Homes != ""
+		if len(x.server.Feeds.Endpoints().ByService[x.service.Name]) > 0 {
+			must.Eq(t, binds && inHome == 0, err == errNoHome)
+		}
+		for _, p := range x.server.peersTo(&topol.Endpoint{Name: "e"}, x.homes) {
+			own := x.server.Regions.Own
+			must.True(t, x.mayBeAt(p.DataCentre) || own != "" && testRegions.Of[p.DataCentre] == own, must.Sprint(p.DataCentre))
+		}
+	})
+	test.Positive(t, helped, test.Sprint("some prompts have helpers"))
+}
