--- a/internal/coord/homes/homes.go
+++ b/internal/coord/homes/homes.go
@@ -35,54 +35,43 @@
 
 // Rule says where one request may go. The zero Rule allows everything.
 type Rule struct {
-	// route and workspace are the home regions of the request's route and workspace.
-	route, workspace topol.Homes
-	regions          Regions
+	regions Regions
+	// isBound is set if the request has home regions; serving are then the data centres in them.
+	isBound bool
+	serving ident.Set[ident.DataCentre]
 }
 
 // Rule returns the rule for a request of a route and a workspace. Where both have home regions,
-// both bind.
+// both bind. The data centres are looked up once, since a service has many more endpoints.
 func (r Regions) Rule(route, workspace topol.Homes) Rule {
-	return Rule{route: route, workspace: workspace, regions: r}
+	if route == "" && workspace == "" {
+		return Rule{}
+	}
+	serving := ident.Set[ident.DataCentre]{}
+	for c, region := range r.Of {
+		// An unknown region is no home, also if the configuration names the empty region.
+		if region != "" && allows(route, region) && allows(workspace, region) {
+			serving.Add(c)
+		}
+	}
+	return Rule{regions: r, isBound: true, serving: serving}
 }
 
+func allows(h topol.Homes, region ident.Region) bool { return h == "" || h.Has(region) }
+
 // Binds reports whether the request has home regions.
-func (r Rule) Binds() bool { return r.route != "" || r.workspace != "" }
+func (r Rule) Binds() bool { return r.isBound }
 
 // MayServe reports whether endpoints of a data centre may get the request, as the one that
 // answers it or as a helper.
-func (r Rule) MayServe(c ident.DataCentre) bool {
-	return !r.Binds() || r.isHome(r.regions.Of[c])
-}
+func (r Rule) MayServe(c ident.DataCentre) bool { return !r.isBound || r.serving.Has(c) }
 
 // MayCarry reports whether the request may pass, with its body, through a node of a data centre
 // on the way to an endpoint: if that is in a home region or in the region of this node, which
 // the caller has sent the request to.
 func (r Rule) MayCarry(c ident.DataCentre) bool {
-	if !r.Binds() {
-		return true
-	}
-	region := r.regions.Of[c]
-	return r.isHome(region) || region != "" && region == r.regions.Own
+	return r.MayServe(c) || r.regions.Own != "" && r.regions.Of[c] == r.regions.Own
 }
 
 // HasHome reports whether any data centre is known whose endpoints may get the request.
-func (r Rule) HasHome() bool {
-	if !r.Binds() {
-		return true
-	}
-	for _, region := range r.regions.Of {
-		if r.isHome(region) {
-			return true
-		}
-	}
-	return false
-}
-
-// isHome reports whether a region is a home region of the request. An unknown one isn't, also
-// if the configuration names the empty region.
-func (r Rule) isHome(region ident.Region) bool {
-	return region != "" && allows(r.route, region) && allows(r.workspace, region)
-}
-
-func allows(h topol.Homes, region ident.Region) bool { return h == "" || h.Has(region) }
+func (r Rule) HasHome() bool { return !r.isBound || len(r.serving) > 0 }
