--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -25,10 +25,13 @@
 	if !now.Before(x.deadline) || x.sends >= maxSends {
 		return place.Choice{}, place.Request{}, place.ErrNoEndpoint
 	}
-	if s.allEvacuated(x.service.Name) {
+	if x.allEvacuated() {
 		return place.Choice{}, place.Request{}, errEvacuated
 	}
 	candidates := x.candidates(now)
+	if len(candidates) == 0 && x.hasNoHome() {
+		return place.Choice{}, place.Request{}, errNoHome
+	}
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
 	r := x.placeRequest(now)
@@ -38,7 +41,7 @@
 		err = errStopping
 	}
 	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if s.restsForThisNode(x.service.Name, now) {
+		if s.restsForThisNode(x.homeEndpoints(), now) {
 			err = errResting
 		}
 	}
@@ -49,7 +52,12 @@
 // are full, at their limits or tried before. Endpoints of evacuated data centres get none.
 func (x *exchange) candidates(now time.Time) []*topol.Endpoint {
 	s := x.server
-	return s.outsideEvacuated(s.availability.accepting(s.Feeds.Endpoints().ByService[x.service.Name], s.Node, now))
+	return s.outsideEvacuated(s.availability.accepting(x.homeEndpoints(), s.Node, now))
+}
+
+// homeEndpoints returns the endpoints of the service in data centres that may serve the request.
+func (x *exchange) homeEndpoints() []*topol.Endpoint {
+	return x.withinHomes(x.server.Feeds.Endpoints().ByService[x.service.Name])
 }
 
 // placeRequest describes the request for its placement.
@@ -69,9 +77,9 @@
 	return place.ServiceState{
 		Now: now, Endpoints: accepting, Engine: x.service.Engine,
 		InFlight: s.InFlight.All(), UnknownLoad: s.isSettling(now),
-		Avoid:    func(n ident.EndpointName) bool { return resting.Has(n) || s.endpointHealth.isAvoided(n, now) },
-		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
-		Random:   random,
+		Avoid:   func(n ident.EndpointName) bool { return resting.Has(n) || s.endpointHealth.isAvoided(n, now) },
+		Suspect: func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
+		Random:  random,
 	}
 }
 
@@ -86,7 +94,9 @@
 	case errors.Is(err, errEvacuated):
 		return retryEvacuated
 	case errors.Is(err, errResting):
-		return max(retrySoon, x.server.restForAllNodes(x.service.Name, time.Now()))
+		return max(retrySoon, x.server.restForAllNodes(x.homeEndpoints(), time.Now()))
+	case errors.Is(err, errNoHome):
+		return retryHome
 	}
 	return place.RetryAfter(c, r)
 }
--- a/internal/trans/gate/evacuate.go
+++ b/internal/trans/gate/evacuate.go
@@ -10,7 +10,6 @@
 
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/state/topol"
-	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -37,18 +36,18 @@
 	return slices.DeleteFunc(slices.Clone(es), func(e *topol.Endpoint) bool { return evacuated.Has(e.DataCentre) })
 }
 
-// allEvacuated reports whether the data centres of all endpoints of a service, without those
-// that are leaving, are evacuated. It is false if there are none.
-func (s *Server) allEvacuated(n ident.ServiceName) bool {
-	return areAllEvacuated(s.Feeds.Endpoints(), n, s.Feeds.Evacuated())
+// allEvacuated reports whether the data centres of all endpoints that may serve the request,
+// without those that are leaving, are evacuated. It is false if there are none.
+func (x *exchange) allEvacuated() bool {
+	evacuated := x.server.Feeds.Evacuated()
+	return len(evacuated) > 0 && areAllEvacuated(x.homeEndpoints(), evacuated)
 }
 
-func areAllEvacuated(list *feeds.EndpointList, n ident.ServiceName, evacuated ident.Set[ident.DataCentre]) bool {
-	if list == nil || len(evacuated) == 0 {
-		return false
-	}
+// areAllEvacuated reports whether the data centres of some endpoints, without those that are
+// leaving, are evacuated. It is false if there are none.
+func areAllEvacuated(es []*topol.Endpoint, evacuated ident.Set[ident.DataCentre]) bool {
 	found := false
-	for _, e := range list.ByService[n] {
+	for _, e := range es {
 		switch {
 		case e.Leaving:
 		case evacuated.Has(e.DataCentre):
@@ -147,7 +146,7 @@
 	}
 	services := ident.Set[ident.ServiceName]{}
 	for n := range catalog.Services {
-		if areAllEvacuated(list, n, evacuated) {
+		if areAllEvacuated(list.ByService[n], evacuated) {
 			services.Add(n)
 		}
 	}
