gate, tunnel: answers whose connection is reset beside the upload are not complete

Cause: the system reports a reset once. Change: the end of such an answer counts only if the upload, which it ends, has met no error (conns.Upload). Result: the callers get 502 or a cut stream; answers that end properly beside the upload stay complete.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -114,6 +114,9 @@
 	// sender is the node from which the endpoint gets the request: this one, or a peer if
 	// the link is a tunnel.
 	sender ident.NodeName
+	// upload writes a request beside the reads of its answer; nil if the request was written
+	// before.
+	upload *conns.Upload
 	// requestWritten is set once the whole request has been written.
 	requestWritten atomic.Bool
 
@@ -304,9 +307,10 @@
 		a.requestWritten.Store(err == nil)
 		return err
 	}
+	a.upload = conns.NewUpload(a.link.Conn)
 	go func() {
 		b := net.Buffers{header, a.body}
-		_, err := b.WriteTo(a.link.Conn)
+		_, err := b.WriteTo(a.upload)
 		a.requestWritten.Store(err == nil)
 	}()
 	return nil
--- a/internal/trans/gate/buffer.go
+++ b/internal/trans/gate/buffer.go
@@ -72,7 +72,7 @@
 		return nil, http1.ErrBodyTooLong
 	}
 	var pieces net.Buffers
-	source := http1.NewBodyReader(a.link.Reader, res.Framing, res.Length)
+	source := a.newBodyReader(res)
 	next := int64(minPiece)
 	if res.Framing == http1.Sized {
 		next = min(res.Length, maxPiece)
@@ -101,6 +101,31 @@
 	}
 }
 
+// newBodyReader returns a reader of the body of a response. It returns io.EOF only at the end
+// of a complete body, also if that ends with the connection.
+func (a *attempt) newBodyReader(res *http1.Response) io.Reader {
+	r := http1.NewBodyReader(a.link.Reader, res.Framing, res.Length)
+	if res.Framing != http1.UntilClose || a.upload == nil || a.isOverPeer() {
+		// A peer tells itself how the endpoint ended the connection.
+		return r
+	}
+	return &unframedReader{r, a.upload}
+}
+
+// unframedReader reads a body that ends with the connection, beside the upload of the request.
+type unframedReader struct {
+	io.Reader
+	upload *conns.Upload
+}
+
+func (u *unframedReader) Read(b []byte) (int, error) {
+	n, err := u.Reader.Read(b)
+	if err == io.EOF {
+		err = u.upload.CheckEnd()
+	}
+	return n, err
+}
+
 // freePieces holds pieces of the largest size. Answers that end early return theirs, so that
 // those without end make little garbage.
 var freePieces = sync.Pool{New: func() any { return new([maxPiece]byte) }}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -53,7 +53,7 @@
 
 func (a *attempt) newEventReader(res *http1.Response) eventReader {
 	return eventReader{
-		body:       http1.NewBodyReader(a.link.Reader, res.Framing, res.Length),
+		body:       a.newBodyReader(res),
 		takeMemory: a.takeMemory,
 		isResumed:  a.isResumed, isFramed: res.Framing != http1.UntilClose,
 		position: a.resumesAt,
--- a/internal/trans/http1/messg.go
+++ b/internal/trans/http1/messg.go
@@ -116,18 +116,29 @@
 	return nil, errors.WithType(errors.Annotate(ErrEndless, "too many interim responses"), ErrMalformed)
 }
 
-func (r *Response) parseStatusLine() error {
-	s := r.StartLine
-	if len(s) < 12 || !bytes.HasPrefix(s, []byte("HTTP/1.")) || s[8] != ' ' || len(s) > 12 && s[12] != ' ' {
-		return errors.Annotate(ErrMalformed, "invalid status line")
+// StatusBytes is the number of bytes of a status line up to the end of the status.
+const StatusBytes = len("HTTP/1.1 200")
+
+// ParseStatus returns the status in the first StatusBytes bytes of a status line.
+func ParseStatus(b []byte) (int, error) {
+	if len(b) != StatusBytes || !bytes.HasPrefix(b, []byte("HTTP/1.")) || b[8] != ' ' {
+		return 0, errors.Annotate(ErrMalformed, "invalid status line")
 	}
-	n, err := strconv.Atoi(string(s[9:12]))
+	n, err := strconv.Atoi(string(b[9:]))
 	if err != nil || n < 100 || n > 599 {
-		return errors.Annotate(ErrMalformed, "invalid status code")
+		return 0, errors.Annotate(ErrMalformed, "invalid status code")
 	}
-	r.Status = n
+	return n, nil
+}
+
+func (r *Response) parseStatusLine() (err error) {
+	s := r.StartLine
+	if len(s) < StatusBytes || len(s) > StatusBytes && s[StatusBytes] != ' ' {
+		return errors.Annotate(ErrMalformed, "invalid status line")
+	}
+	r.Status, err = ParseStatus(s[:StatusBytes])
 	r.StatusAndReason = s[9:]
-	return nil
+	return err
 }
 
 func (r *Response) setFraming(method string) error {
--- a/internal/trans/tunnel/tunnel.go
+++ b/internal/trans/tunnel/tunnel.go
@@ -186,18 +186,19 @@
 	if encoded != nil {
 		return
 	}
+	upload := conns.NewUpload(endpoint)
 	go func() {
-		io.Copy(endpoint, r)
+		io.Copy(upload, r)
 		// An endpoint may answer although it takes no more bytes, so only the end of the
 		// tunnel ends its connection.
 		io.Copy(io.Discard, r)
 		endpoint.Close()
 	}()
-	s.relay(c, endpoint)
+	s.relay(c, endpoint, upload)
 }
 
 // relay passes on what the endpoint sends, and how it ended the connection.
-func (s *Server) relay(c, endpoint net.Conn) {
+func (s *Server) relay(c, endpoint net.Conn, upload *conns.Upload) {
 	w := bufio.NewWriterSize(c, bufferBytes)
 	chunks := httputil.NewChunkedWriter(w)
 	b := make([]byte, bufferBytes)
@@ -214,7 +215,7 @@
 		}
 		chunks.Close()
 		end := endBroken
-		if err == io.EOF {
+		if err == io.EOF && upload.CheckEnd() == io.EOF {
 			end = endClosed
 		}
 		w.WriteByte(end)
