conns: invalid statuses and 101 are no answers; tests of early answers

fasthttp takes any three digits for a status and reports 000 as 200. So the product's own interface passed 000, 101, 600 and 999 on, and took what followed 099 for the answer; engines' 000 counted as success. conns now checks the status line by the gateway's rule.

--- a/internal/trans/conns/call.go
+++ b/internal/trans/conns/call.go
@@ -41,6 +41,9 @@
 // errManyInterim means that the server sends interim responses and no other.
 const errManyInterim = errors.ConstError("too many interim responses")
 
+// errSwitched means that the server changed the protocol, which no call asks for.
+const errSwitched = errors.ConstError("server changed the protocol")
+
 // lastCallID is the ID of the last identified call of this process.
 var lastCallID atomic.Uint64
 
@@ -138,10 +141,22 @@
 // readHeader reads the header of the response and skips interim responses before it.
 func (r *Response) readHeader() error {
 	for range maxInterimResponses + 1 {
+		// fasthttp takes any three digits for a status, and reports 000 as 200.
+		line, err := r.conn.reader.Peek(http1.StatusBytes)
+		if err != nil {
+			return err
+		}
+		status, err := http1.ParseStatus(line)
+		if err != nil {
+			return err
+		}
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
 		}
-		if s := r.Header.StatusCode(); s >= fasthttp.StatusOK || s == fasthttp.StatusSwitchingProtocols {
+		switch {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errSwitched
+		case status >= fasthttp.StatusOK:
 			return nil
 		}
 	}
--- a/internal/trans/serve/plain_test.go
+++ b/internal/trans/serve/plain_test.go
@@ -42,15 +42,21 @@
 		t.Cleanup(s.Close)
 		d.Endpoints[n] = confg.Endpoint{Address: strings.TrimPrefix(s.URL, "http://")}
 	}
-	rig.table = table.New(1, d, nil)
-	for _, e := range rig.table.Endpoints {
-		e.SetState(table.Up)
-		rig.route.Targets = append(rig.route.Targets, e)
-	}
+	rig.setTable(d)
 	rig.core = &Core{Pools: &conns.Pools{}, Ring: trace.NewRing("n1", &trace.Clock{}, 100), Ledger: ledgr.New(), Metrics: NewMetrics(prometheus.NewRegistry())}
 	return rig
 }
 
+// setTable sets the endpoints of the rig.
+func (p *plainRig) setTable(d *confg.Document) {
+	p.table = table.New(1, d, nil)
+	p.route.Targets = nil
+	for _, e := range p.table.Endpoints {
+		e.SetState(table.Up)
+		p.route.Targets = append(p.route.Targets, e)
+	}
+}
+
 // run sends a request of the given kind.
 func (p *plainRig) run(idempotent bool) (*PlainResponse, error) {
 	q := &fasthttp.Request{}
