--- a/cmd/laburnumctl/config_patch.go
+++ b/cmd/laburnumctl/config_patch.go
@@ -98,7 +98,7 @@
 // last round by up to callTimeout.
 func pollVerdict(id ident.PatchID) (admin.Verdict, error) {
 	for end := time.Now().Add(verdictPollTimeout); time.Now().Before(end); time.Sleep(verdictPollInterval) {
-		for _, a := range opts.Admins {
+		for _, a := range opts.addresses() {
 			if v, err := opts.client(a).Verdict(id); err == nil {
 				return v, nil
 			}
@@ -142,3 +142,12 @@
 		return &cmds.ExitError{Code: exitRefused}
 	}
 }
+
+// reportProblems prints the problems of a patch and fails.
+func reportProblems(ps confg.Problems) error {
+	err := opts.print(admin.CheckReply{Problems: ps}, func(w *tabwriter.Writer) { fmt.Fprintln(w, ps) })
+	if err != nil {
+		return err
+	}
+	return &cmds.ExitError{Code: exitRefused}
+}
--- a/cmd/laburnumctl/drain.go
+++ b/cmd/laburnumctl/drain.go
@@ -15,7 +15,7 @@
 	if err := noArgs(args); err != nil {
 		return err
 	}
-	cl := opts.client(opts.Admins[0])
+	cl := opts.client(opts.addresses()[0])
 	if err := cl.Drain(); err != nil {
 		return err
 	}
--- a/cmd/laburnumctl/nodes.go
+++ b/cmd/laburnumctl/nodes.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -21,6 +22,9 @@
 	exitNoVerdict = 5
 )
 
+// defaultAdmin is the address of the node to call if none was named.
+const defaultAdmin = "127.0.0.1:8081"
+
 const callTimeout = 10 * time.Second
 
 // opts holds the options that all commands share.
@@ -28,11 +32,25 @@
 
 // globalOptions select the nodes to call and the output format.
 type globalOptions struct {
-	Admins []string `long:"admin" env:"LABURNUM_ADMIN" env-delim:"," default:"127.0.0.1:8081" description:"administration address of a node, repeatable; the addresses are tried in order until a node answers"`
+	Admins []string `long:"admin" env:"LABURNUM_ADMIN" env-delim:"," description:"administration address of a node, repeatable; the addresses are tried in order until a node answers (default: 127.0.0.1:8081)"`
 	Token  string   `long:"token" env:"LABURNUM_ADMIN_TOKEN" description:"operators' token"`
 	JSON   bool     `long:"json" description:"print JSON"`
 }
 
+// named returns the administration addresses that the caller named. An empty variable names
+// none.
+func (o *globalOptions) named() []string {
+	return slices.DeleteFunc(slices.Clone(o.Admins), func(a string) bool { return a == "" })
+}
+
+// addresses returns the administration addresses of the nodes to call.
+func (o *globalOptions) addresses() []string {
+	if as := o.named(); len(as) > 0 {
+		return as
+	}
+	return []string{defaultAdmin}
+}
+
 func (o *globalOptions) client(addr string) *admin.Client {
 	return &admin.Client{Address: addr, Token: o.Token, Timeout: callTimeout}
 }
@@ -41,7 +59,7 @@
 // something other than admin.ErrUnreachable.
 func (o *globalOptions) firstReachable(f func(*admin.Client) error) error {
 	var err error
-	for _, a := range o.Admins {
+	for _, a := range o.addresses() {
 		err = f(o.client(a))
 		if !errors.Is(err, admin.ErrUnreachable) {
 			return err
--- a/pkg/confg/workspace.go
+++ b/pkg/confg/workspace.go
@@ -10,6 +10,9 @@
 // keyDigestBytes is the size of a SHA-256 digest.
 const keyDigestBytes = 32
 
+// DefaultMaxTokens is the default of Workspace.MaxTokens.
+const DefaultMaxTokens ident.Tokens = 20_000_000
+
 // Workspace is a customer of the serving layer.
 type Workspace struct {
 	// Keys lists the SHA-256 digests of the workspace's API keys in hexadecimal.
@@ -32,7 +35,7 @@
 		w.MaxRequests = 2000
 	}
 	if w.MaxTokens == 0 {
-		w.MaxTokens = 20_000_000
+		w.MaxTokens = DefaultMaxTokens
 	}
 }
 
