stale: decide which endpoints have records out of date

Cause: after a data centre's endpoints came back under new names, each node sent to its old records one after the other. Change: a pure table of answers 421 and failed connections, by endpoint and by data centre and service; gate asks it and reports answers to it, a request leaves the data centre after a 421, and a 421 is no longer passed on; feeds and edge can be asked for a newer list.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -152,6 +152,7 @@
 		Dialect: n.Dialect, Reserver: n.Reserver, Feeds: n.feeds, InFlight: n.inFlight, Node: s.Name, DataCentre: s.DataCentre,
 		StrictRevocation: s.StrictRevocation, MaxConfigAge: s.MaxConfigAge, MaxUnusedMemory: s.MaxUnusedMemory, Budget: s.Budget, GracePeriod: s.GracePeriod, Logger: n.Logger,
 		DialEndpoint: n.DialEndpoint, AnnounceStatus: n.mesh.AnnounceStatus, AnnounceAvailability: n.mesh.AnnounceAvailability, AnnounceRest: n.mesh.AnnounceRest, AnnounceDecision: n.mesh.AnnounceDecision, Peers: n.mesh.Peers,
+		RequestEndpoints: n.stateSync.requestEndpoints,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor, MaxRequestBytes: int64(s.MemoryMB) << 20 / requestDivisor,
 		AnnounceStart: n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -30,6 +30,9 @@
 	laterTurnStep  = 200 * time.Millisecond
 	// pullInterval is the pause between two pulls of the state from a reader.
 	pullInterval = 450 * time.Millisecond
+	// minPullInterval is the shortest pause between two pulls, which requestEndpoints may ask
+	// for.
+	minPullInterval = 200 * time.Millisecond
 	// freshConfigAge and freshListAge are the ages up to which the configuration
 	// and the endpoint list of a peer count as fresh. A reader long-polls the
 	// store for changes of the configuration, and an answer confirms the
@@ -73,11 +76,13 @@
 	// needsWhole is set if a change had a wrong result: the next one must be the whole
 	// configuration, or the whole list of endpoints.
 	needsWhole, needsWholeList atomic.Bool
+	// endpointsWanted ends the pause before the next pull.
+	endpointsWanted chan struct{}
 }
 
 // newStateSync returns a stateSync that is connected to the mesh.
 func newStateSync(f *feeds.Feeds, m *share.Mesh, decode func([]byte) (*topol.Catalog, error), l zerolog.Logger) *stateSync {
-	s := &stateSync{feeds: f, mesh: m, decode: decode, logger: l, changes: &changeStore{feeds: f, logger: l}}
+	s := &stateSync{feeds: f, mesh: m, decode: decode, logger: l, changes: &changeStore{feeds: f, logger: l}, endpointsWanted: make(chan struct{}, 1)}
 	m.State, m.Change = s.state, s.changes.serve
 	return s
 }
@@ -144,12 +149,34 @@
 // run pulls the state at intervals until the context ends.
 func (s *stateSync) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		delay.For(ctx, pullInterval)
+		s.pause(ctx)
 		s.mesh.Sweep(time.Now())
 		s.pull()
 	}
 }
 
+// requestEndpoints asks for a newer list of endpoints: this node reads it from the store or from
+// a reader soon.
+func (s *stateSync) requestEndpoints() {
+	s.feeds.RequestEndpoints()
+	select {
+	case s.endpointsWanted <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits until the next pull.
+func (s *stateSync) pause(ctx context.Context) {
+	delay.For(ctx, minPullInterval)
+	t := time.NewTimer(pullInterval - minPullInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.endpointsWanted:
+	case <-t.C:
+	}
+}
+
 // pull fetches the state from a reader. If this node is a reader whose own copy is in
 // step with the store, it only takes a newer version of the configuration. If no
 // reader has a fresh copy of a stream, pull fetches the state from any peer if this
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -20,6 +20,9 @@
 	configWait = 1200 * time.Millisecond
 	// endpointsInterval is the pause between two reads of the endpoints.
 	endpointsInterval = 700 * time.Millisecond
+	// minEndpointsPause is the shortest pause between two reads of the endpoints, which
+	// RequestEndpoints may ask for.
+	minEndpointsPause = 200 * time.Millisecond
 	// minRetryPause is the pause after the first failed call. It doubles with
 	// each further failure up to maxRetryPause, because even rejected calls
 	// put load on the source.
@@ -72,6 +75,8 @@
 	failing [Members]atomic.Bool
 	// rechecks make the followers ask ServedFor again.
 	rechecks [Members]signal
+	// endpointsWanted ends the pause before the next read of the endpoints.
+	endpointsWanted signal
 
 	mu sync.Mutex
 	// recent holds the configurations that were in force last, the newest one last.
@@ -145,6 +150,10 @@
 	}
 }
 
+// RequestEndpoints makes this node read the endpoints soon if it reads them from the source: at
+// once, but not within minEndpointsPause of the last read.
+func (f *Feeds) RequestEndpoints() { f.endpointsWanted.set() }
+
 // pause returns the time until the next read of a stream.
 func (f *Feeds) pause(s Stream, interval time.Duration) time.Duration {
 	if s == Endpoints && !f.OutsideGracePeriod(clock.Now()) {
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -53,11 +53,22 @@
 			w.fail(ctx, err, at)
 		default:
 			w.succeed(at)
-			delay.For(ctx, w.handle(page, at))
+			w.pause(ctx, w.handle(page, at))
 		}
 	}
 }
 
+// pause waits until the next read. RequestEndpoints shortens the pause between two reads of the
+// endpoints.
+func (w *follower) pause(ctx context.Context, d time.Duration) {
+	if w.stream != Endpoints || d <= minEndpointsPause {
+		delay.For(ctx, d)
+		return
+	}
+	delay.For(ctx, minEndpointsPause)
+	w.feeds.endpointsWanted.wait(ctx, d-minEndpointsPause)
+}
+
 func (w *follower) servedFor() time.Duration {
 	if w.feeds.ServedFor == nil {
 		return 0
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -10,6 +10,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
@@ -99,6 +100,8 @@
 	*exchange
 	choice    place.Choice
 	startedAt time.Time
+	// sentAt is startedAt on the clock that tells the age of the list of endpoints.
+	sentAt clock.Instant
 	// resumesAt is the exchange's position when the attempt began. isResumed is set if the
 	// caller had received the header of a stream.
 	resumesAt position
@@ -145,7 +148,7 @@
 func (x *exchange) newAttempt(c place.Choice) *attempt {
 	x.sends++
 	return &attempt{
-		exchange: x, choice: c, startedAt: time.Now(), pool: x.server.pool(c.Primary.Address),
+		exchange: x, choice: c, startedAt: time.Now(), sentAt: clock.Now(), pool: x.server.pool(c.Primary.Address),
 		resumesAt: x.position, isResumed: x.headerSent,
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -28,8 +28,7 @@
 	candidates := x.candidates(now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
-	r := x.placeRequest(now)
-	c, err := place.Choose(x.serviceState(candidates, now), r)
+	c, r, err := x.place(candidates, now)
 	x.estimate, x.load = c.Estimate, c.Load
 	if err == nil && x.mayOutliveNode(now, c.Estimate) {
 		err = errStopping
@@ -63,12 +62,17 @@
 func (x *exchange) serviceState(accepting []*topol.Endpoint, now time.Time) place.ServiceState {
 	s := x.server
 	resting := s.availability.restingForOthers(accepting, now)
+	outdated := s.staleAmong(accepting)
 	return place.ServiceState{
 		Now: now, Endpoints: accepting, Engine: x.service.Engine,
 		InFlight: s.InFlight.All(),
-		Avoid:    func(n ident.EndpointName) bool { return resting.Has(n) || s.endpointHealth.isAvoided(n, now) },
-		Suspect:  func(n ident.EndpointName) bool { return x.limited.all.Has(n) || s.endpointHealth.isSuspect(n, now) },
-		Random:   random,
+		Avoid: func(n ident.EndpointName) bool {
+			return resting.Has(n) || outdated.Has(n) || s.endpointHealth.isAvoided(n, now)
+		},
+		Suspect: func(n ident.EndpointName) bool {
+			return x.limited.all.Has(n) || outdated.Has(n) || s.endpointHealth.isSuspect(n, now)
+		},
+		Random: random,
 	}
 }
 
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -26,6 +26,7 @@
 	unanswered   *prometheus.CounterVec
 	floods       prometheus.Counter
 	acceptErrors prometheus.Counter
+	misdirected  *prometheus.CounterVec
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -78,6 +79,9 @@
 		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_unanswered_requests_total", Help: "Requests that were read whole and got no response, by the reason of the close; left is a caller who left.",
 		}, []string{"why"}),
+		misdirected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_misdirected_sends_total", Help: "Sends that were answered with 421, since another endpoint has the address of the record, by data centre.",
+		}, []string{"data_centre"}),
 		acceptErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_accept_errors_total", Help: "Connections of callers that could not be accepted, for example since no descriptors were left.",
 		}),
@@ -90,12 +94,13 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.misdirected,
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
 		gauge("laburnum_parts_with_strikes", "Parts of prompts that have or recently had strikes.", func() float64 { return float64(s.partStrikes.count.Load()) }),
 		gauge("laburnum_unavailable_endpoints", "Statements of endpoints that are leaving, or that want no requests of a node.", func() float64 { return float64(s.availability.count.Load()) }),
+		gauge("laburnum_stale_groups", "Data centres of a service whose endpoints are avoided since their records may be out of date.", func() float64 { return float64(s.staleRecords.groups.Load()) }),
 		gauge("laburnum_request_bytes", "Memory taken by callers' requests, but for small ones.", func() float64 { return float64(s.requestBytes.Used()) }),
 		gauge("laburnum_answer_bytes", "Memory taken by endpoints' answers, but for small ones.", func() float64 { return float64(s.answers.Held()) }),
 		gauge("laburnum_connections", "Connections of callers.", func() float64 { return float64(s.openConns.Load()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -58,6 +58,7 @@
 func (x *exchange) settle(a *attempt, now time.Time) {
 	x.recordOutcome(a.choice, a.outcome, now)
 	x.server.endTrial(x.takeTrial())
+	x.recordDoubts(a)
 	switch a.outcome.result {
 	case complete:
 		return
@@ -129,6 +130,9 @@
 	switch {
 	case x.headerSent:
 		x.reject(0, 0, "stream not resumed: "+o.reason)
+	case o.isMisdirected():
+		// The status is about the address to which this node sent the request.
+		x.rejectMisdirected(o.reason, now)
 	case o.response != nil:
 		x.countRequestEnd(strconv.Itoa(o.status))
 		x.writeResponse(o.response)
@@ -141,6 +145,20 @@
 	}
 }
 
+// rejectMisdirected ends a request whose last send was answered with 421. The caller's own
+// address of the service is right, and unless an earlier send may have run the request, it has
+// not run.
+func (x *exchange) rejectMisdirected(reason string, now time.Time) {
+	switch {
+	case x.possibleRuns == 0:
+		x.reject(503, retrySoon, reason)
+	case !now.Before(x.deadline):
+		x.reject(504, 0, "no response before the deadline")
+	default:
+		x.reject(502, 0, "no response, the request may have run: "+reason)
+	}
+}
+
 // recordOutcome records the outcome of a send in the metrics, the log and the
 // health of the endpoint.
 func (x *exchange) recordOutcome(c place.Choice, o outcome, now time.Time) {
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -62,6 +62,9 @@
 		return false
 	}
 	a.hear()
+	if header.ID == a.reqHeader.ID {
+		a.observeIdentity(res.Status)
+	}
 	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
 		a.server.observeAvailability(a.choice.Primary, a.sender, header, time.Now())
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -146,6 +146,8 @@
 	Peers          func(now time.Time) []reach.Peer
 	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
 	DialEndpoint links.DialFunc
+	// RequestEndpoints asks for a newer list of endpoints; nil means that there is no way to.
+	RequestEndpoints func()
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
@@ -160,6 +162,7 @@
 	diagnoses      singleflight.Group
 	availability   statedAvailability
 	endpointLimits endpointLimits
+	staleRecords   staleRecords
 	decisions      sizeDecisions
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -285,6 +288,7 @@
 		s.partStrikes.update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
 		s.expireAvailability(now)
+		s.refreshStale()
 		s.decisions.expire(now)
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
--- /dev/null
+++ b/internal/trans/gate/stale.go
@@ -0,0 +1,164 @@
+package gate
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/coord/stale"
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// staleRecords holds what answers show about the records of endpoints. It is safe for
+// concurrent use.
+type staleRecords struct {
+	// count is the number of entries in the table, groups that of the groups that are avoided.
+	count, groups atomic.Int64
+
+	mu    sync.Mutex
+	table stale.Table
+}
+
+// updateStale calls f with the table, and logs what changes.
+func (s *Server) updateStale(f func(*stale.Table) []stale.Change) {
+	r := &s.staleRecords
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes := f(&r.table)
+	r.count.Store(int64(r.table.Len()))
+	r.groups.Store(int64(r.table.AvoidedGroups()))
+	for _, c := range changes {
+		s.Logger.Warn().Str("dataCentre", string(c.DataCentre)).Str("service", string(c.Service)).Bool("avoided", c.Avoided).
+			Str("why", string(c.Reason)).Dur("listAge", clock.Now().Sub(s.Feeds.EndpointsConfirmedAt())).Msg("gate: trust in the records of a data centre has changed")
+	}
+}
+
+// observeIdentity records whether the endpoint that answered the request is the one that its
+// record names.
+func (a *attempt) observeIdentity(status int) {
+	s, e := a.server, a.choice.Primary
+	if status != http.StatusMisdirectedRequest {
+		if s.staleRecords.count.Load() > 0 {
+			s.updateStale(func(t *stale.Table) []stale.Change { return t.Answer(e, a.sentAt) })
+		}
+		return
+	}
+	s.getMetrics().misdirected.WithLabelValues(string(e.DataCentre)).Inc()
+	isNew := false
+	s.updateStale(func(t *stale.Table) (changes []stale.Change) {
+		isNew, changes = t.Misdirect(e, a.sentAt, clock.Now())
+		return changes
+	})
+	if isNew {
+		s.requestLog(false).Str("request", a.reqHeader.ID).Str("endpoint", string(e.Name)).Str("address", e.Address).
+			Str("dataCentre", string(e.DataCentre)).Msg("gate: another endpoint has the address of a record")
+		if s.RequestEndpoints != nil {
+			s.RequestEndpoints()
+		}
+	}
+}
+
+// recordDoubts records what an attempt that has ended shows about the records of endpoints.
+func (x *exchange) recordDoubts(a *attempt) {
+	e := a.choice.Primary
+	switch {
+	case a.outcome.isMisdirected():
+		if x.misdirectedAt == nil {
+			x.misdirectedAt = map[ident.DataCentre]clock.Instant{}
+		}
+		x.misdirectedAt[e.DataCentre] = max(x.misdirectedAt[e.DataCentre], a.sentAt)
+	case a.outcome.result == notSent && a.link == nil:
+		x.server.updateStale(func(t *stale.Table) []stale.Change { return t.Fail(e, a.sentAt, clock.Now()) })
+	}
+}
+
+// isMisdirected reports whether an endpoint answered that the request was meant for another
+// one.
+func (o *outcome) isMisdirected() bool {
+	return o.result == refused && o.status == http.StatusMisdirectedRequest
+}
+
+// place places the request. After an answer 421, it does without the endpoints of the same data
+// centre that no later list confirms, unless the request can be placed at no other.
+func (x *exchange) place(candidates []*topol.Endpoint, now time.Time) (place.Choice, place.Request, error) {
+	r, st := x.placeRequest(now), x.serviceState(candidates, now)
+	if doubtful := x.doubtful(candidates); len(doubtful) > 0 {
+		certain := r
+		certain.Tried = doubtful
+		for n := range r.Tried {
+			doubtful.Add(n)
+		}
+		if c, err := place.Choose(st, certain); err == nil {
+			return c, certain, nil
+		}
+	}
+	c, err := place.Choose(st, r)
+	return c, r, err
+}
+
+// doubtful returns the endpoints in data centres where an endpoint answered the request with
+// 421, as long as the list of endpoints is older than that send. The caller may modify the set.
+func (x *exchange) doubtful(es []*topol.Endpoint) ident.Set[ident.EndpointName] {
+	if len(x.misdirectedAt) == 0 {
+		return nil
+	}
+	confirmed := x.server.recordsConfirmedAt(clock.Now())
+	found := ident.Set[ident.EndpointName]{}
+	for _, e := range es {
+		if sent, ok := x.misdirectedAt[e.DataCentre]; ok && confirmed <= sent {
+			found.Add(e.Name)
+		}
+	}
+	return found
+}
+
+// staleAmong returns those of some endpoints that are avoided because their records may be out
+// of date.
+func (s *Server) staleAmong(es []*topol.Endpoint) ident.Set[ident.EndpointName] {
+	if s.staleRecords.count.Load() == 0 {
+		return nil
+	}
+	s.refreshStale()
+	list := s.Feeds.Endpoints()
+	found := ident.Set[ident.EndpointName]{}
+	r := &s.staleRecords
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range es {
+		if r.table.Avoids(e, isSuperseded(list, e)) {
+			found.Add(e.Name)
+		}
+	}
+	return found
+}
+
+// isSuperseded reports whether the record of a later start has the address of an endpoint.
+func isSuperseded(l *feeds.EndpointList, e *topol.Endpoint) bool {
+	other := l.ByAddress[e.Address]
+	return other != nil && other.Name != e.Name && other.Born > e.Born
+}
+
+// recordsConfirmedAt returns when all records of the list of endpoints were last confirmed to be
+// the newest; zero during a grace period, in which the list may contain endpoints whose records
+// are gone.
+func (s *Server) recordsConfirmedAt(now clock.Instant) clock.Instant {
+	if !s.Feeds.OutsideGracePeriod(now) {
+		return 0
+	}
+	return s.Feeds.EndpointsConfirmedAt()
+}
+
+// refreshStale ends avoidances that are over.
+func (s *Server) refreshStale() {
+	if s.staleRecords.count.Load() == 0 {
+		return
+	}
+	now := clock.Now()
+	confirmed := s.recordsConfirmedAt(now)
+	s.updateStale(func(t *stale.Table) []stale.Change { return t.Refresh(confirmed, now) })
+}
