--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -148,7 +148,7 @@
 func (x *exchange) newAttempt(c place.Choice) *attempt {
 	x.sends++
 	return &attempt{
-		exchange: x, choice: c, startedAt: time.Now(), sentAt: clock.Now(), pool: x.server.pool(c.Primary.Address),
+		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(), pool: x.server.pool(c.Primary.Address),
 		resumesAt: x.position, isResumed: x.headerSent,
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -19,11 +19,21 @@
 type staleRecords struct {
 	// count is the number of entries in the table, groups that of the groups that are avoided.
 	count, groups atomic.Int64
+	// clock replaces clock.Now in tests.
+	clock func() clock.Instant
 
 	mu    sync.Mutex
 	table stale.Table
 }
 
+// now returns the present time.
+func (r *staleRecords) now() clock.Instant {
+	if r.clock != nil {
+		return r.clock()
+	}
+	return clock.Now()
+}
+
 // updateStale calls f with the table, and logs what changes.
 func (s *Server) updateStale(f func(*stale.Table) []stale.Change) {
 	r := &s.staleRecords
@@ -34,7 +44,7 @@
 	r.groups.Store(int64(r.table.AvoidedGroups()))
 	for _, c := range changes {
 		s.Logger.Warn().Str("dataCentre", string(c.DataCentre)).Str("service", string(c.Service)).Bool("avoided", c.Avoided).
-			Str("why", string(c.Reason)).Dur("listAge", clock.Now().Sub(s.Feeds.EndpointsConfirmedAt())).Msg("gate: trust in the records of a data centre has changed")
+			Str("why", string(c.Reason)).Dur("listAge", r.now().Sub(s.Feeds.EndpointsConfirmedAt())).Msg("gate: trust in the records of a data centre has changed")
 	}
 }
 
@@ -51,7 +61,7 @@
 	s.getMetrics().misdirected.WithLabelValues(string(e.DataCentre)).Inc()
 	isNew := false
 	s.updateStale(func(t *stale.Table) (changes []stale.Change) {
-		isNew, changes = t.Misdirect(e, a.sentAt, clock.Now())
+		isNew, changes = t.Misdirect(e, a.sentAt, s.staleRecords.now())
 		return changes
 	})
 	if isNew {
@@ -73,7 +83,7 @@
 		}
 		x.misdirectedAt[e.DataCentre] = max(x.misdirectedAt[e.DataCentre], a.sentAt)
 	case a.outcome.result == notSent && a.link == nil:
-		x.server.updateStale(func(t *stale.Table) []stale.Change { return t.Fail(e, a.sentAt, clock.Now()) })
+		x.server.updateStale(func(t *stale.Table) []stale.Change { return t.Fail(e, a.sentAt, x.server.staleRecords.now()) })
 	}
 }
 
@@ -107,7 +117,7 @@
 	if len(x.misdirectedAt) == 0 {
 		return nil
 	}
-	confirmed := x.server.recordsConfirmedAt(clock.Now())
+	confirmed := x.server.recordsConfirmedAt(x.server.staleRecords.now())
 	found := ident.Set[ident.EndpointName]{}
 	for _, e := range es {
 		if sent, ok := x.misdirectedAt[e.DataCentre]; ok && confirmed <= sent {
@@ -158,7 +168,7 @@
 	if s.staleRecords.count.Load() == 0 {
 		return
 	}
-	now := clock.Now()
+	now := s.staleRecords.now()
 	confirmed := s.recordsConfirmedAt(now)
 	s.updateStale(func(t *stale.Table) []stale.Change { return t.Refresh(confirmed, now) })
 }
