--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -282,3 +283,24 @@
 	cancel()
 	<-ended
 }
+
+// TestRequestedEndpointsArePulledSoon guards against waiting out the pause between two pulls
+// while endpoints answer under other names, and against pulls without a pause.
+func TestRequestedEndpointsArePulledSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStateSync(&feeds.Feeds{Logger: zerolog.Nop()}, &share.Mesh{}, decodeVersion, zerolog.Nop())
+		pause := func() time.Duration {
+			began := time.Now()
+			s.pause(t.Context())
+			return time.Since(began)
+		}
+		test.Eq(t, pullInterval, pause())
+		for range 3 {
+			s.requestEndpoints()
+		}
+		test.Eq(t, minPullInterval, pause())
+		test.Eq(t, pullInterval, pause(), test.Sprint("requests before a pull count once"))
+		time.AfterFunc(300*time.Millisecond, s.requestEndpoints)
+		test.Eq(t, 300*time.Millisecond, pause())
+	})
+}
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -343,6 +343,36 @@
 	})
 }
 
+// TestRequestedEndpointsAreReadSoon guards against waiting out the pause while endpoints answer
+// under other names, and against reads without a pause while they go on to.
+func TestRequestedEndpointsAreReadSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSource{}
+		for range 100 {
+			s.responses = append(s.responses, func() (Page, error) { return Page{Next: 1}, nil })
+		}
+		f := newFeeds()
+		f.Source = s
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go (&follower{feeds: f, stream: Endpoints, interval: endpointsInterval, apply: f.applyEndpoints}).run(ctx)
+		// Without requests, reads are at 0 s and 0.7 s.
+		time.Sleep(endpointsInterval + 10*time.Millisecond)
+		synctest.Wait()
+		must.SliceLen(t, 2, s.calls)
+		f.RequestEndpoints()
+		time.Sleep(minEndpointsPause)
+		synctest.Wait()
+		test.SliceLen(t, 3, s.calls)
+		for range 100 {
+			f.RequestEndpoints()
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		test.SliceLen(t, 8, s.calls)
+	})
+}
+
 // Guards against a node that waits until the source has as many records again as
 // before it lost some, and that misses those with offsets given out again.
 func TestFollowReadsTheNewestAfterALoss(t *testing.T) {
