--- a/internal/trans/gate/classify.go
+++ b/internal/trans/gate/classify.go
@@ -57,12 +57,14 @@
 
 // describe returns the reason for which an answer is not passed on.
 func (k answerKind) describe(res *http1.Response) string {
-	switch k {
-	case refusalAnswer:
+	switch {
+	case k == refusalAnswer && res.Status == http.StatusMisdirectedRequest:
+		return "another endpoint has the address of the record"
+	case k == refusalAnswer:
 		return "endpoint refused"
-	case errorAnswer:
+	case k == errorAnswer:
 		return "endpoint failed"
-	case unsignedAnswer:
+	case k == unsignedAnswer:
 		return "response is not signed"
 	}
 	contentType, _ := res.Get("Content-Type")
