--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -149,6 +149,8 @@
 	Peers          func(now time.Time) []reach.Peer
 	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
 	DialEndpoint links.DialFunc
+	// RequestEndpoints asks for a newer list of endpoints; nil means that there is no way to.
+	RequestEndpoints func()
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
@@ -165,6 +167,7 @@
 	diagnoses      singleflight.Group
 	availability   statedAvailability
 	endpointLimits endpointLimits
+	staleRecords   staleRecords
 	decisions      sizeDecisions
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
@@ -295,6 +298,7 @@
 		s.partStrikes.update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
 		s.expireAvailability(now)
+		s.refreshStale()
 		s.decisions.expire(now)
 		s.logEvacuations()
 		endpoints := s.Feeds.Endpoints()
