--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -8,12 +8,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -179,7 +182,12 @@
 			return false
 		}
 	}
-	if err := a.connect(); err != nil {
+	err := a.connect()
+	if errors.Is(err, tunnel.ErrEvacuated) {
+		a.outcome = outcome{result: notSent, reason: errEvacuated.Error()}
+		return false
+	}
+	if err != nil {
 		a.outcome = outcome{result: notSent, reason: "connect: " + err.Error()}
 		return false
 	}
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -33,9 +33,13 @@
 // the node from which the link leads to the endpoint.
 func (s *Server) connectTo(ctx context.Context, e *topol.Endpoint) (l *links.Link, sender ident.NodeName, err error) {
 	if !s.sendsDirectly(e) {
-		if c, peer, err := s.dialOverPeer(ctx, e); err == nil {
+		c, peer, err := s.dialOverPeer(ctx, e)
+		if err == nil {
 			return links.NewLink(c), peer, nil
 		}
+		if errors.Is(err, tunnel.ErrEvacuated) {
+			return nil, s.Node, err
+		}
 		l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
 		return l, s.Node, err
 	}
@@ -103,6 +107,9 @@
 		d := <-results
 		direct = &d
 	}
+	if direct.err != nil && errors.Is(err, tunnel.ErrEvacuated) {
+		return nil, s.Node, err
+	}
 	return direct.link, s.Node, direct.err
 }
 
@@ -117,6 +124,10 @@
 		if c, err = s.dialOver(ctx, p, e); err == nil {
 			return c, p.Name, nil
 		}
+		if errors.Is(err, tunnel.ErrEvacuated) {
+			// The peer has learned of it earlier.
+			return nil, "", err
+		}
 		if errors.Is(err, tunnel.ErrUnreachable) && s.direct.lostCount.Load() == 0 {
 			// Probably the endpoint is down.
 			return nil, "", err
@@ -165,7 +176,7 @@
 		return nil, errors.New("endpoint states that it wants no requests")
 	}
 	if s.isEvacuated(e) && !r.NoRequest {
-		return nil, errEvacuated
+		return nil, tunnel.ErrEvacuated
 	}
 	s.inFlightCount.Add(1)
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
@@ -176,7 +187,7 @@
 	if s.isEvacuated(e) && !r.NoRequest {
 		s.inFlightCount.Add(-1)
 		l.Close()
-		return nil, errEvacuated
+		return nil, tunnel.ErrEvacuated
 	}
 	return &peerConn{Conn: l.Conn, server: s}, nil
 }
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -179,7 +179,7 @@
 		s.recordFlood(c.Primary, now)
 	case o.linkLost, o.result == superseded:
 		// The silence of one that was superseded has been recorded.
-	case o.reason == errStopping.Error():
+	case o.reason == errStopping.Error(), o.reason == errEvacuated.Error():
 		// Nothing is known of the endpoint.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
--- a/internal/trans/tunnel/tunnel.go
+++ b/internal/trans/tunnel/tunnel.go
@@ -46,6 +46,9 @@
 const (
 	// ErrUnreachable means that the other node didn't connect to the endpoint.
 	ErrUnreachable = errors.ConstError("the peer doesn't reach the endpoint")
+	// ErrEvacuated means that the other node didn't connect to the endpoint since its data
+	// centre is evacuated.
+	ErrEvacuated = errors.ConstError("the data centre of the endpoint is evacuated")
 	// ErrPeerLost means that the connection to the other node broke, so that it is
 	// unknown what the endpoint did.
 	ErrPeerLost = errors.ConstError("the connection to the peer broke")
@@ -66,12 +69,14 @@
 // Reply is the answer to a Request.
 type Reply struct {
 	Connected bool
-	// Error tells why the node did not connect.
-	Error string
+	// Error tells why the node did not connect, Evacuated is set if that is ErrEvacuated.
+	// Nodes of older builds don't set it.
+	Error     string
+	Evacuated bool
 }
 
-// Dial opens a tunnel over the node at an address. Errors wrap ErrUnreachable if that node
-// answered but did not connect.
+// Dial opens a tunnel over the node at an address. Errors wrap ErrUnreachable or ErrEvacuated if
+// that node answered but did not connect.
 func Dial(ctx context.Context, peer string, r Request) (net.Conn, error) {
 	nc, err := links.Dial(ctx, peer)
 	if err != nil {
@@ -107,6 +112,9 @@
 	if err := gob.NewDecoder(reader).Decode(&reply); err != nil {
 		return nil, err
 	}
+	if reply.Evacuated {
+		return nil, ErrEvacuated
+	}
 	if !reply.Connected {
 		return nil, errors.Annotate(ErrUnreachable, reply.Error)
 	}
@@ -179,7 +187,7 @@
 	cancel()
 	reply := Reply{Connected: err == nil}
 	if err != nil {
-		reply.Error = err.Error()
+		reply.Error, reply.Evacuated = err.Error(), errors.Is(err, ErrEvacuated)
 	}
 	encoded := gob.NewEncoder(c).Encode(reply)
 	if err != nil {
