--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -122,8 +122,10 @@
 	provenAt := s.feeds.CatalogConfirmedAt()
 	if known {
 		st.EvacuationsKnown, st.Evacuated, st.EvacuationsAge = true, evacuations.InForce, now.Sub(evacuations.ConfirmedAt)
-		st.Lapsing, st.LapseIn = evacuations.Lapsing, evacuations.LapseAt.Sub(now)
 		st.EvacuationsEra, st.EvacuationsNext = evacuations.At.Era, evacuations.At.Next
+		if st.Lapsing = evacuations.Lapsing; len(st.Lapsing) > 0 {
+			st.LapseIn = evacuations.LapseAt.Sub(now)
+		}
 	}
 	if c := s.feeds.Catalog(); c != nil {
 		st.ConfigEra, st.ConfigNext = position.Era, position.Next
--- a/internal/trans/gate/evacuate.go
+++ b/internal/trans/gate/evacuate.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -63,11 +62,7 @@
 // isEvacuated reports whether the data centre of the chosen endpoint, or of one of its helpers,
 // has been evacuated since the choice.
 func (a *attempt) isEvacuated() bool {
-	return a.server.choiceEvacuated(a.choice)
-}
-
-func (s *Server) choiceEvacuated(c place.Choice) bool {
-	return s.isEvacuated(c.Primary) || slices.ContainsFunc(c.Helpers, s.isEvacuated)
+	return a.server.isEvacuated(a.choice.Primary) || slices.ContainsFunc(a.choice.Helpers, a.server.isEvacuated)
 }
 
 // withdraw ends an attempt before anything was sent.
--- a/internal/trans/gate/evacuate_test.go
+++ b/internal/trans/gate/evacuate_test.go
@@ -183,8 +183,7 @@
 		a, b := newEndpoint(t, "a", ok("a")), newEndpoint(t, "b", ok("b"))
 		var announced atomic.Int32
 		var evacuate sync.Once
-		var r *rig
-		r = newConfiguredRig(t, 0, func(s *Server) {
+		r := newConfiguredRig(t, 0, func(s *Server) {
 			s.AnnounceFailure = func(ident.EndpointName) { announced.Add(1) }
 			s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
 				evacuate.Do(func() {
