--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -15,6 +17,7 @@
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -185,7 +188,12 @@
 			return false
 		}
 	}
-	if err := a.connect(); err != nil {
+	err := a.connect()
+	if errors.Is(err, tunnel.ErrEvacuated) {
+		a.outcome = outcome{result: notSent, reason: errEvacuated.Error()}
+		return false
+	}
+	if err != nil {
 		a.outcome = outcome{result: notSent, reason: "connect: " + err.Error()}
 		return false
 	}
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -34,9 +34,13 @@
 // over which ones. sender is the node from which the link leads to the endpoint.
 func (s *Server) connectTo(ctx context.Context, e *topol.Endpoint, r homes.Rule) (l *links.Link, sender ident.NodeName, err error) {
 	if !s.sendsDirectly(e) {
-		if c, peer, err := s.dialOverPeer(ctx, e, r); err == nil {
+		c, peer, err := s.dialOverPeer(ctx, e, r)
+		if err == nil {
 			return links.NewLink(c), peer, nil
 		}
+		if errors.Is(err, tunnel.ErrEvacuated) {
+			return nil, s.Node, err
+		}
 		l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
 		return l, s.Node, err
 	}
@@ -105,6 +109,9 @@
 		d := <-results
 		direct = &d
 	}
+	if direct.err != nil && errors.Is(err, tunnel.ErrEvacuated) {
+		return nil, s.Node, err
+	}
 	return direct.link, s.Node, direct.err
 }
 
@@ -119,6 +126,10 @@
 		if c, err = s.dialOver(ctx, p, e); err == nil {
 			return c, p.Name, nil
 		}
+		if errors.Is(err, tunnel.ErrEvacuated) {
+			// The peer has learned of it earlier.
+			return nil, "", err
+		}
 		if errors.Is(err, tunnel.ErrUnreachable) && s.direct.lostCount.Load() == 0 {
 			// Probably the endpoint is down.
 			return nil, "", err
@@ -168,7 +179,7 @@
 		return nil, errors.New("endpoint states that it wants no requests")
 	}
 	if s.isEvacuated(e) && !r.NoRequest {
-		return nil, errEvacuated
+		return nil, tunnel.ErrEvacuated
 	}
 	s.inFlightCount.Add(1)
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
@@ -179,7 +190,7 @@
 	if s.isEvacuated(e) && !r.NoRequest {
 		s.inFlightCount.Add(-1)
 		l.Close()
-		return nil, errEvacuated
+		return nil, tunnel.ErrEvacuated
 	}
 	return &peerConn{Conn: l.Conn, server: s}, nil
 }
--- a/internal/trans/gate/homes_test.go
+++ b/internal/trans/gate/homes_test.go
@@ -177,24 +177,6 @@
 	}
 }
 
-// syncBuffer is a buffer for log lines of several goroutines.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // Guards against a service that has just lost its endpoints everywhere and whose callers are told
 // that their regions are at fault.
 func TestServiceWithoutEndpointsIsNoQuestionOfRegions(t *testing.T) {
