--- a/internal/trans/gate/homes_test.go
+++ b/internal/trans/gate/homes_test.go
@@ -239,6 +239,17 @@
 	}
 }
 
+// Guards against a hedged send to another region since the silent endpoint is the only one at home.
+func TestSilentEndpointIsWaitedForIfNoOtherIsAtHome(t *testing.T) {
+	e, outside := newEndpoint(t, "e", neverResponds), newEndpoint(t, "o", ok("yes"))
+	r := newHomeRig(t, homed{route: "eu\n", of: map[string]ident.DataCentre{"o": "b", "p": "x"}}, func(s *Server) {
+		s.MinGapWait, s.HeaderSlack = shortWait, shortWait
+	}, e, outside, outside.alias("p"))
+	test.Eq(t, 504, r.do(request("GET", "/safe/", "r1", "")).status)
+	test.SliceLen(t, 1, e.requests())
+	test.SliceEmpty(t, outside.requests())
+}
+
 // Guards against a retry time, or a reason, that endpoints outside the home regions give: all
 // that may serve the request rest for this node.
 func TestRestsOutsideTheHomeRegionsDoNotCount(t *testing.T) {
