pace, gate, platform: allowance of cold endpoints

Cause: an endpoint that has just started, or returned from an evacuation, tolerates few requests a second from all nodes together, and crashes above that.

A node that has just started sends nothing to cold endpoints until its view of the members has settled.

--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -69,6 +69,18 @@
 	return !slices.ContainsFunc(n.Alive, func(o ident.NodeName) bool { return o != n.Self && rank(k, o) > own })
 }
 
+// Rank returns the number of the nodes alive that have a higher hash of an endpoint than this
+// one.
+func (n Nodes) Rank(k Key) int {
+	own, higher := rank(k, n.Self), 0
+	for _, o := range n.Alive {
+		if o != n.Self && rank(k, o) > own {
+			higher++
+		}
+	}
+	return higher
+}
+
 // IsCutOff reports whether this node reaches less than half of the nodes.
 func (n Nodes) IsCutOff() bool { return 2*len(n.Alive) < n.Known }
 
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/delay"
@@ -77,6 +79,8 @@
 	stateSync *stateSync
 	inFlight  *works.Table
 	orphans   orphanTable
+	// hasMembers is set once the list of members has been read.
+	hasMembers atomic.Bool
 }
 
 // Run serves requests until stop is cancelled, then drains: it waits for the
@@ -155,6 +159,7 @@
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor, MaxRequestBytes: int64(s.MemoryMB) << 20 / requestDivisor,
 		AnnounceStart: n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
 		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Members: n.members,
 	}
 	n.mesh.OnFailed, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddStrikes
 	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
@@ -261,9 +266,17 @@
 	for _, a := range addrs {
 		n.mesh.AddPeer(a)
 	}
+	n.hasMembers.Store(true)
 	return nil
 }
 
+// members returns the nodes that share the requests to cold endpoints.
+func (n *Node) members(now time.Time) pace.Members {
+	ms := n.mesh.PaceMembers(now)
+	ms.IsInformed = ms.IsInformed || n.hasMembers.Load()
+	return ms
+}
+
 // isNodeAddress reports whether a is an IP address of one host with a port, in the form in
 // which both are usually written.
 func isNodeAddress(a string) bool {
--- a/internal/node/edge/settings.go
+++ b/internal/node/edge/settings.go
@@ -39,7 +39,10 @@
 	// MaxUnusedMemory is how long memory may stay reserved at an engine before a prompt
 	// uses it; zero means no bound.
 	MaxUnusedMemory time.Duration
-	Budget          Budget
+	// ColdOverage and ColdSlack give the bound on the requests to a cold endpoint in any
+	// second: the rate that it tolerates times ColdOverage, plus ColdSlack.
+	ColdOverage, ColdSlack float64
+	Budget                 Budget
 }
 
 // Budget limits the retries of requests; see gate.Budget.
--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -76,6 +76,10 @@
 	// all nodes together. It is valid only if HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// Cold is the time for which the endpoint states that it remains cold. It is valid only
+	// if StatesCold is set.
+	Cold       time.Duration
+	StatesCold bool
 }
 
 // LoadReport is the load that an engine reports when a node asks for it.
--- a/internal/state/topol/catalog.go
+++ b/internal/state/topol/catalog.go
@@ -98,6 +98,11 @@
 	Name ident.ServiceName
 	// Engine is set if the endpoints are model engines.
 	Engine *Engine
+	// ColdStart is the time for which an endpoint is cold after a start; if it is zero, the
+	// endpoints are never cold. ColdRate is the number of requests per second that a cold
+	// endpoint tolerates from all nodes together; zero means no bound.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Engine describes the capacity and speed of the model engines of a service.
@@ -204,4 +209,13 @@
 	// Born is the Unix time of the endpoint's start in milliseconds. It
 	// distinguishes starts under the same name.
 	Born int64
+	// Cold is the time for which the endpoint remains cold, as its record states; it is
+	// meant from the moment at which the record is read. StatesCold is set if the record
+	// states a time, which may be zero.
+	Cold       time.Duration
+	StatesCold bool
+	// ColdSequence is the number of the record if Cold is above zero. It distinguishes
+	// records that state the same time. Numbers of other records are left out, since each
+	// would be a change of the list.
+	ColdSequence float64
 }
--- a/internal/state/topol/digest.go
+++ b/internal/state/topol/digest.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -52,6 +53,8 @@
 func (s *Service) encode(b []byte) []byte {
 	b = append(b, 's')
 	b = appendString(b, s.Name)
+	b = appendInts(b, s.ColdStart)
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.ColdRate))
 	if s.Engine == nil {
 		return b
 	}
--- a/internal/state/topol/valid.go
+++ b/internal/state/topol/valid.go
@@ -30,6 +30,10 @@
 	maxRequestBytes = 1 << 30
 	// maxQuotedBytes bounds what an error quotes.
 	maxQuotedBytes = 80
+	// MaxColdTime bounds the times for which endpoints are cold, MaxColdRate the requests
+	// per second that they tolerate meanwhile.
+	MaxColdTime = 10 * time.Minute
+	MaxColdRate = 1e9
 )
 
 // bound is a value that must be within a range.
@@ -100,6 +104,12 @@
 }
 
 func (s *Service) validate() error {
+	if !(s.ColdRate >= 0 && s.ColdRate <= MaxColdRate) {
+		return errors.Annotatef(ErrInvalid, "%s: requests per second of cold endpoints are %g", quoted("service", string(s.Name)), s.ColdRate)
+	}
+	if err := within("service", string(s.Name), bound{"time of cold endpoints", int64(s.ColdStart), 0, int64(MaxColdTime)}); err != nil {
+		return err
+	}
 	e := s.Engine
 	if e == nil {
 		return nil
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -114,7 +114,8 @@
 	// sender is the node from which the endpoint gets the request: this one, or a peer if
 	// the link is a tunnel.
 	sender ident.NodeName
-	// requestWritten is set once the whole request has been written.
+	// isWritten is set once the request is being written, requestWritten is set once the whole request has been written.
+	isWritten      bool
 	requestWritten atomic.Bool
 
 	wait wait
@@ -177,6 +178,11 @@
 		a.outcome = outcome{result: notSent, reason: errStopping.Error()}
 		return false
 	}
+	if !a.server.sentCold(a.choice.Primary, a.startedAt, time.Now()) {
+		a.outcome = outcome{result: notSent, reason: errLapsed.Error()}
+		return false
+	}
+	a.isWritten = true
 	if a.isCurrent() {
 		a.recordDecision(true)
 	}
@@ -258,6 +264,9 @@
 			a.link.Close()
 		}
 	}
+	if !a.isWritten {
+		a.server.abandonCold(a.choice.Primary)
+	}
 	if a.inFlightID != 0 {
 		a.unregisterInFlight(a.inFlightID)
 	}
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -15,6 +15,7 @@
 func (x *exchange) choose() (place.Choice, place.Request, error) {
 	s := x.server
 	now := time.Now()
+	s.observeStarts(now)
 	x.limited = limitedEndpoints{}
 	if x.crashesEndpoints(now) {
 		return place.Choice{}, place.Request{}, errCrashesEndpoints
@@ -28,6 +29,7 @@
 	candidates := x.candidates(now)
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
+	s.addCold(&x.limited, candidates, now)
 	r := x.placeRequest(now)
 	c, err := place.Choose(x.serviceState(candidates, now), r)
 	x.estimate, x.load = c.Estimate, c.Load
--- a/internal/trans/gate/limit.go
+++ b/internal/trans/gate/limit.go
@@ -80,6 +80,24 @@
 	// wait is the shortest time until one of those in atLimit may get a request, of
 	// this node or of another.
 	wait time.Duration
+	// cold are those in atLimit that are cold, see addCold.
+	cold ident.Set[ident.EndpointName]
+}
+
+// add adds an endpoint that names a limit or is cold.
+func (f *limitedEndpoints) add(n ident.EndpointName) {
+	if f.all == nil {
+		f.all, f.atLimit = ident.Set[ident.EndpointName]{}, ident.Set[ident.EndpointName]{}
+	}
+	f.all.Add(n)
+}
+
+// exclude adds an endpoint that may not get a request of this node now.
+func (f *limitedEndpoints) exclude(n ident.EndpointName, wait time.Duration) {
+	if len(f.atLimit) == 0 || wait < f.wait {
+		f.wait = wait
+	}
+	f.atLimit.Add(n)
 }
 
 // among returns the endpoints of a list that name limits.
@@ -88,22 +106,18 @@
 	if l.count.Load() == 0 {
 		return found
 	}
-	found.all, found.atLimit = ident.Set[ident.EndpointName]{}, ident.Set[ident.EndpointName]{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range es {
 		if e.Leaving || !l.table.Limited(limitKey(e)) {
 			continue
 		}
-		found.all.Add(e.Name)
+		found.add(e.Name)
 		wait, ok := l.table.Wait(limitKey(e), now)
 		if ok && wait == 0 {
 			continue
 		}
-		if len(found.atLimit) == 0 || wait < found.wait {
-			found.wait = wait
-		}
-		found.atLimit.Add(e.Name)
+		found.exclude(e.Name, wait)
 	}
 	return found
 }
@@ -190,7 +204,7 @@
 func (x *exchange) fetchPermit() bool {
 	s := x.server
 	for _, e := range x.candidates(time.Now()) {
-		if !x.limited.atLimit.Has(e.Name) || x.tried.Has(e.Name) {
+		if !x.limited.atLimit.Has(e.Name) || x.limited.cold.Has(e.Name) || x.tried.Has(e.Name) {
 			continue
 		}
 		user := s.limitTable().user(e)
@@ -215,11 +229,18 @@
 // takeLimit reports whether the request may be sent to an endpoint now, and if so
 // counts it. A permit of another node has been counted there.
 func (x *exchange) takeLimit(e *topol.Endpoint) bool {
+	if !x.server.takeCold(e, time.Now()) {
+		return false
+	}
 	if x.permitted == e.Name {
 		x.permitted = ""
 		return true
 	}
-	return x.server.endpointLimits.take(e, time.Now())
+	if !x.server.endpointLimits.take(e, time.Now()) {
+		x.server.abandonCold(e)
+		return false
+	}
+	return true
 }
 
 // refreshLimits drops the limits of endpoints that are gone, and repeats to the
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -26,6 +26,7 @@
 	unanswered   *prometheus.CounterVec
 	floods       prometheus.Counter
 	acceptErrors prometheus.Counter
+	coldLeftOut  prometheus.Counter
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -81,6 +82,9 @@
 		acceptErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_accept_errors_total", Help: "Connections of callers that could not be accepted, for example since no descriptors were left.",
 		}),
+		coldLeftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_cold_left_out_total", Help: "Choices of an endpoint in which cold ones were left out, since this node's part of their allowance was used up.",
+		}),
 		floods: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_endless_answers_total", Help: "Answers that were given up since the endpoint sent more than an answer may have, or since they took too much memory.",
 		}),
@@ -90,7 +94,8 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors,
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.coldLeftOut,
+		gauge("laburnum_cold_endpoints", "Endpoints taken for cold.", func() float64 { return float64(s.pacing.coldCount.Load()) }),
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -21,6 +21,9 @@
 	}
 	if errors.Is(err, place.ErrNoEndpoint) && len(x.limited.atLimit) > 0 {
 		err = errLimited
+		if len(x.limited.cold) > 0 {
+			err = errCold
+		}
 	}
 	x.countRejection(err, x.isRetry())
 	if isCausedByLoad(err) {
@@ -39,7 +42,7 @@
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errResting), errors.Is(err, errStopping):
 		x.reject(503, retryAfter, err.Error())
-	case errors.Is(err, errLimited):
+	case errors.Is(err, errLimited), errors.Is(err, errCold):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
 	case errors.Is(err, place.ErrTooLarge):
 		// Coming back doesn't help the caller.
@@ -173,7 +176,7 @@
 		s.recordFlood(c.Primary, now)
 	case o.linkLost, o.result == superseded:
 		// The silence of one that was superseded has been recorded.
-	case o.reason == errStopping.Error():
+	case o.reason == errStopping.Error(), o.reason == errLapsed.Error():
 		// Nothing is known of the endpoint.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -95,7 +95,8 @@
 
 // mayProbe reports whether an endpoint may be probed: not if it is in need.
 func (s *Server) mayProbe(e *topol.Endpoint) bool {
-	return s.availability.accepts(e, s.Node, time.Now()) && !s.endpointLimits.limits(e)
+	now := time.Now()
+	return s.availability.accepts(e, s.Node, now) && !s.endpointLimits.limits(e) && !s.isBounded(e, now)
 }
 
 // probe sends a probe and reports whether the endpoint sends anything back. It closes the
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -64,6 +64,7 @@
 	a.hear()
 	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
+		a.server.observeCold(a.choice.Primary, a.service, header, time.Now())
 		a.server.observeAvailability(a.choice.Primary, a.sender, header, time.Now())
 	}
 	a.outcome = outcome{status: res.Status, rests: header.Rest > 0, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -19,6 +19,7 @@
 	"laburnumstack.org/laburnum/internal/coord/bysize"
 	"laburnumstack.org/laburnum/internal/coord/extra"
 	"laburnumstack.org/laburnum/internal/coord/memory"
+	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -146,6 +147,12 @@
 	Peers          func(now time.Time) []reach.Peer
 	// DialEndpoint opens connections to endpoints; if it is nil, links.Dial does.
 	DialEndpoint links.DialFunc
+	// ColdOverage and ColdSlack give the bound on the requests to a cold endpoint in any
+	// second: the rate that it tolerates times ColdOverage, plus ColdSlack.
+	ColdOverage, ColdSlack float64
+	// Members returns the nodes that share the requests to cold endpoints; nil means that
+	// this node is alone.
+	Members func(now time.Time) pace.Members
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
@@ -160,6 +167,7 @@
 	diagnoses      singleflight.Group
 	availability   statedAvailability
 	endpointLimits endpointLimits
+	pacing         pacing
 	decisions      sizeDecisions
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -285,6 +293,7 @@
 		s.partStrikes.update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
 		s.expireAvailability(now)
+		s.refreshPace(now)
 		s.decisions.expire(now)
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
