--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -267,6 +267,13 @@
 		return
 	}
 	set := maps.Clone(e.inForce)
+	if f.OnReturned != nil {
+		for _, n := range old.Sorted() {
+			if !set.Has(n) {
+				f.OnReturned(n)
+			}
+		}
+	}
 	f.evacuated.Store(&set)
 	age := clock.Now().Sub(at)
 	for _, n := range set.Sorted() {
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -57,6 +57,10 @@
 	// ServedFor returns for how long another node reads a stream for this one; zero or less
 	// if none does. Nil means that none ever does.
 	ServedFor func(Stream) time.Duration
+	// OnReturned is called when the evacuation of a data centre is taken back, before
+	// Evacuated shows it; nil if nobody needs to know. It must not call methods of the Feeds
+	// other than Catalog and Endpoints.
+	OnReturned func(ident.DataCentre)
 
 	era     atomic.Uint64
 	catalog atomic.Pointer[topol.Catalog]
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -115,6 +116,9 @@
 	// earlier send.
 	needsNewLink bool
 
+	// slowTurn is what the attempt has of the bound of an endpoint in slow start, or nil.
+	slowTurn *pace.Turn
+
 	reserved   *reservationSet
 	link       *links.Link
 	pool       *links.Pool
@@ -125,7 +129,9 @@
 	// upload writes a request beside the reads of its answer; nil if the request was written
 	// before.
 	upload *conns.Upload
-	// requestWritten is set once the whole request has been written.
+	// isWritten is set once the request is being written, requestWritten once the whole
+	// request has been written.
+	isWritten      bool
 	requestWritten atomic.Bool
 
 	wait wait
@@ -155,8 +161,10 @@
 // newAttempt returns an attempt at the chosen endpoint, and counts it.
 func (x *exchange) newAttempt(c place.Choice) *attempt {
 	x.sends++
+	turn := x.turn
+	x.turn = nil
 	return &attempt{
-		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(), pool: x.server.pool(c.Primary.Address),
+		slowTurn: turn, exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(), pool: x.server.pool(c.Primary.Address),
 		resumesAt: x.position, isResumed: x.headerSent,
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
@@ -206,6 +214,11 @@
 		a.outcome = outcome{result: notSent, reason: errStopping.Error()}
 		return false
 	}
+	if !a.server.sentCold(a.choice.Primary, a.startedAt, time.Now()) {
+		a.outcome = outcome{result: notSent, reason: errLapsed.Error()}
+		return false
+	}
+	a.isWritten = true
 	if a.isCurrent() {
 		a.recordDecision(true)
 	}
@@ -287,6 +300,10 @@
 			a.link.Close()
 		}
 	}
+	a.releaseTurn()
+	if !a.isWritten {
+		a.server.abandonCold(a.choice.Primary)
+	}
 	if a.inFlightID != 0 {
 		a.unregisterInFlight(a.inFlightID)
 	}
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -15,6 +15,7 @@
 func (x *exchange) choose() (place.Choice, place.Request, error) {
 	s := x.server
 	now := time.Now()
+	s.observeStarts(now)
 	x.limited = limitedEndpoints{}
 	if x.crashesEndpoints(now) {
 		return place.Choice{}, place.Request{}, errCrashesEndpoints
@@ -34,6 +35,7 @@
 	}
 	x.limited = s.endpointLimits.among(candidates, now)
 	delete(x.limited.atLimit, x.permitted)
+	s.addCold(&x.limited, candidates, now)
 	c, r, err := x.place(candidates, now)
 	x.estimate, x.load = c.Estimate, c.Load
 	if err == nil && x.mayOutliveNode(now, c.Estimate) {
@@ -74,7 +76,7 @@
 	s := x.server
 	resting := s.availability.restingForOthers(accepting, now)
 	outdated := s.staleAmong(accepting)
-	return place.ServiceState{
+	st := place.ServiceState{
 		Now: now, Endpoints: accepting, Engine: x.service.Engine,
 		InFlight: s.InFlight.All(), UnknownLoad: s.isSettling(now),
 		Avoid: func(n ident.EndpointName) bool {
@@ -85,6 +87,8 @@
 		},
 		Random: random,
 	}
+	x.boundSlow(&st)
+	return st
 }
 
 // retryAfter returns the time after which the caller of a request that could not be
