gate: the retry time of resting endpoints leaves out evacuated ones

An endpoint of an evacuated data centre accepts requests as far as it has stated, so the time until any endpoint accepts requests was zero while all others rested. Callers were told to come back after 0.2 s instead of after the rest. Both the check and the time now see the endpoints outside the evacuated data centres only.

--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -40,7 +40,7 @@
 		err = errStopping
 	}
 	if errors.Is(err, place.ErrNoEndpoint) && x.sends == 0 && len(x.limited.atLimit) == 0 {
-		if s.restsForThisNode(x.homeEndpoints(), now) {
+		if s.restsForThisNode(s.outsideEvacuated(x.homeEndpoints()), now) {
 			err = errResting
 		}
 	}
@@ -98,7 +98,8 @@
 	case errors.Is(err, errEvacuated):
 		return retryEvacuated
 	case errors.Is(err, errResting):
-		return max(retrySoon, x.server.restForAllNodes(x.homeEndpoints(), time.Now()))
+		es := x.server.outsideEvacuated(x.homeEndpoints())
+		return max(retrySoon, x.server.restForAllNodes(es, time.Now()))
 	case errors.Is(err, errNoHome):
 		return retryHome
 	}
