--- a/internal/coord/stale/stale.go
+++ b/internal/coord/stale/stale.go
@@ -164,13 +164,19 @@
 // Avoids reports whether an endpoint should be chosen only if there is no other.
 // isSuperseded is set if a record of a later start has the endpoint's address.
 func (t *Table) Avoids(e *topol.Endpoint, isSuperseded bool) bool {
-	if _, ok := t.marks[recordOf(e)]; ok {
+	if t.IsMisdirected(e) {
 		return true
 	}
 	g := t.groups[groupOf(e)]
 	return g != nil && g.since > 0 && (!g.isListed || isSuperseded)
 }
 
+// IsMisdirected reports whether an endpoint is known to be another one than its record names.
+func (t *Table) IsMisdirected(e *topol.Endpoint) bool {
+	_, ok := t.marks[recordOf(e)]
+	return ok
+}
+
 // Len returns the number of endpoints and groups in the table.
 func (t *Table) Len() int { return len(t.marks) + len(t.groups) }
 
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -128,23 +128,34 @@
 }
 
 // staleAmong returns those of some endpoints that are avoided because their records may be out
-// of date.
+// of date. If those are all of them, it returns only the ones that are known to be others: the
+// doubt about a whole data centre then tells nothing about where to send.
 func (s *Server) staleAmong(es []*topol.Endpoint) ident.Set[ident.EndpointName] {
 	if s.staleRecords.count.Load() == 0 {
 		return nil
 	}
 	s.refreshStale()
 	list := s.Feeds.Endpoints()
-	found := ident.Set[ident.EndpointName]{}
+	doubtful, misdirected := ident.Set[ident.EndpointName]{}, ident.Set[ident.EndpointName]{}
+	isAnyTrusted := false
 	r := &s.staleRecords
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range es {
-		if r.table.Avoids(e, isSuperseded(list, e)) {
-			found.Add(e.Name)
+		if r.table.IsMisdirected(e) {
+			misdirected.Add(e.Name)
+		}
+		switch {
+		case r.table.Avoids(e, isSuperseded(list, e)):
+			doubtful.Add(e.Name)
+		case !e.Leaving:
+			isAnyTrusted = true
 		}
 	}
-	return found
+	if isAnyTrusted {
+		return doubtful
+	}
+	return misdirected
 }
 
 // isSuperseded reports whether the record of a later start has the address of an endpoint.
--- a/internal/trans/gate/stale_test.go
+++ b/internal/trans/gate/stale_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/stale"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -277,3 +278,36 @@
 	r.do(request("POST", "/once/", "r1", "x"))
 	test.Zero(t, r.server.endpointLimits.count.Load())
 }
+
+// TestAllDoubtfulEndpointsHelp guards against long prompts that are refused since no
+// engine may help another while the records of all of them are doubtful, as when the other data
+// centres are evacuated. What is known of a single endpoint counts then as before.
+func TestAllDoubtfulEndpointsHelp(t *testing.T) {
+	gone, ls := endpointsOf(t, "a", 2, misdirects())
+	sound, more := endpointsOf(t, "a", 8, streams(1, 2, true))
+	for i := range more {
+		sound[i].name = fmt.Sprint("s", i)
+	}
+	far := newEndpoint(t, "b0", streams(1, 2, true))
+	ls = append(ls, more...)
+	for i := range ls {
+		ls[i].service = "model"
+	}
+	r := newStaleRig(t, largeBudget)
+	r.list(append(ls, listed{far, "b", 1, "model"})...)
+	r.evacuate("b")
+	now := r.server.staleRecords.now()
+	r.server.updateStale(func(t *stale.Table) (changes []stale.Change) {
+		for _, g := range gone {
+			_, changes = t.Misdirect(r.server.Feeds.Endpoints().ByName[ident.EndpointName(g.name)], now, now)
+		}
+		return changes
+	})
+	must.Eq(t, 1, r.server.staleRecords.groups.Load())
+	for i := range 5 {
+		res := r.do(request("POST", "/stream/", fmt.Sprint("r", i), "x", "Prompt: 100000"))
+		test.Eq(t, 200, res.status)
+	}
+	test.Eq(t, 0, received(gone), test.Sprint("these are known to be others"))
+	test.SliceEmpty(t, far.requests())
+}
