edge: nodes among peers of older builds read the store soon

A peer of an older build has a fresh configuration, but doesn't tell which data centres are evacuated, so a node that pulls from such peers reads the store itself. It did so at the turn of its rank, which for the fifth node of a data centre is 3 s and for the fifteenth 5.2 s later, while evacuations must be in force within 5 s. Such a node now reads with the first ones.

--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -212,7 +212,7 @@
 // sets the turn of this node.
 func (s *stateSync) pullFrom(readers []string) freshness {
 	var served freshness
-	answered, recovering := false, clock.Instant(0)
+	answered, lacksEvacuations, recovering := false, false, clock.Instant(0)
 	backups, rank := s.mesh.Backups(time.Now())
 	tried := ident.SetOf(s.mesh.Self.Address)
 	for _, a := range append(readers[:min(maxReadersTried, len(readers))], backups...) {
@@ -229,6 +229,7 @@
 			continue
 		}
 		answered = true
+		lacksEvacuations = lacksEvacuations || st.Proven && st.ProvenAge < freshConfigAge && !st.EvacuationsKnown
 		s.applyNewer(a, st)
 		served.add(s.applyState(st, sentAt), sentAt)
 		if st.Recovering {
@@ -240,8 +241,14 @@
 		// node.
 		served[feeds.Endpoints] = recovering
 	}
-	if !answered {
+	switch {
+	case !answered:
 		rank = 0
+	case lacksEvacuations:
+		// Peers of an older build follow the store, but don't tell the evacuated data
+		// centres, and none of the first nodes may be of this build. The turns of the
+		// later nodes would be too late for an evacuation.
+		rank = min(rank, firstTurns-1)
 	}
 	s.setTurns(served, rank)
 	return served
--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -166,6 +166,21 @@
 	test.True(t, ps[5].servedByReader(feeds.Endpoints))
 }
 
+// Guards against a node that learns of an evacuation only after many seconds, since the nodes from
+// which it pulls are of an older build: they have a fresh configuration, and tell no evacuations.
+func TestNodeAmongOlderBuildsReadsTheStoreSoon(t *testing.T) {
+	ps := newTestNodes(t, "a", "b", "c", "d", "e", "f")
+	for _, p := range ps[:5] {
+		c, _ := decodeVersion([]byte{7})
+		p.feeds.UpdateCatalog(c)
+		p.feeds.ConfirmCatalog(clock.Now())
+		p.feeds.UpdateEndpoints([]topol.Endpoint{{Name: "e", Service: "s", Address: "127.0.0.1:1"}}, clock.Now())
+	}
+	ps[5].pull()
+	test.LessEq(t, clock.Now().Add(turnDelay(firstTurns-1)), ps[5].turnAt[feeds.Configuration].Load())
+	test.True(t, ps[5].servedByReader(feeds.Endpoints), test.Sprint("their list is as good as any"))
+}
+
 func TestNodeWithoutPeersReadsTheStoreAtOnce(t *testing.T) {
 	p := newTestNodes(t, "a")[0]
 	p.setTurns(freshness{}, 0)
