gate: tests of sends beside an evacuation

Retries, resumed and hedged sends, sends whose data centre is evacuated between the choice and the write, reservations, tunnels, and home regions that are all evacuated.

--- a/internal/trans/gate/evacuate_test.go
+++ b/internal/trans/gate/evacuate_test.go
@@ -1,14 +1,21 @@
 package gate
 
 import (
+	"context"
+	"net"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/reach"
+	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -33,3 +40,148 @@
 	test.SliceLen(t, 1, resting.requests())
 	test.SliceEmpty(t, idle.requests())
 }
+
+// evacuatesBefore evacuates some data centres before it answers as another script does.
+func evacuatesBefore(r **rig, s script, names ...ident.DataCentre) script {
+	return func(c net.Conn, g receivedRequest) bool {
+		(*r).evacuate(names...)
+		return s(c, g)
+	}
+}
+
+// Guards against a retry, a resumed or a hedged send to a data centre that was evacuated after the
+// request had arrived. The first send goes to the node's own data centre.
+func TestNoFurtherSendReachesAnEvacuatedDataCentre(t *testing.T) {
+	cases := []struct {
+		name, target string
+		first, other script
+		want         string
+	}{
+		{"refusal", "/once/", refuses(503), ok("other"), "other"},
+		{"failure", "/safe/", dropsConnection, ok("other"), "other"},
+		{"broken stream", "/stream/", streams(1, 1, false), streams(2, 3, true), event(1) + event(2) + event(3)},
+		{"silence", "/stream/", neverResponds, streams(1, 2, true), event(1) + event(2)},
+	}
+	for _, c := range cases {
+		for _, isLeft := range []bool{true, false} {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				var r *rig
+				evacuated, ls := endpointsOf(t, "b", 3, ok("evacuated"))
+				first := newEndpoint(t, "a0", evacuatesBefore(&r, c.first, "b"))
+				other := newEndpoint(t, "c0", c.other)
+				ls = append(ls, listed{first, "a", 1, ""})
+				if isLeft {
+					ls = append(ls, listed{other, "c", 1, ""})
+				}
+				for i := range ls {
+					if c.target == "/stream/" {
+						ls[i].service = "model"
+					}
+				}
+				r = newConfiguredRig(t, 0, largeBudget)
+				r.list(ls...)
+				res := r.do(request("POST", c.target, "r1", "x", "Left: 1500"))
+				test.SliceLen(t, 1, first.requests())
+				test.Eq(t, 0, received(evacuated))
+				if isLeft {
+					test.Eq(t, c.want, res.body)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a first send that reaches a data centre which was evacuated while the node
+// connected to it, or over a connection that is still open from before.
+func TestEvacuationBetweenTheChoiceAndTheSend(t *testing.T) {
+	var r *rig
+	chosen, other := newEndpoint(t, "a0", ok("yes")), newEndpoint(t, "c0", ok("other"))
+	evacuates := false
+	r = newConfiguredRig(t, 0, func(s *Server) {
+		s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
+			if evacuates && address == chosen.address {
+				r.evacuate("a")
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	})
+	r.list(listed{chosen, "a", 1, ""}, listed{other, "c", 1, ""})
+	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r1", "")).body)
+	r.evacuate("a")
+	test.Eq(t, "other", r.do(request("GET", "/safe/", "r2", "")).body)
+	r.evacuate()
+	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r3", "")).body)
+	evacuates = true
+	test.Eq(t, "other", r.do(request("POST", "/once/", "r4", "x")).body)
+	test.SliceLen(t, 2, chosen.requests())
+	r.evacuate("a", "c")
+	res := r.do(request("GET", "/safe/", "r5", ""))
+	test.Eq(t, 503, res.status)
+	test.Eq(t, "2.00", res.header.Get("Retry-After"))
+	test.False(t, r.server.endpointHealth.isSuspect("a0", time.Now()), test.Sprint("an evacuation is no fault"))
+}
+
+// Guards against memory that is reserved in an evacuated data centre, and against a prompt whose
+// helper is in one since it was chosen before.
+func TestEvacuationBetweenTheChoiceAndTheReservations(t *testing.T) {
+	var r *rig
+	_, ls := endpointsOf(t, "a", 8, streams(1, 2, true))
+	evacuated, more := endpointsOf(t, "b", 8, streams(1, 2, true))
+	ls = append(ls, more...)
+	for i := range ls {
+		ls[i].service = "model"
+	}
+	r = newConfiguredRig(t, 0, largeBudget)
+	r.list(ls...)
+	reserver := &evacuatingReserver{fakeReserver: r.reserver, evacuate: func() { r.evacuate("b") }}
+	r.server.Reserver = reserver
+	for range 5 {
+		test.Eq(t, 200, r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100000")).status)
+	}
+	test.Eq(t, 0, received(evacuated))
+	waitForEnd(r)
+}
+
+// evacuatingReserver evacuates a data centre while memory is being reserved.
+type evacuatingReserver struct {
+	*fakeReserver
+	evacuate func()
+}
+
+func (e *evacuatingReserver) Reserve(ctx context.Context, to *topol.Endpoint, res relay.Reservation) error {
+	e.evacuate()
+	return e.fakeReserver.Reserve(ctx, to, res)
+}
+
+// Guards against a tunnel to an evacuated data centre for a peer that doesn't know yet, and against
+// probes that find its endpoints unreachable.
+func TestTunnelToAnEvacuatedDataCentre(t *testing.T) {
+	e := newEndpoint(t, "a0", ok("yes"))
+	r := newConfiguredRig(t, 0, func(s *Server) {
+		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+	})
+	r.list(listed{e, "a", 1, ""})
+	r.evacuate("a")
+	_, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address})
+	test.ErrorIs(t, err, errEvacuated)
+	c, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address, NoRequest: true})
+	must.NoError(t, err)
+	c.Close()
+	_, err = r.server.DialListed(t.Context(), e.address)
+	test.ErrorIs(t, err, errEvacuated)
+}
+
+// Guards against a request with home regions that leaves them since all endpoints there are
+// evacuated, and against a caller who isn't told when to come back.
+func TestRequestWhoseHomesAreEvacuatedIsRejected(t *testing.T) {
+	home, other := newEndpoint(t, "us", ok("yes")), newEndpoint(t, "eu", ok("no"))
+	r := newHomeRig(t, homed{route: "us\n", of: map[string]ident.DataCentre{"us": "b"}}, unchanged, home, other)
+	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r1", "")).body)
+	r.evacuate("b")
+	res := r.do(request("GET", "/safe/", "r2", ""))
+	test.Eq(t, 503, res.status)
+	test.Eq(t, "2.00", res.header.Get("Retry-After"))
+	test.SliceLen(t, 1, home.requests())
+	test.SliceEmpty(t, other.requests())
+}
