gate: a node isn't isolated by links to evacuated endpoints

Lost links to endpoints of an evacuated data centre are not probed, so they stayed lost. A node that had lost three of them before the evacuation and heard nothing since counted as isolated for as long as the evacuation lasted: it sent all requests over peers, which sent none over it. Such a link is now forgotten when its next probe would be due.

--- a/internal/coord/reach/reach.go
+++ b/internal/coord/reach/reach.go
@@ -68,6 +68,9 @@
 	l.heardAt = now
 }
 
+// Forget drops what is known of the link to an endpoint, which gets no requests for a time.
+func (l *Links) Forget(n ident.EndpointName) { delete(l.lost, n) }
+
 // Len returns the number of lost links.
 func (l *Links) Len() int { return len(l.lost) }
 
--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -148,7 +148,8 @@
 	})
 }
 
-// checkLostLinks probes the lost links that are due.
+// checkLostLinks probes the lost links that are due. Those to evacuated endpoints, which are not
+// probed, are forgotten, or the node might count as isolated until the evacuation ends.
 func (s *Server) checkLostLinks(ctx context.Context, now time.Time) {
 	list := s.Feeds.Endpoints()
 	if list == nil {
@@ -157,6 +158,11 @@
 	var due []ident.EndpointName
 	s.updateLinks(func(l *reach.Links) {
 		due = l.DueChecks(now, func(n ident.EndpointName) bool { return list.ByName[n] != nil })
+		for _, n := range due {
+			if s.isEvacuated(list.ByName[n]) {
+				l.Forget(n)
+			}
+		}
 	})
 	for _, n := range due {
 		if e := list.ByName[n]; s.mayProbe(e) && !s.isEvacuated(e) {
--- a/internal/trans/gate/evacuate_test.go
+++ b/internal/trans/gate/evacuate_test.go
@@ -185,3 +185,25 @@
 	test.SliceLen(t, 1, home.requests())
 	test.SliceEmpty(t, other.requests())
 }
+
+// Guards against a node that counts as isolated for as long as an evacuation lasts: the links that
+// it had lost before are those to endpoints that it no longer probes.
+func TestNodeIsNotIsolatedByLinksToEvacuatedEndpoints(t *testing.T) {
+	c := newCutRig(t)
+	_, ls := endpointsOf(t, "a", 3, ok("yes"))
+	other := newEndpoint(t, "b0", ok("other"))
+	c.list(append(ls, listed{other, "b", 1, ""})...)
+	for _, l := range ls {
+		c.server.loseLink(c.server.Feeds.Endpoints().ByName[ident.EndpointName(l.endpoint.name)])
+	}
+	must.True(t, c.server.Isolated())
+	c.evacuate("a")
+	waitFor(t, func() bool { return !c.server.Isolated() })
+	test.Eq(t, "other", c.do(request("GET", "/safe/", "r1", "")).body)
+	test.Eq(t, 0, len(c.tunnels))
+	for _, l := range ls {
+		l.endpoint.mu.Lock()
+		test.Zero(t, l.endpoint.probes)
+		l.endpoint.mu.Unlock()
+	}
+}
