--- a/internal/trans/gate/evacuated_sends_test.go
+++ b/internal/trans/gate/evacuated_sends_test.go
@@ -164,7 +164,7 @@
 	r.list(listed{e, "a", 1, ""})
 	r.evacuate("a")
 	_, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address})
-	test.ErrorIs(t, err, errEvacuated)
+	test.ErrorIs(t, err, tunnel.ErrEvacuated)
 	c, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address, NoRequest: true})
 	must.NoError(t, err)
 	c.Close()
