lab: the stand-ins share the start of their HTTP servers

logsrv, plain, vmlist and weight each opened a listener, kept it and built an httpd.Server for it in Run. They now keep the httpd.Server, which opens its listener itself.

--- a/internal/lab/httpd/httpd.go
+++ b/internal/lab/httpd/httpd.go
@@ -31,10 +31,17 @@
 
 // Server serves HTTP on a listener with which connection failures can be injected.
 type Server struct {
-	Handler  fasthttp.RequestHandler
+	Handler fasthttp.RequestHandler
+	// Listener is set before Run, by Listen or by the user of the server.
 	Listener *flaky.Listener
 }
 
+// Listen opens a listener on *addr, as the function Listen does.
+func (s *Server) Listen(addr *string) (err error) {
+	s.Listener, err = Listen(addr)
+	return err
+}
+
 // Run serves requests until the context ends or the listener crashes. Both reset
 // the connections.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/lab/logsrv/logsrv.go
+++ b/internal/lab/logsrv/logsrv.go
@@ -10,7 +10,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"laburnumstack.org/laburnum/internal/lab/flaky"
 	"laburnumstack.org/laburnum/internal/lab/httpd"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -75,7 +74,7 @@
 
 	mu            sync.Mutex
 	streams       map[string]*stream
-	listener      *flaky.Listener
+	web           httpd.Server
 	outageUntil   time.Time
 	answersToLose int
 	responseDelay time.Duration
@@ -102,21 +101,14 @@
 // Listen opens the listener and sets Address to the actual address. It is separate
 // from Run so that clients can be given the address before.
 func (s *Server) Listen() error {
-	l, err := httpd.Listen(&s.Address)
-	if err != nil {
-		return err
-	}
-	s.listener = l
+	s.web.Handler = s.handle
 	s.streams = map[string]*stream{}
 	s.appendTokens = float64(s.AppendRate)
-	return nil
+	return s.web.Listen(&s.Address)
 }
 
 // Run serves until the context ends.
-func (s *Server) Run(ctx context.Context) error {
-	server := &httpd.Server{Handler: s.handle, Listener: s.listener}
-	return server.Run(ctx)
-}
+func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
 
 // Inject injects faults.
 func (s *Server) Inject(f Faults) {
@@ -128,7 +120,7 @@
 	s.answersToLose += f.LoseAnswers
 	s.responseDelay = time.Duration(f.SlowMillis) * time.Millisecond
 	if f.Silence {
-		s.listener.Silence()
+		s.web.Listener.Silence()
 	}
 }
 
--- a/internal/lab/plain/plain.go
+++ b/internal/lab/plain/plain.go
@@ -12,7 +12,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"laburnumstack.org/laburnum/internal/lab/flaky"
 	"laburnumstack.org/laburnum/internal/lab/httpd"
 )
 
@@ -70,7 +69,7 @@
 	OnlyRuns bool
 
 	mu            sync.Mutex
-	listener      *flaky.Listener
+	web           httpd.Server
 	refusedUntil  time.Time
 	answersToLose int
 }
@@ -89,19 +88,12 @@
 // Listen opens the listener and sets Address to the actual address, so that it is
 // available before Run.
 func (s *Server) Listen() error {
-	l, err := httpd.Listen(&s.Address)
-	if err != nil {
-		return err
-	}
-	s.listener = l
-	return nil
+	s.web.Handler = s.handle
+	return s.web.Listen(&s.Address)
 }
 
 // Run serves requests until the context ends.
-func (s *Server) Run(ctx context.Context) error {
-	web := &httpd.Server{Handler: s.handle, Listener: s.listener}
-	return web.Run(ctx)
-}
+func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
 
 // Inject applies the given faults.
 func (s *Server) Inject(f Faults) {
@@ -115,7 +107,7 @@
 		s.ServiceTime = time.Duration(f.WorkMillis) * time.Millisecond
 	}
 	if f.Silence {
-		s.listener.Silence()
+		s.web.Listener.Silence()
 	}
 }
 
--- a/internal/lab/vmlist/vmlist.go
+++ b/internal/lab/vmlist/vmlist.go
@@ -10,7 +10,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"laburnumstack.org/laburnum/internal/lab/flaky"
 	"laburnumstack.org/laburnum/internal/lab/httpd"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -35,7 +34,7 @@
 
 	mu        sync.Mutex
 	snapshots []snapshot
-	listener  *flaky.Listener
+	web       httpd.Server
 }
 
 // snapshot is the list after a change.
@@ -48,20 +47,13 @@
 // from Run so that clients can be given the address before. It must be called before
 // Set and Remove.
 func (s *Server) Listen() error {
-	l, err := httpd.Listen(&s.Address)
-	if err != nil {
-		return err
-	}
-	s.listener = l
+	s.web.Handler = s.handle
 	s.snapshots = []snapshot{{}}
-	return nil
+	return s.web.Listen(&s.Address)
 }
 
 // Run serves until the context ends.
-func (s *Server) Run(ctx context.Context) error {
-	server := &httpd.Server{Handler: s.handle, Listener: s.listener}
-	return server.Run(ctx)
-}
+func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
 
 // Set adds or replaces an entry.
 func (s *Server) Set(v VM) {
--- a/internal/lab/weight/weight.go
+++ b/internal/lab/weight/weight.go
@@ -8,7 +8,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"laburnumstack.org/laburnum/internal/lab/flaky"
 	"laburnumstack.org/laburnum/internal/lab/httpd"
 )
 
@@ -23,25 +22,18 @@
 
 	mu        sync.Mutex
 	lastFetch time.Time
-	listener  *flaky.Listener
+	web       httpd.Server
 }
 
 // Listen opens the listener and sets Address to the actual address, so that it is
 // available before Run.
 func (s *Server) Listen() error {
-	l, err := httpd.Listen(&s.Address)
-	if err != nil {
-		return err
-	}
-	s.listener = l
-	return nil
+	s.web.Handler = s.handle
+	return s.web.Listen(&s.Address)
 }
 
 // Run serves requests until the context ends.
-func (s *Server) Run(ctx context.Context) error {
-	web := &httpd.Server{Handler: s.handle, Listener: s.listener}
-	return web.Run(ctx)
-}
+func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != "/fetch" {
