share: one place for the ages in updates

Sending an update replaced the times in six kinds of entries by ages in as many loops, and receiving it did the reverse in as many closures. Both now go through one function each that names the two fields of an entry.

--- /dev/null
+++ b/internal/trans/share/ages.go
@@ -0,0 +1,77 @@
+package share
+
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/internal/proto/relay"
+)
+
+// stamp replaces the times in an update, and in those that it forwards, by ages.
+func stamp(u *relay.Update, now time.Time) {
+	setAges(u, now)
+	for i := range u.Forwarded {
+		setAges(&u.Forwarded[i], now)
+	}
+}
+
+// setAges replaces the times in an update by ages.
+func setAges(u *relay.Update, now time.Time) {
+	toAges(u.Began, now, requestTime)
+	toAges(u.Struck, now, strikeTime)
+	toAges(u.Proofs, now, proofTime)
+	toAges(u.Parts, now, partTime)
+	for i := range u.Parts {
+		u.Parts[i].State.EndedWellAt = time.Time{}
+	}
+	toAges(u.Decided, now, decisionTime)
+	toAges(u.Limits, now, limitTime)
+	for i := range u.Rests {
+		u.Rests[i].Left = u.Rests[i].Rest.Until.Sub(now)
+		u.Rests[i].Rest.Until = time.Time{}
+	}
+}
+
+// setTimes sets the times in an update from the ages.
+func setTimes(u *relay.Update, now time.Time) {
+	toTimes(u.Began, now, requestTime)
+	toTimes(u.Struck, now, strikeTime)
+	toTimes(u.Proofs, now, proofTime)
+	toTimes(u.Parts, now, partTime)
+	toTimes(u.Decided, now, decisionTime)
+	toTimes(u.Limits, now, limitTime)
+	for i := range u.Rests {
+		u.Rests[i].Rest.Until = now.Add(u.Rests[i].Left)
+	}
+}
+
+// toAges sets the age of each entry from its time, and clears the time.
+func toAges[E any](entries []E, now time.Time, fields func(*E) (*time.Time, *time.Duration)) {
+	for i := range entries {
+		at, age := fields(&entries[i])
+		*age = now.Sub(*at)
+		*at = time.Time{}
+	}
+}
+
+// toTimes sets the time of each entry from its age.
+func toTimes[E any](entries []E, now time.Time, fields func(*E) (*time.Time, *time.Duration)) {
+	for i := range entries {
+		at, age := fields(&entries[i])
+		*at = now.Add(-*age)
+	}
+}
+
+// The following functions return the time in an entry of an update, and the age that
+// replaces it on the way to a peer.
+
+func requestTime(a *relay.AgedRequest) (*time.Time, *time.Duration) { return &a.Work.Since, &a.Age }
+
+func strikeTime(a *relay.AgedStrike) (*time.Time, *time.Duration) { return &a.Strike.At, &a.Age }
+
+func proofTime(a *relay.AgedProof) (*time.Time, *time.Duration) { return &a.Proof.At, &a.Age }
+
+func partTime(a *relay.AgedPart) (*time.Time, *time.Duration) { return &a.State.StruckAt, &a.Age }
+
+func decisionTime(a *relay.AgedDecision) (*time.Time, *time.Duration) { return &a.Decision.At, &a.Age }
+
+func limitTime(a *relay.AgedLimit) (*time.Time, *time.Duration) { return &a.Limit.ObservedAt, &a.Age }
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -72,17 +72,16 @@
 	return complete && u.Seq < known
 }
 
-// apply applies an update to this node's state, and converts its ages to times.
+// apply applies an update to this node's state. It sets the times in the update, which a hub
+// needs to forward it.
 func (m *Mesh) apply(u *relay.Update) {
-	now := time.Now()
+	setTimes(u, time.Now())
 	if u.Reset {
 		m.InFlight.Reset(u.From.Name, u.Seq)
 	}
 	m.InFlight.Observe(u.From.Name, u.Seq)
-	for i := range u.Began {
-		n := &u.Began[i]
-		n.Work.Since = now.Add(-n.Age)
-		m.InFlight.Put(n.Work)
+	for _, a := range u.Began {
+		m.InFlight.Put(a.Work)
 	}
 	for _, id := range u.Wrote {
 		m.InFlight.MarkDecoding(u.From.Name, id)
@@ -96,45 +95,20 @@
 	if len(u.Orphans) > 0 && m.OnOrphans != nil {
 		m.OnOrphans(u.Orphans)
 	}
-	deliver(u.Struck, m.OnStruck, func(a *relay.AgedStrike) strik.Strike {
-		a.Strike.At = now.Add(-a.Age)
-		return a.Strike
-	})
-	deliver(u.Proofs, m.OnProofs, func(a *relay.AgedProof) strik.Proof {
-		a.Proof.At = now.Add(-a.Age)
-		return a.Proof
-	})
-	deliver(u.Parts, m.OnPartStates, func(a *relay.AgedPart) strik.PartState {
-		a.State.StruckAt = now.Add(-a.Age)
-		return a.State
-	})
-	deliver(u.Stated, m.OnAvailability, func(a *relay.StatedAvailability) avail.State { return a.State })
-	deliver(u.Rests, m.OnRests, func(l *relay.RestLeft) avail.Rest {
-		l.Rest.Until = now.Add(l.Left)
-		return l.Rest
-	})
-	deliver(u.Decided, m.OnDecisions, func(a *relay.AgedDecision) bysize.Decision {
-		a.Decision.At = now.Add(-a.Age)
-		return a.Decision
-	})
-	deliver(u.Limits, m.OnLimits, func(a *relay.AgedLimit) quota.Limit {
-		a.Limit.ObservedAt = now.Add(-a.Age)
-		return a.Limit
-	})
+	deliver(u.Struck, m.OnStruck, func(a relay.AgedStrike) strik.Strike { return a.Strike })
+	deliver(u.Proofs, m.OnProofs, func(a relay.AgedProof) strik.Proof { return a.Proof })
+	deliver(u.Parts, m.OnPartStates, func(a relay.AgedPart) strik.PartState { return a.State })
+	deliver(u.Stated, m.OnAvailability, func(a relay.StatedAvailability) avail.State { return a.State })
+	deliver(u.Rests, m.OnRests, func(l relay.RestLeft) avail.Rest { return l.Rest })
+	deliver(u.Decided, m.OnDecisions, func(a relay.AgedDecision) bysize.Decision { return a.Decision })
+	deliver(u.Limits, m.OnLimits, func(a relay.AgedLimit) quota.Limit { return a.Limit })
 }
 
-// deliver calls on with the content of the entries of an update, unless there are none. open
-// returns the content of an entry and sets its time there, for nodes to which the update is
-// forwarded.
-func deliver[E, C any](entries []E, on func([]C), open func(*E) C) {
-	if len(entries) == 0 {
-		return
+// deliver calls on with the contents of the entries of an update, unless there are none.
+func deliver[E, C any](entries []E, on func([]C), content func(E) C) {
+	if len(entries) > 0 {
+		on(mapAll(entries, content))
 	}
-	cs := make([]C, len(entries))
-	for i := range entries {
-		cs[i] = open(&entries[i])
-	}
-	on(cs)
 }
 
 // State returns this node's copy of the configuration and of the endpoint list.
