laburnumctl, load: one piece for what several commands and requests repeat

The commands that print one value of a node fetched and printed it in the same lines; show does that for them. Bookings and status checks read and checked their responses in the same lines; readBooking does that.

--- a/cmd/laburnumctl/config_history.go
+++ b/cmd/laburnumctl/config_history.go
@@ -17,19 +17,10 @@
 
 // Execute prints each patch with its time, author, base and verdict.
 func (c *ConfigHistory) Execute(args []string) error {
-	if err := noArgs(args); err != nil {
-		return err
-	}
-	return opts.firstReachable(func(cl *admin.Client) error {
-		vs, err := cl.History()
-		if err != nil {
-			return err
+	return show(args, (*admin.Client).History, func(w *tabwriter.Writer, vs []admin.Verdict) {
+		fmt.Fprintln(w, "OFFSET\tTIME\tAUTHOR\tBASE\tVERDICT\tVERSION\tPATCH")
+		for _, v := range vs {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", v.Offset, v.At.Format(time.RFC3339), v.Author, v.Base, v.Result, v.Version, v.PatchID)
 		}
-		return opts.print(vs, func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "OFFSET\tTIME\tAUTHOR\tBASE\tVERDICT\tVERSION\tPATCH")
-			for _, v := range vs {
-				fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\t%d\t%s\n", v.Offset, v.At.Format(time.RFC3339), v.Author, v.Base, v.Result, v.Version, v.PatchID)
-			}
-		})
 	})
 }
--- a/cmd/laburnumctl/config_show.go
+++ b/cmd/laburnumctl/config_show.go
@@ -18,18 +18,9 @@
 
 // Execute prints the version in force and its document.
 func (c *ConfigShow) Execute(args []string) error {
-	if err := noArgs(args); err != nil {
-		return err
-	}
-	return opts.firstReachable(func(cl *admin.Client) error {
-		v, err := cl.Config()
-		if err != nil {
-			return err
-		}
-		return opts.print(v, func(w *tabwriter.Writer) {
-			var b bytes.Buffer
-			json.Indent(&b, v.Document, "", "  ")
-			fmt.Fprintf(w, "version %d\n%s\n", v.Version, b.String())
-		})
+	return show(args, (*admin.Client).Config, func(w *tabwriter.Writer, v admin.Config) {
+		var b bytes.Buffer
+		json.Indent(&b, v.Document, "", "  ")
+		fmt.Fprintf(w, "version %d\n%s\n", v.Version, b.String())
 	})
 }
--- a/cmd/laburnumctl/endpoints.go
+++ b/cmd/laburnumctl/endpoints.go
@@ -17,20 +17,11 @@
 
 // Execute prints the endpoints as reported by the first node that answers.
 func (c *Endpoints) Execute(args []string) error {
-	if err := noArgs(args); err != nil {
-		return err
-	}
-	return opts.firstReachable(func(cl *admin.Client) error {
-		es, err := cl.Endpoints()
-		if err != nil {
-			return err
+	return show(args, (*admin.Client).Endpoints, func(w *tabwriter.Writer, es []admin.Endpoint) {
+		fmt.Fprintln(w, "ENDPOINT\tKIND\tSTATE\tDATA CENTRE\tADDRESS\tCALLS\tRUNNING\tWAITING\tQUEUE TOKENS\tHELD TOKENS\tREPORT")
+		for _, e := range es {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", e.Name, e.Kind, e.State, e.DataCentre, e.Address, e.Calls, e.Running, e.Waiting, e.QueueTokens, e.HeldTokens, formatAge(e.ReportAge))
 		}
-		return opts.print(es, func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "ENDPOINT\tKIND\tSTATE\tDATA CENTRE\tADDRESS\tCALLS\tRUNNING\tWAITING\tQUEUE TOKENS\tHELD TOKENS\tREPORT")
-			for _, e := range es {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", e.Name, e.Kind, e.State, e.DataCentre, e.Address, e.Calls, e.Running, e.Waiting, e.QueueTokens, e.HeldTokens, formatAge(e.ReportAge))
-			}
-		})
 	})
 }
 
--- a/cmd/laburnumctl/nodes.go
+++ b/cmd/laburnumctl/nodes.go
@@ -103,6 +103,21 @@
 	return w.Flush()
 }
 
+// show fetches a value from the first node that answers and prints it as JSON or as a text
+// table, for a command without arguments.
+func show[T any](args []string, fetch func(*admin.Client) (T, error), writeTable func(*tabwriter.Writer, T)) error {
+	if err := noArgs(args); err != nil {
+		return err
+	}
+	return opts.firstReachable(func(cl *admin.Client) error {
+		v, err := fetch(cl)
+		if err != nil {
+			return err
+		}
+		return opts.print(v, func(w *tabwriter.Writer) { writeTable(w, v) })
+	})
+}
+
 // Nodes lists the nodes of the fleet.
 type Nodes struct{}
 
@@ -113,20 +128,11 @@
 
 // Execute prints the nodes as reported by the first one that answers.
 func (c *Nodes) Execute(args []string) error {
-	if err := noArgs(args); err != nil {
-		return err
-	}
-	return opts.firstReachable(func(cl *admin.Client) error {
-		ms, err := cl.Nodes()
-		if err != nil {
-			return err
+	return show(args, (*admin.Client).Nodes, func(w *tabwriter.Writer, ms []admin.Member) {
+		fmt.Fprintln(w, "NODE\tSTATE\tDATA CENTRE\tVERSION\tCALLERS\tADMIN\tHEARD")
+		for _, m := range ms {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s ago\n", m.Name, m.State, m.DataCentre, m.Version, m.Caller, m.Admin, time.Since(m.Heard).Round(time.Millisecond))
 		}
-		return opts.print(ms, func(w *tabwriter.Writer) {
-			fmt.Fprintln(w, "NODE\tSTATE\tDATA CENTRE\tVERSION\tCALLERS\tADMIN\tHEARD")
-			for _, m := range ms {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s ago\n", m.Name, m.State, m.DataCentre, m.Version, m.Caller, m.Admin, time.Since(m.Heard).Round(time.Millisecond))
-			}
-		})
 	})
 }
 
--- a/internal/lab/load/send.go
+++ b/internal/lab/load/send.go
@@ -87,13 +87,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetHost(r.Plan.Host)
 	req.Header.Set("Idempotency-Key", idempotencyKey)
-	r.do(ctx, req, &res, func(reply *conns.Response, _ time.Time) {
-		raw, err := reply.ReadAll(maxBodyBytes)
-		var booking struct{ Key string }
-		malformed := err != nil || json.Unmarshal(raw, &booking) != nil
-		res.Whole = !malformed && booking.Key == idempotencyKey
-		res.Wrong = !malformed && booking.Key != idempotencyKey
-	})
+	r.do(ctx, req, &res, func(reply *conns.Response, _ time.Time) { readBooking(reply, &res, idempotencyKey) })
 	r.results.add(res)
 }
 
@@ -104,16 +98,22 @@
 	req := r.newRequest(k, fasthttp.MethodGet, "/bookings/"+id, nil)
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetHost(r.Plan.Host)
-	r.do(ctx, req, &res, func(reply *conns.Response, _ time.Time) {
-		raw, err := reply.ReadAll(maxBodyBytes)
-		var booking struct{ Key string }
-		malformed := err != nil || json.Unmarshal(raw, &booking) != nil
-		res.Whole = !malformed && booking.Key == id
-		res.Wrong = !malformed && booking.Key != id
-	})
+	r.do(ctx, req, &res, func(reply *conns.Response, _ time.Time) { readBooking(reply, &res, id) })
 	r.results.add(res)
 }
 
+// readBooking reads the response to a booking or a status check, and checks that it names
+// the given key.
+func readBooking(reply *conns.Response, res *Result, key string) {
+	raw, err := reply.ReadAll(maxBodyBytes)
+	var booking struct{ Key string }
+	if err != nil || json.Unmarshal(raw, &booking) != nil {
+		return
+	}
+	res.Whole = booking.Key == key
+	res.Wrong = !res.Whole
+}
+
 func (r *Runner) newRequest(k WorkspaceKey, method, path string, body []byte) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(method)
