share, jumps: plainer names and comments

fanout.sign set a sender, peer.ended changed the state that it reported, peer.use, fail, answered and stamp did not say what they do, and several comments spoke of telling and of longer ways. The names and the comments now say what is sent, recorded or replaced. No metric, log line or wire name changes.

--- a/internal/lab/jumps/jumps.go
+++ b/internal/lab/jumps/jumps.go
@@ -1,4 +1,5 @@
-// Package jumps makes times as they are read after the time of day has jumped.
+// Package jumps simulates steps of the wall clock: it returns times as time.Now would
+// return them after the time of day has been set.
 package jumps
 
 import (
@@ -7,21 +8,21 @@
 )
 
 const (
-	// hasMonotonic is the bit of a time's wall word that says that the time has a monotonic
-	// reading. The word then holds the seconds of the time of day above nanosecondBits.
+	// hasMonotonic is the flag in the wall word of a time with a monotonic reading. Such a
+	// word holds the seconds of the time of day above the lowest nanosecondBits bits.
 	hasMonotonic   = 1 << 63
 	nanosecondBits = 30
 )
 
-// layout is the layout of time.Time.
+// layout is the memory layout of time.Time.
 type layout struct {
 	wall uint64
 	ext  int64
 	loc  *time.Location
 }
 
-// Step returns the time that is read in place of t if the time of day has been set by a
-// number of seconds. The monotonic reading stays the same. It panics if t has none.
+// Step returns the time that would be read in place of t after a step of the time of day by
+// a number of seconds. The monotonic reading stays the same. It panics if t has none.
 func Step(t time.Time, seconds int) time.Time {
 	l := (*layout)(unsafe.Pointer(&t))
 	if l.wall&hasMonotonic == 0 {
--- a/internal/trans/share/ages.go
+++ b/internal/trans/share/ages.go
@@ -6,8 +6,8 @@
 	"laburnumstack.org/laburnum/internal/proto/relay"
 )
 
-// stamp replaces the times in an update, and in those that it forwards, by ages.
-func stamp(u *relay.Update, now time.Time) {
+// replaceTimes replaces the times in an update, and in those that it forwards, by ages.
+func replaceTimes(u *relay.Update, now time.Time) {
 	setAges(u, now)
 	for i := range u.Forwarded {
 		setAges(&u.Forwarded[i], now)
--- a/internal/trans/share/fanout.go
+++ b/internal/trans/share/fanout.go
@@ -31,9 +31,9 @@
 // fanout sends the updates of a hub to its group. Each frame is encoded once for all
 // nodes of the group.
 type fanout struct {
-	// sign sets the sender of an update, delay returns how long updates are collected.
-	sign  func(*relay.Update)
-	delay func() time.Duration
+	// setSender sets the sender of an update, delay returns how long updates are collected.
+	setSender func(*relay.Update)
+	delay     func() time.Duration
 	// sent is called with the size of each frame and the number of its receivers.
 	sent func(frameBytes, receivers int)
 
@@ -50,7 +50,7 @@
 	outlets map[*outlet]struct{}
 }
 
-// outlet is the stream to one node of the group.
+// outlet is the outgoing stream to one node of the group.
 type outlet struct {
 	conn   net.Conn
 	frames chan []byte
@@ -134,7 +134,7 @@
 // flush sends the pending update, or an empty one as a heartbeat, to all streams.
 func (f *fanout) flush() {
 	var u relay.Update
-	f.sign(&u)
+	f.setSender(&u)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.due = time.Time{}
@@ -144,7 +144,7 @@
 	}
 	f.pending.From = u.From
 	u, f.pending = f.pending, relay.Update{}
-	stamp(&u, time.Now())
+	replaceTimes(&u, time.Now())
 	frame := f.encode(&u)
 	for o := range f.outlets {
 		select {
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// plan returns this node's part in passing on updates.
+// plan returns this node's role in the forwarding of updates.
 func (m *Mesh) plan(now time.Time) views.Plan {
 	var ms []views.Member
 	var self views.Member
@@ -121,8 +121,8 @@
 	return chosen
 }
 
-// othersFor returns updates with the requests in flight of other nodes that this hub tells a
-// peer of. The caller must not hold p.mu.
+// othersFor returns updates with the requests in flight of other nodes that this hub sends to
+// a peer. The caller must not hold p.mu.
 func (m *Mesh) othersFor(p *peer) []relay.Update {
 	p.mu.Lock()
 	r, receiver := p.role, p.Member
@@ -134,9 +134,9 @@
 }
 
 // requestsOfOthers returns updates with the requests in flight of the other nodes that a hub
-// tells a receiver of. The nodes of its group learn of all nodes; other hubs learn of the nodes
-// that send to this hub, since of the others they hear earlier on another way. It leaves out
-// nodes of whose requests it doesn't know all.
+// sends to a receiver. The nodes of its group get those of all nodes. Other hubs get those of the
+// nodes that send to this hub, since those of the others reach them earlier over another path.
+// Nodes whose requests this hub doesn't know completely are left out.
 func (m *Mesh) requestsOfOthers(receiver relay.Member, scope relay.Scope) []relay.Update {
 	if !m.isHub.Load() {
 		return nil
@@ -227,7 +227,7 @@
 
 // queueFor queues a change for the peers that get this node's updates directly. change is
 // called with each of them, while its lock is held, and with nil for all those that get
-// them as a stream; it returns nil if there is nothing to tell.
+// them as a stream; it returns nil if there is nothing to send.
 func (m *Mesh) queueFor(urgent bool, change func(*peer) func(*relay.Update)) {
 	streaming := false
 	for _, p := range m.allPeers() {
@@ -286,8 +286,8 @@
 	m.unforwarded = append(m.unforwarded, heldUpdate{copyOf(u, u.Reach), time.Now()})
 }
 
-// takeUnforwarded returns the updates that were kept, but for those that are older than
-// maxHeldAge: what they tell may have ended since.
+// takeUnforwarded returns the updates that were kept, except those older than maxHeldAge,
+// which may be outdated.
 func (m *Mesh) takeUnforwarded(now time.Time) []heldUpdate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -170,8 +170,8 @@
 	late.waitForRequest(7, "a4", true)
 }
 
-// Guards against LIMIT: all nodes, also those that start later, must know the limit
-// that an endpoint named to one of them, and how old that is.
+// Guards against nodes that send an endpoint more requests than the limit that it named to
+// another node: all nodes, also those that start later, must know the limit and its age.
 func TestLimitsReachAllNodes(t *testing.T) {
 	limit := quota.Limit{Key: quota.Key{Endpoint: "e", Born: 5}, Rate: 1.7}
 	ns := start(t, "a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1")
--- a/internal/trans/share/link.go
+++ b/internal/trans/share/link.go
@@ -24,8 +24,9 @@
 	}
 }
 
-// ended reports whether run is to end since no connection is needed any more.
-func (p *peer) ended() bool {
+// endIfUnneeded marks the peer as no longer running, and returns true, if no connection to it
+// is needed any more.
+func (p *peer) endIfUnneeded() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running = p.needed(time.Now())
@@ -38,7 +39,7 @@
 	pause := minRedialPause
 	for ctx.Err() == nil {
 		err := p.connectAndSend(ctx)
-		if p.ended() {
+		if p.endIfUnneeded() {
 			return
 		}
 		p.mu.Lock()
@@ -68,11 +69,11 @@
 	p.attach(client)
 	for {
 		if err := p.updateStream(ctx); err != nil {
-			return p.fail(err)
+			return p.recordFailure(err)
 		}
 		if err := p.sendPending(client); err != nil {
 			p.mesh.Logger.Debug().Err(err).Str("address", p.address).Msg("share: call to node failed")
-			return p.fail(err)
+			return p.recordFailure(err)
 		}
 		p.releaseStream()
 		if !p.waitForChange(ctx) {
@@ -86,13 +87,13 @@
 	d := net.Dialer{Timeout: dialTimeout, Control: conns.SetTCPUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, p.fail(err)
+		return nil, p.recordFailure(err)
 	}
 	return rpc.NewClient(c), nil
 }
 
-// fail records that a connection to the peer failed, and returns the error.
-func (p *peer) fail(err error) error {
+// recordFailure records that a connection to the peer failed, and returns the error.
+func (p *peer) recordFailure(err error) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failedAt = time.Now()
@@ -127,10 +128,10 @@
 	}
 }
 
-// use returns the client of the peer. If there is none and this node keeps no connection to
-// the peer, use opens one, which is kept for neededTime; it waits for that for the given time at
-// most, and then returns nil.
-func (p *peer) use(ctx context.Context, timeout time.Duration) *rpc.Client {
+// acquireClient returns the client of the peer and keeps its connection for neededTime. If there
+// is no client and this node keeps no connection to the peer, acquireClient opens one, waits for
+// it for the given time at most, and then returns nil.
+func (p *peer) acquireClient(ctx context.Context, timeout time.Duration) *rpc.Client {
 	p.mu.Lock()
 	if p.client != nil || p.linked {
 		defer p.mu.Unlock()
--- a/internal/trans/share/members.go
+++ b/internal/trans/share/members.go
@@ -47,7 +47,7 @@
 		p.mu.Unlock()
 	}
 	if !connected {
-		// What others told of nodes doesn't hold for one whose connections all broke.
+		// A node whose connections are all broken can't rely on what others reported.
 		for i := range ns {
 			ns[i].alive = ns[i].peer == nil
 		}
@@ -191,7 +191,7 @@
 	return found
 }
 
-// passOn tells the other nodes, if this node is a hub, what it learned of a member.
+// passOn sends what this node learned of a member to the other nodes if this node is a hub.
 func (m *Mesh) passOn(h relay.HeardMember, heardNow time.Time) {
 	m.queueHeard(func(to relay.Scope) []relay.HeardMember {
 		if to == relay.ScopeDataCentre && h.Member.DataCentre != m.Self.DataCentre {
@@ -203,8 +203,8 @@
 	})
 }
 
-// sendDigest tells the other nodes at intervals, if this node is a hub, which members it
-// heard of: other data centres those of its own, and its own data centre all.
+// sendDigest sends a list of the members that this node heard of, at intervals and if it is a
+// hub: to other data centres the members of its own, to its own data centre all.
 func (m *Mesh) sendDigest(now time.Time) {
 	if !m.isHub.Load() || !m.digestDue(now) {
 		return
@@ -231,7 +231,7 @@
 }
 
 // queueHeard queues what this node heard of members for the nodes to which it sends as a
-// hub. of returns what a node that passes on updates to the given scope is to be told.
+// hub. of returns what to send to a node that forwards updates to the given scope.
 func (m *Mesh) queueHeard(of func(to relay.Scope) []relay.HeardMember) {
 	if !m.isHub.Load() {
 		return
--- a/internal/trans/share/members_test.go
+++ b/internal/trans/share/members_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// Guards against a dead node that counts as alive at nodes which others told of a contact that
-// was later than the last one of its hub.
+// Guards against a dead node that counts as alive at nodes to which others reported a contact
+// later than the last one of its hub.
 func TestLossCountsAfterAnyEarlierContact(t *testing.T) {
 	m := newConnectedMesh(t, "a1", "a2")
 	now := time.Now()
@@ -120,8 +120,8 @@
 	}
 }
 
-// Guards against a list of requests that came on a longer way than later changes of the same
-// node, and undid them.
+// Guards against an outdated list of requests that arrives over a longer path than later changes
+// of the same node, and undoes them.
 func TestOlderListOfRequestsIsIgnored(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -143,7 +143,7 @@
 	}
 }
 
-// Guards against a node that takes a heartbeat, which holds no requests, for knowledge of them,
+// Guards against a node that treats a heartbeat, which holds no requests, as a list of requests,
 // and then ignores the list of a hub.
 func TestHeartbeatTellsNothingOfRequests(t *testing.T) {
 	m := newConnectedMesh(t, "a1")
@@ -191,8 +191,8 @@
 	test.SliceLen(t, 1, p.pending.Proofs, test.Sprint("changes don't pile up for a node that can't be reached"))
 }
 
-// Guards against a node that is cut off and takes the others for alive, as they told of each
-// other before.
+// Guards against a node that is cut off and counts the others as alive because of what they
+// reported of each other before.
 func TestNodeWithoutConnectionsKnowsNobodyAlive(t *testing.T) {
 	now := time.Now()
 	m := newConnectedMesh(t, "a1", "a2", "a3", "b1")
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -157,7 +157,7 @@
 	m.entries = ident.Set[ident.NodeName]{}
 	// Numbers of a restarted node are higher than those of before.
 	m.seq.Store(uint64(time.Now().UnixNano()))
-	m.fanout.sign = func(u *relay.Update) { u.From = m.self() }
+	m.fanout.setSender = func(u *relay.Update) { u.From = m.self() }
 	m.fanout.delay, m.fanout.sent = m.groupDelay, m.stats.frameSent
 }
 
@@ -268,7 +268,7 @@
 		return rpc.ErrShutdown
 	}
 	m.stats.callsMade.Add(1)
-	c := p.use(m.ctx, timeout)
+	c := p.acquireClient(m.ctx, timeout)
 	if c == nil {
 		return rpc.ErrShutdown
 	}
--- a/internal/trans/share/metrics.go
+++ b/internal/trans/share/metrics.go
@@ -11,7 +11,7 @@
 	// callsMade and callsServed are calls of and by other nodes; those served count updates
 	// only.
 	callsMade, callsServed atomic.Uint64
-	// updatesReceived are updates of nodes, received from them or over others.
+	// updatesReceived are updates of nodes, received from them or through other nodes.
 	updatesReceived atomic.Uint64
 	// framesSent and frameBytes are counted at each receiver.
 	framesSent, framesReceived, frameBytes atomic.Uint64
--- a/internal/trans/share/odd_test.go
+++ b/internal/trans/share/odd_test.go
@@ -19,8 +19,8 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// odd holds what a node knows by the updates of others.
-type odd struct {
+// receiver holds the state that a node builds from the updates of others.
+type receiver struct {
 	limits  quota.Table
 	avail   avail.Table
 	strikes *strik.Table
@@ -28,40 +28,40 @@
 	sizes   bysize.Table
 }
 
-func (o *odd) mesh(ctx context.Context) *Mesh {
+func (r *receiver) mesh(ctx context.Context) *Mesh {
 	m := &Mesh{
 		Self: relay.Member{Name: "self"}, InFlight: &works.Table{}, Logger: zerolog.Nop(),
 		OnFailed: func([]ident.EndpointName) {},
 		OnStruck: func(ss []strik.Strike) {
 			for _, s := range ss {
-				o.strikes.Add(s)
-				o.parts.Add(s)
+				r.strikes.Add(s)
+				r.parts.Add(s)
 			}
 		},
 		OnProofs: func(ps []strik.Proof) {
 			for _, p := range ps {
-				o.parts.EndWell(p)
+				r.parts.EndWell(p)
 			}
 		},
 		OnPartStates: func([]strik.PartState) {},
 		OnLimits: func(ls []quota.Limit) {
 			for _, l := range ls {
-				o.limits.Record(l, time.Now())
+				r.limits.Record(l, time.Now())
 			}
 		},
 		OnAvailability: func(ss []avail.State) {
 			for _, s := range ss {
-				o.avail.Record(s)
+				r.avail.Record(s)
 			}
 		},
 		OnRests: func(rs []avail.Rest) {
-			for _, r := range rs {
-				o.avail.RecordRest(r, time.Now())
+			for _, rest := range rs {
+				r.avail.RecordRest(rest, time.Now())
 			}
 		},
 		OnDecisions: func(ds []bysize.Decision) {
 			for _, d := range ds {
-				o.sizes.Record(d)
+				r.sizes.Record(d)
 			}
 		},
 	}
@@ -79,9 +79,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	rapid.Check(t, func(t *rapid.T) {
-		o := &odd{strikes: strik.New(), parts: strik.NewParts()}
-		o.limits.Share = func(_ quota.Key, rate float64) float64 { return rate }
-		m := o.mesh(ctx)
+		r := &receiver{strikes: strik.New(), parts: strik.NewParts()}
+		r.limits.Share = func(_ quota.Key, rate float64) float64 { return rate }
+		m := r.mesh(ctx)
 		age := time.Duration(drawInt(t, "age"))
 		k := quota.Key{Endpoint: "e", Born: drawInt(t, "born")}
 		tokens := ident.Tokens(drawInt(t, "tokens"))
@@ -101,14 +101,14 @@
 		var reply relay.UpdateReply
 		must.NoError(t, (&service{m}).Tell(u, &reply))
 		now := time.Now()
-		wait, _ := o.limits.Wait(k, now)
+		wait, _ := r.limits.Wait(k, now)
 		must.GreaterEq(t, 0, wait)
-		must.GreaterEq(t, 0, o.avail.RestFor(k, "n", now))
-		must.Positive(t, o.sizes.Favour("r", tokens, now))
+		must.GreaterEq(t, 0, r.avail.RestFor(k, "n", now))
+		must.Positive(t, r.sizes.Favour("r", tokens, now))
 		m.InFlight.All()
-		o.strikes.Recent(now)
-		o.limits.Refresh(now, func(quota.Key) bool { return true })
-		o.avail.Expire(now, func(quota.Key) bool { return true })
-		o.sizes.Expire(now)
+		r.strikes.Recent(now)
+		r.limits.Refresh(now, func(quota.Key) bool { return true })
+		r.avail.Expire(now, func(quota.Key) bool { return true })
+		r.sizes.Expire(now)
 	})
 }
--- a/internal/trans/share/order_test.go
+++ b/internal/trans/share/order_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// Guards against a node that sends a large configuration to more nodes than its link
-// bears, and against nodes that wait for each other.
+// Guards against a node that sends a large configuration to more nodes than its network link
+// can serve, and against nodes that wait for each other.
 func TestRelaysFormATree(t *testing.T) {
 	var names []string
 	for i := range 30 {
@@ -97,7 +97,8 @@
 	test.SliceEmpty(t, p.pending.Done)
 }
 
-// Guards against a torn name in the log: a node may be heard of while it is removed.
+// Guards against a data race on the name of a node that is removed while its member record
+// changes, which would garble the name in the log.
 func TestNodeIsRemovedWhileItIsHeardOf(t *testing.T) {
 	m := newConnectedMesh(t, "a1", "a2")
 	m.Logger = zerolog.Nop()
--- a/internal/trans/share/pending.go
+++ b/internal/trans/share/pending.go
@@ -71,6 +71,6 @@
 	u.Reach = p.scope
 	p.mu.Unlock()
 	u.From = p.mesh.self()
-	stamp(&u, time.Now())
+	replaceTimes(&u, time.Now())
 	return u
 }
--- a/internal/trans/share/send.go
+++ b/internal/trans/share/send.go
@@ -76,12 +76,12 @@
 	for _, m := range r.Members {
 		p.mesh.AddPeer(m.Address)
 	}
-	p.answered()
+	p.recordAnswer()
 	return nil
 }
 
-// answered records that the peer answered a call.
-func (p *peer) answered() {
+// recordAnswer records that the peer answered a call.
+func (p *peer) recordAnswer() {
 	now := time.Now()
 	p.mu.Lock()
 	p.lastSeen = now
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -39,7 +39,7 @@
 func (m *Mesh) accept(u *relay.Update) {
 	m.markSeen(u.From)
 	m.hear(u.Heard)
-	// What is new of it has been passed on.
+	// hear has already passed on what is new in it.
 	u.Heard = nil
 	forwarded := u.Forwarded
 	u.Forwarded = nil
@@ -63,7 +63,7 @@
 }
 
 // isOld reports whether a forwarded update lists a node's requests as they were before the
-// last change that this node knows, so that it came on a longer way.
+// last change that this node knows, because it arrived over a longer path.
 func (m *Mesh) isOld(u *relay.Update) bool {
 	if !u.Reset || u.Seq == 0 {
 		return false
