--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -11,12 +11,10 @@
 	"bufio"
 	"context"
 	"net"
-	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"laburnumstack.org/laburnum/internal/coord/avail"
@@ -25,7 +23,6 @@
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
-	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -55,14 +52,7 @@
 	forgetAfter = time.Minute
 	// callTimeout bounds the call that sends an update.
 	callTimeout = 700 * time.Millisecond
-	// stateTimeout bounds FetchState; the caller then tries another peer.
-	stateTimeout = 250 * time.Millisecond
-	// changeTimeout bounds FetchChange, including the time for which the peer waits
-	// for the wanted version.
-	changeTimeout = 600 * time.Millisecond
-	// permitTimeout bounds FetchPermit, for which a request waits.
-	permitTimeout = 150 * time.Millisecond
-	dialTimeout   = 500 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
 	// minRedialPause is the pause after a connection fails. It doubles up to
 	// maxRedialPause while the peer is silent for deadAfter or longer.
 	minRedialPause = 200 * time.Millisecond
@@ -226,60 +216,6 @@
 	}
 }
 
-// FetchState requests a peer's copy of the configuration and of the endpoint
-// list. It returns rpc.ErrShutdown if this node can't connect to the peer.
-func (m *Mesh) FetchState(address string, a relay.StateArgs) (relay.State, error) {
-	a.From = m.self()
-	var s relay.State
-	if err := m.fetch(address, stateTimeout, "Node.State", a, &s); err != nil {
-		return relay.State{}, err
-	}
-	return s, nil
-}
-
-// FetchChange requests a part of an encoded change from a peer. It returns
-// rpc.ErrShutdown if this node can't connect to the peer.
-func (m *Mesh) FetchChange(address string, a relay.ChangeArgs) (relay.ChangePart, error) {
-	a.From = m.self()
-	var p relay.ChangePart
-	if err := m.fetch(address, changeTimeout, "Node.Change", a, &p); err != nil {
-		return relay.ChangePart{}, err
-	}
-	return p, nil
-}
-
-// FetchPermit asks a node for the permission to send one request to an endpoint. It
-// returns rpc.ErrShutdown if this node can't connect to that node.
-func (m *Mesh) FetchPermit(n ident.NodeName, k quota.Key) (relay.Permit, error) {
-	var p relay.Permit
-	if err := m.fetch(m.addressOf(n), permitTimeout, "Node.Permit", relay.PermitArgs{From: m.self(), Key: k}, &p); err != nil {
-		return relay.Permit{}, err
-	}
-	return p, nil
-}
-
-// fetch calls a method of a peer, and connects to it first if this node keeps no connection
-// to it. The reply must not be used if fetch returns an error.
-func (m *Mesh) fetch(address string, timeout time.Duration, method string, args, reply any) error {
-	m.mu.Lock()
-	p := m.peers[address]
-	m.mu.Unlock()
-	if p == nil {
-		return rpc.ErrShutdown
-	}
-	m.stats.callsMade.Add(1)
-	c := p.acquireClient(m.ctx, timeout)
-	if c == nil {
-		return rpc.ErrShutdown
-	}
-	err := conns.CallRPC(m.ctx, c, timeout, method, args, reply)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// A heartbeat shows soon whether the connection has gone silent.
-		p.wakeUp()
-	}
-	return err
-}
-
 // ConnectedAddresses returns the addresses of the peers that this node is
 // connected to.
 func (m *Mesh) ConnectedAddresses() []string {
