--- a/internal/trans/serve/failure.go
+++ b/internal/trans/serve/failure.go
@@ -52,6 +52,15 @@
 	return &Failure{fasthttp.StatusBadGateway, "caller-gone", "the caller closed the connection", outcome, 0}
 }
 
+// outcomeOf returns the outcome to report for a request that gets no complete answer.
+// mayHaveRun tells whether an endpoint may have run it.
+func outcomeOf(mayHaveRun bool) ident.Outcome {
+	if mayHaveRun {
+		return ident.Unknown
+	}
+	return ident.NotRun
+}
+
 // contextFailure returns the failure of a request whose context ended: its time
 // limit passed, or its caller closed the connection.
 func contextFailure(ctx context.Context, outcome ident.Outcome) *Failure {
--- a/internal/trans/serve/plain.go
+++ b/internal/trans/serve/plain.go
@@ -184,12 +184,7 @@
 	return nil
 }
 
-func (t *plainRequest) outcome() ident.Outcome {
-	if t.mayHaveRun {
-		return ident.Unknown
-	}
-	return ident.NotRun
-}
+func (t *plainRequest) outcome() ident.Outcome { return outcomeOf(t.mayHaveRun) }
 
 func (t *plainRequest) recordUsage() {
 	t.core.Ledger.Add(plainAccount(t.req), t.req.Arrived, ledgr.Sum{Requests: 1, EndpointSeconds: t.endpointTime.Seconds()})
--- a/internal/trans/serve/recover.go
+++ b/internal/trans/serve/recover.go
@@ -102,9 +102,4 @@
 
 // outcome returns the outcome to report to the caller if the prompt gets no
 // complete answer.
-func (a *Answer) outcome() ident.Outcome {
-	if a.mayHaveRun {
-		return ident.Unknown
-	}
-	return ident.NotRun
-}
+func (a *Answer) outcome() ident.Outcome { return outcomeOf(a.mayHaveRun) }
