--- a/internal/trans/share/pending.go
+++ b/internal/trans/share/pending.go
@@ -71,46 +71,6 @@
 	u.Reach = p.scope
 	p.mu.Unlock()
 	u.From = p.mesh.self()
-	stamp(&u, time.Now())
+	replaceTimes(&u, time.Now())
 	return u
 }
-
-// stamp replaces the times in an update, and in those that it forwards, by ages.
-func stamp(u *relay.Update, now time.Time) {
-	setAges(u, now)
-	for i := range u.Forwarded {
-		setAges(&u.Forwarded[i], now)
-	}
-}
-
-// setAges replaces the times in an update by ages.
-func setAges(u *relay.Update, now time.Time) {
-	for i := range u.Began {
-		u.Began[i].Age = now.Sub(u.Began[i].Work.Since)
-		u.Began[i].Work.Since = time.Time{}
-	}
-	for i := range u.Struck {
-		u.Struck[i].Age = now.Sub(u.Struck[i].Strike.At)
-		u.Struck[i].Strike.At = time.Time{}
-	}
-	for i := range u.Proofs {
-		u.Proofs[i].Age = now.Sub(u.Proofs[i].Proof.At)
-		u.Proofs[i].Proof.At = time.Time{}
-	}
-	for i := range u.Parts {
-		u.Parts[i].Age = now.Sub(u.Parts[i].State.StruckAt)
-		u.Parts[i].State.StruckAt, u.Parts[i].State.EndedWellAt = time.Time{}, time.Time{}
-	}
-	for i := range u.Rests {
-		u.Rests[i].Left = u.Rests[i].Rest.Until.Sub(now)
-		u.Rests[i].Rest.Until = time.Time{}
-	}
-	for i := range u.Decided {
-		u.Decided[i].Age = now.Sub(u.Decided[i].Decision.At)
-		u.Decided[i].Decision.At = time.Time{}
-	}
-	for i := range u.Limits {
-		u.Limits[i].Age = now.Sub(u.Limits[i].Limit.ObservedAt)
-		u.Limits[i].Limit.ObservedAt = time.Time{}
-	}
-}
