--- a/internal/coord/pace/slow.go
+++ b/internal/coord/pace/slow.go
@@ -163,13 +163,13 @@
 
 // Take reports whether this node may send a request to an endpoint now. If so, and if the
 // endpoint is in slow start, it returns a turn that Release gives back. isOnly is set for a
-// request that could be sent nowhere else, while this node has no other one there.
+// request that could be sent nowhere else.
 func (s *Slow) Take(k quota.Key, v *View, isOnly bool, now time.Time) (*Turn, bool) {
 	e := s.entries[k]
 	if e == nil || !now.Before(e.until) {
 		return nil, true
 	}
-	if e.own >= e.part(k, v) && !(isOnly && e.own == 0) {
+	if e.own >= e.part(k, v) && !isOnly {
 		return nil, false
 	}
 	e.own++
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -85,8 +85,8 @@
 	permitted ident.EndpointName
 	// turn is what the next attempt has of the bound of an endpoint in slow start.
 	turn *pace.Turn
-	// hasNoTurn is set if the last placement left this node no part of any endpoint.
-	hasNoTurn bool
+	// ignoresSlowStart is set if the last placement did without the bounds of slow start.
+	ignoresSlowStart bool
 	// tried holds the endpoints to which the request is not sent again,
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
--- a/internal/trans/gate/pace_test.go
+++ b/internal/trans/gate/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -255,6 +256,37 @@
 	}
 }
 
+// Guards against callers who are rejected although an endpoint would serve them: slow start bounds
+// what an endpoint gets only while another one can serve.
+func TestSlowStartCausesNoRejection(t *testing.T) {
+	for _, target := range []string{"/once/", "/stream/"} {
+		arrived, all := make(chan struct{}, 6), make(chan struct{})
+		answer := ok("yes")
+		if target == "/stream/" {
+			answer = streams(1, 1, true)
+		}
+		e := newEndpoint(t, "e", func(c net.Conn, g receivedRequest) bool {
+			arrived <- struct{}{}
+			<-all
+			return answer(c, g)
+		})
+		r := newColdRig(t, 0, e).withoutSlowStart()
+		r.server.DataCentreReturned("a", time.Now())
+		must.Eq(t, 2, r.bound("ep"))
+		var calls sync.WaitGroup
+		for i := range cap(arrived) {
+			calls.Go(func() {
+				test.Eq(t, 200, r.do(request("POST", target, fmt.Sprint("r", i), "", "Prompt: 500")).status, test.Sprint(target))
+			})
+		}
+		for range cap(arrived) {
+			<-arrived
+		}
+		close(all)
+		calls.Wait()
+	}
+}
+
 // Guards against callers who wait at endpoints that still work on what was sent before all nodes
 // lost power: a node that knows of no requests begins with one at each endpoint.
 func TestNodeWithoutMemoryBeginsSlowly(t *testing.T) {
--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -71,11 +71,9 @@
 	return list.ByName[n], catalog.Services[list.ByName[n].Service]
 }
 
-// boundSlow sets the bounds on the requests at endpoints in slow start. A node that has no part
-// of them at any endpoint of the service may have one request there all the same: the nodes of a
-// service with few endpoints would reject requests while these are idle.
+// boundSlow sets the bounds on the requests at endpoints in slow start.
 func (x *exchange) boundSlow(st *place.ServiceState) {
-	x.hasNoTurn = false
+	x.ignoresSlowStart = false
 	p := &x.server.pacing
 	if p.slowCount.Load() == 0 {
 		return
@@ -85,32 +83,36 @@
 		inFlight[w.First]++
 	}
 	bounds, others := map[ident.EndpointName]int{}, ident.Set[ident.EndpointName]{}
-	excluded, own, isOpen := x.excluded(), 0, false
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.server.updateView(st.Now)
 	for _, e := range st.Endpoints {
 		k := pace.Key(e)
 		bound, isSlow := p.slow.Bound(k, st.Now)
-		isMine := true
-		if isSlow {
-			bounds[e.Name] = bound
-			own += p.slow.Own(k)
-			isMine = p.slow.Mine(k, inFlight[e.Name], &p.view, st.Now)
+		if !isSlow {
+			continue
 		}
-		if !isMine {
+		bounds[e.Name] = bound
+		if !p.slow.Mine(k, inFlight[e.Name], &p.view, st.Now) {
 			others.Add(e.Name)
 		}
-		isOpen = isOpen || isMine && (!isSlow || inFlight[e.Name] < bound) && !e.Leaving && !excluded.Has(e.Name)
-	}
-	if !isOpen && own == 0 {
-		x.hasNoTurn = true
-		clear(others)
 	}
 	st.MaxInFlight = func(n ident.EndpointName) int { return bounds[n] }
 	st.IsOthers = others.Has
 }
 
+// chooseFrom places the request. If it can't be placed within the bounds of slow start, it is
+// placed without them: they must not cause a rejection.
+func (x *exchange) chooseFrom(st place.ServiceState, r place.Request) (place.Choice, error) {
+	c, err := place.Choose(st, r)
+	if err == nil || st.MaxInFlight == nil {
+		return c, err
+	}
+	st.MaxInFlight, st.IsOthers = nil, nil
+	x.ignoresSlowStart = true
+	return place.Choose(st, r)
+}
+
 // takeSlow reports whether a request may be sent to an endpoint now as far as it is in slow start.
 // The turn that it returns, if any, is given back by releaseSlow.
 func (x *exchange) takeSlow(e *topol.Endpoint, now time.Time) (*pace.Turn, bool) {
@@ -121,7 +123,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x.server.updateView(now)
-	return p.slow.Take(pace.Key(e), &p.view, x.hasNoTurn, now)
+	return p.slow.Take(pace.Key(e), &p.view, x.ignoresSlowStart, now)
 }
 
 // releaseSlow gives back a turn; it may be nil.
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -103,11 +103,11 @@
 		for n := range r.Tried {
 			doubtful.Add(n)
 		}
-		if c, err := place.Choose(st, certain); err == nil {
+		if c, err := x.chooseFrom(st, certain); err == nil {
 			return c, certain, nil
 		}
 	}
-	c, err := place.Choose(st, r)
+	c, err := x.chooseFrom(st, r)
 	return c, r, err
 }
 
