soak, platform: evacuations and cold endpoints as faults, with checks

Cause: the soak knew neither evacuations of data centres nor cold endpoints, so that no run of real processes showed that both hold beside other faults.

Arrivals count whatever the endpoint does with them, but for 421. All records of endpoints state a cold time, zero if they are warm.

--- a/cmd/laburnumlab/soak.go
+++ b/cmd/laburnumlab/soak.go
@@ -25,7 +25,7 @@
 	Nodes       int           `long:"nodes" default:"4" description:"number of nodes"`
 	Endpoints   int           `long:"endpoints" default:"5" description:"number of endpoints of each service"`
 	Drills      bool          `long:"drills" description:"also losses of the store beside restarts of nodes"`
-	BasicFaults bool          `long:"basic-faults" description:"no losses of the store, limits of endpoints, large configurations, cuts of single nodes, crashing parts, statements of endpoints and faults beside callers' connections"`
+	BasicFaults bool          `long:"basic-faults" description:"no losses of the store, limits of endpoints, large configurations, cuts of single nodes, crashing parts, statements of endpoints, evacuations, cold endpoints and faults beside callers' connections"`
 	Callers     int           `long:"callers" default:"24" description:"number of callers"`
 	Dir         string        `long:"dir" description:"parent directory of each seed's settings and logs, which are kept if the seed fails"`
 	Quiet       bool          `long:"quiet" description:"don't print each fault"`
@@ -82,6 +82,7 @@
 		Programs: programs, Deployment: stand.Deployment{}, Dir: dir, Seed: seed, FaultTime: c.For, FaultFreeTime: c.Calm,
 		Nodes: c.Nodes, Endpoints: c.Endpoints, Callers: c.Callers, Bounds: soak.UserBounds(), Output: out,
 		Drills: c.Drills, StateFaults: !c.BasicFaults, LinkFaults: !c.BasicFaults, ConnFaults: !c.BasicFaults,
+		CapacityFaults: !c.BasicFaults,
 	}
 	r, err := s.Run(ctx)
 	if err != nil {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -10,8 +10,10 @@
 )
 
 // Violation is a broken guarantee. Rule names the guarantee:
+//   - cold: a cold endpoint gets hardly more requests than it tolerates.
 //   - cut: a stream isn't cut off because a sound endpoint falls silent in it.
 //   - drain: a node sends no new requests to an endpoint that has departed.
+//   - evacuated: no request reaches an endpoint of an evacuated data centre.
 //   - exit: a node doesn't exit on its own.
 //   - gone: a run ends soon after its caller closed the connection.
 //   - late: a request ends within its timeout.
@@ -24,6 +26,7 @@
 //   - refused: a request of kind Once that was answered with 429 or 503 has not
 //     run, and no endpoint has answered any other one whole that was answered so.
 //   - rest: an endpoint that asks for rest gets hardly any requests.
+//   - returned: a data centre whose evacuation was taken back gets requests again.
 //   - revoked: no request with a revoked key runs.
 //   - route: an endpoint gets only requests for its service.
 //   - served: most requests succeed while there are no faults.
@@ -41,14 +44,14 @@
 
 // timedRules are the rules that depend on time limits. On a busy machine, they can
 // be violated even if the nodes are correct.
-var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked", "recover", "part", "rest", "cut")
+var timedRules = ident.SetOf("late", "gone", "drain", "limit", "served", "lost", "stop", "revoked", "recover", "part", "rest", "cut", "evacuated", "returned", "cold")
 
 // IsTimed reports whether the guarantee depends on a time limit, so that it can be
 // violated on a busy machine even if the nodes are correct.
 func (v Violation) IsTimed() bool { return timedRules.Has(v.Rule) }
 
 // Bounds holds the limits that Check applies. DrainDelay and RevocationDelay are
-// also written to the settings of the nodes.
+// also written to the settings of the nodes, as are EvacuateDelay, ColdOverage and ColdSlack.
 type Bounds struct {
 	// SettleTime is how long a node may need to recover from a disturbance. Until
 	// then, DrainDelay, TimeoutSlack and CancelDelay do not apply to its requests.
@@ -73,6 +76,12 @@
 	// last fault. Requests with a revocable key and abandoned requests are not
 	// counted.
 	MinServed float64
+	// EvacuateDelay is how long the endpoints of a data centre may still get requests after
+	// the store has accepted its evacuation.
+	EvacuateDelay time.Duration
+	// In no second may a cold endpoint get more than ColdStart.Rate * ColdOverage +
+	// ColdSlack requests.
+	ColdOverage, ColdSlack float64
 }
 
 // UserBounds returns the bounds of the users' deployments.
@@ -80,6 +89,7 @@
 	return Bounds{
 		SettleTime: 3 * time.Second, DrainDelay: 2 * time.Second, RevocationDelay: 5 * time.Second, TimeoutSlack: 500 * time.Millisecond,
 		LossWindow: 200 * time.Millisecond, CancelDelay: 500 * time.Millisecond, MaxExceptions: 3, MinServed: 0.9,
+		EvacuateDelay: 5 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
 	}
 }
 
@@ -116,6 +126,8 @@
 		}
 	}
 	vs = append(vs, j.checkCuts(b)...)
+	vs = append(vs, j.checkEvacuations(b)...)
+	vs = append(vs, j.checkColds(b)...)
 	if late > b.MaxExceptions {
 		vs = append(vs, Violation{"late", fmt.Sprintf("%d requests had not ended %v after their timeout", late, b.TimeoutSlack)})
 	}
--- a/internal/lab/soak/codec.go
+++ b/internal/lab/soak/codec.go
@@ -102,7 +102,8 @@
 	// Bootstrap is set at the first start of a node, when no requests can be left
 	// over from earlier nodes.
 	Bootstrap bool
-	// Of the bounds, only DrainDelay and RevocationDelay are settings of the node.
+	// Of the bounds, only DrainDelay, RevocationDelay, EvacuateDelay, ColdOverage and
+	// ColdSlack are settings of the node.
 	Bounds
 	// GracePeriod is how long a graceful shutdown of the node may take.
 	GracePeriod time.Duration
@@ -124,10 +125,15 @@
 	ReadyPath() string
 	// ConfigKey returns the key of the configuration in the store.
 	ConfigKey() string
-	// EncodeCatalog returns the store's record of a configuration.
-	EncodeCatalog(c *topol.Catalog) ([]byte, error)
-	// EncodeEndpoint returns the store's record of an endpoint.
-	EncodeEndpoint(e topol.Endpoint) ([]byte, error)
+	// EvacuationKey returns the key of the evacuation of a data centre, in the stream of
+	// the configuration.
+	EvacuationKey(n ident.DataCentre) string
+	// EncodeCatalog returns the store's record of a configuration, with the bound on cold
+	// endpoints of all services.
+	EncodeCatalog(c *topol.Catalog, cold ColdStart) ([]byte, error)
+	// EncodeEndpoint returns the store's record of an endpoint that remains cold for a
+	// time.
+	EncodeEndpoint(e topol.Endpoint, cold time.Duration) ([]byte, error)
 	// OddEndpoints returns records that stand among those of the endpoints and name none,
 	// such as records with fields of wrong types.
 	OddEndpoints() [][]byte
--- a/internal/lab/soak/config.go
+++ b/internal/lab/soak/config.go
@@ -41,7 +41,7 @@
 
 // putConfig writes the configuration to the store. The caller holds s.mu.
 func (s *Soak) putConfig() error {
-	b, err := s.Deployment.EncodeCatalog(s.catalog())
+	b, err := s.Deployment.EncodeCatalog(s.catalog(), s.coldStart())
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/endpoints.go
+++ b/internal/lab/soak/endpoints.go
@@ -25,7 +25,7 @@
 
 // publishEndpoint writes an endpoint's record to the store.
 func (s *Soak) publishEndpoint(e topol.Endpoint) error {
-	b, err := s.Deployment.EncodeEndpoint(e)
+	b, err := s.Deployment.EncodeEndpoint(e, s.journal.coldTime(e.Name))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -97,7 +97,7 @@
 	"", "store loses records", "limit endpoint", "grow configuration",
 	"cut node by resets", "cut node silently", "refuse new links of node", "crash by a part", "rest endpoint", "endpoint states leaving",
 	"", "change idle timeout", "series of configurations", "stop node in a series of configurations", "silence streams", "repeat answers",
-	"fail resumed streams", "odd record", "", "kill node in a drill",
+	"fail resumed streams", "odd record", "", "kill node in a drill", "evacuate data centre", "data centre returns cold",
 }
 
 // String returns the name of a fault for reports.
@@ -202,7 +202,10 @@
 // disturbances of all nodes. ReplaceEndpoint and ChangeKeys are not recorded,
 // since they must not affect requests.
 func (s *Soak) inject(ctx context.Context, f ScheduledFault) error {
-	if f.Kind > linkFaultEnd {
+	switch {
+	case f.Kind > KillInDrill:
+		return s.injectCapacityFault(ctx, f)
+	case f.Kind > linkFaultEnd:
 		return s.injectConnFault(ctx, f)
 	}
 	n := s.nodes[f.Index%len(s.nodes)]
--- a/internal/lab/soak/journal.go
+++ b/internal/lab/soak/journal.go
@@ -97,11 +97,17 @@
 	// idleLimits are the limits for idle connections, in the order of their beginnings.
 	idleLimits []idleLimit
 	exits      []nodeExit
+	// arrivals are the requests that reached each endpoint and were not answered that it is
+	// another one, in the order of their times.
+	arrivals    map[ident.EndpointName][]arrival
+	evacuations []evacuation
+	// colds holds from when on each endpoint was cold, each time for coldStartTime.
+	colds map[ident.EndpointName][]time.Time
 }
 
 // NewJournal returns an empty journal.
 func NewJournal() *Journal {
-	return &Journal{calls: map[string]*Call{}, revokedAt: map[string]time.Time{}, departedAt: map[ident.EndpointName]time.Time{}}
+	return &Journal{calls: map[string]*Call{}, revokedAt: map[string]time.Time{}, departedAt: map[ident.EndpointName]time.Time{}, arrivals: map[ident.EndpointName][]arrival{}, colds: map[ident.EndpointName][]time.Time{}}
 }
 
 // AddCall records a call that is about to be sent.
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -149,6 +149,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.journal.RecordArrival(req.ID, self)
 	if s.statesLeaving.Load() {
 		s.codec.SetLeaving(w.Header())
 		s.journal.RecordDeparture(self.Name)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -38,7 +38,7 @@
 	gracePeriod = 8 * time.Second
 )
 
-var dataCentres = []ident.DataCentre{"a", "b", "c"}
+var dataCentres = [...]ident.DataCentre{"a", "b", "c"}
 
 // Soak configures and runs one soak test. The exported fields are set before Run,
 // which is called once.
@@ -76,6 +76,9 @@
 	// pause, pause for almost the idle timeout, or are far from the nodes, and some streams
 	// last for a second or more.
 	ConnFaults bool
+	// CapacityFaults adds evacuations of data centres, and data centres whose endpoints
+	// return cold. Without it, no endpoint is cold.
+	CapacityFaults bool
 	// Output gets a line for each fault.
 	Output io.Writer
 
@@ -92,6 +95,9 @@
 	// callers counts the callers that were started.
 	callers int
 
+	// evacuationLocks are held while a fault evacuates the data centre.
+	evacuationLocks [len(dataCentres)]sync.Mutex
+
 	// idleLock is held while a limit for idle connections is written.
 	idleLock sync.Mutex
 
@@ -103,6 +109,8 @@
 	idleLimit, extraRouteTimeout time.Duration
 	// addedRoutes is the number of routes that GrowConfig has added.
 	addedRoutes int
+	// evacuated holds whether each data centre that was ever evacuated is so now.
+	evacuated map[ident.DataCentre]bool
 }
 
 // Result holds the counts of requests and faults of a test, and the violations.
@@ -173,6 +181,9 @@
 	if s.LinkFaults {
 		faults = append(faults, planLinks(s.Seed, s.FaultTime)...)
 	}
+	if s.CapacityFaults {
+		faults = append(faults, planCapacity(s.Seed, s.FaultTime)...)
+	}
 	if s.ConnFaults {
 		faults = append(faults, planConnections(s.Seed, s.FaultTime)...)
 	}
--- a/internal/lab/soak/state.go
+++ b/internal/lab/soak/state.go
@@ -42,6 +42,7 @@
 	if err := s.rewriteConfig(); err != nil {
 		return err
 	}
+	s.rewriteEvacuations()
 	current := ident.Set[ident.EndpointName]{}
 	for _, e := range s.endpoints {
 		e.replaceLock.Lock()
