--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -29,6 +29,7 @@
 	evacuated    prometheus.Counter
 	noHome       prometheus.Counter
 	misdirected  *prometheus.CounterVec
+	coldLeftOut  prometheus.Counter
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -93,6 +94,9 @@
 		evacuated: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_evacuated_requests_total", Help: "Requests that were not sent, or not again, since the data centres of all endpoints were evacuated.",
 		}),
+		coldLeftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_cold_left_out_total", Help: "Choices of an endpoint in which cold ones were left out, since this node's part of their allowance was used up.",
+		}),
 		floods: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_endless_answers_total", Help: "Answers that were given up since the endpoint sent more than an answer may have, or since they took too much memory.",
 		}),
@@ -102,8 +106,11 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, newEvacuationMetrics(s),
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, newEvacuationMetrics(s),
 		gauge("laburnum_evacuated_data_centres", "Data centres whose evacuation is in force.", func() float64 { return float64(len(s.Feeds.Evacuated())) }),
+		gauge("laburnum_slow_start_endpoints", "Endpoints in slow start.", func() float64 { return float64(s.pacing.slowCount.Load()) }),
+		gauge("laburnum_slow_start_bound", "Sum of the bounds on concurrent requests at the endpoints in slow start, of all nodes together.", func() float64 { return float64(s.slowBounds()) }),
+		gauge("laburnum_cold_endpoints", "Endpoints taken for cold.", func() float64 { return float64(s.pacing.coldCount.Load()) }),
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -21,6 +21,9 @@
 	}
 	if errors.Is(err, place.ErrNoEndpoint) && len(x.limited.atLimit) > 0 {
 		err = errLimited
+		if len(x.limited.cold) > 0 {
+			err = errCold
+		}
 	}
 	x.countRejection(err, x.isRetry())
 	if errors.Is(err, errEvacuated) {
@@ -45,7 +48,7 @@
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errResting), errors.Is(err, errStopping), errors.Is(err, errEvacuated), errors.Is(err, errNoHome):
 		x.reject(503, retryAfter, err.Error())
-	case errors.Is(err, errLimited):
+	case errors.Is(err, errLimited), errors.Is(err, errCold):
 		x.reject(503, max(retrySoon/4, x.limited.wait), err.Error())
 	case errors.Is(err, place.ErrTooLarge):
 		// Coming back doesn't help the caller.
@@ -63,6 +66,7 @@
 // settle records the outcome of an attempt that has ended.
 func (x *exchange) settle(a *attempt, now time.Time) {
 	x.recordOutcome(a.choice, a.outcome, now)
+	x.server.observeOutcome(a)
 	x.server.endTrial(x.takeTrial())
 	x.recordDoubts(a)
 	switch a.outcome.result {
@@ -200,12 +204,12 @@
 		s.recordFlood(c.Primary, now)
 	case o.linkLost, o.result == superseded:
 		// The silence of one that was superseded has been recorded.
-	case o.reason == errStopping.Error(), o.reason == errEvacuated.Error():
+	case o.reason == errStopping.Error(), o.reason == errEvacuated.Error(), o.reason == errLapsed.Error():
 		// Nothing is known of the endpoint.
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil && !o.rests:
-		s.endpointHealth.recordFailure(c.Primary.Name, now)
+		s.recordFailure(c.Primary.Name, now)
 	}
 }
 
@@ -228,7 +232,7 @@
 func (x *exchange) recordFailureAt(e *topol.Endpoint, o outcome, now time.Time) {
 	s := x.server
 	s.pool(e.Address).CloseIdle()
-	isNew := s.endpointHealth.recordFailure(e.Name, now)
+	isNew := s.recordFailure(e.Name, now)
 	var strike *strik.Strike
 	if o.connBroken {
 		strike = x.newStrike(e.Name, o.startedAt, now)
@@ -269,7 +273,7 @@
 // endpoint at addr.
 func (x *exchange) recordFaultAt(addr string, now time.Time) {
 	if e := x.server.Feeds.Endpoints().ByAddress[addr]; e != nil {
-		if x.server.endpointHealth.recordFailure(e.Name, now) {
+		if x.server.recordFailure(e.Name, now) {
 			x.server.AnnounceFailure(e.Name)
 		}
 		x.tried.Add(e.Name)
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -67,6 +67,7 @@
 	}
 	if header.ID == a.reqHeader.ID && res.Status != http.StatusMisdirectedRequest {
 		a.server.observeLimit(a.choice.Primary, header, time.Now())
+		a.server.observeCold(a.choice.Primary, a.service, header, time.Now())
 		a.server.observeAvailability(a.choice.Primary, a.sender, header, time.Now())
 	}
 	a.outcome = outcome{status: res.Status, rests: header.Rest > 0, faultAddress: header.FaultAddress, timeToFirst: time.Since(a.startedAt)}
@@ -82,6 +83,9 @@
 	case unusableAnswer:
 		a.outcome.result, a.outcome.reason = unusable, kind.describe(res)
 		return false
+	case finalAnswer:
+		a.markAnswered()
+		return a.readWhole(kind)
 	default:
 		return a.readWhole(kind)
 	}
@@ -196,6 +200,7 @@
 	}
 	res, o := a.answer.head, &a.outcome
 	a.goesOn()
+	a.releaseTurn()
 	a.writeResponse(&a.answer.wholeResponse)
 	o.result = complete
 	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -20,6 +20,7 @@
 	"laburnumstack.org/laburnum/internal/coord/extra"
 	"laburnumstack.org/laburnum/internal/coord/homes"
 	"laburnumstack.org/laburnum/internal/coord/memory"
+	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -151,6 +152,15 @@
 	DialEndpoint links.DialFunc
 	// RequestEndpoints asks for a newer list of endpoints; nil means that there is no way to.
 	RequestEndpoints func()
+	// ColdOverage and ColdSlack give the bound on the requests to a cold endpoint in any
+	// second: the rate that it tolerates times ColdOverage, plus ColdSlack.
+	ColdOverage, ColdSlack float64
+	// Bootstrap is set if no node has run in the deployment before, so that the endpoints
+	// run no requests of earlier nodes.
+	Bootstrap bool
+	// Members returns the nodes that share the requests to cold endpoints; nil means that
+	// this node is alone.
+	Members func(now time.Time) pace.Members
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
@@ -168,6 +178,7 @@
 	availability   statedAvailability
 	endpointLimits endpointLimits
 	staleRecords   staleRecords
+	pacing         pacing
 	decisions      sizeDecisions
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
@@ -248,6 +259,7 @@
 	s.startMillis = s.startedAt.UnixMilli()
 	s.answers.Limit = s.MaxBufferedBytes
 	s.logRegions()
+	s.InFlight.Watch(s.observeMark, s.observeEnd)
 	acceptEnded := make(chan struct{})
 	s.mu.Lock()
 	s.conns = map[*callerConn]struct{}{}
@@ -299,6 +311,7 @@
 		s.refreshLimits(now)
 		s.expireAvailability(now)
 		s.refreshStale()
+		s.refreshPace(now)
 		s.decisions.expire(now)
 		s.logEvacuations()
 		endpoints := s.Feeds.Endpoints()
