--- a/internal/lab/soak/codec.go
+++ b/internal/lab/soak/codec.go
@@ -102,7 +102,8 @@
 	// Bootstrap is set at the first start of a node, when no requests can be left
 	// over from earlier nodes.
 	Bootstrap bool
-	// Of the bounds, only DrainDelay and RevocationDelay are settings of the node.
+	// Of the bounds, only DrainDelay, RevocationDelay, EvacuateDelay, ColdOverage and
+	// ColdSlack are settings of the node.
 	Bounds
 	// GracePeriod is how long a graceful shutdown of the node may take.
 	GracePeriod time.Duration
@@ -124,6 +125,9 @@
 	ReadyPath() string
 	// ConfigKey returns the key of the configuration in the store.
 	ConfigKey() string
+	// EvacuationKey returns the key of the evacuation of a data centre, in the stream of
+	// the configuration.
+	EvacuationKey(n ident.DataCentre) string
 	// EncodeCatalog returns the store's record of a configuration.
 	EncodeCatalog(c *topol.Catalog) ([]byte, error)
 	// EncodeEndpoint returns the store's record of an endpoint.
--- a/internal/lab/soak/config.go
+++ b/internal/lab/soak/config.go
@@ -66,6 +66,11 @@
 		Limits: topol.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: s.idleLimit},
 		Keys:   map[string]*topol.Workspace{permanentKey: w, s.keys[len(s.keys)-1]: w},
 	}
+	if s.CapacityFaults {
+		for _, service := range c.Services {
+			service.ColdStart, service.ColdRate = coldStartTime, coldRate
+		}
+	}
 	for _, k := range []topol.Kind{topol.Once, topol.Idempotent, topol.Stream} {
 		service := plainService
 		if k == topol.Stream {
