share: a peer that joins the group of a hub gets the requests of others

A hub that connected to a new node before it knew its name sent it its own requests only, as a node without hubs does. When the name became known and the node joined the group, its role changed from direct to direct and grouped with the same scope, which setRole did not take for a change that needs the state, so the requests in flight of other nodes were never sent. The state is now also queued for a peer that joins the group.

--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -31,6 +31,13 @@
 	watched bool
 }
 
+// extends reports whether a peer with this role gets updates that it didn't get with an old one,
+// so that it lacks requests in flight: this node's own, or those that this node passes on as a
+// hub. A peer that was direct without hubs lacks those of others when it joins the group.
+func (r role) extends(old role) bool {
+	return r.direct && (!old.direct || r.scope != old.scope || r.grouped && !old.grouped)
+}
+
 // peer is another node.
 type peer struct {
 	mesh *Mesh
@@ -94,7 +101,7 @@
 	if r.linked && !old.linked {
 		p.linkedAt = now
 	}
-	missesState := r.direct && (!old.direct || r.scope != old.scope) && p.client != nil
+	missesState := r.extends(old) && p.client != nil
 	p.mu.Unlock()
 	if missesState {
 		p.queueState()
