share: an older list of requests is ignored also if its node sent it itself

A list that a node sent directly could arrive after a newer change of the node that came over a hub, and removed the request; only forwarded lists were compared with what was known. Both are now, except that a direct list whose number is lower by a second or more is that of a node that restarted with its clock behind. The comparison and the changes happen under one lock. An update with an old list no longer loses its other content (limits, strikes, statements), and a hub passes on the list that it knows in place of the old one.

--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -134,6 +134,10 @@
 	// changes up to its number.
 	numbering sync.Mutex
 
+	// applying is held while requests of an update are compared with those known and applied:
+	// updates of a node may come on several ways at once.
+	applying sync.Mutex
+
 	ctx context.Context
 	mu  sync.Mutex
 	// unforwarded are updates to forward when this node becomes a hub.
--- a/internal/trans/share/role_test.go
+++ b/internal/trans/share/role_test.go
@@ -7,15 +7,16 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// newHub returns the mesh of a1, a hub that knows the requests in flight of a2, and its peer a3,
-// to which it is connected.
+// newHub returns the mesh of a1, a hub that knows the requests in flight of a2, and its peer a3. It
+// is connected to a2, a3 and a4.
 func newHub(t *testing.T) (*Mesh, *peer) {
-	m := newConnectedMesh(t, "a1", "a2", "a3")
+	m := newConnectedMesh(t, "a1", "a2", "a3", "a4")
 	m.isHub.Store(true)
 	m.accept(&relay.Update{
 		From: relay.Member{Name: "a2", Address: "a2", DataCentre: "a"}, Reset: true, Seq: 5,
@@ -48,3 +49,52 @@
 		test.SliceEmpty(t, p.takePending().Forwarded, test.Sprint(c.name, ": a role that stays sends nothing again"))
 	}
 }
+
+// Guards against a request that a node never learns of: the node heard of it over a hub, and then
+// got a list from before the request, which its node had sent on a slow connection.
+func TestOlderListOfTheNodeItselfIsIgnored(t *testing.T) {
+	const run = uint64(1e18)
+	for _, c := range []struct {
+		name string
+		seq  uint64
+		kept int
+	}{
+		{"older", run + 4, 1},
+		{"the same changes", run + 5, 0},
+		{"newer", run + 6, 0},
+		{"restarted with its clock behind", run - 2*maxNumbersOfRun, 0},
+		{"of an older build", 0, 0},
+	} {
+		m := newConnectedMesh(t, "a1")
+		from := relay.Member{Name: "a2"}
+		m.accept(&relay.Update{From: from, Reset: true, Seq: run + 3})
+		m.accept(&relay.Update{From: relay.Member{Name: "a3"}, Forwarded: []relay.Update{
+			{From: from, Seq: run + 5, Began: []relay.AgedRequest{{Work: works.Request{ID: 1, Node: "a2"}}}},
+		}})
+		m.accept(&relay.Update{From: from, Reset: true, Seq: c.seq})
+		test.SliceLen(t, c.kept, m.InFlight.ByNode("a2"), test.Sprint(c.name))
+	}
+}
+
+// Guards against limits, strikes and other knowledge that are lost with an old list in the same
+// update, and against nodes of a group that get no list since their hub ignores it as old.
+func TestRestOfAnUpdateWithAnOldListIsTaken(t *testing.T) {
+	m, p := newHub(t)
+	p.role = role{linked: true, direct: true, grouped: true}
+	var limits []quota.Limit
+	m.OnLimits = func(ls []quota.Limit) { limits = append(limits, ls...) }
+	m.accept(&relay.Update{From: relay.Member{Name: "a4", Address: "a4", DataCentre: "a"}, Forwarded: []relay.Update{{
+		From: relay.Member{Name: "a2"}, Reset: true, Seq: 4, Reach: relay.ScopeGroup,
+		Limits: []relay.AgedLimit{{Limit: quota.Limit{Rate: 2}}},
+	}}})
+	test.SliceLen(t, 1, limits)
+	test.SliceLen(t, 1, m.InFlight.ByNode("a2"))
+	u := p.takePending()
+	must.SliceLen(t, 2, u.Forwarded)
+	list, rest := u.Forwarded[0], u.Forwarded[1]
+	test.True(t, list.Reset)
+	test.Eq(t, 5, list.Seq)
+	test.SliceLen(t, 1, list.Began)
+	test.False(t, rest.Reset)
+	test.SliceLen(t, 1, rest.Limits)
+}
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -14,6 +14,10 @@
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
 
+// maxNumbersOfRun is more changes than a node numbers in one run. The first number of a run is
+// the time of day in nanoseconds, so it is that of a second.
+const maxNumbersOfRun = uint64(time.Second)
+
 // service holds the net/rpc methods that peers call.
 type service struct {
 	mesh *Mesh
@@ -43,37 +47,39 @@
 	u.Heard = nil
 	forwarded := u.Forwarded
 	u.Forwarded = nil
-	m.acceptOne(u)
+	m.acceptOne(u, true)
 	for i := range forwarded {
 		f := &forwarded[i]
-		if f.From.Name != m.Self.Name && !m.isOld(f) {
-			m.acceptOne(f)
+		if f.From.Name != m.Self.Name {
+			m.acceptOne(f, false)
 		}
 	}
 }
 
-// acceptOne applies an update and forwards it.
-func (m *Mesh) acceptOne(u *relay.Update) {
+// acceptOne applies an update, which came from its node itself if direct is set, and forwards
+// it. If its list of requests is old, it takes the rest of the update only.
+func (m *Mesh) acceptOne(u *relay.Update, direct bool) {
 	m.stats.updatesReceived.Add(1)
-	if u.Reach != relay.ScopePeer {
+	old := m.applyRequests(u, direct)
+	switch {
+	case old:
+		m.replaceList(u)
+	case u.Reach != relay.ScopePeer:
 		m.setEntry(u.From.Name, u.Reach != relay.ScopeGroup)
 	}
 	m.apply(u)
 	m.forward(*u)
 }
 
-// isOld reports whether a forwarded update lists a node's requests as they were before the
-// last change that this node knows, so that it came on a longer way.
-func (m *Mesh) isOld(u *relay.Update) bool {
-	if !u.Reset || u.Seq == 0 {
-		return false
+// applyRequests applies what an update tells of requests in flight, and converts their ages to
+// times. It does nothing and returns true if the update lists the requests as they were before
+// the last change that this node knows, so that it came on a longer way.
+func (m *Mesh) applyRequests(u *relay.Update, direct bool) (old bool) {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	if m.isOld(u, direct) {
+		return true
 	}
-	known, complete := m.InFlight.Seq(u.From.Name)
-	return complete && u.Seq < known
-}
-
-// apply applies an update to this node's state, and converts its ages to times.
-func (m *Mesh) apply(u *relay.Update) {
 	now := time.Now()
 	if u.Reset {
 		m.InFlight.Reset(u.From.Name, u.Seq)
@@ -90,6 +96,36 @@
 	for _, id := range u.Done {
 		m.InFlight.Remove(u.From.Name, id)
 	}
+	return false
+}
+
+// isOld reports whether an update lists requests as they were before the last change that this
+// node knows. A list that comes from its node itself with a number that is lower by
+// maxNumbersOfRun or more is that of a node that restarted with its clock behind.
+func (m *Mesh) isOld(u *relay.Update, direct bool) bool {
+	if !u.Reset || u.Seq == 0 {
+		return false
+	}
+	known, complete := m.InFlight.Seq(u.From.Name)
+	if !complete || u.Seq >= known {
+		return false
+	}
+	return !direct || known-u.Seq < maxNumbersOfRun
+}
+
+// replaceList removes the requests from an update with an old list, and forwards what this node
+// knows of them instead: the nodes of its group may not have got a list yet.
+func (m *Mesh) replaceList(u *relay.Update) {
+	seq, _ := m.InFlight.Seq(u.From.Name)
+	known := m.requestsOf(u.From)
+	known.Copied, known.Seq, known.Reach = true, seq, u.Reach
+	u.Reset, u.Began, u.Wrote, u.Done = false, nil, nil, nil
+	m.forward(known)
+}
+
+// apply applies the rest of an update to this node's state, and converts its ages to times.
+func (m *Mesh) apply(u *relay.Update) {
+	now := time.Now()
 	if len(u.Failed) > 0 {
 		m.OnFailed(u.Failed)
 	}
