share: changes dropped with a closed stream, and knowledge missed before a role, are sent again

A stream that was closed since its receiver became a hub, or since hubs were no longer used, took with it the frames that were not written, after the list for the new role was queued. The state is queued again then. A peer that begins to get updates from its hub, or to which a connection for a call becomes a link, now also gets limits, statements and suspected parts: what became known between the connection and the role was never sent. Other hubs are not told on a change of role, since they would pass it on to all.

--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -198,6 +198,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	m := &Mesh{Self: relay.Member{Name: "a9", Address: "9", DataCentre: "a"}, InFlight: &works.Table{}, HubThreshold: 1}
+	knowNothing(m)
 	m.Init(context.Background())
 	p := &peer{
 		mesh: m, Member: relay.Member{Name: "a1", Address: "1", DataCentre: "a"}, client: rpc.NewClient(near),
--- a/internal/trans/share/order_test.go
+++ b/internal/trans/share/order_test.go
@@ -13,6 +13,9 @@
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 
+	"laburnumstack.org/laburnum/internal/coord/avail"
+	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -23,6 +26,7 @@
 // is its data centre.
 func newConnectedMesh(t *testing.T, self string, others ...string) *Mesh {
 	m := &Mesh{Self: relay.Member{Name: ident.NodeName(self), Address: self, DataCentre: ident.DataCentre(self[:1])}, InFlight: &works.Table{}}
+	knowNothing(m)
 	m.Init(context.Background())
 	for _, n := range others {
 		near, far := net.Pipe()
@@ -36,6 +40,14 @@
 	return m
 }
 
+// knowNothing makes a mesh tell new peers nothing of endpoints and parts of prompts.
+func knowNothing(m *Mesh) {
+	m.Limits = func() []quota.Limit { return nil }
+	m.PartStates = func() []strik.PartState { return nil }
+	m.Availability = func() []avail.State { return nil }
+	m.Rests = func() []avail.Rest { return nil }
+}
+
 func TestReadersAreOneOfEachDataCentre(t *testing.T) {
 	for _, c := range []struct{ self, others, dead, want string }{
 		{"b2", "a1 a2 b1 c1 c2", "", "b1 a1 c1"},
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -93,7 +93,8 @@
 }
 
 // setRole sets the role of the peer, and queues what it has missed so far if it gets this
-// node's updates directly from now on.
+// node's updates directly from now on. Other hubs are not told again what this node knows of
+// endpoints and parts of prompts, as they would pass it on.
 func (p *peer) setRole(r role, now time.Time) {
 	p.mu.Lock()
 	old := p.role
@@ -102,10 +103,14 @@
 		p.linkedAt = now
 	}
 	missesState := r.extends(old) && p.client != nil
+	missesKnowledge := missesState && r.scope == relay.ScopePeer || r.linked && !old.linked && p.client != nil
 	p.mu.Unlock()
 	if missesState {
 		p.queueState()
 	}
+	if missesKnowledge {
+		p.queueKnowledge()
+	}
 	if r.linked {
 		p.start()
 	}
--- a/internal/trans/share/role_test.go
+++ b/internal/trans/share/role_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -98,3 +99,46 @@
 	test.False(t, rest.Reset)
 	test.SliceLen(t, 1, rest.Limits)
 }
+
+// Guards against changes that are lost with the frames of a stream that is closed since its
+// receiver became a hub too: they were queued after the list for the new role.
+func TestChangesOfAClosedStreamAreSentAgain(t *testing.T) {
+	m, p := newHub(t)
+	m.fanout.delay = func() time.Duration { return time.Hour }
+	near, far := net.Pipe()
+	defer far.Close()
+	p.role, p.Streams, p.outlet = role{linked: true, direct: true, grouped: true}, true, m.fanout.join(near)
+	p.setRole(role{linked: true, direct: true, scope: relay.ScopeGroup}, time.Now())
+	p.takePending()
+	limits := []quota.Limit{{Rate: 2}}
+	m.Limits = func() []quota.Limit { return limits }
+	w := works.Request{ID: 3, Node: "a1", First: "e"}
+	m.InFlight.Put(w)
+	m.AnnounceStart(w)
+	m.AnnounceLimits(limits...)
+	must.NoError(t, p.updateStream(t.Context()))
+	u := p.takePending()
+	test.SliceLen(t, 1, u.Began)
+	test.SliceLen(t, 1, u.Limits)
+}
+
+// Guards against limits, statements and parts that a node never learns of: they became known
+// while it was connected but got no updates from its hub, or over a connection for a call.
+func TestPeerThatGetsUpdatesLearnsWhatItMissed(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		old, new role
+		want     int
+	}{
+		{"joins the group", role{linked: true}, role{linked: true, direct: true, grouped: true}, 1},
+		{"linked after a call", role{}, role{linked: true}, 1},
+		{"linked no longer", role{linked: true}, role{}, 0},
+		{"new hub, which would pass it on to all", role{linked: true}, role{linked: true, direct: true, scope: relay.ScopeAll}, 0},
+	} {
+		m, p := newHub(t)
+		m.Limits = func() []quota.Limit { return []quota.Limit{{Rate: 2}} }
+		p.role = c.old
+		p.setRole(c.new, time.Now())
+		test.SliceLen(t, c.want, p.takePending().Limits, test.Sprint(c.name))
+	}
+}
--- a/internal/trans/share/stream.go
+++ b/internal/trans/share/stream.go
@@ -33,16 +33,27 @@
 	case o == nil && wanted:
 		return p.openStream(ctx)
 	case o != nil && !wanted:
-		p.mu.Lock()
-		p.outlet = nil
-		p.mu.Unlock()
-		p.mesh.fanout.leave(o)
+		p.closeStream(o)
 	case o != nil:
 		return o.failure()
 	}
 	return nil
 }
 
+// closeStream closes the stream to the peer. If the peer still gets updates directly, its state
+// is queued anew, as changes may be lost with the frames that were not written.
+func (p *peer) closeStream(o *outlet) {
+	p.mu.Lock()
+	p.outlet = nil
+	direct := p.direct
+	p.mu.Unlock()
+	p.mesh.fanout.leave(o)
+	if direct {
+		p.queueState()
+		p.queueKnowledge()
+	}
+}
+
 // openStream opens a stream to the peer. Its frames wait until releaseStream, so that they
 // follow the pending update.
 func (p *peer) openStream(ctx context.Context) error {
