--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -25,6 +25,13 @@
 	watched bool
 }
 
+// extends reports whether a peer with this role gets updates that it didn't get with an old one,
+// so that it lacks requests in flight: this node's own, or those that this node passes on as a
+// hub. A peer that was direct without hubs lacks those of others when it joins the group.
+func (r role) extends(old role) bool {
+	return r.direct && (!old.direct || r.scope != old.scope || r.grouped && !old.grouped)
+}
+
 // peer is another node.
 type peer struct {
 	mesh *Mesh
@@ -80,7 +87,8 @@
 }
 
 // setRole sets the role of the peer, and queues what it has missed so far if it gets this
-// node's updates directly from now on.
+// node's updates directly from now on. Other hubs are not told again what this node knows of
+// endpoints and parts of prompts, as they would pass it on.
 func (p *peer) setRole(r role, now time.Time) {
 	p.mu.Lock()
 	old := p.role
@@ -88,11 +96,15 @@
 	if r.linked && !old.linked {
 		p.linkedAt = now
 	}
-	missesState := r.direct && (!old.direct || r.scope != old.scope) && p.client != nil
+	missesState := r.extends(old) && p.client != nil
+	missesKnowledge := missesState && r.scope == relay.ScopePeer || r.linked && !old.linked && p.client != nil
 	p.mu.Unlock()
 	if missesState {
 		p.queueState()
 	}
+	if missesKnowledge {
+		p.queueKnowledge()
+	}
 	if r.linked {
 		p.start()
 	}
