--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -90,9 +90,9 @@
 	// tried holds the endpoints to which the request is not sent again,
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
-	// misdirectedAt is when the last send began that an endpoint of a data centre answered
-	// with 421.
-	misdirectedAt map[ident.DataCentre]clock.Instant
+	// doubtedAt is when the last send began that an endpoint of a data centre answered with 421,
+	// or that did not reach one.
+	doubtedAt map[ident.DataCentre]clock.Instant
 	// sentTo holds the addresses to which the request was sent without a complete
 	// response.
 	sentTo []string
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -76,13 +76,15 @@
 // recordDoubts records what an attempt that has ended shows about the records of endpoints.
 func (x *exchange) recordDoubts(a *attempt) {
 	e := a.choice.Primary
-	switch {
-	case a.outcome.isMisdirected():
-		if x.misdirectedAt == nil {
-			x.misdirectedAt = map[ident.DataCentre]clock.Instant{}
-		}
-		x.misdirectedAt[e.DataCentre] = max(x.misdirectedAt[e.DataCentre], a.sentAt)
-	case a.outcome.result == notSent && a.link == nil:
+	isUnreached := a.outcome.result == notSent && a.link == nil
+	if !isUnreached && !a.outcome.isMisdirected() {
+		return
+	}
+	if x.doubtedAt == nil {
+		x.doubtedAt = map[ident.DataCentre]clock.Instant{}
+	}
+	x.doubtedAt[e.DataCentre] = max(x.doubtedAt[e.DataCentre], a.sentAt)
+	if isUnreached {
 		x.server.updateStale(func(t *stale.Table) []stale.Change { return t.Fail(e, a.sentAt, x.server.staleRecords.now()) })
 	}
 }
@@ -93,8 +95,10 @@
 	return o.result == refused && o.status == http.StatusMisdirectedRequest
 }
 
-// place places the request. After an answer 421, it does without the endpoints of the same data
-// centre that no later list confirms, unless the request can be placed at no other.
+// place places the request. After an answer 421, or a send that reached no endpoint, it does
+// without the endpoints of the same data centre that no later list confirms, unless the request
+// can be placed at no other. If a data centre loses its endpoints, they look idle, and a request
+// would use all of its sends there.
 func (x *exchange) place(candidates []*topol.Endpoint, now time.Time) (place.Choice, place.Request, error) {
 	r, st := x.placeRequest(now), x.serviceState(candidates, now)
 	if doubtful := x.doubtful(candidates); len(doubtful) > 0 {
@@ -112,15 +116,15 @@
 }
 
 // doubtful returns the endpoints in data centres where an endpoint answered the request with
-// 421, as long as the list of endpoints is older than that send. The caller may modify the set.
+// 421 or was not reached, as long as the list of endpoints is older than that send. The caller may modify the set.
 func (x *exchange) doubtful(es []*topol.Endpoint) ident.Set[ident.EndpointName] {
-	if len(x.misdirectedAt) == 0 {
+	if len(x.doubtedAt) == 0 {
 		return nil
 	}
 	confirmed := x.server.recordsConfirmedAt(x.server.staleRecords.now())
 	found := ident.Set[ident.EndpointName]{}
 	for _, e := range es {
-		if sent, ok := x.misdirectedAt[e.DataCentre]; ok && confirmed <= sent {
+		if sent, ok := x.doubtedAt[e.DataCentre]; ok && confirmed <= sent {
 			found.Add(e.Name)
 		}
 	}
--- a/internal/trans/gate/stale_test.go
+++ b/internal/trans/gate/stale_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -311,3 +314,21 @@
 	test.Eq(t, 0, received(gone), test.Sprint("these are known to be others"))
 	test.SliceEmpty(t, far.requests())
 }
+
+// Guards against a request that uses all of its sends in a data centre whose endpoints have all
+// gone at once, and is refused although another data centre can serve it.
+func TestRequestGoesToAnotherDataCentreAfterOneFailedConnection(t *testing.T) {
+	gone, ls := endpointsOf(t, "a", 2*maxSends, ok("no"))
+	sound, more := endpointsOf(t, "b", 1, ok("yes"))
+	r := newRig(t, sound...)
+	r.server.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
+		if slices.ContainsFunc(gone, func(e *scriptedEndpoint) bool { return e.address == address }) {
+			return nil, errors.New("connection refused")
+		}
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}
+	r.list(append(ls, more...)...)
+	res := r.do(request("GET", "/safe/", "r1", ""))
+	test.Eq(t, 200, res.status)
+	test.Eq(t, 1, received(sound))
+}
