--- a/internal/trans/share/link.go
+++ b/internal/trans/share/link.go
@@ -42,6 +42,10 @@
 		if p.endIfUnneeded() {
 			return
 		}
+		if err == nil {
+			// A call needs a connection since the last one was closed as unneeded.
+			continue
+		}
 		p.mu.Lock()
 		silent := time.Since(p.lastSeen)
 		p.mu.Unlock()
--- a/internal/trans/share/members_test.go
+++ b/internal/trans/share/members_test.go
@@ -66,6 +66,17 @@
 	test.True(t, p.Granted)
 }
 
+// Guards against calls that get the client of a connection which is just being closed because it
+// was not needed any more.
+func TestClientOfAnUnneededConnectionIsNotUsed(t *testing.T) {
+	m := newConnectedMesh(t, "a1", "a2")
+	p := m.peers["a2"]
+	p.role, p.neededUntil = role{}, time.Time{}
+	must.NotNil(t, p.client)
+	must.False(t, p.keepsClient())
+	test.Nil(t, p.client)
+}
+
 // Guards against requests in flight of a dead node that count for ever at nodes without a
 // connection to it, and against nodes that take it for alive.
 func TestDeathOfANodeIsHeardOfEverywhere(t *testing.T) {
--- a/internal/trans/share/send.go
+++ b/internal/trans/share/send.go
@@ -29,12 +29,22 @@
 				continue
 			}
 		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.needed(time.Now())
+		return p.keepsClient()
 	}
 }
 
+// keepsClient reports whether the connection is still needed. If it isn't, no further call gets
+// its client, which is closed next.
+func (p *peer) keepsClient() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.needed(time.Now()) {
+		return true
+	}
+	p.client = nil
+	return false
+}
+
 // waitForMore waits so that one update carries several changes. A node alone has few
 // changes for its hub, so it doesn't wait.
 func (p *peer) waitForMore() {
