--- a/internal/known/judge.go
+++ b/internal/known/judge.go
@@ -130,7 +130,8 @@
 	}
 }
 
-// fault returns why the failure is none of its tests alone, and "" if it is.
+// fault returns why failed tests alone don't explain the failure of the package, and "" if they
+// do.
 func (p *pack) fault() string {
 	for _, l := range p.lines {
 		// Tests that pass may log such words, but none has a data race.
--- a/internal/lab/soak/capacity.go
+++ b/internal/lab/soak/capacity.go
@@ -83,7 +83,7 @@
 		s.journal.recordCold(name, e.to)
 	}
 	s.putEvacuation(dc, false)
-	// Endpoints write their records at times of their own.
+	// Endpoints write their records independently of the operator.
 	delay.For(ctx, rand.N(recordInterval))
 	if err := s.publishCold(ctx, servers, e.to); err != nil {
 		return err
@@ -181,7 +181,7 @@
 	return s.publishEndpoint(next)
 }
 
-// publishCold writes the records of endpoints again and again until they are no longer cold.
+// publishCold writes the records of endpoints repeatedly until they are no longer cold.
 // It passes over endpoints that another fault replaces.
 func (s *Soak) publishCold(ctx context.Context, servers []*endpointServer, since time.Time) error {
 	for {
--- a/internal/lab/soak/evacuated.go
+++ b/internal/lab/soak/evacuated.go
@@ -74,7 +74,7 @@
 }
 
 // checkEvacuations checks that evacuated data centres get no requests from nodes that must know
-// of it, and get some after that. The caller holds j.mu.
+// of the evacuation, and get some again after its end. The caller holds j.mu.
 func (j *Journal) checkEvacuations(b Bounds) []Violation {
 	nodes := j.nodes()
 	var vs []Violation
--- a/internal/state/topol/catalog.go
+++ b/internal/state/topol/catalog.go
@@ -213,8 +213,8 @@
 	// Born is the Unix time of the endpoint's start in milliseconds. It
 	// distinguishes starts under the same name.
 	Born int64
-	// Cold is the time for which the endpoint remains cold, as its record states; it is
-	// meant from the moment at which the record is read. StatesCold is set if the record
+	// Cold is the time for which the endpoint remains cold, as its record states; it
+	// counts from the moment at which the record is read. StatesCold is set if the record
 	// states a time, which may be zero.
 	Cold       time.Duration
 	StatesCold bool
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -125,7 +125,7 @@
 	numbering sync.Mutex
 
 	// applying is held while requests of an update are compared with those known and applied:
-	// updates of a node may come on several ways at once.
+	// updates of a node may arrive over several connections at once.
 	applying sync.Mutex
 
 	ctx context.Context
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -14,8 +14,8 @@
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
 
-// maxNumbersOfRun is more changes than a node numbers in one run. The first number of a run is
-// the time of day in nanoseconds, so it is that of a second.
+// maxNumbersOfRun exceeds the number of changes that a node numbers in one run. A run's first
+// number is the time of day in nanoseconds, so a difference of maxNumbersOfRun is one second.
 const maxNumbersOfRun = uint64(time.Second)
 
 // service holds the net/rpc methods that peers call.
@@ -73,8 +73,9 @@
 	m.forward(*u)
 }
 
-// applyRequests applies what an update tells of requests in flight. It does nothing and returns true if the update lists the requests as they were before
-// the last change that this node knows, so that it came on a longer way.
+// applyRequests applies what an update tells of requests in flight. It does nothing and returns
+// true if the update lists them as they were before the last change that this node knows, which
+// another connection delivered earlier.
 func (m *Mesh) applyRequests(u *relay.Update, direct bool) (old bool) {
 	m.applying.Lock()
 	defer m.applying.Unlock()
