gate, pace, place: names, comments and long functions of the merged parts

Change: place.ErrStarting is removed; the gate places again without the bounds of slow start after any error, so no caller saw it. attempt.begin and logEvacuations are split, exchange.place stands beside choose. Slow.Mine is MaySend, forgo is releaseUnsent, isWritten is writeBegun, and the constant window, which had the name of a method, is minWindow. Tests share logBuffer, evacuatingReserver and Server.evacuate; what they check is the same. Result: no change of behaviour.

--- a/internal/coord/pace/cold.go
+++ b/internal/coord/pace/cold.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// window is the time for which a part of the allowance holds. It is longer than the
+	// minWindow is the shortest time for which a part of the allowance holds. It is longer than the
 	// second for which the bound holds, since requests may arrive up to 100 ms less apart
 	// than they were sent.
-	window = 1100 * time.Millisecond
+	minWindow = 1100 * time.Millisecond
 	// connectTime is the longest time from the decision on a send until the request is
 	// written. It covers a connection of this node and one over a peer.
 	connectTime = 1500 * time.Millisecond
@@ -40,7 +40,7 @@
 // the rate, but leaves half of the margin to the bound.
 func (r Rate) allowance(members, alive int) int {
 	most := float64(r.Max())
-	aim := min(most, r.PerSecond*window.Seconds())
+	aim := min(most, r.PerSecond*minWindow.Seconds())
 	scaled := aim * float64(members) / float64(max(1, min(alive, members)))
 	return max(1, int(min(scaled, aim+(most-aim)/2)))
 }
@@ -48,11 +48,11 @@
 // window returns the time for which a part of the allowance holds: longer for a rate that
 // doesn't allow a request in each window.
 func (r Rate) window() time.Duration {
-	aim := r.PerSecond * window.Seconds()
+	aim := r.PerSecond * minWindow.Seconds()
 	if aim >= 1 {
-		return window
+		return minWindow
 	}
-	return time.Duration(min(float64(window)/aim, math.MaxInt64/4))
+	return time.Duration(min(float64(minWindow)/aim, math.MaxInt64/4))
 }
 
 // Cold holds which endpoints are cold, and what this node may send to them. It is not safe
@@ -67,15 +67,17 @@
 	// this node takes it for cold whatever the endpoint says.
 	statedUntil, assumedUntil time.Time
 	rank                      rankCache
-	// part is the number of requests that this node may send in a window, isPlanned is set
-	// once it has been found. After a raise, the higher part counts from raiseAt on, since
-	// the node that had it may have just used it.
-	part      int
+	// part is the number of requests that this node may send in a window.
+	part int
+	// isPlanned is set once part has been found.
 	isPlanned bool
-	raiseAt   time.Time
-	// nextAt is when this node may send the next request. pendingUntil is set while one is
-	// on its way: it has been taken, but may not have been written.
-	nextAt, pendingUntil time.Time
+	// raiseAt is when a higher part takes effect, since the node that had it may have just
+	// used it; zero if there is none.
+	raiseAt time.Time
+	// nextAt is when this node may send the next request.
+	nextAt time.Time
+	// pendingUntil is set while a request has been taken but may not have been written.
+	pendingUntil time.Time
 }
 
 func (e *coldEntry) until() time.Time {
@@ -193,8 +195,8 @@
 }
 
 // Take reports whether this node may send a request to an endpoint now, and if so counts it.
-// Sent is to be called when the request is written, or Abandon if it isn't. Until then there is
-// no other one.
+// The caller then calls Sent when the request is written, or Abandon if it isn't. Until then, but
+// no longer than connectTime, no other request can be taken.
 func (c *Cold) Take(k quota.Key, v *View, now time.Time) bool {
 	if wait, ok := c.Wait(k, v, now); !ok || wait > 0 {
 		return false
--- a/internal/coord/pace/cold_test.go
+++ b/internal/coord/pace/cold_test.go
@@ -95,7 +95,7 @@
 		}
 		count := rapid.OneOf(rapid.IntRange(1, 40), rapid.IntRange(1, 320)).Draw(t, "nodes")
 		missing := rapid.IntRange(0, count-1).Draw(t, "missing")
-		aim := min(float64(rate.Max()), rate.PerSecond*window.Seconds())
+		aim := min(float64(rate.Max()), rate.PerSecond*minWindow.Seconds())
 		most := max(1, int(aim+(float64(rate.Max())-aim)/2))
 		for missing > 0 && largestSum(most, count, missing) > rate.Max() {
 			missing--
@@ -142,7 +142,7 @@
 				n.view.Update(known(rng, i), n.at(now))
 			}
 			if n.cold.Take(coldKey, &n.view, n.at(now)) && n.cold.Sent(coldKey, n.at(now), n.at(now)) {
-				arrivals = append(arrivals, now+time.Duration(rng.Int64N(int64(window-time.Second))))
+				arrivals = append(arrivals, now+time.Duration(rng.Int64N(int64(minWindow-time.Second))))
 			}
 			wait, _ := n.cold.Wait(coldKey, &n.view, n.at(now))
 			tryAt[i] = now + max(time.Millisecond, min(wait, 200*time.Millisecond))
@@ -273,7 +273,7 @@
 			for _, members := range []int{1, 320} {
 				test.Between(t, 1, r.allowance(members, 1), maxAllowance)
 			}
-			test.GreaterEq(t, window, r.window())
+			test.GreaterEq(t, minWindow, r.window())
 		}
 	}
 	n := newNode(0, 0)
@@ -322,9 +322,9 @@
 	test.Between(t, 1, wait, 100*time.Millisecond)
 	n.settle(addresses(2), 2)
 	test.False(t, take(2*time.Second), test.Sprint("the one that had it may have just used it"))
-	test.False(t, take(2*time.Second+window-1))
-	test.True(t, take(2*time.Second+window))
-	test.True(t, n.cold.Sent(k, n.at(2*time.Second+window), n.at(2*time.Second+window)))
+	test.False(t, take(2*time.Second+minWindow-1))
+	test.True(t, take(2*time.Second+minWindow))
+	test.True(t, n.cold.Sent(k, n.at(2*time.Second+minWindow), n.at(2*time.Second+minWindow)))
 	n.settle(addresses(300), 300)
 	test.False(t, take(10*time.Second), test.Sprint("a part that falls does so at once"))
 }
--- a/internal/coord/pace/load_test.go
+++ b/internal/coord/pace/load_test.go
@@ -112,7 +112,7 @@
 	best, bestCost := -1, 0.0
 	for j, e := range l.endpoints {
 		bound, isSlow := n.slow.Bound(e.key, n.at(l.now))
-		mine := n.slow.Mine(e.key, n.inFlight[j], &n.view, n.at(l.now))
+		mine := n.slow.MaySend(e.key, n.inFlight[j], &n.view, n.at(l.now))
 		if isSlow && (n.inFlight[j] >= bound || !mine) {
 			continue
 		}
--- a/internal/coord/pace/pace.go
+++ b/internal/coord/pace/pace.go
@@ -18,6 +18,8 @@
 	// 1/growthDivisor. Nodes that start together hear of each other within that time.
 	settleTime    = 3 * time.Second
 	growthDivisor = 4
+	// unknownMembers is the number of members that a node assumes until it is informed.
+	unknownMembers = 64
 )
 
 // Members are the nodes as one of them knows them. Nodes are identified by their addresses,
@@ -76,6 +78,14 @@
 // Size returns the number of known members, at least one.
 func (v *View) Size() int { return max(1, len(v.nodes.Alive)) }
 
+// sharers returns the number of members that share the bounds of endpoints in slow start.
+func (v *View) sharers() int {
+	if v.settledAt.IsZero() {
+		return max(unknownMembers, v.Size())
+	}
+	return v.Size()
+}
+
 // rankCache holds the rank of this node for an endpoint.
 type rankCache struct {
 	version uint64
@@ -90,7 +100,8 @@
 	return c.rank
 }
 
-// part returns the part of a whole number that a member with a rank has.
+// part returns the part of whole that the member with the given rank has. The parts of all members
+// add up to whole.
 func part(whole, members, rank int) int {
 	n := whole / members
 	if rank < whole%members {
--- a/internal/coord/pace/slow.go
+++ b/internal/coord/pace/slow.go
@@ -11,14 +11,12 @@
 	// firstDivisor divides the slots of an endpoint; the result is its bound on concurrent
 	// requests when slow start begins. Two doublings lead from there to all slots.
 	firstDivisor = 4
-	// UnknownFirst is that bound for an endpoint of which it isn't known what it runs: what
-	// is sent to one that is busy with requests of before waits until these end.
+	// UnknownFirst is that bound for an endpoint whose load isn't known. It may be busy with
+	// requests of an earlier node, and further ones would wait until those end.
 	UnknownFirst = 1
-	// spreadTime is how long an endpoint has room until twice as many members may use it:
-	// their requests are known to the others by then.
+	// spreadTime is how long an endpoint has room until twice as many members may use it.
+	// Their requests are known to the others by then.
 	spreadTime = 100 * time.Millisecond
-	// unknownMembers is the number of members that a node assumes that has heard of none.
-	unknownMembers = 64
 	// minTarget is the least time to the first event that counts as a target. For a request
 	// with a shorter one, which had waited before, defaultTarget applies.
 	minTarget     = 100 * time.Millisecond
@@ -49,17 +47,19 @@
 }
 
 type slowEntry struct {
-	// slots is the bound at which slow start ends.
-	slots, bound int
-	until        time.Time
+	// bound is the bound on concurrent requests, slots that at which slow start ends.
+	bound, slots int
+	// until is when slow start ends whatever the bound is.
+	until time.Time
 	// shrunkAt is when the bound was last lowered. Requests sent before don't lower it again.
 	shrunkAt time.Time
-	rank     rankCache
 	// own is the number of requests of this node that run there or are on their way.
-	own int
-	// spread is the number of times that the number of members which may use the bound was
-	// doubled, since those before them left room. The endpoint has room since roomSince.
-	spread    int
+	own  int
+	rank rankCache
+	// spread is how often the number of members that may use the bound was doubled because
+	// fewer members left room.
+	spread int
+	// roomSince is since when the endpoint has room; zero if it has none.
 	roomSince time.Time
 }
 
@@ -72,8 +72,9 @@
 // FirstBound returns the bound with which slow start of an endpoint begins.
 func FirstBound(slots int) int { return max(1, slots/firstDivisor) }
 
-// Begin begins slow start with a bound, anew if the endpoint is in it already. It reports whether
-// it wasn't and is now: an endpoint with one slot never is.
+// Begin begins slow start of an endpoint with a bound, or begins it again with the lower of the two
+// bounds. It reports whether the endpoint is newly in slow start. One whose first bound isn't below
+// its slots never is.
 func (s *Slow) Begin(k quota.Key, slots, first int, limit time.Duration, now time.Time) bool {
 	if first >= slots {
 		return false
@@ -111,10 +112,10 @@
 	return sum
 }
 
-// Mine reports whether this node may send one of the requests for which the bound leaves room.
-// inFlight is the number of requests that run there, as far as this node knows. If there is
-// room for long, more members may use it.
-func (s *Slow) Mine(k quota.Key, inFlight int, v *View, now time.Time) bool {
+// MaySend reports whether this node may send one of the requests for which the bound leaves room.
+// inFlight is the number of requests that run there, as far as this node knows. If there is room
+// for spreadTime, more members may use it.
+func (s *Slow) MaySend(k quota.Key, inFlight int, v *View, now time.Time) bool {
 	e := s.entries[k]
 	if e == nil {
 		return true
@@ -134,14 +135,6 @@
 	return e.own < e.part(k, v)
 }
 
-// sharers returns the number of members that share the bounds of endpoints in slow start.
-func (v *View) sharers() int {
-	if v.settledAt.IsZero() {
-		return max(unknownMembers, v.Size())
-	}
-	return v.Size()
-}
-
 // part returns the number of requests that this node may have at the endpoint.
 func (e *slowEntry) part(k quota.Key, v *View) int {
 	n := v.sharers()
--- a/internal/coord/pace/slow_test.go
+++ b/internal/coord/pace/slow_test.go
@@ -58,7 +58,7 @@
 			case 2:
 				s.Unanswered(coldKey, a, n.at(now))
 			case 3:
-				s.Mine(coldKey, rapid.IntRange(0, 50).Draw(t, "in flight"), &n.view, n.at(now))
+				s.MaySend(coldKey, rapid.IntRange(0, 50).Draw(t, "in flight"), &n.view, n.at(now))
 			case 4:
 				if turn, ok := s.Take(coldKey, &n.view, rapid.Bool().Draw(t, "only"), n.at(now)); ok && turn != nil {
 					turns = append(turns, turn)
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -22,9 +22,10 @@
 	// suspect is set for an engine that must not help others.
 	suspect bool
 	// maxInFlight bounds the requests and the helped prompts at the same time, unless it is
-	// zero. isOthers is set if this node may not use the room that it leaves.
+	// zero.
 	maxInFlight int
-	isOthers    bool
+	// isOthers is set if the room that maxInFlight leaves is for requests of other nodes.
+	isOthers bool
 	// interactive is set for the engines of the interactive pool, which is kept
 	// for callers who accept only short pauses.
 	interactive bool
@@ -116,12 +117,12 @@
 	return v.maxInFlight == 0 || v.requests+v.helpedPrompts < v.maxInFlight
 }
 
-// takesRequest reports whether the engine has a slot for a request of this node, mayHelp
-// whether it may help another engine with a prompt.
+// takesRequest reports whether the engine has a slot for a request of this node.
 func (v *engineView) takesRequest() bool {
 	return v.requests < v.spec.Slots && v.hasRoom() && !v.isOthers
 }
 
+// mayHelp reports whether the engine has a slot to help another engine with a prompt.
 func (v *engineView) mayHelp() bool { return v.helpedPrompts < v.spec.Slots && v.hasRoom() }
 
 // usableMemory returns the KV memory that prompts and answers may use.
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -21,9 +21,6 @@
 	ErrNoEndpoint = errors.ConstError("no endpoint")
 	// ErrFull means that the slots or the memory of the engines are full.
 	ErrFull = errors.ConstError("all endpoints are full")
-	// ErrStarting means that all endpoints which may get the request are in slow start, and
-	// take no more requests at one time.
-	ErrStarting = errors.ConstError("endpoints in slow start take no more requests at one time")
 	// ErrLate means that the request is not expected to be answered in time.
 	ErrLate = errors.ConstError("the wait is too long")
 	// ErrDeferred means that the caller should retry later, when less prefill is
@@ -115,7 +112,7 @@
 	// since, so that it should not help other engines.
 	Suspect func(ident.EndpointName) bool
 	// MaxInFlight returns the largest number of requests that may run at an endpoint at the
-	// same time; zero means no bound but its slots. Nil means none for all.
+	// same time; zero means no bound but its slots. If it is nil, no endpoint has a bound.
 	MaxInFlight func(ident.EndpointName) int
 	// IsOthers reports whether the room that MaxInFlight leaves is for requests of other
 	// nodes. It is set with MaxInFlight.
@@ -124,8 +121,8 @@
 	Random func() float64
 }
 
-// isBounded reports whether an endpoint with a number of requests gets none of this node by
-// MaxInFlight.
+// isBounded reports whether MaxInFlight keeps this node from sending a request to an endpoint
+// where the given number of requests runs.
 func (s ServiceState) isBounded(n ident.EndpointName, requests int) bool {
 	if s.MaxInFlight == nil {
 		return false
@@ -154,13 +151,8 @@
 	}
 	var best *topol.Endpoint
 	var bestCost float64
-	bounded := false
 	for _, e := range s.Endpoints {
-		if e.Leaving || r.Tried.Has(e.Name) {
-			continue
-		}
-		if s.isBounded(e.Name, count[e.Name]) {
-			bounded = true
+		if e.Leaving || r.Tried.Has(e.Name) || s.isBounded(e.Name, count[e.Name]) {
 			continue
 		}
 		cost := float64(count[e.Name])/float64(max(1, e.Slots)) + 0.01*s.Random()
@@ -174,9 +166,6 @@
 			best, bestCost = e, cost
 		}
 	}
-	if best == nil && bounded {
-		return Choice{}, ErrStarting
-	}
 	if best == nil {
 		return Choice{}, ErrNoEndpoint
 	}
--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -81,9 +81,9 @@
 	return higher
 }
 
-// Slot returns a number from zero up to n for an endpoint and this node, which doesn't depend on
-// the others.
-func (n Nodes) Slot(k Key, slots int) int { return int(rank(k, n.Self) % uint64(max(1, slots))) }
+// Slot returns a number in [0,count) for an endpoint and this node, which doesn't depend on the
+// other nodes.
+func (n Nodes) Slot(k Key, count int) int { return int(rank(k, n.Self) % uint64(max(1, count))) }
 
 // IsCutOff reports whether this node reaches less than half of the nodes.
 func (n Nodes) IsCutOff() bool { return 2*len(n.Alive) < n.Known }
--- a/internal/coord/stale/stale.go
+++ b/internal/coord/stale/stale.go
@@ -19,8 +19,8 @@
 	// avoidTime is the longest time for which an endpoint or a group is avoided. A node may get
 	// no later list for longer than that, and the records may be right.
 	avoidTime = 2 * time.Second
-	// signWindow is the time within which the sends of minSigns endpoints must have begun to
-	// speak for their whole group. Endpoints that are replaced one after the other are further
+	// signWindow is the time within which the sends to minSigns endpoints must have begun for
+	// their group to be avoided. Endpoints that are replaced one after the other are further
 	// apart, or others answer between them.
 	signWindow = time.Second
 	// minSigns is the number of endpoints whose records must have proved wrong for a group to
@@ -101,9 +101,10 @@
 	sound []sign
 	// since is when the older of the sends began that made the group avoided, zero if it isn't.
 	since clock.Instant
-	// until is the end of avoidTime. isListed is set if a later list ended the avoidance
-	// before; superseded records stay avoided until then.
-	until    clock.Instant
+	// until is the end of avoidTime.
+	until clock.Instant
+	// isListed is set if a later list ended the avoidance before until. Superseded records
+	// stay avoided until then.
 	isListed bool
 }
 
@@ -115,8 +116,8 @@
 }
 
 // Fail records that an endpoint could not be reached. That alone says nothing about a group:
-// the link may be at fault. Beside an answer 421 of another endpoint, it speaks against the
-// group as a second answer does.
+// the link may be at fault. Beside an answer 421 of another endpoint, it counts against the
+// group like a second such answer.
 func (t *Table) Fail(e *topol.Endpoint, sent, now clock.Instant) []Change {
 	return t.addSign(groupOf(e), sign{recordOf(e), sent, false}, now)
 }
@@ -237,7 +238,7 @@
 // pairSince returns when the older of the last minSigns sends began.
 func (g *group) pairSince() clock.Instant { return g.signs[len(g.signs)-minSigns].sent }
 
-// isDoubtful reports whether the signs speak for the whole group.
+// isDoubtful reports whether the signs are enough for the group to be avoided.
 func (g *group) isDoubtful() bool {
 	if len(g.signs) < minSigns {
 		return false
--- a/internal/trans/conns/upload.go
+++ b/internal/trans/conns/upload.go
@@ -34,8 +34,8 @@
 	return n, err
 }
 
-// CheckEnd is called after a read has returned io.EOF. It ends the upload, and
-// waits for a write under way. It returns io.EOF if the other end closed the connection, and
+// CheckEnd is called after a read has returned io.EOF. It ends the upload, and waits for a
+// write under way. It returns io.EOF if the other end closed the connection, and
 // otherwise the error with which the connection broke.
 func (u *Upload) CheckEnd() error {
 	u.conn.SetWriteDeadline(Expired)
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -116,7 +116,7 @@
 	// earlier send.
 	needsNewLink bool
 
-	// slowTurn is what the attempt has of the bound of an endpoint in slow start, or nil.
+	// slowTurn is the turn of the attempt at an endpoint in slow start, or nil.
 	slowTurn *pace.Turn
 
 	reserved   *reservationSet
@@ -129,9 +129,9 @@
 	// upload writes a request beside the reads of its answer; nil if the request was written
 	// before.
 	upload *conns.Upload
-	// isWritten is set once the request is being written, requestWritten once the whole
-	// request has been written.
-	isWritten      bool
+	// writeBegun is set once the request is being written.
+	writeBegun bool
+	// requestWritten is set once the whole request has been written.
 	requestWritten atomic.Bool
 
 	wait wait
@@ -164,8 +164,9 @@
 	turn := x.turn
 	x.turn = nil
 	return &attempt{
-		slowTurn: turn, exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(), pool: x.server.pool(c.Primary.Address),
+		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(),
 		resumesAt: x.position, isResumed: x.headerSent,
+		slowTurn: turn, pool: x.server.pool(c.Primary.Address),
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
 }
@@ -181,13 +182,36 @@
 // else to its end. It reports whether the answer can be passed on. Otherwise the outcome is
 // set.
 func (a *attempt) begin() bool {
+	if !a.prepare() || !a.checkSend() {
+		return false
+	}
+	a.writeBegun = true
+	if a.isCurrent() {
+		a.recordDecision(true)
+	}
+	a.inFlightID = a.registerInFlight(a.choice)
+	a.link.SetWriteDeadline(a.deadline)
+	if !a.attach() {
+		a.outcome = outcome{result: notSent, reason: "caller left"}
+		return false
+	}
+	if !a.isOverPeer() {
+		a.server.direct.add(a)
+	}
+	return a.roundTrip()
+}
+
+// prepare reserves memory and connects to the endpoint. It reports whether that succeeded.
+// Otherwise the outcome is set.
+func (a *attempt) prepare() bool {
 	if a.isEvacuated() {
 		a.withdraw()
 		return false
 	}
 	if len(a.choice.Reservations) > 0 {
 		var failedEngines ident.Set[ident.EndpointName]
-		if a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice); a.reserved == nil && a.isEvacuated() {
+		a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice)
+		if a.reserved == nil && a.isEvacuated() {
 			a.withdraw()
 			return false
 		}
@@ -205,8 +229,13 @@
 		a.outcome = outcome{result: notSent, reason: "connect: " + err.Error()}
 		return false
 	}
+	return true
+}
+
+// checkSend reports whether the request may still be written, since the reservation and the
+// connection may have taken long. Otherwise the outcome is set.
+func (a *attempt) checkSend() bool {
 	if a.isEvacuated() {
-		// The reservation and the connection may have taken long.
 		a.withdraw()
 		return false
 	}
@@ -218,20 +247,7 @@
 		a.outcome = outcome{result: notSent, reason: errLapsed.Error()}
 		return false
 	}
-	a.isWritten = true
-	if a.isCurrent() {
-		a.recordDecision(true)
-	}
-	a.inFlightID = a.registerInFlight(a.choice)
-	a.link.SetWriteDeadline(a.deadline)
-	if !a.attach() {
-		a.outcome = outcome{result: notSent, reason: "caller left"}
-		return false
-	}
-	if !a.isOverPeer() {
-		a.server.direct.add(a)
-	}
-	return a.roundTrip()
+	return true
 }
 
 // attach makes the link one that is interrupted if the caller disconnects or the attempt is
@@ -301,7 +317,7 @@
 		}
 	}
 	a.releaseTurn()
-	if !a.isWritten {
+	if !a.writeBegun {
 		a.server.abandonCold(a.choice.Primary)
 	}
 	if a.inFlightID != 0 {
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -49,8 +49,8 @@
 	return c, r, err
 }
 
-// candidates returns the endpoints of the service that may get the request, but for those that
-// are full, at their limits or tried before. Endpoints of evacuated data centres get none.
+// candidates returns the endpoints of the service that may get the request by their data centres
+// and by what they state. Some may be full, at their limits or tried before.
 func (x *exchange) candidates(now time.Time) []*topol.Endpoint {
 	s := x.server
 	return s.outsideEvacuated(s.availability.accepting(x.homeEndpoints(), s.Node, now))
@@ -61,6 +61,26 @@
 	return x.withinHomes(x.server.Feeds.Endpoints().ByService[x.service.Name])
 }
 
+// place places the request. After an answer 421, or a send that reached no endpoint, it does
+// without the endpoints of the same data centre that no later list confirms, unless the request
+// can be placed at no other. If a data centre loses its endpoints, they look idle, and a request
+// would use all of its sends there.
+func (x *exchange) place(candidates []*topol.Endpoint, now time.Time) (place.Choice, place.Request, error) {
+	r, st := x.placeRequest(now), x.serviceState(candidates, now)
+	if doubtful := x.doubtful(candidates); len(doubtful) > 0 {
+		certain := r
+		certain.Tried = doubtful
+		for n := range r.Tried {
+			doubtful.Add(n)
+		}
+		if c, err := x.chooseFrom(st, certain); err == nil {
+			return c, certain, nil
+		}
+	}
+	c, err := x.chooseFrom(st, r)
+	return c, r, err
+}
+
 // placeRequest describes the request for its placement.
 func (x *exchange) placeRequest(now time.Time) place.Request {
 	r := place.Request{
--- a/internal/trans/gate/connect.go
+++ b/internal/trans/gate/connect.go
@@ -142,14 +142,18 @@
 // first.
 func (s *Server) peersTo(e *topol.Endpoint, r homes.Rule) []reach.Peer {
 	now := time.Now()
-	peers := slices.DeleteFunc(s.Peers(now), func(p reach.Peer) bool { return !r.MayCarry(p.DataCentre) || !s.availability.accepts(e, p.Name, now) })
+	peers := slices.DeleteFunc(s.Peers(now), func(p reach.Peer) bool {
+		return !r.MayCarry(p.DataCentre) || !s.availability.accepts(e, p.Name, now)
+	})
 	return reach.Candidates(peers, s.DataCentre, random)
 }
 
 func (s *Server) dialOver(ctx context.Context, p reach.Peer, e *topol.Endpoint) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
-	c, err := tunnel.Dial(ctx, p.Address, tunnel.Request{From: s.Node, Endpoint: e.Name, Address: e.Address, Timeout: peerConnectTimeout, NoRequest: carriesNoRequest(ctx)})
+	c, err := tunnel.Dial(ctx, p.Address, tunnel.Request{
+		From: s.Node, Endpoint: e.Name, Address: e.Address, Timeout: peerConnectTimeout, NoRequest: carriesNoRequest(ctx),
+	})
 	if err != nil {
 		s.requestLog(false).Err(err).Str("peer", string(p.Name)).Str("endpoint", string(e.Name)).Msg("gate: no tunnel over a peer")
 	}
--- a/internal/trans/gate/evacuate.go
+++ b/internal/trans/gate/evacuate.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -122,8 +123,14 @@
 	if list == nil || catalog == nil {
 		return
 	}
-	l := &s.evacuationLog
-	counts := s.runningByDataCentre()
+	s.logEvacuatedDataCentres(evacuated)
+	s.logEvacuatedServices(catalog, list, evacuated)
+}
+
+// logEvacuatedDataCentres logs the evacuated data centres without endpoints, and those in which
+// this node's last request has ended.
+func (s *Server) logEvacuatedDataCentres(evacuated ident.Set[ident.DataCentre]) {
+	l, counts := &s.evacuationLog, s.runningByDataCentre()
 	empty, running := ident.Set[ident.DataCentre]{}, ident.Set[ident.DataCentre]{}
 	for _, n := range evacuated.Sorted() {
 		count, hasEndpoints := counts[n]
@@ -139,6 +146,12 @@
 			s.Logger.Info().Str("dataCentre", string(n)).Msg("gate: no requests of this node run in an evacuated data centre any more")
 		}
 	}
+	l.empty, l.running = empty, running
+}
+
+// logEvacuatedServices logs the services that have no endpoints left or have some again.
+func (s *Server) logEvacuatedServices(catalog *topol.Catalog, list *feeds.EndpointList, evacuated ident.Set[ident.DataCentre]) {
+	l := &s.evacuationLog
 	services := ident.Set[ident.ServiceName]{}
 	for n := range catalog.Services {
 		if areAllEvacuated(list.ByService[n], evacuated) {
@@ -155,7 +168,7 @@
 			s.Logger.Info().Str("service", string(n)).Msg("gate: not all endpoints of a service are evacuated any more")
 		}
 	}
-	l.empty, l.running, l.services = empty, running, services
+	l.services = services
 }
 
 // evacuationMetrics collects the requests that still run in evacuated data centres.
--- a/internal/trans/gate/evacuate_test.go
+++ b/internal/trans/gate/evacuate_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -115,7 +114,7 @@
 // Guards against requests that wait, or are sent, although no endpoint is left for them.
 func TestRequestsAreRejectedWhileAllEndpointsAreEvacuated(t *testing.T) {
 	e := newEndpoint(t, "a", ok("yes"))
-	lines := &syncBuffer{}
+	lines := &logBuffer{}
 	r := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(lines) }, e)
 	r.server.evacuate("a")
 	for _, text := range []string{request("GET", "/safe/", "r1", ""), request("POST", "/stream/", "r2", "x", "Prompt: 150000")} {
@@ -139,24 +138,6 @@
 	test.Eq(t, 2, strings.Count(lines.String(), "not all endpoints of a service are evacuated any more"))
 }
 
-// syncBuffer is a buffer that is safe for concurrent use.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.String()
-}
-
 // Guards against requests of a node that has just started and doesn't know the evacuations yet.
 func TestNodeWithoutKnowledgeOfEvacuationsSendsNothing(t *testing.T) {
 	e := newEndpoint(t, "a", ok("yes"))
@@ -202,15 +183,15 @@
 	}
 }
 
-// evacuatingReserver evacuates the data centre of the first engine that memory is reserved at.
+// evacuatingReserver calls evacuate with the data centre of an engine before memory is reserved
+// there.
 type evacuatingReserver struct {
 	*fakeReserver
 	evacuate func(ident.DataCentre)
-	once     sync.Once
 }
 
 func (f *evacuatingReserver) Reserve(ctx context.Context, e *topol.Endpoint, r relay.Reservation) error {
-	f.once.Do(func() { f.evacuate(e.DataCentre) })
+	f.evacuate(e.DataCentre)
 	return f.fakeReserver.Reserve(ctx, e, r)
 }
 
@@ -222,7 +203,11 @@
 		es = append(es, newEndpoint(t, n, streams(1, 2, true)))
 	}
 	reserver := &evacuatingReserver{fakeReserver: &fakeReserver{full: map[string]bool{}}}
-	r := newConfiguredRig(t, 0, func(s *Server) { s.Reserver, reserver.evacuate = reserver, func(n ident.DataCentre) { s.evacuate(n) } }, es...)
+	r := newConfiguredRig(t, 0, func(s *Server) {
+		var once sync.Once
+		reserver.evacuate = func(n ident.DataCentre) { once.Do(func() { s.evacuate(n) }) }
+		s.Reserver = reserver
+	}, es...)
 	r.spread(es...)
 	test.Eq(t, 200, r.do(request("POST", "/stream/", "r1", "x", "Prompt: 150000")).status)
 	evacuated := r.server.Feeds.Evacuated().Sorted()
@@ -268,7 +253,7 @@
 
 func TestEvacuationWithoutEndpointsIsLoggedOnce(t *testing.T) {
 	e := newEndpoint(t, "a", ok("yes"))
-	lines := &syncBuffer{}
+	lines := &logBuffer{}
 	r := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(lines) }, e)
 	r.server.evacuate("nowhere")
 	for range 3 {
@@ -285,7 +270,7 @@
 		<-goOn
 		return ok("yes")(c, g)
 	})
-	lines := &syncBuffer{}
+	lines := &logBuffer{}
 	r := newConfiguredRig(t, 0, func(s *Server) { s.Logger = zerolog.New(lines) }, e)
 	registry := prometheus.NewRegistry()
 	r.server.Register(registry)
--- a/internal/trans/gate/evacuated_sends_test.go
+++ b/internal/trans/gate/evacuated_sends_test.go
@@ -11,26 +11,17 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/reach"
-	"laburnumstack.org/laburnum/internal/proto/relay"
-	"laburnumstack.org/laburnum/internal/state/clock"
-	"laburnumstack.org/laburnum/internal/state/topol"
-	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// evacuate makes some data centres the evacuated ones.
-func (r *rig) evacuate(names ...ident.DataCentre) {
-	r.server.Feeds.MergeEvacuations(feeds.Evacuations{InForce: names, ConfirmedAt: clock.Now()}, feeds.Position{})
-}
-
 // Guards against callers who come back before any endpoint can take them, since the endpoints of
 // an evacuated data centre want requests and the others want none for a time.
 func TestRestOfTheOthersCountsDuringAnEvacuation(t *testing.T) {
 	resting, idle := newEndpoint(t, "a0", rests("20")), newEndpoint(t, "b0", ok("yes"))
 	r := newRig(t)
 	r.list(listed{resting, "a", 1, ""}, listed{idle, "b", 1, ""})
-	r.evacuate("b")
+	r.server.evacuate("b")
 	r.do(request("GET", "/safe/", "r1", ""))
 	res := r.do(request("GET", "/safe/", "r1", ""))
 	must.Eq(t, 503, res.status)
@@ -44,7 +35,7 @@
 // evacuatesBefore evacuates some data centres before it answers as another script does.
 func evacuatesBefore(r **rig, s script, names ...ident.DataCentre) script {
 	return func(c net.Conn, g receivedRequest) bool {
-		(*r).evacuate(names...)
+		(*r).server.evacuate(names...)
 		return s(c, g)
 	}
 }
@@ -101,21 +92,21 @@
 	r = newConfiguredRig(t, 0, func(s *Server) {
 		s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
 			if evacuates && address == chosen.address {
-				r.evacuate("a")
+				r.server.evacuate("a")
 			}
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		}
 	})
 	r.list(listed{chosen, "a", 1, ""}, listed{other, "c", 1, ""})
 	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r1", "")).body)
-	r.evacuate("a")
+	r.server.evacuate("a")
 	test.Eq(t, "other", r.do(request("GET", "/safe/", "r2", "")).body)
-	r.evacuate()
+	r.server.evacuate()
 	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r3", "")).body)
 	evacuates = true
 	test.Eq(t, "other", r.do(request("POST", "/once/", "r4", "x")).body)
 	test.SliceLen(t, 2, chosen.requests())
-	r.evacuate("a", "c")
+	r.server.evacuate("a", "c")
 	res := r.do(request("GET", "/safe/", "r5", ""))
 	test.Eq(t, 503, res.status)
 	test.Eq(t, "2.00", res.header.Get("Retry-After"))
@@ -134,7 +125,7 @@
 	}
 	r = newConfiguredRig(t, 0, largeBudget)
 	r.list(ls...)
-	reserver := &midwayReserver{fakeReserver: r.reserver, evacuate: func() { r.evacuate("b") }}
+	reserver := &evacuatingReserver{fakeReserver: r.reserver, evacuate: func(ident.DataCentre) { r.server.evacuate("b") }}
 	r.server.Reserver = reserver
 	for range 5 {
 		test.Eq(t, 200, r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100000")).status)
@@ -143,17 +134,6 @@
 	waitForEnd(r)
 }
 
-// midwayReserver evacuates a data centre while memory is being reserved.
-type midwayReserver struct {
-	*fakeReserver
-	evacuate func()
-}
-
-func (e *midwayReserver) Reserve(ctx context.Context, to *topol.Endpoint, res relay.Reservation) error {
-	e.evacuate()
-	return e.fakeReserver.Reserve(ctx, to, res)
-}
-
 // Guards against a tunnel to an evacuated data centre for a peer that doesn't know yet, and against
 // probes that find its endpoints unreachable.
 func TestTunnelToAnEvacuatedDataCentre(t *testing.T) {
@@ -162,7 +142,7 @@
 		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
 	})
 	r.list(listed{e, "a", 1, ""})
-	r.evacuate("a")
+	r.server.evacuate("a")
 	_, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address})
 	test.ErrorIs(t, err, tunnel.ErrEvacuated)
 	c, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address, NoRequest: true})
@@ -178,7 +158,7 @@
 	home, other := newEndpoint(t, "us", ok("yes")), newEndpoint(t, "eu", ok("no"))
 	r := newHomeRig(t, homed{route: "us\n", of: map[string]ident.DataCentre{"us": "b"}}, unchanged, home, other)
 	test.Eq(t, "yes", r.do(request("GET", "/safe/", "r1", "")).body)
-	r.evacuate("b")
+	r.server.evacuate("b")
 	res := r.do(request("GET", "/safe/", "r2", ""))
 	test.Eq(t, 503, res.status)
 	test.Eq(t, "2.00", res.header.Get("Retry-After"))
@@ -197,7 +177,7 @@
 		c.server.loseLink(c.server.Feeds.Endpoints().ByName[ident.EndpointName(l.endpoint.name)])
 	}
 	must.True(t, c.server.Isolated())
-	c.evacuate("a")
+	c.server.evacuate("a")
 	waitFor(t, func() bool { return !c.server.Isolated() })
 	test.Eq(t, "other", c.do(request("GET", "/safe/", "r1", "")).body)
 	test.Eq(t, 0, len(c.tunnels))
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -83,7 +83,7 @@
 	limited limitedEndpoints
 	// permitted is the endpoint for which the request has a permit of another node.
 	permitted ident.EndpointName
-	// turn is what the next attempt has of the bound of an endpoint in slow start.
+	// turn is the turn of the next attempt at an endpoint in slow start, or nil.
 	turn *pace.Turn
 	// ignoresSlowStart is set if the last placement did without the bounds of slow start.
 	ignoresSlowStart bool
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -102,7 +102,7 @@
 		return errLimited
 	}
 	if !x.server.takeRetry(x.service.Name) {
-		x.forgo(c.Primary)
+		x.releaseUnsent(c.Primary)
 		return errNoBudget
 	}
 	x.server.endpointHealth.recordChosen(c.Primary.Name, now)
--- a/internal/trans/gate/homes_test.go
+++ b/internal/trans/gate/homes_test.go
@@ -144,7 +144,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			e, f, g := newEndpoint(t, "e", ok("yes")), newEndpoint(t, "f", ok("yes")), newEndpoint(t, "g", ok("yes"))
-			var log syncBuffer
+			var log logBuffer
 			r := newHomeRig(t, homed{c.route, c.workspace, map[string]ident.DataCentre{"f": "b", "g": "x"}}, func(s *Server) {
 				s.Regions, s.Logger = c.regions, zerolog.New(&log)
 			}, e, f, g)
--- a/internal/trans/gate/limit.go
+++ b/internal/trans/gate/limit.go
@@ -72,7 +72,7 @@
 	return l.table.Take(limitKey(e), now)
 }
 
-// limitedEndpoints are the endpoints of a service that name limits.
+// limitedEndpoints are the endpoints of a service that name limits or are cold.
 type limitedEndpoints struct {
 	// all are all of them, atLimit those that may not get a request of this node
 	// now.
@@ -80,7 +80,7 @@
 	// wait is the shortest time until one of those in atLimit may get a request, of
 	// this node or of another.
 	wait time.Duration
-	// cold are those in atLimit that are cold, see addCold.
+	// cold are those in atLimit that addCold has excluded.
 	cold ident.Set[ident.EndpointName]
 }
 
@@ -226,8 +226,8 @@
 	return false
 }
 
-// takeLimit reports whether the request may be sent to an endpoint now, and if so
-// counts it. A permit of another node has been counted there.
+// takeLimit reports whether the request may be sent to an endpoint now by its limit, and by
+// its bounds while it is cold or in slow start, and if so counts it. A permit of another node has been counted there.
 func (x *exchange) takeLimit(e *topol.Endpoint) bool {
 	turn, ok := x.takeSlow(e, time.Now())
 	if !ok {
@@ -243,20 +243,20 @@
 		return true
 	}
 	if !x.server.endpointLimits.take(e, time.Now()) {
-		x.forgo(e)
+		x.releaseUnsent(e)
 		return false
 	}
 	return true
 }
 
-// returnTurn gives back what takeLimit took of the bound of an endpoint in slow start.
+// returnTurn gives back the turn that takeLimit took at an endpoint in slow start.
 func (x *exchange) returnTurn() {
 	x.server.releaseSlow(x.turn)
 	x.turn = nil
 }
 
-// forgo gives back what takeLimit took for a request that is not sent.
-func (x *exchange) forgo(e *topol.Endpoint) {
+// releaseUnsent gives back the turns that takeLimit took for a request that is not sent.
+func (x *exchange) releaseUnsent(e *topol.Endpoint) {
 	x.server.abandonCold(e)
 	x.returnTurn()
 }
--- a/internal/trans/gate/lines_test.go
+++ b/internal/trans/gate/lines_test.go
@@ -32,6 +32,12 @@
 	return l.b.Write(b)
 }
 
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // firstLine returns the fields of the first line with the given message.
 func (l *logBuffer) firstLine(t *testing.T, message string) map[string]any {
 	t.Helper()
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -141,6 +141,9 @@
 	AnnounceDecision func(bysize.Decision)
 	// Nodes returns the nodes that share the limits of endpoints.
 	Nodes func(now time.Time) quota.Nodes
+	// Members returns the nodes that share the requests to endpoints that are cold or in slow
+	// start; nil means that this node is alone.
+	Members func(now time.Time) pace.Members
 	// FetchPermit asks another node for the permission to send a request to an
 	// endpoint, out of that node's share of the endpoint's limit.
 	FetchPermit func(ident.NodeName, quota.Key) (relay.Permit, error)
@@ -158,17 +161,14 @@
 	// Bootstrap is set if no node has run in the deployment before, so that the endpoints
 	// run no requests of earlier nodes.
 	Bootstrap bool
-	// Members returns the nodes that share the requests to cold endpoints; nil means that
-	// this node is alone.
-	Members func(now time.Time) pace.Members
 	// NodeCount returns the number of known nodes, including this one.
 	NodeCount func() int
 
-	// startMillis is the Unix time of the start in milliseconds. It keeps
-	// reservation IDs unique across restarts.
-	startMillis int64
 	// startedAt is when Run began.
-	startedAt      time.Time
+	startedAt time.Time
+	// startMillis is the Unix time of startedAt in milliseconds. It keeps
+	// reservation IDs unique across restarts.
+	startMillis    int64
 	pools          links.Pools
 	endpointHealth endpointHealth
 	strikes        strikes
--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		bounds[e.Name] = bound
-		if !p.slow.Mine(k, inFlight[e.Name], &p.view, st.Now) {
+		if !p.slow.MaySend(k, inFlight[e.Name], &p.view, st.Now) {
 			others.Add(e.Name)
 		}
 	}
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -4,9 +4,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/coord/stale"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -95,28 +93,9 @@
 	return o.result == refused && o.status == http.StatusMisdirectedRequest
 }
 
-// place places the request. After an answer 421, or a send that reached no endpoint, it does
-// without the endpoints of the same data centre that no later list confirms, unless the request
-// can be placed at no other. If a data centre loses its endpoints, they look idle, and a request
-// would use all of its sends there.
-func (x *exchange) place(candidates []*topol.Endpoint, now time.Time) (place.Choice, place.Request, error) {
-	r, st := x.placeRequest(now), x.serviceState(candidates, now)
-	if doubtful := x.doubtful(candidates); len(doubtful) > 0 {
-		certain := r
-		certain.Tried = doubtful
-		for n := range r.Tried {
-			doubtful.Add(n)
-		}
-		if c, err := x.chooseFrom(st, certain); err == nil {
-			return c, certain, nil
-		}
-	}
-	c, err := x.chooseFrom(st, r)
-	return c, r, err
-}
-
 // doubtful returns the endpoints in data centres where an endpoint answered the request with
-// 421 or was not reached, as long as the list of endpoints is older than that send. The caller may modify the set.
+// 421 or was not reached, as long as the list of endpoints is older than that send. The caller
+// may modify the set.
 func (x *exchange) doubtful(es []*topol.Endpoint) ident.Set[ident.EndpointName] {
 	if len(x.doubtedAt) == 0 {
 		return nil
--- a/internal/trans/gate/stale_test.go
+++ b/internal/trans/gate/stale_test.go
@@ -298,7 +298,7 @@
 	}
 	r := newStaleRig(t, largeBudget)
 	r.list(append(ls, listed{far, "b", 1, "model"})...)
-	r.evacuate("b")
+	r.server.evacuate("b")
 	now := r.server.staleRecords.now()
 	r.server.updateStale(func(t *stale.Table) (changes []stale.Change) {
 		for _, g := range gone {
--- a/internal/trans/tunnel/tunnel.go
+++ b/internal/trans/tunnel/tunnel.go
@@ -69,9 +69,9 @@
 // Reply is the answer to a Request.
 type Reply struct {
 	Connected bool
-	// Error tells why the node did not connect, Evacuated is set if that is ErrEvacuated.
-	// Nodes of older builds don't set it.
-	Error     string
+	// Error tells why the node did not connect.
+	Error string
+	// Evacuated is set if the reason is ErrEvacuated. Nodes of older builds don't set it.
 	Evacuated bool
 }
 
