--- a/internal/coord/pace/load_test.go
+++ b/internal/coord/pace/load_test.go
@@ -112,8 +112,8 @@
 	best, bestCost := -1, 0.0
 	for j, e := range l.endpoints {
 		bound, isSlow := n.slow.Bound(e.key, n.at(l.now))
-		mine := n.slow.MaySend(e.key, n.inFlight[j], &n.view, n.at(l.now))
-		if isSlow && (n.inFlight[j] >= bound || !mine) {
+		maySend := n.slow.MaySend(e.key, n.inFlight[j], &n.view, n.at(l.now))
+		if isSlow && (n.inFlight[j] >= bound || !maySend) {
 			continue
 		}
 		if cost := float64(n.inFlight[j])/float64(e.slots) + 0.01*l.rng.Float64(); best < 0 || cost < bestCost {
@@ -290,7 +290,7 @@
 // Load: all 75 nodes lose power and are back, while the endpoints still work for up to 2 s on what
 // was sent before, which no node knows. Without a bound, the nodes queue what callers won't wait
 // for.
-func TestNodesWithoutMemoryDoNotQueueBehindWhatTheyForgot(t *testing.T) {
+func TestRestartedNodesDoNotQueueBehindEarlierRequests(t *testing.T) {
 	run := func(bounded bool) *load {
 		l := newLoad(75, 39, 8, 100*time.Millisecond)
 		for i, e := range l.endpoints {
--- a/internal/coord/stale/stale_test.go
+++ b/internal/coord/stale/stale_test.go
@@ -90,7 +90,7 @@
 	test.False(t, table.Avoids(endpoint("a", "s", 1), false))
 }
 
-// TestSigns lists what speaks for a whole data centre and what doesn't.
+// TestSigns lists the signs by which a whole data centre is avoided, and those by which it isn't.
 func TestSigns(t *testing.T) {
 	type step struct {
 		kind     string
@@ -186,10 +186,10 @@
 	test.Zero(t, table.Len())
 }
 
-// TestOneAddressNeverSpeaksForTheOthers holds for any order of answers: without an answer 421 of
+// TestOneAddressCausesNoAvoidanceOfOthers holds for any order of answers: without an answer 421 of
 // one address and another sign of a second one within the window, no other endpoint is avoided,
 // and nothing is avoided for longer than 2 s after the last sign.
-func TestOneAddressNeverSpeaksForTheOthers(t *testing.T) {
+func TestOneAddressCausesNoAvoidanceOfOthers(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		table, now, confirmed := newTable(), 1, 0
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
--- a/internal/trans/gate/pace.go
+++ b/internal/trans/gate/pace.go
@@ -81,7 +81,7 @@
 	defer p.mu.Unlock()
 	list, catalog = s.Feeds.Endpoints(), s.Feeds.Catalog()
 	// A node that starts and is told of no requests doesn't know the load of the endpoints.
-	isBlind := p.list.Load() == nil && !s.Bootstrap && !s.InFlight.KnowsOthers()
+	isLoadUnknown := p.list.Load() == nil && !s.Bootstrap && !s.InFlight.KnowsOthers()
 	isSame := p.list.Load().ListID() == list.ListID() && p.catalog.Load() == catalog
 	// Requests that see the new list as observed must also see what it tells.
 	defer func() {
@@ -99,7 +99,7 @@
 		}
 		isUsed = true
 		s.applyStarts(service, p.starts.Observe(service.Name, list.ByService[service.Name], now), now)
-		if isBlind {
+		if isLoadUnknown {
 			s.beginSlowStart(service, list.ByService[service.Name], whyLoadUnknown, now)
 		}
 	}
--- a/internal/trans/gate/pace_test.go
+++ b/internal/trans/gate/pace_test.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// Guards against LIMIT for hedged and repeated sends: they take from the allowance like first ones.
+// Guards against hedged and repeated sends beyond the allowance: they take from it like first ones.
 func TestRepeatedSendsTakeFromTheAllowance(t *testing.T) {
 	e := newEndpoint(t, "e", ok("yes"))
 	f := newEndpoint(t, "f", refuses(503))
@@ -289,7 +289,7 @@
 
 // Guards against callers who wait at endpoints that still work on what was sent before all nodes
 // lost power: a node that knows of no requests begins with one at each endpoint.
-func TestNodeWithoutMemoryBeginsSlowly(t *testing.T) {
+func TestNodeThatKnowsNoRequestsBeginsSlowly(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		setUp func(*Server)
