--- a/internal/lab/passes/decide.go
+++ b/internal/lab/passes/decide.go
@@ -9,10 +9,10 @@
 )
 
 // sharedDecisions holds the nodes' decisions on prompts that may be deferred. All nodes
-// learn of a decision after a delay.
+// get to know a decision after a delay.
 type sharedDecisions struct {
 	table bysize.Table
-	// sent are the decisions that the nodes have not learnt yet, oldest first.
+	// sent are the decisions that the nodes do not know yet, oldest first.
 	sent []bysize.Decision
 }
 
@@ -21,7 +21,7 @@
 }
 
 // favour returns place.Request.Favour for a prompt. delay is the time until the nodes
-// learn of a decision.
+// know a decision.
 func (d *sharedDecisions) favour(q *prompt, now time.Time, delay time.Duration) float64 {
 	for len(d.sent) > 0 && now.Sub(d.sent[0].At) >= delay {
 		d.table.Record(d.sent[0])
--- a/internal/trans/serve/failure.go
+++ b/internal/trans/serve/failure.go
@@ -53,7 +53,7 @@
 }
 
 // outcomeOf returns the outcome to report for a request that gets no complete answer.
-// mayHaveRun tells whether an endpoint may have run it.
+// mayHaveRun is set if an endpoint may have run it.
 func outcomeOf(mayHaveRun bool) ident.Outcome {
 	if mayHaveRun {
 		return ident.Unknown
--- a/internal/trans/share/ages.go
+++ b/internal/trans/share/ages.go
@@ -62,7 +62,7 @@
 }
 
 // The following functions return the time in an entry of an update, and the age that
-// replaces it on the way to a peer.
+// replaces it while the update is sent.
 
 func requestTime(a *relay.AgedRequest) (*time.Time, *time.Duration) { return &a.Work.Since, &a.Age }
 
--- a/internal/trans/share/fetch.go
+++ b/internal/trans/share/fetch.go
@@ -37,7 +37,7 @@
 	return fetch[relay.ChangePart](m, address, changeTimeout, "Node.Change", a)
 }
 
-// FetchPermit asks a node for the permission to send one request to an endpoint. It
+// FetchPermit requests from a node the permission to send one request to an endpoint. It
 // returns rpc.ErrShutdown if this node can't connect to that node.
 func (m *Mesh) FetchPermit(n ident.NodeName, k quota.Key) (relay.Permit, error) {
 	return fetch[relay.Permit](m, m.addressOf(n), permitTimeout, "Node.Permit", relay.PermitArgs{From: m.self(), Key: k})
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxProbes is the number of unknown nodes to which a node connects at one time, if
-	// hubs are in use, to learn who they are.
+	// hubs are in use, to get their names.
 	maxProbes = 8
 	// maxUnforwarded bounds the number of updates kept by keepUnforwarded.
 	maxUnforwarded = 256
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -22,7 +22,7 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// Guards against a deadlock: a new peer is told of the limits while its lock is held, and
+// Guards against a deadlock: the limits are queued for a new peer while its lock is held, and
 // whoever holds the lock of the limits waits for that of the peer to list the nodes.
 func TestLimitsMayListTheNodes(t *testing.T) {
 	n := start(t, "a1")[0]
--- a/internal/trans/share/members.go
+++ b/internal/trans/share/members.go
@@ -249,8 +249,8 @@
 	})
 }
 
-// findLost marks the peers whose connections broke and can't be opened again, and tells
-// the other nodes of them if this node is a hub.
+// findLost marks the peers whose connections broke and can't be opened again, and reports
+// them to the other nodes if this node is a hub.
 func (m *Mesh) findLost(now time.Time) {
 	for _, p := range m.allPeers() {
 		p.mu.Lock()
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -3,8 +3,8 @@
 // reach, and which strikes it records, to its peers directly or through hubs.
 // Nodes that don't read the platform's store, or can't reach it, fetch the
 // configuration and the endpoint list, or what changed in them, from their peers.
-// Nodes also tell each other of the limits that endpoints name, and ask each other for
-// permits to send to such endpoints.
+// Nodes also announce the limits that endpoints name, and request permits from each other
+// to send to such endpoints.
 package share
 
 import (
--- a/internal/trans/share/order_test.go
+++ b/internal/trans/share/order_test.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// Guards against a peer that is not told of limits, strikes or parts, since it gets this
-// node's requests directly from now on.
+// Guards against pending limits, strikes and parts that are dropped when a peer begins to get
+// this node's requests directly.
 func TestPeerThatBecomesDirectGetsWhatIsPending(t *testing.T) {
 	m := newConnectedMesh(t, "a1", "a2")
 	p := m.peers["a2"]
--- a/internal/trans/share/peer.go
+++ b/internal/trans/share/peer.go
@@ -56,7 +56,7 @@
 	lost   bool
 	lostAt time.Time
 	// lastSeen is the time of the last contact in either direction or, if that was
-	// later, with another node that told of it; or the time of AddPeer.
+	// later, with another node that reported it; or the time of AddPeer.
 	lastSeen time.Time
 	// pending holds the changes for the next update.
 	pending relay.Update
