--- /dev/null
+++ b/internal/trans/gate/admit.go
@@ -0,0 +1,107 @@
+package gate
+
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// revokeMargin is subtracted from MaxConfigAge, so that revoked keys are
+	// rejected before that age is reached.
+	revokeMargin = 300 * time.Millisecond
+	// staleAfter is the age of the configuration above which a request with an
+	// unknown route or key gets status 503, since a newer configuration may
+	// contain it.
+	staleAfter = 3500 * time.Millisecond
+	// defaultTimeout bounds a request if neither its route nor the caller sets
+	// a limit.
+	defaultTimeout = 30 * time.Second
+)
+
+// admit finds the route, workspace and service of the request. If the request
+// can't be served, it rejects it and returns false.
+func (x *exchange) admit() bool {
+	s := x.server
+	s.awaitState()
+	x.catalog = s.Feeds.Catalog()
+	endpoints := s.Feeds.Endpoints()
+	if x.catalog == nil || endpoints == nil || !s.Feeds.EvacuationsKnown() {
+		x.reject(503, retrySoon, "no configuration yet")
+		return false
+	}
+	var err error
+	x.reqHeader, err = s.Dialect.ParseRequest(&x.request.Head)
+	if err != nil {
+		x.reject(400, 0, err.Error())
+		return false
+	}
+	age := clock.Now().Sub(s.Feeds.CatalogConfirmedAt())
+	x.route = x.catalog.Match(x.request.Host, x.request.Path())
+	if x.route == nil {
+		x.rejectUnknown(404, age, "no matching route")
+		return false
+	}
+	if !x.authorize(age) {
+		return false
+	}
+	x.service = x.catalog.Services[x.route.PickService(random())]
+	if x.service == nil {
+		x.reject(503, retrySoon, "route has no service")
+		return false
+	}
+	limit := x.route.Timeout
+	if x.reqHeader.TimeLeft > 0 && (limit <= 0 || x.reqHeader.TimeLeft < limit) {
+		limit = x.reqHeader.TimeLeft
+	}
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	x.deadline = x.arrived.Add(limit)
+	x.homes = x.homeRule()
+	if x.hasNoHome() {
+		x.rejectUnplaced(errNoHome, retryHome)
+		return false
+	}
+	if x.mayOutliveNode(time.Now(), 0) {
+		x.reject(503, retryElsewhere, errStopping.Error())
+		return false
+	}
+	x.position.lastID = x.reqHeader.LastEvent
+	x.tried = ident.Set[ident.EndpointName]{}
+	x.unreservedEngines = ident.Set[ident.EndpointName]{}
+	s.countRequest(x.service.Name)
+	return true
+}
+
+// authorize looks up the workspace of the caller's key, unless the route is
+// public. If the key is unknown, or the configuration is so old that the key may
+// have been revoked, it rejects the request and returns false.
+func (x *exchange) authorize(age time.Duration) bool {
+	if x.catalog.Keys == nil || x.route.Public {
+		return true
+	}
+	if x.server.StrictRevocation && age > x.server.MaxConfigAge-revokeMargin {
+		x.reject(503, retrySoon, "configuration is too old to trust keys, age "+age.String())
+		return false
+	}
+	w, ok := x.catalog.Keys[x.reqHeader.Key]
+	if !ok {
+		x.rejectUnknown(401, age, "unknown key")
+		return false
+	}
+	x.workspace = w
+	return true
+}
+
+// rejectUnknown rejects a request whose route or key is not in the
+// configuration. If the configuration is old, the status is 503, since a newer
+// one may contain it.
+func (x *exchange) rejectUnknown(status int, age time.Duration, reason string) {
+	if age > staleAfter {
+		x.reject(503, retrySoon, reason+" in a configuration of age "+age.String())
+		return
+	}
+	x.reject(status, 0, reason)
+}
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -12,11 +10,9 @@
 
 	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/coord/place"
-	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/internal/trans/conns"
-	"laburnumstack.org/laburnum/internal/trans/http1"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -25,79 +21,8 @@
 const (
 	// connectTimeout bounds the dialing of a new connection.
 	connectTimeout = 300 * time.Millisecond
-	// maxInlineBody is the largest body in bytes that is written together with
-	// the header before the response is read. Larger bodies are written while
-	// the response is read.
-	maxInlineBody = 16 << 10
 )
 
-// result is how a send ended.
-type result int
-
-const (
-	// notSent means that no byte can have reached the endpoint.
-	notSent result = iota
-	// superseded means that another endpoint answered while this one was silent.
-	superseded
-	// cancelled means that another endpoint answered first.
-	cancelled
-	// evacuated means that nothing was sent since a data centre was evacuated meanwhile.
-	evacuated
-	// unreserved means that KV memory could not be reserved.
-	unreserved
-	// refused means that the endpoint reported that it did not run the
-	// request.
-	refused
-	// unanswered means that the endpoint may have run the request, but there
-	// is no complete and valid response.
-	unanswered
-	// unusable means that the endpoint answered, but not with the rest of the stream
-	// that the caller has begun to receive.
-	unusable
-	// failed means that the endpoint responded with a status of 500 or above.
-	failed
-	// complete means that the response was passed on to the caller. It is also
-	// the result if writing to the caller failed.
-	complete
-)
-
-func (r result) String() string {
-	return [...]string{"not-sent", "superseded", "cancelled", "evacuated", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
-}
-
-// outcome describes how one send ended.
-type outcome struct {
-	result result
-	reason string
-	status int
-	// response is the endpoint's refusal or error, which the caller gets if the request
-	// is not sent again.
-	response *wholeResponse
-	// unreservedEngines are those at which memory could not be reserved.
-	unreservedEngines ident.Set[ident.EndpointName]
-	// whole is set if the endpoint answered with success and to the end, framed if the
-	// answer's end was marked by more than the end of the connection.
-	whole, framed bool
-	// connBroken is set if the endpoint broke the connection.
-	connBroken bool
-	// linkLost is set if the send failed for reasons that lie between this node and the
-	// endpoint: its link is lost, or, with peerLost, the peer over which it went.
-	linkLost, peerLost bool
-	// flooded is set if the endpoint sent more than an answer may have.
-	flooded bool
-	// rests is set if the endpoint stated that it wants no requests for a time.
-	rests bool
-	// faultAddress is the address of another endpoint that caused the failure,
-	// empty if there is none.
-	faultAddress string
-	// startedAt is when the send began, timeToFirst the time from then to the
-	// first event or the response header.
-	startedAt   time.Time
-	timeToFirst time.Duration
-	// maxGap is the longest time between two writes of events to the caller.
-	maxGap time.Duration
-}
-
 // attempt is one send of a request to an endpoint. It begins in the goroutine of its
 // exchange, or beside another attempt in one of its own; see exchange.startAnother. Only the
 // exchange's goroutine passes its answer on. Until then, it uses nothing of the exchange that
@@ -358,59 +283,3 @@
 	a.link, a.sender, err = a.server.connectTo(ctx, e, a.homes)
 	return err
 }
-
-func (a *attempt) writeRequest() error {
-	header := a.forwardedRequestHeader()
-	if len(a.body) <= maxInlineBody {
-		_, err := a.link.Write(append(header, a.body...))
-		a.requestWritten.Store(err == nil)
-		return err
-	}
-	a.upload = conns.NewUpload(a.link.Conn)
-	go func() {
-		b := net.Buffers{header, a.body}
-		_, err := b.WriteTo(a.upload)
-		a.requestWritten.Store(err == nil)
-	}()
-	return nil
-}
-
-// forwardedRequestHeader returns the header of the request as the endpoint gets it.
-func (a *attempt) forwardedRequestHeader() []byte {
-	r := a.request
-	size := 1024
-	if len(a.body) <= maxInlineBody {
-		size += len(a.body)
-	}
-	b := make([]byte, 0, size)
-	b = append(b, r.Method...)
-	b = append(b, ' ')
-	b = append(b, r.Target...)
-	b = append(b, " HTTP/1.1\r\n"...)
-	resumed := a.resumesAt.begun
-	d := a.server.Dialect
-	r.EndToEnd(func(f http1.Field) {
-		if d.ForwardsField(f, resumed) {
-			b = f.Append(b)
-		}
-	})
-	fields := relay.ForwardHeader{Endpoint: a.choice.Primary.Name, TimeLeft: time.Until(a.deadline)}
-	if a.workspace != nil {
-		fields.Workspace = a.workspace.Name
-	}
-	if resumed {
-		fields.LastEvent = a.resumesAt.lastID
-	}
-	for i, h := range a.choice.Helpers {
-		helper := relay.Helper{Endpoint: h.Name, Address: h.Address}
-		if a.reserved != nil && i < len(a.reserved.ids) {
-			helper.ReservationID = a.reserved.ids[i]
-		}
-		fields.Helpers = append(fields.Helpers, helper)
-	}
-	b = d.AppendFields(b, fields)
-	if r.Framing != http1.None {
-		b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(a.body)))
-	}
-	return append(b, "\r\n"...)
-}
