platform: checks of endpoints and load reports move to the product

Whether requests can be sent to an endpoint, and which numbers a load report may have, are no questions of format: topol.Endpoint.Validate and relay.LoadReport.IsValid decide them now.

--- a/internal/proto/relay/messg.go
+++ b/internal/proto/relay/messg.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -90,6 +91,16 @@
 	Used ident.Tokens
 }
 
+// MaxTokens bounds the numbers of tokens that callers and engines state, so that sums of them
+// don't overflow.
+const MaxTokens ident.Tokens = 1e9
+
+// IsValid reports whether the numbers of a report are within the bounds of an engine.
+func (r LoadReport) IsValid() bool {
+	isCount := func(n int) bool { return n >= 0 && n <= topol.MaxSlots }
+	return isCount(r.Running) && isCount(r.Waiting) && r.Used >= 0 && r.Used <= MaxTokens
+}
+
 // Reservation is KV memory reserved at an engine.
 type Reservation struct {
 	ID     string
--- a/internal/state/topol/valid.go
+++ b/internal/state/topol/valid.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 	"time"
 	"unicode"
@@ -34,6 +35,16 @@
 	// per second that they tolerate meanwhile.
 	MaxColdTime = 10 * time.Minute
 	MaxColdRate = 1e9
+	// maxNameBytes bounds the names of endpoints, and of their services and data centres.
+	maxNameBytes = 255
+	// MaxSlots bounds the number of requests that an endpoint runs at once.
+	MaxSlots = 1 << 16
+	// MaxBorn bounds the Unix time of a start in milliseconds; it is the end of the year
+	// 9999.
+	MaxBorn = 253_402_300_799_999
+	// firstMulticast is the first byte of the lowest multicast address. Those above are
+	// multicast, reserved or the broadcast address.
+	firstMulticast = 224
 )
 
 // bound is a value that must be within a range.
@@ -142,3 +153,35 @@
 	}
 	return within("workspace", string(w.Name), bound{"priority", int64(w.Priority), -maxCount, maxCount})
 }
+
+// Validate returns an error that wraps ErrInvalid if requests can't be sent to the endpoint.
+func (e *Endpoint) Validate() error {
+	switch {
+	case !isName(string(e.Name)) || !isName(string(e.Service)) || !isName(string(e.DataCentre)):
+		return errors.Annotate(ErrInvalid, "invalid name, service or data centre")
+	case !isHostAddress(e.Address):
+		return errors.Annotate(ErrInvalid, "invalid address")
+	case e.Slots < 1 || e.Slots > MaxSlots:
+		return errors.Annotatef(ErrInvalid, "%d slots", e.Slots)
+	case e.Born < 0 || e.Born > MaxBorn:
+		return errors.Annotatef(ErrInvalid, "start at %d", e.Born)
+	}
+	return nil
+}
+
+// isName reports whether s is a text of sane length that can be sent as the value of a
+// header field.
+func isName(s string) bool {
+	return s != "" && len(s) <= maxNameBytes && !strings.ContainsFunc(s, func(c rune) bool { return unicode.IsControl(c) || c == unicode.ReplacementChar })
+}
+
+// isHostAddress reports whether a is an IPv4 address of a single host with a port, in the form
+// in which both are usually written.
+func isHostAddress(a string) bool {
+	ap, err := netip.ParseAddrPort(a)
+	if err != nil || ap.String() != a || ap.Port() == 0 || !ap.Addr().Is4() {
+		return false
+	}
+	first := ap.Addr().As4()[0]
+	return first > 0 && first < firstMulticast
+}
