gate: an unused reservation expires before its bound

A prompt without a first event is given up 1.5 s before MaxUnusedMemory, but each renewal asked for 3 s. If the release was lost, the memory stayed reserved for up to 3 s after the last renewal: 9,020 ms were seen, 9,000 are allowed. A renewal that was given up when the prompt ended could also take effect after the release.

Until the first event of the prompt, the TTL is cut so that the reservation ends 1 s before the bound, counted from before the first call. Calls whose answers are lost may take effect late by that much. At a first event after a cut, the memory is renewed at once. Renewals in flight are awaited before the release. A connection to the endpoint takes no longer than the prompt is kept. Bounds of up to 1.5 s, which had no effect, are kept too.

On the code before, a fake engine that loses releases held the memory for 10.0 s, 10.4 s with slow calls and 10.8 s with late ones. Now it is within 9 s.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -352,7 +352,7 @@
 			return nil
 		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), a.hardDeadline())
 	defer cancel()
 	var err error
 	a.link, a.sender, err = a.server.connectTo(ctx, e, a.homes)
--- a/internal/trans/gate/reserve.go
+++ b/internal/trans/gate/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,6 +24,15 @@
 	// renewInterval is the time between two renewals. A reservation outlasts
 	// a failed renewal.
 	renewInterval = time.Second
+	// renewRetryPause is the pause before the first renewal of memory that is used is repeated.
+	renewRetryPause = 100 * time.Millisecond
+	// expiryMargin is the time between the end of a reservation that was not used and
+	// Server.MaxUnusedMemory. A call whose answer is lost may take effect up to
+	// reservationCallTimeout later, or somewhat more. It is less than releaseMargin, so that a
+	// first event that arrives just before the prompt is given up leaves time for a renewal.
+	expiryMargin = time.Second
+	// minTTL is the shortest TTL of a renewal.
+	minTTL = 50 * time.Millisecond
 	// reservationCallTimeout bounds one call to reserve or release memory at an
 	// engine. It is also the pause before a failed release is repeated.
 	reservationCallTimeout = 400 * time.Millisecond
@@ -40,6 +50,12 @@
 	// used only once.
 	ids    []string
 	tokens []ident.Tokens
+	// since is a time before the reservations were made.
+	since time.Time
+	// isUsed is set once the first event of the prompt has arrived. firstUse then has a value
+	// if the reservations are to be renewed at once.
+	isUsed   atomic.Bool
+	firstUse chan struct{}
 
 	stopRenewing context.CancelFunc
 	renewing     sync.WaitGroup
@@ -48,7 +64,7 @@
 // reserve reserves memory at all helpers for which the choice requires it, or at
 // none. It returns the engines whose reservation failed.
 func (s *Server) reserve(ctx context.Context, c place.Choice) (*reservationSet, ident.Set[ident.EndpointName]) {
-	rs := &reservationSet{server: s, tokens: c.Reservations}
+	rs := &reservationSet{server: s, tokens: c.Reservations, since: time.Now(), firstUse: make(chan struct{}, 1)}
 	for i := range c.Reservations {
 		rs.engines = append(rs.engines, c.Helpers[i])
 		rs.ids = append(rs.ids, fmt.Sprintf("%s-%x-%d", s.Node, s.startMillis, s.lastID.Add(1)))
@@ -86,11 +102,44 @@
 	return errs
 }
 
+// maxUnused returns MaxUnusedMemory less a margin, which is at most half of it; zero means no
+// bound.
+func (s *Server) maxUnused(margin time.Duration) time.Duration {
+	return max(s.MaxUnusedMemory-margin, s.MaxUnusedMemory/2)
+}
+
+// unusedTTL returns the longest TTL of a call at the given time for memory that is not used. Calls
+// with less than reservationTTL all end at the same time, before the bound on unused memory; then
+// it is zero or less.
+func (rs *reservationSet) unusedTTL(now time.Time) time.Duration {
+	limit := rs.server.maxUnused(expiryMargin)
+	if limit == 0 {
+		return reservationTTL
+	}
+	return min(reservationTTL, limit-now.Sub(rs.since))
+}
+
+// ttl returns the TTL of a call at the given time.
+func (rs *reservationSet) ttl(now time.Time) time.Duration {
+	if rs.isUsed.Load() {
+		return reservationTTL
+	}
+	return rs.unusedTTL(now)
+}
+
+// markUsed records that the first event of the prompt has arrived. If the last renewal was cut, the
+// reservations are renewed at once.
+func (rs *reservationSet) markUsed() {
+	if rs.isUsed.CompareAndSwap(false, true) && rs.unusedTTL(time.Now()) < reservationTTL {
+		rs.firstUse <- struct{}{}
+	}
+}
+
 // reserveAt makes or renews the reservation at engine i.
 func (rs *reservationSet) reserveAt(ctx context.Context, i int) error {
 	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
 	defer cancel()
-	return rs.server.Reserver.Reserve(ctx, rs.engines[i], relay.Reservation{ID: rs.ids[i], Tokens: rs.tokens[i], TTL: reservationTTL})
+	return rs.server.Reserver.Reserve(ctx, rs.engines[i], relay.Reservation{ID: rs.ids[i], Tokens: rs.tokens[i], TTL: rs.ttl(time.Now())})
 }
 
 // releaseAt ends the reservation at engine i.
@@ -100,17 +149,43 @@
 	return rs.server.Reserver.Release(ctx, rs.engines[i], rs.ids[i])
 }
 
-// renewPeriodically renews the reservations until the context ends.
+// renewPeriodically renews the reservations until the context ends. Reservations that are not
+// used are not renewed beyond the bound on unused memory.
 func (rs *reservationSet) renewPeriodically(ctx context.Context) {
 	defer rs.renewing.Done()
 	ctx = withoutRequest(ctx)
-	delay.Every(ctx, renewInterval, func(time.Time) {
-		for i, err := range rs.forEachEngine(ctx, rs.reserveAt) {
-			if err != nil && ctx.Err() == nil {
-				rs.server.Logger.Warn().Err(err).Str("endpoint", string(rs.engines[i].Name)).Str("ticket", rs.ids[i]).Msg("gate: reservation renewal failed")
+	t := time.NewTicker(renewInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-rs.firstUse:
+			// The next regular renewal may come too late.
+			for !rs.renew(ctx) && time.Since(rs.since) < rs.server.MaxUnusedMemory && delay.For(ctx, renewRetryPause) {
+			}
+		case now := <-t.C:
+			if rs.ttl(now) >= minTTL {
+				rs.renew(ctx)
 			}
 		}
-	})
+	}
+}
+
+// renew renews the reservations. It reports whether all engines have confirmed it. The calls go on
+// if the context ends: a call that is given up may take effect after the release.
+func (rs *reservationSet) renew(ctx context.Context) bool {
+	ok := true
+	for i, err := range rs.forEachEngine(context.WithoutCancel(ctx), rs.reserveAt) {
+		if err == nil {
+			continue
+		}
+		ok = false
+		if ctx.Err() == nil {
+			rs.server.Logger.Warn().Err(err).Str("endpoint", string(rs.engines[i].Name)).Str("ticket", rs.ids[i]).Msg("gate: reservation renewal failed")
+		}
+	}
+	return ok
 }
 
 // stopAndRelease stops the renewals and releases the memory in the background.
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -165,6 +165,9 @@
 		o.timeToFirst = now.Sub(a.startedAt)
 		a.server.InFlight.MarkDecoding(a.server.Node, a.inFlightID)
 		a.server.AnnounceDecoding(a.inFlightID)
+		if a.reserved != nil {
+			a.reserved.markUsed()
+		}
 	} else {
 		o.maxGap = max(o.maxGap, now.Sub(r.arrivedAt))
 	}
--- a/internal/trans/gate/wait.go
+++ b/internal/trans/gate/wait.go
@@ -71,8 +71,8 @@
 // hardDeadline returns when the attempt ends if it has no answer. A prompt with reserved
 // memory waits no longer for its first event than that may stay unused.
 func (a *attempt) hardDeadline() time.Time {
-	limit := a.server.MaxUnusedMemory - releaseMargin
-	if limit <= 0 || len(a.choice.Reservations) == 0 || a.answer.events != nil && a.answer.events.hasEvents {
+	limit := a.server.maxUnused(releaseMargin)
+	if limit == 0 || len(a.choice.Reservations) == 0 || a.answer.events != nil && a.answer.events.hasEvents {
 		return a.deadline
 	}
 	if t := a.startedAt.Add(limit); t.Before(a.deadline) {
