gate: no promise that a request has not run after a send that may have run it

Callers take 503, 429, 408 and 421 for the promise that the request did not run. An endpoint's answer to a later try was passed on although an earlier try, or one at the same time, may have run the request: a refusal, a 503 without that statement, and 429 or 408, for which a silent endpoint was even left.

Such an answer now leads to 502, or 504 after the deadline, without the endpoint's fields. With sends left, the request is sent again as after other failures. An answer 429 or 408 does not end another send that is under way. A lone 503 without the statement is passed on as before: it is the endpoint's own.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -61,6 +61,15 @@
 	complete
 )
 
+// mayHaveRun reports whether the endpoint may have run the request.
+func (r result) mayHaveRun() bool {
+	switch r {
+	case superseded, cancelled, unanswered, unusable, failed:
+		return true
+	}
+	return false
+}
+
 func (r result) String() string {
 	return [...]string{"not-sent", "superseded", "cancelled", "evacuated", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
 }
@@ -112,6 +121,8 @@
 	// caller had received the header of a stream.
 	resumesAt position
 	isResumed bool
+	// isRepeat is set if another send may have run the request when the attempt began.
+	isRepeat bool
 	// needsNewLink is set if a response on a reused link could not be told from one to an
 	// earlier send.
 	needsNewLink bool
@@ -165,7 +176,7 @@
 	x.turn = nil
 	return &attempt{
 		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(),
-		resumesAt: x.position, isResumed: x.headerSent,
+		resumesAt: x.position, isResumed: x.headerSent, isRepeat: x.mayHaveRun(),
 		slowTurn: turn, pool: x.server.pool(c.Primary.Address),
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
--- a/internal/trans/gate/classify.go
+++ b/internal/trans/gate/classify.go
@@ -26,6 +26,8 @@
 	unsignedAnswer
 	// unusableAnswer does not continue the stream that the caller has begun to receive.
 	unusableAnswer
+	// brokenPromise states that the request has not run, although another send may have run it.
+	brokenPromise
 )
 
 // classify returns what the answer to a send means. If a part of a stream had been forwarded
@@ -43,6 +45,8 @@
 		return eventAnswer
 	case a.isResumed:
 		return unusableAnswer
+	case a.isRepeat && promisesNotRun(res.Status):
+		return brokenPromise
 	}
 	return finalAnswer
 }
@@ -66,6 +70,8 @@
 		return "endpoint failed"
 	case k == unsignedAnswer:
 		return "response is not signed"
+	case k == brokenPromise:
+		return fmt.Sprintf("response with status %d, but the request may have run", res.Status)
 	}
 	contentType, _ := res.Get("Content-Type")
 	return fmt.Sprintf("response with status %d and type %q does not continue the stream", res.Status, contentType)
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -40,10 +40,8 @@
 		x.reject(0, 0, "stream not resumed: "+err.Error())
 	case errors.Is(err, errCrashesEndpoints) && x.possibleRuns == 0:
 		x.reject(503, retryAfter, err.Error())
-	case x.possibleRuns > 0 && !time.Now().Before(x.deadline):
-		x.reject(504, 0, "no response before the deadline")
 	case x.possibleRuns > 0:
-		x.reject(502, 0, "no response, the request may have run: "+err.Error())
+		x.rejectPossiblyRun(err.Error(), time.Now())
 	case isCausedByLoad(err):
 		x.reject(503, retryAfter, err.Error())
 	case errors.Is(err, errResting), errors.Is(err, errStopping), errors.Is(err, errEvacuated), errors.Is(err, errNoHome):
@@ -78,8 +76,8 @@
 	case unreserved:
 		x.recordUnreservedEngines(a.outcome.unreservedEngines)
 		return
-	case notSent, refused:
-	default:
+	}
+	if a.outcome.result.mayHaveRun() {
 		x.possibleRuns++
 	}
 	x.tried.Add(a.choice.Primary.Name)
@@ -143,9 +141,11 @@
 	switch {
 	case x.headerSent:
 		x.reject(0, 0, "stream not resumed: "+o.reason)
+	case o.promisesNotRun() && x.mayHaveRunBefore(o):
+		x.rejectPossiblyRun(o.reason, now)
 	case o.isMisdirected():
 		// The status is about the address to which this node sent the request.
-		x.rejectMisdirected(o.reason, now)
+		x.reject(503, retrySoon, o.reason)
 	case o.response != nil:
 		x.countRequestEnd(strconv.Itoa(o.status))
 		x.writeResponse(o.response)
@@ -158,18 +158,32 @@
 	}
 }
 
-// rejectMisdirected ends a request whose last send was answered with 421. The caller's own
-// address of the service is right, and unless an earlier send may have run the request, it has
-// not run.
-func (x *exchange) rejectMisdirected(reason string, now time.Time) {
-	switch {
-	case x.possibleRuns == 0:
-		x.reject(503, retrySoon, reason)
-	case !now.Before(x.deadline):
+// mayHaveRun reports whether a send that has ended or is under way may run the request.
+func (x *exchange) mayHaveRun() bool {
+	return x.possibleRuns > 0 || x.current != nil || len(x.others) > 0
+}
+
+// mayHaveRunBefore reports whether a send other than the one with an outcome, which has been
+// settled, may have run the request.
+func (x *exchange) mayHaveRunBefore(o outcome) bool {
+	if o.result.mayHaveRun() {
+		return x.possibleRuns > 1
+	}
+	return x.possibleRuns > 0
+}
+
+// promisesNotRun reports whether callers would take the endpoint's answer as the promise that the
+// request has not run.
+func (o *outcome) promisesNotRun() bool { return o.result == refused || promisesNotRun(o.status) }
+
+// rejectPossiblyRun ends a request that an earlier send may have run, without the answer to the
+// last one, which is a promise for that one alone.
+func (x *exchange) rejectPossiblyRun(reason string, now time.Time) {
+	if !now.Before(x.deadline) {
 		x.reject(504, 0, "no response before the deadline")
-	default:
-		x.reject(502, 0, "no response, the request may have run: "+reason)
+		return
 	}
+	x.reject(502, 0, "no response, the request may have run: "+reason)
 }
 
 // recordOutcome records the outcome of a send in the metrics, the log and the
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -80,7 +80,7 @@
 		a.answer.reader = a.newEventReader(res)
 		a.answer.events = &a.answer.reader
 		return a.readFirstEvents()
-	case unusableAnswer:
+	case unusableAnswer, brokenPromise:
 		a.outcome.result, a.outcome.reason = unusable, kind.describe(res)
 		return false
 	case finalAnswer:
@@ -199,6 +199,10 @@
 		return
 	}
 	res, o := a.answer.head, &a.outcome
+	if promisesNotRun(res.Status) && (a.possibleRuns > 0 || len(a.others) > 0) {
+		o.result, o.reason = unusable, brokenPromise.describe(res)
+		return
+	}
 	a.goesOn()
 	a.releaseTurn()
 	a.writeResponse(&a.answer.wholeResponse)
