--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -37,6 +37,8 @@
 	// caller had received the header of a stream.
 	resumesAt position
 	isResumed bool
+	// isRepeat is set if another send may have run the request when the attempt began.
+	isRepeat bool
 	// needsNewLink is set if a response on a reused link could not be told from one to an
 	// earlier send.
 	needsNewLink bool
@@ -90,7 +92,7 @@
 	x.turn = nil
 	return &attempt{
 		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(),
-		resumesAt: x.position, isResumed: x.headerSent,
+		resumesAt: x.position, isResumed: x.headerSent, isRepeat: x.mayHaveRun(),
 		slowTurn: turn, pool: x.server.pool(c.Primary.Address),
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
@@ -277,7 +279,7 @@
 			return nil
 		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), a.hardDeadline())
 	defer cancel()
 	var err error
 	a.link, a.sender, err = a.server.connectTo(ctx, e, a.homes)
--- a/internal/trans/gate/result.go
+++ b/internal/trans/gate/result.go
@@ -36,6 +36,15 @@
 	complete
 )
 
+// mayHaveRun reports whether the endpoint may have run the request.
+func (r result) mayHaveRun() bool {
+	switch r {
+	case superseded, cancelled, unanswered, unusable, failed:
+		return true
+	}
+	return false
+}
+
 func (r result) String() string {
 	return [...]string{"not-sent", "superseded", "cancelled", "evacuated", "unreserved", "refused", "unanswered", "unusable", "failed", "complete"}[r]
 }
