--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -73,7 +73,6 @@
 
 // boundSlow sets the bounds on the requests at endpoints in slow start.
 func (x *exchange) boundSlow(st *place.ServiceState) {
-	x.ignoresSlowStart = false
 	p := &x.server.pacing
 	if p.slowCount.Load() == 0 {
 		return
@@ -101,37 +100,11 @@
 	st.IsOthers = others.Has
 }
 
-// chooseFrom places the request. Slow start must not cause a rejection, or an answer that is late
-// and would be in time without it: if the placement within its bounds is rejected or expected to
-// miss the target, one without them is tried.
-func (x *exchange) chooseFrom(st place.ServiceState, r place.Request) (place.Choice, error) {
-	c, err := place.Choose(st, r)
-	if st.MaxInFlight == nil || err == nil && !isExpectedLate(c, st, r) {
-		return c, err
-	}
-	free := st
-	free.MaxInFlight, free.IsOthers = nil, nil
-	other, otherErr := place.Choose(free, r)
-	if err == nil && (otherErr != nil || isExpectedLate(other, st, r)) {
-		return c, nil
-	}
-	x.ignoresSlowStart = true
-	return other, otherErr
-}
-
-// isExpectedLate reports whether the first event is expected after the request's target. Nothing
-// is known of the speed of plain endpoints: there, the request is late if it has to wait for a slot.
-func isExpectedLate(c place.Choice, st place.ServiceState, r place.Request) bool {
-	if st.Engine != nil && r.Prompt > 0 {
-		return c.Estimate > r.Target
-	}
-	running := 0
-	for _, w := range st.InFlight {
-		if w.First == c.Primary.Name {
-			running++
-		}
-	}
-	return c.Primary.Slots > 0 && running >= c.Primary.Slots
+// chooseFrom places the request within the bounds of slow start, or without them if they would
+// cause a rejection or a late answer.
+func (x *exchange) chooseFrom(st place.ServiceState, r place.Request) (c place.Choice, err error) {
+	c, x.ignoresSlowStart, err = place.ChooseWithinBounds(st, r)
+	return c, err
 }
 
 // takeSlow reports whether a request may be sent to an endpoint now as far as it is in slow start.
