gate: begin slow start only after a loss, when the endpoint is used again

Each failure for which an endpoint is newly avoided began slow start at all nodes at once, also an error answer, a broken or garbled answer, a single reset and a failed reservation. Such an endpoint goes on serving; with a bound of a quarter of its slots it gets nothing until most of its requests have ended.

Slow start now begins only after a connection that was not opened and after silence (pace.Lost), at the first placement for which the endpoint is no longer avoided. It does not begin if the endpoint has not started since: a request from before is answered, the silent request goes on, a peer reaches the endpoint, or the failure that a peer told was a broken connection (it comes with a strike).

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -80,6 +80,8 @@
 	whole, framed bool
 	// connBroken is set if the endpoint broke the connection.
 	connBroken bool
+	// timedOut is set if the rest of the answer did not arrive in time.
+	timedOut bool
 	// linkLost is set if the send failed for reasons that lie between this node and the
 	// endpoint: its link is lost, or, with peerLost, the peer over which it went.
 	linkLost, peerLost bool
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -232,7 +232,11 @@
 func (x *exchange) recordFailureAt(e *topol.Endpoint, o outcome, now time.Time) {
 	s := x.server
 	s.pool(e.Address).CloseIdle()
-	isNew := s.recordFailure(e.Name, now)
+	record := s.recordLost
+	if o.result != notSent && !o.timedOut {
+		record = s.recordFailure
+	}
+	isNew := record(e.Name, now)
 	var strike *strik.Strike
 	if o.connBroken {
 		strike = x.newStrike(e.Name, o.startedAt, now)
@@ -255,6 +259,7 @@
 			switch s.diagnose(context.Background(), e) {
 			case reachedOverPeer:
 				s.endpointHealth.recordSuccess(e.Name)
+				s.recordRunning(e.Name)
 			case unreachable:
 				// A node that has heard nothing since may be cut off, with peers that
 				// were too slow to show it.
--- a/internal/trans/gate/pace.go
+++ b/internal/trans/gate/pace.go
@@ -30,10 +30,10 @@
 
 // pacing holds the endpoints that are cold or in slow start. It is safe for concurrent use.
 type pacing struct {
-	// coldCount is the number of cold endpoints, slowCount that of those in slow start. isUsed
-	// is set if the endpoints of a service may be cold.
-	coldCount, slowCount atomic.Int64
-	isUsed               atomic.Bool
+	// coldCount is the number of cold endpoints, slowCount that of those in slow start, and
+	// lostCount that of the lost ones. isUsed is set if the endpoints of a service may be cold.
+	coldCount, slowCount, lostCount atomic.Int64
+	isUsed                          atomic.Bool
 	// list and catalog were observed last.
 	list    atomic.Pointer[feeds.EndpointList]
 	catalog atomic.Pointer[topol.Catalog]
@@ -42,6 +42,7 @@
 	starts pace.Starts
 	cold   pace.Cold
 	slow   pace.Slow
+	lost   pace.Lost
 	view   pace.View
 	viewAt time.Time
 }
@@ -273,7 +274,7 @@
 func (s *Server) refreshPace(now time.Time) {
 	s.observeStarts(now)
 	p := &s.pacing
-	if !p.isUsed.Load() && p.coldCount.Load()+p.slowCount.Load() == 0 {
+	if !p.isUsed.Load() && p.coldCount.Load()+p.slowCount.Load()+p.lostCount.Load() == 0 {
 		return
 	}
 	list := s.Feeds.Endpoints()
@@ -287,6 +288,8 @@
 	p.starts.Expire(now)
 	s.logKeys(p.cold.Expire(now, exists), "gate: endpoints are no longer cold")
 	s.logKeys(p.slow.Expire(now, exists), "gate: slow start of endpoints has ended by time")
+	p.lost.Expire(now, exists)
+	p.lostCount.Store(int64(p.lost.Len()))
 	p.coldCount.Store(int64(p.cold.Len()))
 	p.slowCount.Store(int64(p.slow.Len()))
 }
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -93,7 +93,7 @@
 
 // failedSend returns the outcome of a send that ended with an error in the given step.
 func failedSend(step string, err error) outcome {
-	return outcome{result: unanswered, connBroken: isConnBroken(err), peerLost: errors.Is(err, tunnel.ErrPeerLost), reason: step + ": " + err.Error()}
+	return outcome{result: unanswered, connBroken: isConnBroken(err), timedOut: isTimeout(err), peerLost: errors.Is(err, tunnel.ErrPeerLost), reason: step + ": " + err.Error()}
 }
 
 // hear records that bytes arrived, if they came over a link of this node.
@@ -170,7 +170,7 @@
 	if err != nil {
 		err = a.readError(err)
 		o.flooded = a.isFlood(err)
-		o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "response truncated: "+err.Error()
+		o.result, o.connBroken, o.timedOut, o.reason = unanswered, isConnBroken(err), isTimeout(err), "response truncated: "+err.Error()
 		o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
 		if kind == refusalAnswer {
 			o.result = refused
--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -6,6 +6,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -46,22 +47,64 @@
 	return e.Slots
 }
 
-// recordFailure records a failure of an endpoint, and reports whether it is newly avoided. If so,
-// it begins slow start, which lasts beyond the time for which it is avoided.
+// recordFailure records a failure of an endpoint, and reports whether it is newly avoided. It does
+// not begin slow start: an endpoint that answers with an error, or breaks one connection, has not
+// started anew.
 func (s *Server) recordFailure(n ident.EndpointName, now time.Time) bool {
+	return s.endpointHealth.recordFailure(n, now)
+}
+
+// recordLost records that an endpoint could not be reached, or was silent, and reports whether it
+// is newly avoided. Slow start begins when it is no longer avoided.
+func (s *Server) recordLost(n ident.EndpointName, now time.Time) bool {
 	isNew := s.endpointHealth.recordFailure(n, now)
-	if !isNew || !s.pacing.isUsed.Load() {
+	p := &s.pacing
+	if !p.isUsed.Load() {
 		return isNew
 	}
-	e, service := s.listed(n)
-	if service != nil && service.ColdStart > 0 {
-		s.pacing.mu.Lock()
-		defer s.pacing.mu.Unlock()
-		s.beginSlowStart(service, []*topol.Endpoint{e}, "failure", now)
+	if e, service := s.listed(n); service != nil && service.ColdStart > 0 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.lost.Record(pace.Key(e), now)
+		p.lostCount.Store(int64(p.lost.Len()))
 	}
 	return isNew
 }
 
+// updateLost calls f if an endpoint may be lost.
+func (s *Server) updateLost(n ident.EndpointName, f func(*pace.Lost, quota.Key)) {
+	p := &s.pacing
+	if p.lostCount.Load() == 0 {
+		return
+	}
+	if e, _ := s.listed(n); e != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		f(&p.lost, pace.Key(e))
+		p.lostCount.Store(int64(p.lost.Len()))
+	}
+}
+
+// recordRunning records that an endpoint has not started since it was silent or broke a connection.
+func (s *Server) recordRunning(n ident.EndpointName) { s.updateLost(n, (*pace.Lost).Clear) }
+
+// beginAfterLoss begins slow start of the endpoints that were lost and are used again. The caller
+// holds s.pacing.mu.
+func (x *exchange) beginAfterLoss(st *place.ServiceState) {
+	p := &x.server.pacing
+	if p.lost.Len() == 0 || x.service.ColdStart <= 0 {
+		return
+	}
+	var back []*topol.Endpoint
+	for _, e := range st.Endpoints {
+		if !st.Avoid(e.Name) && p.lost.Return(pace.Key(e), st.Now) {
+			back = append(back, e)
+		}
+	}
+	p.lostCount.Store(int64(p.lost.Len()))
+	x.server.beginSlowStart(x.service, back, "lost", st.Now)
+}
+
 // listed returns an endpoint and its service; the service is nil if either is unknown.
 func (s *Server) listed(n ident.EndpointName) (*topol.Endpoint, *topol.Service) {
 	list, catalog := s.Feeds.Endpoints(), s.Feeds.Catalog()
@@ -74,7 +117,7 @@
 // boundSlow sets the bounds on the requests at endpoints in slow start.
 func (x *exchange) boundSlow(st *place.ServiceState) {
 	p := &x.server.pacing
-	if p.slowCount.Load() == 0 {
+	if p.slowCount.Load()+p.lostCount.Load() == 0 {
 		return
 	}
 	inFlight := map[ident.EndpointName]int{}
@@ -84,6 +127,10 @@
 	bounds, others := map[ident.EndpointName]int{}, ident.Set[ident.EndpointName]{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	x.beginAfterLoss(st)
+	if p.slow.Len() == 0 {
+		return
+	}
 	x.server.updateView(st.Now)
 	for _, e := range st.Endpoints {
 		k := pace.Key(e)
@@ -139,6 +186,7 @@
 
 // observeMark records the first event of a request of this node or a peer.
 func (s *Server) observeMark(w works.Request) {
+	s.updateLost(w.First, func(l *pace.Lost, k quota.Key) { l.Observe(k, w.Since, time.Now()) })
 	s.updateSlow(w.First, func(t *pace.Slow, e *topol.Endpoint, now time.Time) pace.Result {
 		return t.Answered(pace.Key(e), s.answerOf(w), now)
 	})
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -208,7 +208,7 @@
 		return
 	}
 	o.flooded = a.isFlood(err)
-	o.result, o.connBroken, o.reason = unanswered, isConnBroken(err), "stream truncated: "+err.Error()
+	o.result, o.connBroken, o.timedOut, o.reason = unanswered, isConnBroken(err), isTimeout(err), "stream truncated: "+err.Error()
 	o.peerLost = errors.Is(err, tunnel.ErrPeerLost)
 }
 
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -71,6 +72,10 @@
 
 // AddStrikes adds strikes that peers, or this node, recorded.
 func (s *Server) AddStrikes(ss []strik.Strike) {
+	for _, k := range ss {
+		// A connection was broken, which peers announce as a failure too.
+		s.recordRunning(k.Endpoint)
+	}
 	s.strikes.add(ss...)
 	s.addPartStrikes(ss...)
 }
@@ -79,7 +84,7 @@
 func (s *Server) AddPeerFailures(ns []ident.EndpointName) {
 	now := time.Now()
 	for _, n := range ns {
-		s.recordFailure(n, now)
+		s.recordLost(n, now)
 	}
 }
 
@@ -123,3 +128,9 @@
 func isConnBroken(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// isTimeout reports whether an error means that nothing more arrived in time.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
