--- a/internal/trans/gate/caller_test.go
+++ b/internal/trans/gate/caller_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"testing"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
@@ -54,3 +57,17 @@
 	must.NoError(r.t, err)
 	return res
 }
+
+// doWhole does as do, and checks that the response arrives to its end and has a body.
+func (r *rig) doWhole(text, want string) {
+	res := r.do(text)
+	test.NoError(r.t, res.err)
+	test.Eq(r.t, want, res.body)
+}
+
+// retryAfter returns the seconds after which the caller is told to return.
+func (r response) retryAfter(t testing.TB) float64 {
+	seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	return seconds
+}
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -41,9 +41,7 @@
 
 func newCutRig(t testing.TB, es ...*scriptedEndpoint) *cutRig {
 	c := &cutRig{tunnels: make(chan net.Conn, 1<<20)}
-	c.peer = newConfiguredRig(t, 0, func(s *Server) {
-		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
-	}, es...)
+	c.peer = newConfiguredRig(t, 0, hasPeer("n1"), es...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s := &tunnel.Server{Connect: c.peer.server.ConnectForPeer}
@@ -140,21 +138,26 @@
 	test.Zero(t, c.announced.Load())
 }
 
-// Guards against reservations that fail at a node without links, although its prompts go
-// over a peer.
-func TestOrdersGoOverAPeerWhileLinksAreLost(t *testing.T) {
-	e := newEndpoint(t, "e", ok("yes"))
-	c := newCutRig(t, e)
-	c.lost.Store(true)
-	conn, err := c.server.DialListed(context.Background(), e.address)
+// checkOrder checks that an order of a server reaches an endpoint that answers "yes".
+func checkOrder(t *testing.T, s *Server, e *scriptedEndpoint) {
+	conn, err := s.DialListed(context.Background(), e.address)
 	must.NoError(t, err)
 	defer conn.Close()
 	io.WriteString(conn, request("GET", "/order", "r1", ""))
 	res, err := readResponse(conn)
 	must.NoError(t, err)
 	test.Eq(t, "yes", res.body)
+}
+
+// Guards against reservations that fail at a node without links, although its prompts go
+// over a peer.
+func TestOrdersGoOverAPeerWhileLinksAreLost(t *testing.T) {
+	e := newEndpoint(t, "e", ok("yes"))
+	c := newCutRig(t, e)
+	c.lost.Store(true)
+	checkOrder(t, c.server, e)
 	test.Eq(t, 1, len(c.tunnels))
-	_, err = c.server.DialListed(context.Background(), "127.0.0.1:1")
+	_, err := c.server.DialListed(context.Background(), "127.0.0.1:1")
 	test.Error(t, err, test.Sprint("no endpoint has this address"))
 }
 
@@ -254,7 +257,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := newConfiguredRig(t, 0, func(s *Server) {
-				s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
+				hasPeer("n1")(s)
 				if c.prepare != nil {
 					c.prepare(s)
 				}
--- a/internal/trans/gate/drain_test.go
+++ b/internal/trans/gate/drain_test.go
@@ -14,7 +14,6 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
@@ -191,7 +190,7 @@
 		var s *Server
 		newConfiguredRig(t, 0, func(server *Server) {
 			s = server
-			s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+			hasPeer("n2")(s)
 			s.DialEndpoint = func(ctx context.Context, address string) (net.Conn, error) {
 				counts <- s.InFlightCount()
 				if failure != nil {
--- a/internal/trans/gate/evacuate_test.go
+++ b/internal/trans/gate/evacuate_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -120,9 +118,7 @@
 	for _, text := range []string{request("GET", "/safe/", "r1", ""), request("POST", "/stream/", "r2", "x", "Prompt: 150000")} {
 		res := r.do(text)
 		test.Eq(t, 503, res.status)
-		after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-		test.NoError(t, err)
-		test.Between(t, 0.5, after, 5)
+		test.Between(t, 0.5, res.retryAfter(t), 5)
 	}
 	test.SliceEmpty(t, e.requests())
 	for range 3 {
@@ -147,7 +143,7 @@
 		f.ConfirmCatalog(clock.Now())
 		f.UpdateEndpoints([]topol.Endpoint{{Name: "ap", Service: "plain", Address: e.address, Slots: 8, DataCentre: "a"}}, clock.Now())
 		s.Feeds = f
-		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+		hasPeer("n2")(s)
 	}, e)
 	test.Eq(t, 503, r.do(request("GET", "/safe/", "r1", "")).status)
 	_, err := r.server.ConnectForPeer(context.Background(), tunnel.Request{From: "n2", Endpoint: "ap", Address: e.address})
--- a/internal/trans/gate/evacuated_sends_test.go
+++ b/internal/trans/gate/evacuated_sends_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -25,9 +23,7 @@
 	r.do(request("GET", "/safe/", "r1", ""))
 	res := r.do(request("GET", "/safe/", "r1", ""))
 	must.Eq(t, 503, res.status)
-	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	test.Between(t, 10, after, 20)
+	test.Between(t, 10, res.retryAfter(t), 20)
 	test.SliceLen(t, 1, resting.requests())
 	test.SliceEmpty(t, idle.requests())
 }
@@ -138,9 +134,7 @@
 // probes that find its endpoints unreachable.
 func TestTunnelToAnEvacuatedDataCentre(t *testing.T) {
 	e := newEndpoint(t, "a0", ok("yes"))
-	r := newConfiguredRig(t, 0, func(s *Server) {
-		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
-	})
+	r := newConfiguredRig(t, 0, hasPeer("n2"))
 	r.list(listed{e, "a", 1, ""})
 	r.server.evacuate("a")
 	_, err := r.server.ConnectForPeer(t.Context(), tunnel.Request{From: "n2", Endpoint: "a0", Address: e.address})
--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"io"
 	"net"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -361,9 +360,7 @@
 	}
 	res := r.do(request("GET", "/safe/bad", "r1", ""))
 	test.Eq(t, 503, res.status)
-	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	test.GreaterEq(t, 60, after)
+	test.GreaterEq(t, 60, res.retryAfter(t))
 }
 
 func TestStrikesOfPeersCount(t *testing.T) {
--- a/internal/trans/gate/hedge_test.go
+++ b/internal/trans/gate/hedge_test.go
@@ -192,9 +192,7 @@
 				waitFor(t, func() bool { return r.sent(refused) > 0 })
 				first.next <- s.after
 			}()
-			res := r.do(request("POST", s.target, "r1", "x", "Prompt: 100"))
-			test.NoError(t, res.err)
-			test.Eq(t, s.wantWhole, res.body)
+			r.doWhole(request("POST", s.target, "r1", "x", "Prompt: 100"), s.wantWhole)
 			test.SliceLen(t, 2, e.requests())
 		})
 	}
@@ -222,9 +220,7 @@
 				waitFor(t, func() bool { return c.sent(refused) > 0 })
 				first.next <- s.after
 			}()
-			res := c.do(request("POST", s.target, "r1", "x", "Prompt: 100"))
-			test.NoError(t, res.err)
-			test.Eq(t, s.wantWhole, res.body)
+			c.doWhole(request("POST", s.target, "r1", "x", "Prompt: 100"), s.wantWhole)
 			test.SliceLen(t, 2, e.requests())
 		})
 	}
@@ -251,9 +247,7 @@
 				}
 				second.next <- streamHead + chunked(event(2)) + lastChunk
 			}()
-			res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 150000"))
-			test.NoError(t, res.err)
-			test.Eq(t, event(1)+event(2), res.body)
+			r.doWhole(request("POST", "/stream/", "r1", "x", "Prompt: 150000"), event(1)+event(2))
 			waitForEnd(r)
 			reserved := ident.Set[string]{}
 			waitFor(t, func() bool {
--- a/internal/trans/gate/homes_test.go
+++ b/internal/trans/gate/homes_test.go
@@ -5,10 +5,8 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -155,9 +153,7 @@
 					continue
 				}
 				test.Eq(t, 503, res.status)
-				after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-				test.NoError(t, err)
-				test.GreaterEq(t, 1.0, after)
+				test.GreaterEq(t, 1.0, res.retryAfter(t))
 			}
 			test.SliceEmpty(t, f.requests())
 			test.SliceEmpty(t, g.requests())
@@ -240,9 +236,7 @@
 	r.do(request("GET", "/safe/", "r1", ""))
 	res := r.do(request("GET", "/safe/", "r2", ""))
 	test.Eq(t, 503, res.status)
-	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	test.GreaterEq(t, 20.0, after)
+	test.GreaterEq(t, 20.0, res.retryAfter(t))
 	test.SliceEmpty(t, outside.requests())
 }
 
@@ -396,13 +390,7 @@
 		s.DialEndpoint = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
 		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{k.Peer} }
 	}, e)
-	conn, err := r.server.DialListed(context.Background(), e.address)
-	must.NoError(t, err)
-	defer conn.Close()
-	io.WriteString(conn, request("GET", "/order", "r1", ""))
-	res, err := readResponse(conn)
-	must.NoError(t, err)
-	test.Eq(t, "yes", res.body)
+	checkOrder(t, r.server, e)
 }
 
 // drawnRequest draws an exchange of a request with homes at a server with endpoints and peers in
--- a/internal/trans/gate/late_test.go
+++ b/internal/trans/gate/late_test.go
@@ -13,7 +13,6 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/lab/jumps"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/links"
@@ -221,7 +220,7 @@
 	var s *Server
 	newConfiguredRig(t, 0, func(server *Server) {
 		s = server
-		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n2"}} }
+		hasPeer("n2")(s)
 	}, e)
 	s.Drain()
 	_, err := s.ConnectForPeer(context.Background(), tunnel.Request{From: "n2", Endpoint: "ep", Address: e.address})
--- a/internal/trans/gate/limit_test.go
+++ b/internal/trans/gate/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -30,9 +29,7 @@
 	must.Eq(t, 200, r.do(request("GET", "/safe/", "r1", "")).status)
 	res := r.do(request("GET", "/safe/", "r2", ""))
 	test.Eq(t, 503, res.status)
-	seconds, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	test.Between(t, 1, seconds, 10, test.Sprint("the limit allows a request each 10 s"))
+	test.Between(t, 1, res.retryAfter(t), 10, test.Sprint("the limit allows a request each 10 s"))
 	test.SliceLen(t, 1, e.requests())
 }
 
--- a/internal/trans/gate/parts_test.go
+++ b/internal/trans/gate/parts_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/shoenig/test"
-	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -35,9 +34,7 @@
 	r.server.AddStrikes(strikesOf(2, 3, 0))
 	res := r.do(prompt("r1", "1 2"))
 	test.Eq(t, 503, res.status)
-	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	test.GreaterEq(t, 1, after)
+	test.GreaterEq(t, 1, res.retryAfter(t))
 	test.SliceEmpty(t, e.requests())
 	test.Eq(t, 200, r.do(prompt("r2", "1 3")).status)
 }
--- a/internal/trans/gate/rest_test.go
+++ b/internal/trans/gate/rest_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
-	"github.com/shoenig/test/must"
 
-	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/trans/tunnel"
 )
 
@@ -49,9 +46,7 @@
 	r.do(request("GET", "/safe/", "r1", ""))
 	res := r.do(request("GET", "/safe/", "r1", ""))
 	test.Eq(t, 503, res.status)
-	after, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
-	must.NoError(t, err)
-	test.Between(t, 10, after, 20)
+	test.Between(t, 10, res.retryAfter(t), 20)
 	for _, e := range es {
 		test.SliceLen(t, 1, e.requests())
 	}
@@ -60,9 +55,7 @@
 // Guards against a node that sends over a peer what the endpoint doesn't want of the peer.
 func TestPeerConnectsToNoEndpointThatRests(t *testing.T) {
 	e := newEndpoint(t, "e", rests("20"))
-	r := newConfiguredRig(t, 0, func(s *Server) {
-		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: "n1"}} }
-	}, e)
+	r := newConfiguredRig(t, 0, hasPeer("n1"), e)
 	r.do(request("GET", "/safe/", "r1", ""))
 	_, err := r.server.ConnectForPeer(context.Background(), tunnel.Request{From: "n1", Endpoint: "ep", Address: e.address})
 	test.Error(t, err)
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -361,6 +361,13 @@
 	return r
 }
 
+// hasPeer returns a function that makes a server know one peer.
+func hasPeer(name ident.NodeName) func(*Server) {
+	return func(s *Server) {
+		s.Peers = func(time.Time) []reach.Peer { return []reach.Peer{{Name: name}} }
+	}
+}
+
 func (r *rig) dial() net.Conn {
 	c, err := net.Dial("tcp", r.addr)
 	must.NoError(r.t, err)
--- a/internal/trans/gate/silence_test.go
+++ b/internal/trans/gate/silence_test.go
@@ -183,9 +183,7 @@
 					time.Sleep(5 * shortWait)
 					first.next <- s.after
 				}()
-				res := r.do(request("POST", s.target, "r1", "x", "Prompt: 100"))
-				test.NoError(t, res.err)
-				test.Eq(t, s.wantWhole, res.body)
+				r.doWhole(request("POST", s.target, "r1", "x", "Prompt: 100"), s.wantWhole)
 				test.SliceLen(t, 1, e.requests())
 			})
 		}
@@ -207,9 +205,7 @@
 			e := newEndpoint(t, "e", first.script, second)
 			r := newSilenceRig(t, 2, e, e.alias("f"))
 			go func() { first.next <- s.before }()
-			res := r.do(request("POST", s.target, "r1", "x", "Prompt: 100"))
-			test.NoError(t, res.err)
-			test.Eq(t, want, res.body)
+			r.doWhole(request("POST", s.target, "r1", "x", "Prompt: 100"), want)
 			test.SliceLen(t, 2, e.requests())
 			<-first.gone
 			test.Eq(t, 1, r.sent(superseded))
@@ -231,9 +227,7 @@
 				waitFor(t, func() bool { return len(e.requests()) == 2 })
 				first.next <- s.after
 			}()
-			res := r.do(request("POST", s.target, "r1", "x", "Prompt: 100"))
-			test.NoError(t, res.err)
-			test.Eq(t, s.wantWhole, res.body)
+			r.doWhole(request("POST", s.target, "r1", "x", "Prompt: 100"), s.wantWhole)
 			<-second.gone
 			waitFor(t, func() bool { return len(r.server.InFlight.All()) == 0 })
 			test.Eq(t, 1, r.sent(cancelled))
@@ -282,9 +276,7 @@
 		second.next <- streamHead + chunked(event(2))
 		second.next <- chunked(event(3)) + lastChunk
 	}()
-	res := r.do(request("POST", "/stream/", "r1", "x", "Prompt: 100"))
-	test.NoError(t, res.err)
-	test.Eq(t, event(1)+event(2)+event(3), res.body)
+	r.doWhole(request("POST", "/stream/", "r1", "x", "Prompt: 100"), event(1)+event(2)+event(3))
 	test.SliceLen(t, 2, e.requests())
 }
 
