node, peer, feeds: repeated loops and grace periods in one function each

Three loops called a function at once and then at intervals, each with a ticker of its own; delay.Repeat does it. Two functions of feeds began the grace period of the endpoints in the same lines.

--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -49,18 +49,11 @@
 	states := pollStates{}
 	var g errgroup.Group
 	g.SetLimit(maxPolls)
-	t := time.NewTicker(loadPollInterval)
-	defer t.Stop()
-	for {
+	delay.Repeat(ctx, loadPollInterval, func(time.Time) {
 		n.startPolls(ctx, &g, states)
 		n.core.RefreshLoad(time.Now())
-		select {
-		case <-ctx.Done():
-			g.Wait()
-			return
-		case <-t.C:
-		}
-	}
+	})
+	g.Wait()
 }
 
 // startPolls starts a poll of each endpoint that is due and not being polled. If
@@ -128,16 +121,7 @@
 
 // pollList polls the VM list until the context ends.
 func (n *Node) pollList(ctx context.Context) {
-	t := time.NewTicker(listInterval)
-	defer t.Stop()
-	for {
-		n.readList(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	delay.Repeat(ctx, listInterval, func(time.Time) { n.readList(ctx) })
 }
 
 // readList reads the VM list once. It passes the entries of endpoints to the
--- a/internal/state/delay/delay.go
+++ b/internal/state/delay/delay.go
@@ -35,3 +35,17 @@
 		}
 	}
 }
+
+// Repeat calls f at once, and then at intervals of d until the context ends.
+func Repeat(ctx context.Context, d time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for now := time.Now(); ; {
+		f(now)
+		select {
+		case <-ctx.Done():
+			return
+		case now = <-t.C:
+		}
+	}
+}
--- a/internal/state/delay/delay_test.go
+++ b/internal/state/delay/delay_test.go
@@ -32,3 +32,18 @@
 		test.Eq(t, 3, calls)
 	})
 }
+
+// Guards against loops whose first call comes only after an interval.
+func TestRepeatCallsAtOnceAndUntilTheContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		var at []time.Duration
+		record := func(now time.Time) { at = append(at, now.Sub(start)) }
+		Repeat(ctx, time.Second, record)
+		test.Eq(t, []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second}, at)
+		Repeat(ctx, time.Second, record)
+		test.SliceLen(t, 5, at)
+	})
+}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -175,12 +175,7 @@
 // the grace period begins: the endpoints write theirs again.
 func (f *Feeds) recordLoss(s Stream, era uint64, at clock.Instant) {
 	f.Logger.Warn().Str("stream", s.String()).Uint64("era", era).Msg("feeds: source lost records, reading the newest record of each key")
-	if s != Endpoints {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recoveredAt = at
+	f.beginEndpointGrace(s, at)
 }
 
 // ObserveEra records an era of the source, which this node or a peer read. A new one begins
@@ -214,6 +209,11 @@
 	if s == Configuration {
 		f.beginEvacuationGrace(0)
 	}
+	f.beginEndpointGrace(s, at)
+}
+
+// beginEndpointGrace begins the grace period of the endpoints if a stream holds their records.
+func (f *Feeds) beginEndpointGrace(s Stream, at clock.Instant) {
 	if s != Endpoints {
 		return
 	}
--- a/internal/trans/peer/beat.go
+++ b/internal/trans/peer/beat.go
@@ -9,6 +9,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/membr"
 	"laburnumstack.org/laburnum/internal/proto/messg"
+	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/trace"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -62,16 +63,7 @@
 
 // sendLoop sends heartbeats periodically until the context ends.
 func (m *Mesh) sendLoop(ctx context.Context) {
-	t := time.NewTicker(heartbeatInterval)
-	defer t.Stop()
-	for {
-		m.SendHeartbeats(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	delay.Repeat(ctx, heartbeatInterval, func(time.Time) { m.SendHeartbeats(ctx) })
 }
 
 // SendHeartbeats exchanges heartbeats with random peers, and marks members without
