stale: failed and answered sends instead of signs, sound sends and marks

The table's words were its own: a sign was a failed send, but an answered one was a sign as well; a mark was an answer 421.

--- a/internal/coord/stale/stale.go
+++ b/internal/coord/stale/stale.go
@@ -19,22 +19,22 @@
 	// avoidTime is the longest time for which an endpoint or a group is avoided. A node may get
 	// no later list for longer than that, and the records may be right.
 	avoidTime = 2 * time.Second
-	// signWindow is the time within which the sends to minSigns endpoints must have begun for
-	// their group to be avoided. Endpoints that are replaced one after the other are further
-	// apart, or others answer between them.
-	signWindow = time.Second
-	// minSigns is the number of endpoints whose records must have proved wrong for a group to
-	// be avoided. One is a replaced endpoint, which must not turn the load of its data centre
-	// to the others.
-	minSigns = 2
-	// minSound is the number of endpoints whose answers show that a group need not be avoided.
-	// One may be the only one that is left.
-	minSound = 2
-	// maxSigns bounds the endpoints of a group whose signs are kept.
-	maxSigns = 8
-	// maxMarks and maxGroups bound the table.
-	maxMarks  = 1024
-	maxGroups = 256
+	// failureWindow is the time within which the failed sends to minFailed endpoints must have
+	// begun for their group to be avoided. Endpoints that are replaced one after the other are
+	// further apart, or others answer between them.
+	failureWindow = time.Second
+	// minFailed is the number of endpoints to which sends must have failed for their group to
+	// be avoided. A single one may just have been replaced, and must not turn the load of its
+	// data centre to the others.
+	minFailed = 2
+	// minAnswered is the number of endpoints whose answers show that a group need not be
+	// avoided. A single one may be the only one that is left.
+	minAnswered = 2
+	// maxFailed bounds the endpoints of a group whose failed sends are kept.
+	maxFailed = 8
+	// maxMisdirected and maxGroups bound the table.
+	maxMisdirected = 1024
+	maxGroups      = 256
 )
 
 // Reason is why a group is avoided, or no longer is.
@@ -58,7 +58,7 @@
 	Service    ident.ServiceName
 }
 
-// Change tells that a group is avoided from now on, or no longer is.
+// Change is the beginning or the end of the avoidance of a group.
 type Change struct {
 	Group
 	Avoided bool
@@ -70,8 +70,9 @@
 type Table struct {
 	// confirmed is when the list in force was last confirmed to be the newest.
 	confirmed clock.Instant
-	marks     map[record]mark
-	groups    map[Group]*group
+	// misdirected holds the endpoints that are others than their records name.
+	misdirected map[record]misdirection
+	groups      map[Group]*group
 }
 
 // record identifies the record of one start of an endpoint.
@@ -81,25 +82,29 @@
 	address string
 }
 
-// mark tells that an endpoint is another one than its record names.
-type mark struct{ sent, until clock.Instant }
+// misdirection is the last answer 421 of an endpoint: when its request was sent, and until when
+// the endpoint is avoided.
+type misdirection struct{ sent, until clock.Instant }
 
-// sign is a send to an endpoint that failed in a way that may mean a wrong record, or that was
-// answered.
-type sign struct {
+// send is a send to an endpoint that either was answered or failed in a way that may mean that
+// the record is wrong.
+type send struct {
 	record
-	sent clock.Instant
-	// misdirected is set if the endpoint answered 421, clear if it could not be reached.
-	misdirected bool
+	at clock.Instant
+	// isMisdirected is set if the endpoint answered 421.
+	isMisdirected bool
 }
 
 // group is the state of a group.
 type group struct {
-	// signs are of distinct addresses, in the order of their sends.
-	signs []sign
-	// sound are the last minSound endpoints that answered, in the order of their sends.
-	sound []sign
-	// since is when the older of the sends began that made the group avoided, zero if it isn't.
+	// failed are the sends to endpoints that answered 421 or could not be reached, the last
+	// one to each address, in their order.
+	failed []send
+	// answered are the last sends to the minAnswered endpoints that answered last, in their
+	// order.
+	answered []send
+	// since is when the older of the sends began for which the group is avoided, zero if it
+	// isn't.
 	since clock.Instant
 	// until is the end of avoidTime.
 	until clock.Instant
@@ -111,30 +116,30 @@
 // Misdirect records an answer 421. It reports whether that is news about the endpoint, and how
 // the state of its group changes.
 func (t *Table) Misdirect(e *topol.Endpoint, sent, now clock.Instant) (isNew bool, changes []Change) {
-	isNew = t.addMark(recordOf(e), sent, now)
-	return isNew, t.addSign(groupOf(e), sign{recordOf(e), sent, true}, now)
+	isNew = t.addMisdirected(recordOf(e), sent, now)
+	return isNew, t.addFailed(groupOf(e), send{recordOf(e), sent, true}, now)
 }
 
 // Fail records that an endpoint could not be reached. That alone says nothing about a group:
 // the link may be at fault. Beside an answer 421 of another endpoint, it counts against the
 // group like a second such answer.
 func (t *Table) Fail(e *topol.Endpoint, sent, now clock.Instant) []Change {
-	return t.addSign(groupOf(e), sign{recordOf(e), sent, false}, now)
+	return t.addFailed(groupOf(e), send{recordOf(e), sent, false}, now)
 }
 
 // Answer records that an endpoint answered under its name.
 func (t *Table) Answer(e *topol.Endpoint, sent clock.Instant) []Change {
 	r := recordOf(e)
-	if m, ok := t.marks[r]; ok && m.sent < sent {
-		delete(t.marks, r)
+	if m, ok := t.misdirected[r]; ok && m.sent < sent {
+		delete(t.misdirected, r)
 	}
 	g := t.groups[groupOf(e)]
 	if g == nil {
 		return nil
 	}
-	g.signs = slices.DeleteFunc(g.signs, func(s sign) bool { return s.record == r && s.sent < sent })
-	g.sound = put(g.sound, sign{record: r, sent: sent}, minSound)
-	if g.isAvoided() && g.soundSince(g.since) >= minSound {
+	g.failed = slices.DeleteFunc(g.failed, func(s send) bool { return s.record == r && s.at < sent })
+	g.answered = insert(g.answered, send{record: r, at: sent}, minAnswered)
+	if g.isAvoided() && g.answeredSince(g.since) >= minAnswered {
 		g.forget()
 		return []Change{{groupOf(e), false, Answered}}
 	}
@@ -145,9 +150,9 @@
 // confirmed to be the newest.
 func (t *Table) Refresh(confirmed, now clock.Instant) []Change {
 	t.confirmed = max(t.confirmed, confirmed)
-	for r, m := range t.marks {
+	for r, m := range t.misdirected {
 		if now >= m.until {
-			delete(t.marks, r)
+			delete(t.misdirected, r)
 		}
 	}
 	var changes []Change
@@ -155,7 +160,7 @@
 		if why := g.refresh(t.confirmed, now); why != "" {
 			changes = append(changes, Change{k, false, why})
 		}
-		if g.since == 0 && len(g.signs) == 0 {
+		if g.since == 0 && len(g.failed) == 0 {
 			delete(t.groups, k)
 		}
 	}
@@ -174,12 +179,12 @@
 
 // IsMisdirected reports whether an endpoint is known to be another one than its record names.
 func (t *Table) IsMisdirected(e *topol.Endpoint) bool {
-	_, ok := t.marks[recordOf(e)]
+	_, ok := t.misdirected[recordOf(e)]
 	return ok
 }
 
 // Len returns the number of endpoints and groups in the table.
-func (t *Table) Len() int { return len(t.marks) + len(t.groups) }
+func (t *Table) Len() int { return len(t.misdirected) + len(t.groups) }
 
 // AvoidedGroups returns the number of groups that are avoided.
 func (t *Table) AvoidedGroups() int {
@@ -192,22 +197,22 @@
 	return n
 }
 
-func (t *Table) addMark(r record, sent, now clock.Instant) (isNew bool) {
-	if t.marks == nil {
-		t.marks = map[record]mark{}
+func (t *Table) addMisdirected(r record, sent, now clock.Instant) (isNew bool) {
+	if t.misdirected == nil {
+		t.misdirected = map[record]misdirection{}
 	}
-	_, isKnown := t.marks[r]
-	if !isKnown && len(t.marks) >= maxMarks {
+	_, isKnown := t.misdirected[r]
+	if !isKnown && len(t.misdirected) >= maxMisdirected {
 		return false
 	}
-	t.marks[r] = mark{sent, now.Add(avoidTime)}
+	t.misdirected[r] = misdirection{sent, now.Add(avoidTime)}
 	return !isKnown
 }
 
-// addSign adds a sign to a group. A send that began before the list in force was confirmed
-// says nothing about its records.
-func (t *Table) addSign(k Group, s sign, now clock.Instant) []Change {
-	if s.sent < t.confirmed || now.Sub(s.sent) >= avoidTime {
+// addFailed adds a failed send to a group. One that began before the list in force was confirmed
+// shows nothing about the records of this list.
+func (t *Table) addFailed(k Group, s send, now clock.Instant) []Change {
+	if s.at < t.confirmed || now.Sub(s.at) >= avoidTime {
 		return nil
 	}
 	g := t.groups[k]
@@ -221,53 +226,53 @@
 		g = &group{}
 		t.groups[k] = g
 	}
-	g.signs = put(g.signs, s, maxSigns)
+	g.failed = insert(g.failed, s, maxFailed)
 	if g.isAvoided() || !g.isDoubtful() {
 		return nil
 	}
-	g.since, g.until, g.isListed = g.pairSince(), now.Add(avoidTime), false
+	g.since, g.until, g.isListed = g.lastFailedSince(), now.Add(avoidTime), false
 	return []Change{{k, true, Misdirected}}
 }
 
 // isAvoided reports whether all endpoints of the group are avoided.
 func (g *group) isAvoided() bool { return g.since > 0 && !g.isListed }
 
-// forget ends the avoidance and drops the signs that led to it.
-func (g *group) forget() { *g = group{sound: g.sound} }
+// forget ends the avoidance and drops the failed sends that led to it.
+func (g *group) forget() { *g = group{answered: g.answered} }
 
-// pairSince returns when the older of the last minSigns sends began.
-func (g *group) pairSince() clock.Instant { return g.signs[len(g.signs)-minSigns].sent }
+// lastFailedSince returns when the first of the last minFailed failed sends began.
+func (g *group) lastFailedSince() clock.Instant { return g.failed[len(g.failed)-minFailed].at }
 
-// isDoubtful reports whether the signs are enough for the group to be avoided.
+// isDoubtful reports whether enough sends have failed for the group to be avoided.
 func (g *group) isDoubtful() bool {
-	if len(g.signs) < minSigns {
+	if len(g.failed) < minFailed {
 		return false
 	}
-	since, newest := g.pairSince(), g.signs[len(g.signs)-1].sent
-	inWindow := func(s sign) bool { return s.misdirected && newest.Sub(s.sent) <= signWindow }
-	return newest.Sub(since) <= signWindow && slices.ContainsFunc(g.signs, inWindow) && g.soundSince(since) < minSound
+	since, newest := g.lastFailedSince(), g.failed[len(g.failed)-1].at
+	isRecent421 := func(s send) bool { return s.isMisdirected && newest.Sub(s.at) <= failureWindow }
+	return newest.Sub(since) <= failureWindow && slices.ContainsFunc(g.failed, isRecent421) && g.answeredSince(since) < minAnswered
 }
 
-// soundSince returns the number of endpoints that answered a send that began after a time.
-func (g *group) soundSince(since clock.Instant) int {
+// answeredSince returns the number of endpoints that answered a send that began after a time.
+func (g *group) answeredSince(since clock.Instant) int {
 	n := 0
-	for _, s := range g.sound {
-		if s.sent > since {
+	for _, s := range g.answered {
+		if s.at > since {
 			n++
 		}
 	}
 	return n
 }
 
-// refresh drops what is over, and returns why the group is no longer avoided, if that changes.
+// refresh drops the failed sends that no longer count. If that ends the avoidance, it returns why.
 func (g *group) refresh(confirmed, now clock.Instant) (why Reason) {
 	wasAvoided := g.isAvoided()
-	g.signs = slices.DeleteFunc(g.signs, func(s sign) bool { return s.sent < confirmed || now.Sub(s.sent) >= avoidTime })
+	g.failed = slices.DeleteFunc(g.failed, func(s send) bool { return s.at < confirmed || now.Sub(s.at) >= avoidTime })
 	switch {
 	case g.since > 0 && now >= g.until:
 		g.forget()
 		why = TimedOut
-	case wasAvoided && len(g.signs) == 0:
+	case wasAvoided && len(g.failed) == 0:
 		g.isListed = true
 		why = Listed
 	}
@@ -277,19 +282,19 @@
 	return why
 }
 
-// put adds a sign in the order of the sends, in place of an earlier one from the same address,
-// and drops the oldest above a number. An address that has several records counts once: they
-// are of one endpoint that started several times.
-func put(signs []sign, s sign, most int) []sign {
-	if i := slices.IndexFunc(signs, func(o sign) bool { return o.address == s.address }); i >= 0 {
-		if signs[i].sent > s.sent {
-			return signs
+// insert inserts a send in the order of time, in place of an earlier one to the same address, and
+// drops the oldest ones above a number. Several records with one address are those of one
+// endpoint that started several times, so it counts once.
+func insert(sends []send, s send, most int) []send {
+	if i := slices.IndexFunc(sends, func(o send) bool { return o.address == s.address }); i >= 0 {
+		if sends[i].at > s.at {
+			return sends
 		}
-		signs = slices.Delete(signs, i, i+1)
+		sends = slices.Delete(sends, i, i+1)
 	}
-	i, _ := slices.BinarySearchFunc(signs, s, func(a, b sign) int { return cmp.Compare(a.sent, b.sent) })
-	signs = slices.Insert(signs, i, s)
-	return signs[max(0, len(signs)-most):]
+	i, _ := slices.BinarySearchFunc(sends, s, func(a, b send) int { return cmp.Compare(a.at, b.at) })
+	sends = slices.Insert(sends, i, s)
+	return sends[max(0, len(sends)-most):]
 }
 
 func recordOf(e *topol.Endpoint) record { return record{e.Name, e.Born, e.Address} }
