--- a/internal/coord/pace/cold.go
+++ b/internal/coord/pace/cold.go
@@ -90,9 +90,9 @@
 // Len returns the number of endpoints that are or were cold lately.
 func (c *Cold) Len() int { return len(c.entries) }
 
-// State records that an endpoint stated that it remains cold for a time, which replaces what
+// RecordStated records that an endpoint stated that it remains cold for a time, which replaces what
 // it stated before. It reports whether the endpoint has become cold by that.
-func (c *Cold) State(k quota.Key, r Rate, left time.Duration, now time.Time) bool {
+func (c *Cold) RecordStated(k quota.Key, r Rate, left time.Duration, now time.Time) bool {
 	was := c.IsCold(k, now)
 	if e := c.entry(k, r, left > 0); e != nil {
 		e.statedUntil = now.Add(left)
--- a/internal/coord/pace/cold_test.go
+++ b/internal/coord/pace/cold_test.go
@@ -120,7 +120,7 @@
 			nodes[i] = newNode(i, time.Duration(rng.Int64N(2e15)-1e15))
 			nodes[i].settle(known(rng, i).Known, count)
 			seenAt := nodes[i].at(time.Duration(rng.Int64N(1e9)))
-			nodes[i].cold.State(coldKey, rate, time.Minute, seenAt)
+			nodes[i].cold.RecordStated(coldKey, rate, time.Minute, seenAt)
 		}
 		// Each node has requests at any time, but for pauses, and sends as soon as it may.
 		pauses := rapid.Float64Range(0, 0.5).Draw(t, "pauses")
@@ -160,7 +160,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNode(0, 0)
 		n.settle(addresses(rapid.IntRange(1, 40).Draw(t, "nodes")), 1)
-		n.cold.State(coldKey, stated, time.Minute, n.at(0))
+		n.cold.RecordStated(coldKey, stated, time.Minute, n.at(0))
 		type turn struct{ takenAt, writtenAt time.Duration }
 		var waiting []turn
 		var written []time.Duration
@@ -288,17 +288,17 @@
 func TestColdTimes(t *testing.T) {
 	var c Cold
 	at := func(s float64) time.Time { return time.Unix(9, 0).Add(time.Duration(s * float64(time.Second))) }
-	test.False(t, c.State(coldKey, stated, 0, at(0)))
+	test.False(t, c.RecordStated(coldKey, stated, 0, at(0)))
 	test.Eq(t, 0, c.Len(), test.Sprint("it states that it is warm, as most do"))
-	test.True(t, c.State(coldKey, stated, 3*time.Second, at(0)))
-	test.False(t, c.State(coldKey, stated, 2*time.Second, at(1.5)), test.Sprint("the time starts anew"))
+	test.True(t, c.RecordStated(coldKey, stated, 3*time.Second, at(0)))
+	test.False(t, c.RecordStated(coldKey, stated, 2*time.Second, at(1.5)), test.Sprint("the time starts anew"))
 	test.Eq(t, 500*time.Millisecond, c.Left(coldKey, at(3)))
-	test.False(t, c.State(coldKey, stated, 0, at(3.1)))
+	test.False(t, c.RecordStated(coldKey, stated, 0, at(3.1)))
 	test.False(t, c.IsCold(coldKey, at(3.2)), test.Sprint("it states that it is warm"))
 	test.True(t, c.Assume(coldKey, stated, 3*time.Second, at(5)))
-	c.State(coldKey, stated, 0, at(5.1))
+	c.RecordStated(coldKey, stated, 0, at(5.1))
 	test.True(t, c.IsCold(coldKey, at(7.9)), test.Sprint("a record of before the return ends nothing"))
-	c.State(coldKey, stated, 5*time.Second, at(6))
+	c.RecordStated(coldKey, stated, 5*time.Second, at(6))
 	test.True(t, c.IsCold(coldKey, at(10.9)), test.Sprint("a record says longer"))
 	test.SliceEmpty(t, c.Expire(at(10.9), func(quota.Key) bool { return true }))
 	test.SliceLen(t, 1, c.Expire(at(11), func(quota.Key) bool { return true }))
@@ -314,7 +314,7 @@
 	for n.view.rank(k, &rankCache{}) < 16 {
 		k.Endpoint += "e"
 	}
-	n.cold.State(k, stated, time.Minute, n.at(0))
+	n.cold.RecordStated(k, stated, time.Minute, n.at(0))
 	take := func(now time.Duration) bool { return n.cold.Take(k, &n.view, n.at(now)) }
 	test.False(t, take(0))
 	wait, ok := n.cold.Wait(k, &n.view, n.at(0))
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -168,7 +168,7 @@
 		a.outcome = outcome{result: notSent, reason: errStopping.Error()}
 		return false
 	}
-	if !a.server.sentCold(a.choice.Primary, a.startedAt, time.Now()) {
+	if !a.server.mayWriteCold(a.choice.Primary, a.startedAt, time.Now()) {
 		a.outcome = outcome{result: notSent, reason: errLapsed.Error()}
 		return false
 	}
--- a/internal/trans/gate/pace.go
+++ b/internal/trans/gate/pace.go
@@ -117,7 +117,7 @@
 		if c.IsNew {
 			begun = append(begun, c.Endpoint)
 		}
-		if c.States && p.cold.State(k, rate, c.Endpoint.Cold, now) {
+		if c.States && p.cold.RecordStated(k, rate, c.Endpoint.Cold, now) {
 			stated = append(stated, c.Endpoint)
 		}
 		if c.IsNew && !c.Endpoint.StatesCold && p.cold.Assume(k, rate, service.ColdStart, now) {
@@ -185,7 +185,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cold.State(pace.Key(e), s.coldRate(service), h.Cold, now) {
+	if p.cold.RecordStated(pace.Key(e), s.coldRate(service), h.Cold, now) {
 		s.logCold(service, []*topol.Endpoint{e}, "answer", now)
 		s.beginSlowStart(service, []*topol.Endpoint{e}, "cold", now)
 	}
@@ -236,8 +236,8 @@
 	return p.cold.Take(pace.Key(e), &p.view, now)
 }
 
-// sentCold reports whether a request that was taken by takeCold may be written now.
-func (s *Server) sentCold(e *topol.Endpoint, takenAt, now time.Time) bool {
+// mayWriteCold reports whether a request that was taken by takeCold may be written now.
+func (s *Server) mayWriteCold(e *topol.Endpoint, takenAt, now time.Time) bool {
 	p := &s.pacing
 	if p.coldCount.Load() == 0 {
 		return true
