--- a/pkg/check/limits.go
+++ b/pkg/check/limits.go
@@ -10,7 +10,7 @@
 
 // contradictions finds limits that can't take effect beside others.
 func contradictions(d *confg.Document) Findings {
-	return slices.Concat(timeLimits(d), strikeLimits(d), longShares(d), tokenShares(d))
+	return slices.Concat(timeLimits(d), strikeLimits(d), longPromptShares(d), tokenLimits(d))
 }
 
 // timeLimits finds waits that are no shorter than the time limit of the requests that wait.
@@ -29,7 +29,8 @@
 	return fs
 }
 
-// strikeLimits finds models with fewer engines than one request may crash.
+// strikeLimits finds models with fewer engines than one request may crash. It is rejected after
+// MaxStrikes-1 crashes in which it was the only suspect.
 func strikeLimits(d *confg.Document) Findings {
 	crashes := d.Limits.MaxStrikes - 1
 	engines := enginesByModel(d)
@@ -42,8 +43,8 @@
 	return fs
 }
 
-// longShares finds engines whose memory for long prompts holds none.
-func longShares(d *confg.Document) Findings {
+// longPromptShares finds engines whose share of the memory for long prompts holds none.
+func longPromptShares(d *confg.Document) Findings {
 	var fs Findings
 	l := d.Limits
 	for _, n := range ident.SortedKeys(d.Endpoints) {
@@ -56,17 +57,17 @@
 	return fs
 }
 
-// tokenShares finds workspaces that may have more prompt tokens in flight than all engines
+// tokenLimits finds workspaces that may have more prompt tokens in flight than all engines
 // have memory for. The default is above that of many fleets and stands for no limit.
-func tokenShares(d *confg.Document) Findings {
-	whole := ident.Tokens(0)
+func tokenLimits(d *confg.Document) Findings {
+	memory := ident.Tokens(0)
 	for _, e := range d.Endpoints {
-		whole += e.MemoryTokens
+		memory += e.MemoryTokens
 	}
 	var fs Findings
 	for _, n := range ident.SortedKeys(d.Workspaces) {
-		if t := d.Workspaces[n].MaxTokens; whole > 0 && t > whole && t != confg.DefaultMaxTokens {
-			fs = append(fs, warn(Limits, fmt.Sprintf("Workspaces.%s.MaxTokens", n), fmt.Sprintf("%d is above the memory of all engines, %d tokens", t, whole)))
+		if t := d.Workspaces[n].MaxTokens; memory > 0 && t > memory && t != confg.DefaultMaxTokens {
+			fs = append(fs, warn(Limits, fmt.Sprintf("Workspaces.%s.MaxTokens", n), fmt.Sprintf("%d is above the memory of all engines, %d tokens", t, memory)))
 		}
 	}
 	return fs
--- a/pkg/check/routes.go
+++ b/pkg/check/routes.go
@@ -48,16 +48,16 @@
 	var names []string
 	for _, call := range promptCalls {
 		path := strings.TrimSuffix(r.PathPrefix, "/") + call
-		before := ""
+		hiding := ""
 		for _, n := range ident.SortedKeys(d.Routes) {
 			if o := d.Routes[n]; o.Host == r.Host && matchesPost(o, path) && isMoreSpecific(o, r) {
-				before = string(n)
+				hiding = string(n)
 			}
 		}
-		if before == "" {
+		if hiding == "" {
 			return nil
 		}
-		names = append(names, before)
+		names = append(names, hiding)
 	}
 	return slices.Compact(names)
 }
@@ -110,7 +110,7 @@
 		}
 		for i, m := range e.Models {
 			if !models.Has(m) && engines[m][0] == n {
-				fs = append(fs, warn(Unused, fmt.Sprintf("Endpoints.%s.Models[%d]", n, i), fmt.Sprintf("no route offers model %s, which %s", m, serve(len(engines[m])))))
+				fs = append(fs, warn(Unused, fmt.Sprintf("Endpoints.%s.Models[%d]", n, i), fmt.Sprintf("no route offers model %s, which %s", m, enginesServe(len(engines[m])))))
 			}
 		}
 	}
@@ -130,7 +130,8 @@
 	return es
 }
 
-func serve(engines int) string {
+// enginesServe returns the end of a sentence about a model.
+func enginesServe(engines int) string {
 	if engines == 1 {
 		return "1 engine serves"
 	}
