gate: an answer 421 to a reservation shows a stale record

An engine that answered a reservation with 421 counted as failed, and neither its record nor its data centre as doubtful: the next placement of the prompt could reserve at another replaced engine of the same data centre. An answer 421 to a reservation or a renewal is now evidence like one to a request, the prompt leaves the data centre, and the endpoint doesn't count as failed.

Answers other than 421 to reservations are still no evidence for a record.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -82,8 +82,8 @@
 	// response is the endpoint's refusal or error, which the caller gets if the request
 	// is not sent again.
 	response *wholeResponse
-	// unreservedEngines are those at which memory could not be reserved.
-	unreservedEngines ident.Set[ident.EndpointName]
+	// unreservedEngines are those at which memory could not be reserved, with the reasons.
+	unreservedEngines map[ident.EndpointName]error
 	// whole is set if the endpoint answered with success and to the end, framed if the
 	// answer's end was marked by more than the end of the connection.
 	whole, framed bool
@@ -220,7 +220,7 @@
 		return false
 	}
 	if len(a.choice.Reservations) > 0 {
-		var failedEngines ident.Set[ident.EndpointName]
+		var failedEngines map[ident.EndpointName]error
 		a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice)
 		if a.reserved == nil && a.isEvacuated() {
 			a.withdraw()
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -90,8 +90,8 @@
 	// tried holds the endpoints to which the request is not sent again,
 	// unreservedEngines those at which memory could not be reserved for it.
 	tried, unreservedEngines ident.Set[ident.EndpointName]
-	// doubtedAt is when the last send began that an endpoint of a data centre answered with 421,
-	// or that did not reach one.
+	// doubtedAt is when the last send began that an endpoint of a data centre, or an engine at
+	// which memory was to be reserved, answered with 421, or that did not reach an endpoint.
 	doubtedAt map[ident.DataCentre]clock.Instant
 	// sentTo holds the addresses to which the request was sent without a complete
 	// response.
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -86,7 +86,7 @@
 			Name: "laburnum_no_home_region_total", Help: "Requests that no home region of their route and workspace could serve.",
 		}),
 		misdirected: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "laburnum_misdirected_sends_total", Help: "Sends that were answered with 421, since another endpoint has the address of the record, by data centre.",
+			Name: "laburnum_misdirected_sends_total", Help: "Sends and reservations that were answered with 421, since another endpoint has the address of the record, by data centre.",
 		}, []string{"data_centre"}),
 		acceptErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_accept_errors_total", Help: "Connections of callers that could not be accepted, for example since no descriptors were left.",
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -86,7 +86,7 @@
 
 // recordUnreservedEngines records the engines at which memory could not be
 // reserved. The send doesn't count, since nothing was sent.
-func (x *exchange) recordUnreservedEngines(engines ident.Set[ident.EndpointName]) {
+func (x *exchange) recordUnreservedEngines(engines map[ident.EndpointName]error) {
 	x.sends--
 	x.failedReservations++
 	for n := range engines {
--- a/internal/trans/gate/reserve.go
+++ b/internal/trans/gate/reserve.go
@@ -62,21 +62,21 @@
 }
 
 // reserve reserves memory at all helpers for which the choice requires it, or at
-// none. It returns the engines whose reservation failed.
-func (s *Server) reserve(ctx context.Context, c place.Choice) (*reservationSet, ident.Set[ident.EndpointName]) {
+// none. It returns why the reservations failed, by engine.
+func (s *Server) reserve(ctx context.Context, c place.Choice) (*reservationSet, map[ident.EndpointName]error) {
 	rs := &reservationSet{server: s, tokens: c.Reservations, since: time.Now(), firstUse: make(chan struct{}, 1)}
 	for i := range c.Reservations {
 		rs.engines = append(rs.engines, c.Helpers[i])
 		rs.ids = append(rs.ids, fmt.Sprintf("%s-%x-%d", s.Node, s.startMillis, s.lastID.Add(1)))
 	}
-	failed := ident.Set[ident.EndpointName]{}
+	failed := map[ident.EndpointName]error{}
 	for i, err := range rs.forEachEngine(ctx, rs.reserveAt) {
 		if err == nil {
 			continue
 		}
-		failed.Add(rs.engines[i].Name)
+		failed[rs.engines[i].Name] = err
 		s.Logger.Info().Err(err).Str("endpoint", string(rs.engines[i].Name)).Str("ticket", rs.ids[i]).Int64("tokens", int64(rs.tokens[i])).Msg("gate: reservation failed")
-		if !errors.Is(err, ErrNoMemory) && !s.isEvacuated(rs.engines[i]) {
+		if !errors.Is(err, ErrNoMemory) && !errors.Is(err, ErrMisdirected) && !s.isEvacuated(rs.engines[i]) {
 			s.recordFailure(rs.engines[i].Name, time.Now())
 		}
 	}
@@ -135,11 +135,17 @@
 	}
 }
 
-// reserveAt makes or renews the reservation at engine i.
+// reserveAt makes or renews the reservation at engine i. An engine that is another one than its
+// record names is avoided.
 func (rs *reservationSet) reserveAt(ctx context.Context, i int) error {
 	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
 	defer cancel()
-	return rs.server.Reserver.Reserve(ctx, rs.engines[i], relay.Reservation{ID: rs.ids[i], Tokens: rs.tokens[i], TTL: rs.ttl(time.Now())})
+	s, sent := rs.server, rs.server.staleRecords.now()
+	err := s.Reserver.Reserve(ctx, rs.engines[i], relay.Reservation{ID: rs.ids[i], Tokens: rs.tokens[i], TTL: rs.ttl(time.Now())})
+	if errors.Is(err, ErrMisdirected) {
+		s.recordMisdirection(rs.engines[i], rs.ids[i], sent)
+	}
+	return err
 }
 
 // releaseAt ends the reservation at engine i.
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -253,10 +253,12 @@
 	return append([]receivedRequest(nil), e.received...)
 }
 
-// fakeReserver records the reservations, and refuses those at full engines.
+// fakeReserver records the reservations, and refuses those at full engines. The endpoints in
+// replaced are others than their records name.
 type fakeReserver struct {
 	mu       sync.Mutex
 	full     map[string]bool
+	replaced ident.Set[ident.EndpointName]
 	reserved []relay.Reservation
 	released []string
 }
@@ -264,6 +266,9 @@
 func (f *fakeReserver) Reserve(_ context.Context, e *topol.Endpoint, r relay.Reservation) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.replaced.Has(e.Name) {
+		return ErrMisdirected
+	}
 	if f.full[string(e.Name)] {
 		return ErrNoMemory
 	}
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -65,7 +65,8 @@
 // Reserver reserves memory at engines.
 type Reserver interface {
 	// Reserve reserves memory or renews a reservation. It returns ErrNoMemory
-	// if the engine has too little free memory.
+	// if the engine has too little free memory, and ErrMisdirected if another
+	// endpoint has its address.
 	Reserve(ctx context.Context, e *topol.Endpoint, r relay.Reservation) error
 	// Release ends a reservation.
 	Release(ctx context.Context, e *topol.Endpoint, reservationID string) error
@@ -75,6 +76,9 @@
 // reservation.
 const ErrNoMemory = errors.ConstError("no memory to reserve")
 
+// ErrMisdirected means that another endpoint has the address of the engine's record.
+const ErrMisdirected = errors.ConstError("another endpoint has the address of the engine's record")
+
 // Budget bounds the retries for each service. A retry is another send of a
 // request that an endpoint has refused or may have run. Sends after one that
 // could not reach its endpoint don't count. In each Window, a node may retry Ratio
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/juju/errors"
+
 	"laburnumstack.org/laburnum/internal/coord/stale"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -56,14 +58,20 @@
 		}
 		return
 	}
+	s.recordMisdirection(e, a.reqHeader.ID, a.sentAt)
+}
+
+// recordMisdirection records an answer 421 of an endpoint to a request or a reservation that was
+// sent at the given time.
+func (s *Server) recordMisdirection(e *topol.Endpoint, id string, sent clock.Instant) {
 	s.getMetrics().misdirected.WithLabelValues(string(e.DataCentre)).Inc()
 	isNew := false
 	s.updateStale(func(t *stale.Table) (changes []stale.Change) {
-		isNew, changes = t.Misdirect(e, a.sentAt, s.staleRecords.now())
+		isNew, changes = t.Misdirect(e, sent, s.staleRecords.now())
 		return changes
 	})
 	if isNew {
-		s.requestLog(false).Str("request", a.reqHeader.ID).Str("endpoint", string(e.Name)).Str("address", e.Address).
+		s.requestLog(false).Str("request", id).Str("endpoint", string(e.Name)).Str("address", e.Address).
 			Str("dataCentre", string(e.DataCentre)).Msg("gate: another endpoint has the address of a record")
 		if s.RequestEndpoints != nil {
 			s.RequestEndpoints()
@@ -75,16 +83,26 @@
 func (x *exchange) recordDoubts(a *attempt) {
 	e := a.choice.Primary
 	isUnreached := a.outcome.result == notSent && a.link == nil
-	if !isUnreached && !a.outcome.isMisdirected() {
-		return
-	}
-	if x.doubtedAt == nil {
-		x.doubtedAt = map[ident.DataCentre]clock.Instant{}
+	if isUnreached || a.outcome.isMisdirected() {
+		x.doubt(e.DataCentre, a.sentAt)
 	}
-	x.doubtedAt[e.DataCentre] = max(x.doubtedAt[e.DataCentre], a.sentAt)
 	if isUnreached {
 		x.server.updateStale(func(t *stale.Table) []stale.Change { return t.Fail(e, a.sentAt, x.server.staleRecords.now()) })
 	}
+	for _, h := range a.choice.Helpers {
+		if errors.Is(a.outcome.unreservedEngines[h.Name], ErrMisdirected) {
+			x.doubt(h.DataCentre, a.sentAt)
+		}
+	}
+}
+
+// doubt makes the request go to no further endpoint of a data centre until a later list of
+// endpoints is in force, if it can be placed elsewhere.
+func (x *exchange) doubt(n ident.DataCentre, sent clock.Instant) {
+	if x.doubtedAt == nil {
+		x.doubtedAt = map[ident.DataCentre]clock.Instant{}
+	}
+	x.doubtedAt[n] = max(x.doubtedAt[n], sent)
 }
 
 // isMisdirected reports whether an endpoint answered that the request was meant for another
@@ -93,8 +111,8 @@
 	return o.result == refused && o.status == http.StatusMisdirectedRequest
 }
 
-// doubtful returns the endpoints in data centres where an endpoint answered the request with
-// 421 or was not reached, as long as the list of endpoints is older than that send. The caller
+// doubtful returns the endpoints in data centres where an endpoint answered the request, or a
+// reservation for it, with 421 or was not reached, as long as the list of endpoints is older than that send. The caller
 // may modify the set.
 func (x *exchange) doubtful(es []*topol.Endpoint) ident.Set[ident.EndpointName] {
 	if len(x.doubtedAt) == 0 {
