--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	if len(a.choice.Reservations) > 0 {
-		var failedEngines ident.Set[ident.EndpointName]
+		var failedEngines map[ident.EndpointName]error
 		a.reserved, failedEngines = a.server.reserve(context.Background(), a.choice)
 		if a.reserved == nil && a.isEvacuated() {
 			a.withdraw()
--- a/internal/trans/gate/result.go
+++ b/internal/trans/gate/result.go
@@ -57,8 +57,8 @@
 	// response is the endpoint's refusal or error, which the caller gets if the request
 	// is not sent again.
 	response *wholeResponse
-	// unreservedEngines are those at which memory could not be reserved.
-	unreservedEngines ident.Set[ident.EndpointName]
+	// unreservedEngines are those at which memory could not be reserved, with the reasons.
+	unreservedEngines map[ident.EndpointName]error
 	// whole is set if the endpoint answered with success and to the end, framed if the
 	// answer's end was marked by more than the end of the connection.
 	whole, framed bool
