--- a/internal/coord/homes/homes.go
+++ b/internal/coord/homes/homes.go
@@ -3,6 +3,8 @@
 package homes
 
 import (
+	"cmp"
+
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -16,6 +18,19 @@
 	Of map[ident.DataCentre]ident.Region
 }
 
+// NewRegions returns what the settings of a node in a data centre say: its own region, if they name
+// it, and those of the data centres. A node without a region of its own is in that of its data
+// centre. An empty name is none.
+func NewRegions(own ident.Region, centre ident.DataCentre, of map[ident.DataCentre]ident.Region) Regions {
+	rs := Regions{Own: cmp.Or(own, of[centre]), Of: map[ident.DataCentre]ident.Region{}}
+	for c, region := range of {
+		if c != "" && region != "" {
+			rs.Of[c] = region
+		}
+	}
+	return rs
+}
+
 // Known reports whether the region of any data centre is known.
 func (r Regions) Known() bool {
 	for _, region := range r.Of {
