place: the interactive pool grows by what bounds leave out

With bounds on the engines of the interactive pool, short prompts went to engines outside of it, where they wait for the prefill of long prompts, and long prompts were deferred for what these callers would lose. The pool now counts an engine with a bound for no more requests than that, and is larger by the rest. Without bounds it is the same as before.

--- a/internal/coord/place/pool.go
+++ b/internal/coord/place/pool.go
@@ -46,10 +46,23 @@
 		}
 	}
 	perEngine := targetRequests(s.Engine)
-	size := (count+perEngine-1)/perEngine + poolSpare
-	for _, v := range vs {
-		v.interactive = v.rank < min(size, maxPoolSize(len(vs)))
+	left := (count+perEngine-1)/perEngine*perEngine + poolSpare*perEngine
+	for _, v := range vs[:maxPoolSize(len(vs))] {
+		if left <= 0 {
+			break
+		}
+		v.interactive = true
+		left -= v.poolRequests(perEngine)
+	}
+}
+
+// poolRequests returns the number of requests for which the pool counts on an engine. One with a
+// bound takes fewer; the pool is larger by that, so that its callers don't go outside of it.
+func (v *engineView) poolRequests(perEngine int) int {
+	if v.maxInFlight > 0 {
+		return min(v.maxInFlight, perEngine)
 	}
+	return perEngine
 }
 
 // maxPoolSize returns the largest size of the interactive pool.
