--- a/internal/coord/pace/slow.go
+++ b/internal/coord/pace/slow.go
@@ -245,6 +245,9 @@
 	return Lowered
 }
 
+// End ends slow start of an endpoint.
+func (s *Slow) End(k quota.Key) { delete(s.entries, k) }
+
 // Expire ends slow start of the endpoints that are gone or whose time has ended, and returns
 // them.
 func (s *Slow) Expire(now time.Time, exists func(quota.Key) bool) []quota.Key {
