gate: end slow start by unknown load, count what runs after a loss

A node that starts began slow start of all endpoints, with a bound of one and for up to a minute, if its first request came before its peers told of theirs, and nothing ended that. Found by reading. It now ends once a peer tells, within 3 s, of a request from clearly before the start.

After a loss the first bound is at least the number of requests that still run at the endpoint: a bound below it keeps an endpoint idle that was lost by mistake.

--- a/internal/state/works/works.go
+++ b/internal/state/works/works.go
@@ -171,6 +171,20 @@
 	return false
 }
 
+// KnowsOlder reports whether another node has told of a request that was sent before a time.
+func (t *Table) KnowsOlder(than time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n := range t.seqs {
+		for _, w := range t.byNode[n] {
+			if w.Since.Before(than) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ByNode returns the requests of a node.
 func (t *Table) ByNode(n ident.NodeName) []Request {
 	t.mu.Lock()
--- a/internal/trans/gate/pace.go
+++ b/internal/trans/gate/pace.go
@@ -43,8 +43,12 @@
 	cold   pace.Cold
 	slow   pace.Slow
 	lost   pace.Lost
-	view   pace.View
-	viewAt time.Time
+	// unknown are the endpoints in slow start only since this node started and knew of no
+	// requests, which was so at unknownSince.
+	unknown      map[quota.Key]struct{}
+	unknownSince time.Time
+	view         pace.View
+	viewAt       time.Time
 }
 
 // updateView updates the view of the members if it is old. The caller holds s.pacing.mu.
@@ -93,6 +97,9 @@
 		return
 	}
 	isUsed := false
+	if isLoadUnknown {
+		p.unknownSince = now
+	}
 	for _, service := range catalog.Services {
 		if service.ColdStart <= 0 {
 			p.starts.Forget(service.Name)
--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -15,18 +15,29 @@
 // whyLoadUnknown is the reason of slow start at a node that starts and knows of no requests.
 const whyLoadUnknown = "load unknown"
 
+// unknownTime is how long a node that starts waits for what peers tell of earlier requests.
+const unknownTime = 3 * time.Second
+
 // beginSlowStart begins slow start of endpoints of a service. The caller holds s.pacing.mu.
 func (s *Server) beginSlowStart(service *topol.Service, es []*topol.Endpoint, why string, now time.Time) {
+	s.beginSlowStartAt(service, es, nil, why, now)
+}
+
+// beginSlowStartAt is like beginSlowStart for endpoints that run requests: the first bound is at
+// least their number.
+func (s *Server) beginSlowStartAt(service *topol.Service, es []*topol.Endpoint, running map[ident.EndpointName]int, why string, now time.Time) {
 	p := &s.pacing
 	var begun []*topol.Endpoint
 	most := 0
 	for _, e := range es {
 		slots := slotsOf(service, e)
-		first := pace.FirstBound(slots)
+		first := max(pace.FirstBound(slots), running[e.Name])
 		if why == whyLoadUnknown {
 			first = pace.UnknownFirst
 		}
-		if e.Leaving || !p.slow.Begin(pace.Key(e), slots, first, pace.SlowTime(service.ColdStart), now) {
+		isNew := !e.Leaving && p.slow.Begin(pace.Key(e), slots, first, pace.SlowTime(service.ColdStart), now)
+		p.markUnknown(pace.Key(e), isNew && why == whyLoadUnknown)
+		if !isNew {
 			continue
 		}
 		begun = append(begun, e)
@@ -39,6 +50,41 @@
 	}
 }
 
+// markUnknown records whether an endpoint is in slow start only since its load was unknown.
+func (p *pacing) markUnknown(k quota.Key, isUnknown bool) {
+	if !isUnknown {
+		delete(p.unknown, k)
+		return
+	}
+	if p.unknown == nil {
+		p.unknown = map[quota.Key]struct{}{}
+	}
+	p.unknown[k] = struct{}{}
+}
+
+// endUnknown ends slow start that began since this node knew of no requests, once a peer tells of
+// one from clearly before the start: then the others did not start at the same time, and tell of
+// all requests that run. The caller holds s.pacing.mu.
+func (s *Server) endUnknown(now time.Time) {
+	p := &s.pacing
+	if len(p.unknown) == 0 {
+		return
+	}
+	if now.Sub(p.unknownSince) > unknownTime {
+		p.unknown = nil
+		return
+	}
+	if !s.InFlight.KnowsOlder(p.unknownSince.Add(-startWait - settleTime)) {
+		return
+	}
+	for k := range p.unknown {
+		p.slow.End(k)
+	}
+	s.Logger.Info().Int("count", len(p.unknown)).Str("why", "load known").Msg("gate: slow start of endpoints has ended")
+	p.unknown = nil
+	p.slowCount.Store(int64(p.slow.Len()))
+}
+
 // slotsOf returns the number of requests that an endpoint runs at once.
 func slotsOf(service *topol.Service, e *topol.Endpoint) int {
 	if service.Engine != nil {
@@ -88,9 +134,10 @@
 // recordRunning records that an endpoint has not started since it was silent or broke a connection.
 func (s *Server) recordRunning(n ident.EndpointName) { s.updateLost(n, (*pace.Lost).Clear) }
 
-// beginAfterLoss begins slow start of the endpoints that were lost and are used again. The caller
-// holds s.pacing.mu.
-func (x *exchange) beginAfterLoss(st *place.ServiceState) {
+// beginAfterLoss begins slow start of the endpoints that were lost and are used again. Requests that
+// still run there were probably not lost, and a bound below them would keep the endpoint idle until
+// most of them have ended. The caller holds s.pacing.mu.
+func (x *exchange) beginAfterLoss(st *place.ServiceState, running map[ident.EndpointName]int) {
 	p := &x.server.pacing
 	if p.lost.Len() == 0 || x.service.ColdStart <= 0 {
 		return
@@ -102,7 +149,7 @@
 		}
 	}
 	p.lostCount.Store(int64(p.lost.Len()))
-	x.server.beginSlowStart(x.service, back, "lost", st.Now)
+	x.server.beginSlowStartAt(x.service, back, running, "lost", st.Now)
 }
 
 // listed returns an endpoint and its service; the service is nil if either is unknown.
@@ -127,7 +174,8 @@
 	bounds, others := map[ident.EndpointName]int{}, ident.Set[ident.EndpointName]{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x.beginAfterLoss(st)
+	x.server.endUnknown(st.Now)
+	x.beginAfterLoss(st, inFlight)
 	if p.slow.Len() == 0 {
 		return
 	}
--- a/internal/trans/gate/slow_test.go
+++ b/internal/trans/gate/slow_test.go
@@ -196,6 +196,38 @@
 	}
 }
 
+// Guards against a node that holds back what all endpoints could serve, since its first request came
+// before its peers told of theirs. Peers that started at the same time don't know the load either.
+func TestNodeThatHearsOfEarlierRequestsEndsSlowStart(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		sentAgo time.Duration
+		returns bool
+		want    int
+	}{
+		{"a peer that ran before", 3 * time.Second, false, 0},
+		{"a peer that started at the same time", time.Millisecond, false, 1},
+		{"its data centre has returned since", 3 * time.Second, true, 1},
+	} {
+		e := newEndpoint(t, "e", ok("yes"))
+		r := newColdRig(t, 0, e)
+		// A new node with the same feeds.
+		s := &Server{Feeds: r.server.Feeds, InFlight: &works.Table{}, Logger: zerolog.Nop(), Node: "n1"}
+		s.observeStarts(time.Now())
+		listed := r.endpoint("ep")
+		if c.returns {
+			s.DataCentreReturned("a", time.Now())
+		}
+		s.InFlight.Reset("n2", 7)
+		s.InFlight.Put(works.Request{ID: 1, Node: "n2", First: "ep", Since: time.Now().Add(-c.sentAgo)})
+		s.pacing.mu.Lock()
+		s.endUnknown(time.Now())
+		s.pacing.mu.Unlock()
+		bound, _ := s.pacing.slow.Bound(pace.Key(&listed), time.Now())
+		test.Eq(t, c.want, bound, test.Sprint(c.name))
+	}
+}
+
 // Guards against an endpoint that answers in time and is left idle: its bound rises with the answers
 // to all nodes, and ends at its slots.
 func TestAnswersToAllNodesRaiseTheBound(t *testing.T) {
@@ -251,6 +283,13 @@
 		}
 	}
 	told := func(r *rig) { r.server.AddPeerFailures([]ident.EndpointName{"ep", "unknown"}) }
+	running := func(n works.ID) func(*rig) {
+		return func(r *rig) {
+			for i := range n {
+				r.server.InFlight.Put(works.Request{ID: 100 + i, Node: "n2", First: "ep", Since: time.Now().Add(-time.Second)})
+			}
+		}
+	}
 	event := func(sentAgo time.Duration) func(*rig) {
 		return func(r *rig) {
 			r.server.pacing.mu.Lock()
@@ -275,6 +314,8 @@
 		{"a peer has told of a reset", []func(*rig){told, strike}, 0},
 		{"a request from before was answered", []func(*rig){told, event(time.Minute)}, 0},
 		{"a later request was answered", []func(*rig){told, event(time.Second)}, 2},
+		{"requests still run", []func(*rig){told, running(5)}, 5},
+		{"all slots are taken", []func(*rig){told, running(8)}, 0},
 		{"a reset and then refused", []func(*rig){fail(broken), strike, fail(refused)}, 2},
 	} {
 		e, f := newEndpoint(t, "e", ok("yes")), newEndpoint(t, "f", ok("yes"))
