gate, place: prompts that are placed and not yet sent count toward memory

A prompt was in flight only once it was written. Until then, while its memory was reserved and its connection opened, other prompts of the same node were placed as if it were not there, in any number at the same engine. Such prompts now count for their own node. They are announced when they are sent, as before.

A node that hears of less than half of the others takes the load for unknown, and so ranks the engines at random. All nodes would otherwise fill the same engines first.

--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -134,6 +134,8 @@
 	link       *links.Link
 	pool       *links.Pool
 	inFlightID works.ID
+	// unsentID is the ID of the attempt in Server.unsent.
+	unsentID works.ID
 	// sender is the node from which the endpoint gets the request: this one, or a peer if
 	// the link is a tunnel.
 	sender ident.NodeName
@@ -174,10 +176,12 @@
 	x.sends++
 	turn := x.turn
 	x.turn = nil
+	w := x.inFlightRequest(c)
+	x.server.unsent.Put(w)
 	return &attempt{
 		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(),
 		resumesAt: x.position, isResumed: x.headerSent, isRepeat: x.mayHaveRun(),
-		slowTurn: turn, pool: x.server.pool(c.Primary.Address),
+		unsentID: w.ID, slowTurn: turn, pool: x.server.pool(c.Primary.Address),
 		needsNewLink: x.reqHeader.ID == "" || x.wasSentTo(c.Primary.Address),
 	}
 }
@@ -200,7 +204,7 @@
 	if a.isCurrent() {
 		a.recordDecision(true)
 	}
-	a.inFlightID = a.registerInFlight(a.choice)
+	a.registerInFlight()
 	a.link.SetWriteDeadline(a.deadline)
 	if !a.attach() {
 		a.outcome = outcome{result: notSent, reason: "caller left"}
@@ -291,9 +295,8 @@
 	}
 }
 
-// registerInFlight records the request as in flight at its endpoints and
-// announces it to the peers.
-func (x *exchange) registerInFlight(c place.Choice) works.ID {
+// inFlightRequest describes the request as in flight at its endpoints.
+func (x *exchange) inFlightRequest(c place.Choice) works.Request {
 	w := works.Request{
 		ID: works.ID(x.server.lastID.Add(1)), Node: x.server.Node, First: c.Primary.Name,
 		Prompt: x.reqHeader.Prompt, Output: x.expectedOutput(), Share: x.reqHeader.Prompt, Gap: x.route.Gap, Target: x.remainingTarget(time.Now()), Since: time.Now(),
@@ -305,9 +308,17 @@
 			w.Share = max(0, w.Share-c.Reservations[i])
 		}
 	}
-	x.server.InFlight.Put(w)
-	x.server.AnnounceStart(w)
-	return w.ID
+	return w
+}
+
+// registerInFlight records the request as in flight at its endpoints and
+// announces it to the peers.
+func (a *attempt) registerInFlight() {
+	w := a.inFlightRequest(a.choice)
+	a.inFlightID = w.ID
+	a.server.InFlight.Put(w)
+	a.server.unsent.Remove(a.server.Node, a.unsentID)
+	a.server.AnnounceStart(w)
 }
 
 func (x *exchange) unregisterInFlight(id works.ID) {
@@ -328,6 +339,7 @@
 		}
 	}
 	a.releaseTurn()
+	a.server.unsent.Remove(a.server.Node, a.unsentID)
 	if !a.writeBegun {
 		a.server.abandonCold(a.choice.Primary)
 	}
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/state/works"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -98,7 +100,7 @@
 	outdated := s.staleAmong(accepting)
 	st := place.ServiceState{
 		Now: now, Endpoints: accepting, Engine: x.service.Engine,
-		InFlight: s.InFlight.All(), UnknownLoad: s.isSettling(now),
+		InFlight: s.InFlight.All(), UnknownLoad: s.isLoadUnknown(now),
 		Avoid: func(n ident.EndpointName) bool {
 			return resting.Has(n) || outdated.Has(n) || s.endpointHealth.isAvoided(n, now)
 		},
@@ -108,6 +110,10 @@
 		Random: random,
 	}
 	x.boundSlow(&st)
+	if unsent := s.unsent.All(); len(unsent) > 0 {
+		st.InFlight = append(st.InFlight, unsent...)
+		slices.SortStableFunc(st.InFlight, func(a, b works.Request) int { return a.Since.Compare(b.Since) })
+	}
 	return st
 }
 
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -172,7 +172,10 @@
 	startedAt time.Time
 	// startMillis is the Unix time of startedAt in milliseconds. It keeps
 	// reservation IDs unique across restarts.
-	startMillis    int64
+	startMillis int64
+	// unsent holds this node's requests that are placed, but wait for a reservation or a
+	// connection. They count toward the load of their endpoints for this node alone.
+	unsent         works.Table
 	pools          links.Pools
 	endpointHealth endpointHealth
 	strikes        strikes
@@ -183,6 +186,7 @@
 	endpointLimits endpointLimits
 	staleRecords   staleRecords
 	pacing         pacing
+	cutOff         atomic.Pointer[cutOff]
 	decisions      sizeDecisions
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
--- a/internal/trans/gate/start.go
+++ b/internal/trans/gate/start.go
@@ -17,6 +17,26 @@
 // isSettling reports whether the node has just started.
 func (s *Server) isSettling(now time.Time) bool { return now.Sub(s.startedAt) < settleTime }
 
+// cutOff is whether a node was cut off from most of the others at a time.
+type cutOff struct {
+	at time.Time
+	is bool
+}
+
+// isLoadUnknown reports whether the node knows little of the requests of other nodes: it has just
+// started, or it hears of less than half of the others.
+func (s *Server) isLoadUnknown(now time.Time) bool {
+	if s.isSettling(now) {
+		return true
+	}
+	c := s.cutOff.Load()
+	if c == nil || now.Sub(c.at) > nodesAge {
+		c = &cutOff{now, s.Nodes(now).IsCutOff()}
+		s.cutOff.Store(c)
+	}
+	return c.is
+}
+
 // hasState reports whether the node knows a configuration that was confirmed, the endpoints
 // and which data centres are evacuated.
 func (s *Server) hasState() bool {
