place: returning prompts wait for the next slot

All slots of a service's engines being taken, callers who returned were rejected as often as new ones. A retry that can't be deferred now waits at the engine whose next slot is expected soonest, with the lowest urgency.

--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -180,8 +180,9 @@
 
 // RetryAfter returns the time after which a caller rejected because of load
 // should retry. By then, the backlog should have shrunk so far that the first
-// event is expected within half of the target. The time is bounded, so that the
-// request can still be answered before its deadline.
+// event is expected within half of the target. If all slots are taken, most engines
+// should have a free one. The time is bounded, so that the request can still be
+// answered before its deadline.
 func RetryAfter(c Choice, r Request) time.Duration {
-	return max(minRetryAfter, min(c.Estimate-r.Target/2, r.TimeLeft/retryAfterDivisor))
+	return max(minRetryAfter, min(max(c.Estimate-r.Target/2, c.Load.SlotWait), r.TimeLeft/retryAfterDivisor))
 }
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -26,14 +26,16 @@
 	maxInFlight int
 	// isOthers is set if the room that maxInFlight leaves is for requests of other nodes.
 	isOthers bool
+	// isSlow is set for an engine in slow start.
+	isSlow bool
 	// interactive is set for the engines of the interactive pool, which is kept
 	// for callers who accept only short pauses.
 	interactive bool
 	// rank is the engine's index among the engines sorted by name, which is the
 	// same at all nodes, or a random one with ServiceState.UnknownLoad.
 	rank int
-	// requests counts the requests that occupy a slot, decoding those among them
-	// that are being decoded.
+	// requests counts the requests that occupy a slot or wait beyond the slots,
+	// decoding those among them that are being decoded.
 	requests, decoding int
 	// helpedPrompts counts the prompts of other engines that this one helps to
 	// prefill.
@@ -42,10 +44,11 @@
 	// without requests.
 	minGap time.Duration
 	// value is the sum of the values of the answers to its requests, interactiveValue
-	// that of those for interactive callers.
+	// that of those for interactive callers. Both, like minGap, are without the requests
+	// that wait beyond the slots.
 	value, interactiveValue float64
 	// contextTokens is the KV memory of the decoding requests; usedTokens also
-	// includes expected answers, queued prompts and reservations.
+	// includes expected answers, queued and waiting prompts, and reservations.
 	contextTokens, usedTokens ident.Tokens
 	// costAsHelper is the cost of the engine as a helper of the request being
 	// placed.
@@ -139,6 +142,7 @@
 			v.maxInFlight = s.MaxInFlight(e.Name)
 			v.isOthers = v.maxInFlight > 0 && s.IsOthers(e.Name)
 		}
+		v.isSlow = s.IsSlow != nil && s.IsSlow(e.Name)
 		byName[e.Name] = v
 		if !e.Leaving {
 			vs = append(vs, v)
@@ -153,8 +157,9 @@
 	} else {
 		markInteractivePool(vs, s)
 	}
-	for _, w := range s.InFlight {
-		addRequest(byName[w.First], w)
+	waiting := beyondSlots(byName, s.InFlight)
+	for i, w := range s.InFlight {
+		addRequest(byName[w.First], w, waiting.Has(i))
 		for _, h := range w.Held {
 			if v := byName[h.Endpoint]; v != nil {
 				v.usedTokens += h.Tokens
@@ -163,7 +168,7 @@
 	}
 	for i, w := range s.InFlight {
 		if !w.Writing && w.Prompt > 0 {
-			addPrefill(byName, i, w, s.Now)
+			addPrefill(byName, i, w, s.Now, waiting.Has(i))
 		}
 	}
 	factor := delayFactor(len(vs))
@@ -182,16 +187,20 @@
 	}
 }
 
-func addRequest(v *engineView, w works.Request) {
+// addRequest adds what a request takes of an engine; v may be nil. A request that waits beyond
+// the slots delays and loses nothing yet, but it needs its memory as soon as it has a slot.
+func addRequest(v *engineView, w works.Request, waits bool) {
 	if v == nil {
 		return
 	}
-	v.requests++
+	v.usedTokens += w.Share + w.Output
+	if waits {
+		return
+	}
 	v.value += answerValue(w.Prompt)
 	if !toleratesPauses(w.Gap) {
 		v.interactiveValue += answerValue(w.Prompt)
 	}
-	v.usedTokens += w.Share + w.Output
 	if v.minGap == 0 || w.Gap < v.minGap {
 		v.minGap = w.Gap
 	}
@@ -202,12 +211,13 @@
 }
 
 // addPrefill adds the parts of a prompt to the queues of its engines. i is the
-// index of its request.
-func addPrefill(byName map[ident.EndpointName]*engineView, i int, w works.Request, now time.Time) {
+// index of its request. The primary engine does not prefill a prompt that waits
+// beyond its slots.
+func addPrefill(byName map[ident.EndpointName]*engineView, i int, w works.Request, now time.Time, waits bool) {
 	p := split(w.Prompt, len(w.Helpers)+1)
 	at := -now.Sub(w.Since)
 	lossRate := delayLossRate(w)
-	if v := byName[w.First]; v != nil {
+	if v := byName[w.First]; v != nil && !waits {
 		t := v.prefillTime(p)
 		pending := pendingPart{request: i, left: t, lossRate: lossRate}
 		if len(w.Helpers) == 0 {
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -70,6 +70,9 @@
 	Reservations []ident.Tokens
 	// Estimate is the expected time to the first event; zero if unknown.
 	Estimate time.Duration
+	// Waits is set if all slots of Primary are taken. The request waits there for the next
+	// one, less urgent than others.
+	Waits bool
 	// Load tells why a prompt was rejected.
 	Load Load
 }
@@ -79,6 +82,9 @@
 	// Backlog is the mean time until the prefill queues of the engines outside
 	// the interactive pool are empty. It is set only if the prompt is rejected.
 	Backlog time.Duration
+	// SlotWait is the time until most engines are expected to have a free slot. It is set
+	// only with ErrFull.
+	SlotWait time.Duration
 	// LossOfOthers is the value that other requests lose by the choice, and
 	// MaxLossOfOthers the most that they may lose, in the unit of the costs of
 	// plans. Both are zero if no engines were found or if the prompt is of a kind
@@ -117,6 +123,9 @@
 	// IsOthers reports whether the room that MaxInFlight leaves is for requests of other
 	// nodes. It is set with MaxInFlight.
 	IsOthers func(ident.EndpointName) bool
+	// IsSlow reports whether an endpoint is in slow start, where no request waits for a slot.
+	// If it is nil, none is.
+	IsSlow func(ident.EndpointName) bool
 	// Random returns a number uniform in [0,1).
 	Random func() float64
 }
--- a/internal/coord/place/prompt.go
+++ b/internal/coord/place/prompt.go
@@ -70,7 +70,7 @@
 		best, ok = bestWithReservations(vs, s, r)
 	}
 	if !ok {
-		return Choice{}, ErrFull
+		return chooseFull(vs, s, r)
 	}
 	c := best.choice()
 	if IsDeferrable(s.Engine, r) {
--- a/internal/lab/passes/engine.go
+++ b/internal/lab/passes/engine.go
@@ -69,11 +69,18 @@
 }
 
 // admit adds the primary engine's part of a prompt to the prefill queue if a slot
-// is free; otherwise the prompt waits for one.
+// is free; otherwise the prompt waits for one, behind more urgent ones.
 func (e *engine) admit(ex *execution, p *promptPart) {
 	if e.admitted >= e.spec.Slots {
-		e.waiting = append(e.waiting, ex)
 		ex.queuedPart = p
+		i := len(e.waiting)
+		if !ex.waits {
+			i = slices.IndexFunc(e.waiting, func(o *execution) bool { return o.waits })
+		}
+		if i < 0 {
+			i = len(e.waiting)
+		}
+		e.waiting = slices.Insert(e.waiting, i, ex)
 		return
 	}
 	e.admitted++
@@ -81,7 +88,7 @@
 }
 
 // releaseSlot frees the slot of a prompt that has ended and gives it to the
-// prompt that has waited longest.
+// most urgent prompt, of these to the one that has waited longest.
 func (e *engine) releaseSlot() {
 	e.admitted--
 	if len(e.waiting) == 0 {
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -28,6 +28,8 @@
 	attemptAt time.Duration
 	// estimate is the time to the first event that was estimated at placement.
 	estimate time.Duration
+	// waits is set if the prompt was sent to wait for a slot, with the lowest urgency.
+	waits bool
 	// inFlight is the placed request as nodes see it.
 	inFlight works.Request
 	// queuedPart is the primary engine's part while the prompt waits for a
--- a/internal/lab/passes/placement.go
+++ b/internal/lab/passes/placement.go
@@ -54,7 +54,7 @@
 		s.retryOrRefuse(q, place.RetryAfter(c, request), answerEvents)
 		return
 	}
-	q.estimate = c.Estimate
+	q.estimate, q.waits = c.Estimate, c.Waits
 	q.inFlight = s.placedRequest(c, request)
 	s.active = append(s.active, q)
 	s.placed = append(s.placed, q)
--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -29,6 +29,9 @@
 	// the header before the response is read. Larger bodies are written while
 	// the response is read.
 	maxInlineBody = 16 << 10
+	// lowestUrgency is the urgency of requests that wait for a slot. Those without a stated
+	// urgency count as 5, so engines admit them first.
+	lowestUrgency = 9
 )
 
 // result is how a send ended.
@@ -163,6 +166,9 @@
 	x.sends++
 	turn := x.turn
 	x.turn = nil
+	if c.Waits {
+		x.server.getMetrics().beyondSlots.Inc()
+	}
 	return &attempt{
 		exchange: x, choice: c, startedAt: time.Now(), sentAt: x.server.staleRecords.now(),
 		resumesAt: x.position, isResumed: x.headerSent,
@@ -401,6 +407,9 @@
 	if resumed {
 		fields.LastEvent = a.resumesAt.lastID
 	}
+	if a.choice.Waits {
+		fields.Urgency, fields.HasUrgency = lowestUrgency, true
+	}
 	for i, h := range a.choice.Helpers {
 		helper := relay.Helper{Endpoint: h.Name, Address: h.Address}
 		if a.reserved != nil && i < len(a.reserved.ids) {
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -30,6 +30,7 @@
 	noHome       prometheus.Counter
 	misdirected  *prometheus.CounterVec
 	coldLeftOut  prometheus.Counter
+	beyondSlots  prometheus.Counter
 }
 
 // lengthClasses are the classes of prompt sizes that label metrics.
@@ -97,6 +98,9 @@
 		coldLeftOut: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_cold_left_out_total", Help: "Choices of an endpoint in which cold ones were left out, since this node's part of their allowance was used up.",
 		}),
+		beyondSlots: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "laburnum_beyond_slots_total", Help: "Sends of returning prompts to engines whose slots were all taken, to wait there for the next one.",
+		}),
 		floods: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_endless_answers_total", Help: "Answers that were given up since the endpoint sent more than an answer may have, or since they took too much memory.",
 		}),
@@ -106,7 +110,7 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, newEvacuationMetrics(s),
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, m.beyondSlots, newEvacuationMetrics(s),
 		gauge("laburnum_evacuated_data_centres", "Data centres whose evacuation is in force.", func() float64 { return float64(len(s.Feeds.Evacuated())) }),
 		gauge("laburnum_slow_start_endpoints", "Endpoints in slow start.", func() float64 { return float64(s.pacing.slowCount.Load()) }),
 		gauge("laburnum_slow_start_bound", "Sum of the bounds on concurrent requests at the endpoints in slow start, of all nodes together.", func() float64 { return float64(s.slowBounds()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -180,7 +180,7 @@
 	e := s.requestLog(o.result == complete && !x.isDecided).Str("request", x.reqHeader.ID).Str("endpoint", string(c.Primary.Name)).Strs("helpers", endpointNames(c.Helpers)).
 		Str("result", o.result.String()).Str("why", o.reason).Dur("estimate", c.Estimate).Dur("first", o.timeToFirst).Dur("gap", o.maxGap).
 		Dur("took", now.Sub(o.startedAt)).Dur("after", now.Sub(x.arrived)).Int64("prompt", int64(x.reqHeader.Prompt)).
-		Str("route", string(x.route.Name)).Int("status", o.status)
+		Str("route", string(x.route.Name)).Int("status", o.status).Bool("waits", c.Waits)
 	if x.isDecided {
 		e = x.addLoad(e)
 	}
@@ -221,7 +221,8 @@
 	}
 	x.server.requestLog(false).Err(err).Str("request", x.reqHeader.ID).Str("endpoint", string(a.choice.Primary.Name)).
 		Dur("after", now.Sub(x.arrived)).Str("route", string(x.route.Name)).Msg("gate: endpoint is silent")
-	if !a.isLinkLost() {
+	// A request that waits for a slot is silent at a sound endpoint too.
+	if !a.isLinkLost() && !a.choice.Waits {
 		x.recordFailureAt(a.choice.Primary, outcome{startedAt: a.startedAt}, now)
 	}
 }
--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -99,6 +99,7 @@
 	}
 	st.MaxInFlight = func(n ident.EndpointName) int { return bounds[n] }
 	st.IsOthers = others.Has
+	st.IsSlow = func(n ident.EndpointName) bool { return bounds[n] > 0 }
 }
 
 // chooseFrom places the request. If it can't be placed within the bounds of slow start, it is
