--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -37,6 +37,8 @@
 	// requests counts the requests that occupy a slot or wait beyond the slots,
 	// decoding those among them that are being decoded.
 	requests, decoding int
+	// late counts the requests that were sent after their target.
+	late int
 	// helpedPrompts counts the prompts of other engines that this one helps to
 	// prefill.
 	helpedPrompts int
@@ -194,6 +196,9 @@
 		return
 	}
 	v.usedTokens += w.Share + w.Output
+	if w.Target <= pastTarget {
+		v.late++
+	}
 	if waits {
 		return
 	}
--- a/internal/coord/place/full.go
+++ b/internal/coord/place/full.go
@@ -16,6 +16,13 @@
 	// waits for a slot. Callers abandon a stream after 2 s without an event, and the
 	// expected output of the requests ahead may be too small.
 	maxWaitEstimate = time.Second
+	// No request waits while more than maxLatePercent of the slots are taken by requests
+	// that were sent after their target. It would take a slot that a first try could have
+	// got in time: without the bound, two of those were lost for each prompt that was
+	// served instead of rejected twice.
+	maxLatePercent = 10
+	// pastTarget is the target that is announced for a request sent after its target.
+	pastTarget = time.Millisecond
 	// slotJitter is the upper bound on the random time that is added to the wait at an
 	// engine. Without it, nodes that decide at the same time would choose the same engine.
 	slotJitter = 150 * time.Millisecond
@@ -27,7 +34,10 @@
 func chooseFull(vs []*engineView, s ServiceState, r Request) (Choice, error) {
 	waits := slotWaits(vs, s)
 	rejected := Choice{Load: Load{SlotWait: majorityWait(vs, waits)}}
-	if !r.IsRetry || s.UnknownLoad || IsDeferrable(s.Engine, r) || slices.ContainsFunc(vs, func(v *engineView) bool { return v.hasFreeSlot(r) }) {
+	if !r.IsRetry || s.UnknownLoad || IsDeferrable(s.Engine, r) || isCrowdedByLate(vs) {
+		return rejected, ErrFull
+	}
+	if slices.ContainsFunc(vs, func(v *engineView) bool { return v.hasFreeSlot(r) }) {
 		return rejected, ErrFull
 	}
 	var best Choice
@@ -53,6 +63,17 @@
 	return best, nil
 }
 
+// isCrowdedByLate reports whether requests that were sent after their target take so many slots
+// that no further one should wait.
+func isCrowdedByLate(vs []*engineView) bool {
+	slots, late := 0, 0
+	for _, v := range vs {
+		slots += v.spec.Slots
+		late += v.late
+	}
+	return late > slots*maxLatePercent/100
+}
+
 // hasFreeSlot reports whether the engine has a slot and memory for a request, even if slow start
 // keeps it from being used.
 func (v *engineView) hasFreeSlot(r Request) bool {
