--- a/internal/coord/place/full.go
+++ b/internal/coord/place/full.go
@@ -34,7 +34,7 @@
 func chooseFull(vs []*engineView, s ServiceState, r Request) (Choice, error) {
 	waits := slotWaits(vs, s)
 	rejected := Choice{Load: Load{SlotWait: majorityWait(vs, waits)}}
-	if !r.IsRetry || s.UnknownLoad || IsDeferrable(s.Engine, r) || isCrowdedByLate(vs) {
+	if !r.IsRetry || IsDeferrable(s.Engine, r) || isCrowdedByLate(vs) {
 		return rejected, ErrFull
 	}
 	if slices.ContainsFunc(vs, func(v *engineView) bool { return v.hasFreeSlot(r) }) {
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -55,6 +55,9 @@
 	b = http1.AppendField(b, "Left", strconv.FormatInt(h.TimeLeft.Milliseconds(), 10))
 	b = http1.AppendField(b, "To", string(h.Endpoint))
 	b = http1.AppendField(b, "Owner", string(h.Workspace))
+	if h.HasUrgency {
+		b = http1.AppendField(b, "Urgency", strconv.Itoa(h.Urgency))
+	}
 	if h.LastEvent != "" {
 		b = http1.AppendField(b, "Last-Event-Id", h.LastEvent)
 	}
