--- a/internal/trans/gate/attempt.go
+++ b/internal/trans/gate/attempt.go
@@ -92,6 +92,9 @@
 	x.sends++
 	turn := x.turn
 	x.turn = nil
+	if c.Waits {
+		x.server.getMetrics().beyondSlots.Inc()
+	}
 	w := x.inFlightRequest(c)
 	x.server.unsent.Put(w)
 	return &attempt{
