--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -35,7 +35,8 @@
 	// same at all nodes, or a random one with ServiceState.UnknownLoad.
 	rank int
 	// requests counts the requests that occupy a slot or wait beyond the slots,
-	// decoding those among them that are being decoded.
+	// decoding those among them that are being decoded. The prompts of those that wait
+	// count as queued: they are prefilled as soon as a slot is free.
 	requests, decoding int
 	// late counts the requests that were sent after their target.
 	late int
@@ -46,8 +47,7 @@
 	// without requests.
 	minGap time.Duration
 	// value is the sum of the values of the answers to its requests, interactiveValue
-	// that of those for interactive callers. Both, like minGap, are without the requests
-	// that wait beyond the slots.
+	// that of those for interactive callers.
 	value, interactiveValue float64
 	// contextTokens is the KV memory of the decoding requests; usedTokens also
 	// includes expected answers, queued and waiting prompts, and reservations.
@@ -159,9 +159,8 @@
 	} else {
 		markInteractivePool(vs, s)
 	}
-	waiting := beyondSlots(byName, s.InFlight)
-	for i, w := range s.InFlight {
-		addRequest(byName[w.First], w, waiting.Has(i))
+	for _, w := range s.InFlight {
+		addRequest(byName[w.First], w)
 		for _, h := range w.Held {
 			if v := byName[h.Endpoint]; v != nil {
 				v.usedTokens += h.Tokens
@@ -170,7 +169,7 @@
 	}
 	for i, w := range s.InFlight {
 		if !w.Writing && w.Prompt > 0 {
-			addPrefill(byName, i, w, s.Now, waiting.Has(i))
+			addPrefill(byName, i, w, s.Now)
 		}
 	}
 	factor := delayFactor(len(vs))
@@ -189,23 +188,19 @@
 	}
 }
 
-// addRequest adds what a request takes of an engine; v may be nil. A request that waits beyond
-// the slots delays and loses nothing yet, but it needs its memory as soon as it has a slot.
-func addRequest(v *engineView, w works.Request, waits bool) {
+func addRequest(v *engineView, w works.Request) {
 	if v == nil {
 		return
 	}
-	v.usedTokens += w.Share + w.Output
+	v.requests++
 	if w.Target <= pastTarget {
 		v.late++
 	}
-	if waits {
-		return
-	}
 	v.value += answerValue(w.Prompt)
 	if !toleratesPauses(w.Gap) {
 		v.interactiveValue += answerValue(w.Prompt)
 	}
+	v.usedTokens += w.Share + w.Output
 	if v.minGap == 0 || w.Gap < v.minGap {
 		v.minGap = w.Gap
 	}
@@ -216,13 +211,12 @@
 }
 
 // addPrefill adds the parts of a prompt to the queues of its engines. i is the
-// index of its request. The primary engine does not prefill a prompt that waits
-// beyond its slots.
-func addPrefill(byName map[ident.EndpointName]*engineView, i int, w works.Request, now time.Time, waits bool) {
+// index of its request.
+func addPrefill(byName map[ident.EndpointName]*engineView, i int, w works.Request, now time.Time) {
 	p := split(w.Prompt, len(w.Helpers)+1)
 	at := -now.Sub(w.Since)
 	lossRate := delayLossRate(w)
-	if v := byName[w.First]; v != nil && !waits {
+	if v := byName[w.First]; v != nil {
 		t := v.prefillTime(p)
 		pending := pendingPart{request: i, left: t, lossRate: lossRate}
 		if len(w.Helpers) == 0 {
--- a/internal/coord/place/full.go
+++ b/internal/coord/place/full.go
@@ -18,8 +18,8 @@
 	maxWaitEstimate = time.Second
 	// No request waits while more than maxLatePercent of the slots are taken by requests
 	// that were sent after their target. It would take a slot that a first try could have
-	// got in time. In simulated bursts with 10 percent, three answers in time were lost for
-	// each prompt that was served instead of rejected twice; with 2 percent, none.
+	// got in time. In simulated bursts without the bound, nearly three answers in time were
+	// lost for each prompt that was served instead of rejected twice; with 2 percent, none.
 	maxLatePercent = 2
 	// pastTarget is the target that is announced for a request sent after its target.
 	pastTarget = time.Millisecond
@@ -93,33 +93,6 @@
 	return v.backlog+v.decodeTime()+v.prefillTime(split(r.Prompt, 1)) <= gap*pauseFromPercent/100
 }
 
-// beyondSlots returns the indexes of the requests in flight that wait beyond the slots of their
-// engines: the newest of those that are not decoded. It sets the number of requests of the
-// engines.
-func beyondSlots(byName map[ident.EndpointName]*engineView, inFlight []works.Request) ident.Set[int] {
-	isOver := false
-	for _, w := range inFlight {
-		if v := byName[w.First]; v != nil {
-			v.requests++
-			isOver = isOver || v.requests > v.spec.Slots
-		}
-	}
-	if !isOver {
-		return nil
-	}
-	waiting := ident.Set[int]{}
-	left := map[*engineView]int{}
-	for i, w := range slices.Backward(inFlight) {
-		v := byName[w.First]
-		if v == nil || w.Writing || left[v] >= v.requests-v.spec.Slots {
-			continue
-		}
-		left[v]++
-		waiting.Add(i)
-	}
-	return waiting
-}
-
 // slotWaits returns the expected times until the engines have a slot for one more request, behind
 // those that wait already.
 func slotWaits(vs []*engineView, s ServiceState) []time.Duration {
