--- a/internal/trans/gate/stale_reserve_test.go
+++ b/internal/trans/gate/stale_reserve_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/place"
 	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
@@ -81,17 +83,16 @@
 
 // Guards against a renewal whose answer 421 says nothing about the record.
 func TestMisdirectedRenewalIsEvidence(t *testing.T) {
-	r, _, _ := replacedRig(t, func(*Server) {})
-	r.reserver.replaced = nil
-	e := r.server.Feeds.Endpoints().ByName["a0"]
-	rs, _ := r.server.reserve(t.Context(), place.Choice{Helpers: []*topol.Endpoint{e}, Reservations: []ident.Tokens{1000}})
+	reserver := &fakeReserver{}
+	s := &Server{Reserver: reserver, Logger: zerolog.Nop(), Node: "n", Feeds: &feeds.Feeds{}}
+	e := &topol.Endpoint{Name: "a0", Service: "model", Address: "x", DataCentre: "a"}
+	rs, _ := s.reserve(t.Context(), place.Choice{Helpers: []*topol.Endpoint{e}, Reservations: []ident.Tokens{1000}})
 	must.NotNil(t, rs)
 	defer rs.stopAndRelease()
-	test.Zero(t, r.server.staleRecords.count.Load())
-	r.reserver.mu.Lock()
-	r.reserver.replaced = ident.Set[ident.EndpointName]{"a0": {}}
-	r.reserver.mu.Unlock()
+	test.Zero(t, s.staleRecords.count.Load())
+	reserver.mu.Lock()
+	reserver.replaced = ident.SetOf(e.Name)
+	reserver.mu.Unlock()
 	test.False(t, rs.renew(t.Context()))
-	test.Positive(t, r.server.staleRecords.count.Load())
-	test.Eq(t, 1, r.misdirected())
+	test.True(t, s.staleRecords.table.IsMisdirected(e))
 }
--- a/internal/trans/gate/unused_test.go
+++ b/internal/trans/gate/unused_test.go
@@ -78,6 +78,20 @@
 	return e.call(ctx, func(now time.Time) { e.endsAt = now })
 }
 
+// longestHeld returns the longest time for which the reservation was held without a break.
+func (e *expiringEngine) longestHeld() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held
+}
+
+// holds reports whether there is a reservation, and since when.
+func (e *expiringEngine) holds() (since time.Time, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.madeAt, time.Now().Before(e.endsAt)
+}
+
 // reserveAt reserves memory at an engine for a server with the deployments' bound.
 func reserveAt(t *testing.T, e *expiringEngine) *reservationSet {
 	s := &Server{Reserver: e, Logger: zerolog.Nop(), Node: "n", MaxUnusedMemory: 9 * time.Second}
@@ -110,7 +124,7 @@
 				rs.stopAndRelease()
 				time.Sleep(time.Minute)
 				synctest.Wait()
-				test.LessEq(t, maxUnused, e.held)
+				test.LessEq(t, maxUnused, e.longestHeld())
 			})
 		})
 	}
@@ -129,7 +143,7 @@
 		rs.stopAndRelease()
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		test.LessEq(t, 9*time.Second, e.held)
+		test.LessEq(t, 9*time.Second, e.longestHeld())
 	})
 }
 
@@ -157,14 +171,14 @@
 				time.Sleep(c.firstEvent)
 				rs.markUsed()
 				time.Sleep(lives - c.firstEvent)
-				e.mu.Lock()
-				test.Eq(t, rs.since, e.madeAt.Truncate(0), test.Sprint("the reservation has expired once"))
-				test.True(t, time.Now().Before(e.endsAt))
-				e.mu.Unlock()
+				since, ok := e.holds()
+				test.True(t, ok)
+				test.True(t, rs.since.Equal(since), test.Sprint("the reservation has expired once"))
 				rs.stopAndRelease()
 				synctest.Wait()
 				time.Sleep(time.Second)
-				test.False(t, time.Now().Before(e.endsAt), test.Sprint("released"))
+				_, ok = e.holds()
+				test.False(t, ok, test.Sprint("released"))
 			})
 		})
 	}
