edge tests: two tests of the sync of state have no wall-clock margins

TestNodeIsNotServedByReaderWithOldState slept until 50 ms after the node's turn, counted from before a pull that could take longer. It now waits for the turn that was set, and also checks its bounds and that a second pull doesn't postpone it.

TestNodeIsServedByAReaderThatRecovers took two readers through outages one after the other, and the first one's grace period of 2.2 s could be over at the pull. The outages are now at the same time, a pull outside of the grace period is tried again, and the state of the node is checked in place of the age of its last request.

--- a/internal/node/edge/sync_test.go
+++ b/internal/node/edge/sync_test.go
@@ -134,9 +134,13 @@
 	ps[1].setState(7, time.Minute)
 	before := clock.Now()
 	ps[2].pull()
-	test.LessEq(t, clock.Now().Add(turnDelay(2)), ps[2].turnAt[feeds.Configuration].Load())
-	time.Sleep(before.Add(turnDelay(2)).Sub(clock.Now()) + 50*time.Millisecond)
+	turn := ps[2].turnAt[feeds.Configuration].Load()
+	test.Between(t, before.Add(turnDelay(2)), turn, clock.Now().Add(turnDelay(2)))
+	for clock.Now() < turn {
+		time.Sleep(time.Millisecond)
+	}
 	ps[2].pull()
+	test.Eq(t, turn, ps[2].turnAt[feeds.Configuration].Load(), test.Sprint("a further pull postpones it"))
 	test.False(t, ps[2].servedByReader(feeds.Configuration), test.Sprint("its turn has come"))
 	test.Eq(t, 7, ps[2].feeds.Catalog().Version, test.Sprint("old state is better than none"))
 }
@@ -192,30 +196,59 @@
 // After an outage of the store, a reader keeps the endpoints of before for a while. So
 // do the others, instead of reading the store all at once.
 func TestNodeIsServedByAReaderThatRecovers(t *testing.T) {
+	// A machine that stands still for the grace period makes the pull come too late.
+	for range 20 {
+		if pullFromRecovering(t) {
+			return
+		}
+	}
+	t.Fatal("no pull came within the grace period of the readers")
+}
+
+// pullFromRecovering checks a pull from readers that recover from an outage of the store. It
+// returns false, and has checked nothing, if their grace period ended meanwhile.
+func pullFromRecovering(t *testing.T) bool {
 	ps := newTestNodes(t, "a", "b", "c")
-	recovering := ps[0].state(relay.StateArgs{})
-	test.False(t, recovering.Recovering, test.Sprint("it has no list"))
-	for _, p := range ps[:2] {
+	must.False(t, ps[0].state(relay.StateArgs{}).Recovering, must.Sprint("it has no list"))
+	readers := ps[:2]
+	var sources []*flakySource
+	for _, p := range readers {
 		p.setState(7, 0)
 		source := &flakySource{}
+		sources = append(sources, source)
 		p.feeds.Source, p.feeds.Decoder = source, noDecoder{}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { p.feeds.Run(ctx); close(ended) }()
 		t.Cleanup(func() { cancel(); <-ended })
+	}
+	for _, p := range readers {
 		for !p.feeds.SourceDown() {
 			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(1200 * time.Millisecond)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	for _, source := range sources {
 		source.up.Store(true)
-		for p.feeds.OutsideGracePeriod(clock.Now()) {
-			time.Sleep(time.Millisecond)
+	}
+	areRecovering := func() bool {
+		return readers[0].state(relay.StateArgs{}).Recovering && readers[1].state(relay.StateArgs{}).Recovering
+	}
+	for end := clock.Now().Add(10 * time.Second); !areRecovering(); time.Sleep(time.Millisecond) {
+		if clock.Now() > end {
+			return false
 		}
 	}
-	test.True(t, ps[0].state(relay.StateArgs{}).Recovering)
+	before := clock.Now()
 	ps[2].pull()
-	test.True(t, ps[2].servedByReader(feeds.Endpoints))
+	if !areRecovering() {
+		return false
+	}
+	test.False(t, ps[2].isReader.Load())
+	test.GreaterEq(t, before, ps[2].servedAt[feeds.Endpoints].Load())
+	test.Zero(t, ps[2].turnAt[feeds.Endpoints].Load())
 	test.Nil(t, ps[2].feeds.Endpoints(), test.Sprint("the list of a reader that recovers isn't taken"))
+	return true
 }
 
 // flakySource is a source without records that fails until up is set.
