--- a/internal/trans/gate/homes_test.go
+++ b/internal/trans/gate/homes_test.go
@@ -22,6 +22,7 @@
 
 	"laburnumstack.org/laburnum/internal/coord/avail"
 	"laburnumstack.org/laburnum/internal/coord/homes"
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/reach"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -431,6 +432,7 @@
 	f.UpdateCatalog(h.catalog())
 	f.UpdateEndpoints(list, clock.Now())
 	s := &Server{
+		Nodes: func(time.Time) quota.Nodes { return quota.Nodes{Self: "n1", Alive: []ident.NodeName{"n1"}, Known: 1} },
 		Feeds: f, InFlight: &works.Table{}, Node: "n0", DataCentre: "a", Logger: zerolog.Nop(), Dialect: testDialect{},
 		Regions: homes.Regions{Own: region.Draw(t, "own"), Of: testRegions.Of}, Peers: func(time.Time) []reach.Peer { return slices.Clone(peers) },
 	}
