--- a/internal/lab/passes/result.go
+++ b/internal/lab/passes/result.go
@@ -4,17 +4,20 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/lab/sizes"
+	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // Result holds the results of the prompts of one kind.
 type Result struct {
 	Kind string
 	// Requests counts all prompts and InTime those answered in time. Refused counts
-	// prompts whose retry was refused too, or would have come after half of the
+	// prompts whose retry was refused too, or whose caller was told a time after the
 	// deadline. Failed counts answers that missed the deadline or had a pause of
 	// more than eight times Gap and more than two seconds.
 	Requests, InTime int
 	Refused, Failed  int
+	// RefusedAgain counts the prompts among Refused that were refused at a retry.
+	RefusedAgain int
 	// LateFirst counts answers whose first event came late, LateGap the others
 	// with a pause of more than Gap. Failed answers count in neither.
 	LateFirst, LateGap int
@@ -22,6 +25,8 @@
 	MaxCredit, EarnedCredit float64
 	// Sizes holds the results by size class.
 	Sizes sizes.Results
+	// Small and Large are the results of the small and of the large workspaces.
+	Small, Large sizes.Result
 	// MeanTimeToFirstEvent is counted from the arrival. MeanEstimateError is the
 	// mean absolute error of the time to the first event that was estimated at
 	// placement, counted from the latest attempt.
@@ -43,6 +48,9 @@
 		a[i].InTime += b[i].InTime
 		a[i].Refused += b[i].Refused
 		a[i].Failed += b[i].Failed
+		a[i].RefusedAgain += b[i].RefusedAgain
+		a[i].Small.Add(b[i].Small)
+		a[i].Large.Add(b[i].Large)
 		a[i].LateFirst += b[i].LateFirst
 		a[i].LateGap += b[i].LateGap
 		a[i].Sizes.Add(b[i].Sizes)
@@ -89,6 +97,9 @@
 			rs = append(rs, sizes.Request{Prompt: q.tokens, Served: q.served()})
 		}
 		s.results[i].Sizes = sizes.CountRequests(rs)
+		for _, q := range s.arrived[i] {
+			s.results[i].addWorkspace(q, q.workspace < s.firstSmall())
+		}
 		if n := time.Duration(s.results[i].Requests - s.results[i].Refused); n > 0 {
 			s.results[i].MeanTimeToFirstEvent /= n
 			s.results[i].MeanEstimateError /= n
@@ -99,3 +110,19 @@
 // creditWeight returns the factor on the credit of a prompt. It grows with the
 // prompt's size relative to the mean of its kind.
 func (q *prompt) creditWeight() float64 { return min(4, 0.3+0.7*float64(q.tokens)/q.kind.MeanTokens) }
+
+// addWorkspace adds a prompt to the results of the small or of the large workspaces.
+func (r *Result) addWorkspace(q *prompt, isLarge bool) {
+	b := sizes.Result{Asked: 1}
+	if q.served() {
+		b.Served = 1
+	}
+	if isLarge {
+		r.Large.Add(b)
+		return
+	}
+	r.Small.Add(b)
+}
+
+// firstSmall returns the name of the first small workspace.
+func (s *simulation) firstSmall() ident.WorkspaceName { return workspaceName(s.LargeWorkspaces) }
