--- a/internal/coord/place/keep.go
+++ b/internal/coord/place/keep.go
@@ -7,8 +7,14 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// keptFraction is the fraction of the bound that applies to a prompt which keeps its place.
-const keptFraction = 1
+const (
+	// keptFraction is the least fraction of the bound that applies to a prompt which keeps
+	// its place and is expected in time. Above that, more prompts of others are late.
+	keptFraction = 0.6
+	// keptLateFraction is that for one which will be late: the part of its value that its
+	// answer still has.
+	keptLateFraction = 1 - lateLossFraction
+)
 
 // PrefillTime returns the time that one engine takes to prefill a prompt.
 func PrefillTime(e *topol.Engine, prompt ident.Tokens) time.Duration {
@@ -19,12 +25,15 @@
 // applyPlace changes the bound on what others may lose by a prompt that keeps its place, and
 // by a first try that yields to such prompts.
 func (p plan) applyPlace(l *Load, r Request) {
-	if r.KeepsPlace {
+	switch {
+	case r.KeepsPlace:
+		fraction := keptFraction
+		if p.prefillEnd > r.Target {
+			fraction = keptLateFraction
+		}
 		l.Favour = max(1, l.Favour)
-		l.MaxLossOfOthers = max(l.MaxLossOfOthers, p.maxLossByDelay(r, keptFraction)*l.Favour)
-		return
-	}
-	if !r.IsRetry {
+		l.MaxLossOfOthers = max(l.MaxLossOfOthers, p.maxLossByDelay(r, fraction)*l.Favour)
+	case !r.IsRetry:
 		l.MaxLossOfOthers *= 1 - r.Yield
 	}
 }
--- a/internal/coord/vqueue/retry.go
+++ b/internal/coord/vqueue/retry.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// MinRetry is the shortest time after which a deferred caller is told to retry.
-	MinRetry = 700 * time.Millisecond
+	// minRetry is the shortest time after which a deferred caller is told to retry.
+	minRetry = 700 * time.Millisecond
 	// minRateDivisor gives the least rate: the engines that accept requests, divided by it.
 	minRateDivisor = 4
 	// servablePercent is the percentage of the time left within which the first event of a
@@ -17,17 +17,25 @@
 	servablePercent = 70
 	// dueWindow is the time for which due work takes a share of the rate.
 	dueWindow = time.Second
+	// promptFactor and lateFactor are factors on the rate at which the work ahead of a prompt
+	// is done: of one that can be in time, and of one that will be late and gets what those
+	// leave. The first is above one, since some of the callers ahead never return or return late.
+	promptFactor, lateFactor = 2, 0.3
+	// returnPercent is the time until a caller returns, in percent of the time that it was
+	// told: callers add up to as much again.
+	returnPercent = 150
+	// A prompt that will be late returns after the time left divided by lateDivisor, or later. If
+	// it came back sooner, it would take time from prompts that can be in time.
+	lateDivisor = 4
 )
 
 // Load describes what a deferred prompt finds at the engines.
 type Load struct {
 	// Engines is the number of engines that accept requests.
 	Engines int
-	// Backlog is the time until the prefill that is queued at the engines has ended.
-	Backlog time.Duration
-	// Estimate is the time from a retry to the first event, and TimeLeft that until the
-	// deadline.
-	Estimate, TimeLeft time.Duration
+	// Estimate is the time from a retry to the first event. Target is the time within which
+	// the caller expects it, and TimeLeft the time until the deadline.
+	Estimate, Target, TimeLeft time.Duration
 }
 
 // RetryTime returns the time after which the caller of a deferred prompt should retry, and
@@ -35,15 +43,22 @@
 // before its deadline, and the time is after that.
 func (q *Queue) RetryTime(p Prompt, l Load, now time.Time) (wait time.Duration, servable bool) {
 	q.Expire(now)
-	rate := q.rate(l.Engines, now)
-	ahead := min(float64(maxWait), float64(q.workAhead(p))/rate)
-	wait = min(maxWait, max(MinRetry, l.Backlog+time.Duration(ahead)))
+	rate, ahead := q.rate(l.Engines, now), q.workAhead(p)
+	wait = max(minRetry, timeFor(ahead, rate*promptFactor))
+	if wait*returnPercent/100+l.Estimate > l.Target {
+		wait = max(minRetry, l.TimeLeft/lateDivisor, timeFor(ahead, rate*lateFactor))
+	}
 	if l.TimeLeft > 0 && wait+l.Estimate > l.TimeLeft/100*servablePercent {
 		return max(wait, l.TimeLeft), false
 	}
 	return wait, true
 }
 
+// timeFor returns the time in which work is done at a rate, at most maxWait.
+func timeFor(work time.Duration, rate float64) time.Duration {
+	return time.Duration(min(float64(maxWait), float64(work)/rate))
+}
+
 // rate returns the work per second that the service accepts from prompts that may be deferred,
 // in engines.
 func (q *Queue) rate(engines int, now time.Time) float64 {
--- a/internal/coord/vqueue/vqueue.go
+++ b/internal/coord/vqueue/vqueue.go
@@ -206,7 +206,7 @@
 
 func (q *Queue) removeOldestAdmission() {
 	oldest := q.admissions[0]
-	q.admissions = slices.Delete(q.admissions, 0, 1)
+	q.admissions = q.admissions[1:]
 	q.admittedWork -= oldest.Work
 	delete(q.admittedAt, oldest.Request)
 	a := q.accounts[oldest.Workspace]
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -24,7 +24,7 @@
 	key       bysize.RequestKey
 	workspace ident.WorkspaceName
 	tokens    ident.Tokens
-	node   int
+	node      int
 	// attemptAt is the time of the latest attempt.
 	attemptAt time.Duration
 	// estimate is the time to the first event that was estimated at placement.
--- a/internal/lab/passes/placement.go
+++ b/internal/lab/passes/placement.go
@@ -87,6 +87,7 @@
 		res.RefusedAgain++
 		return
 	}
+	res.Deferred++
 	if s.now+after >= q.arrivedAt+q.kind.Deadline {
 		res.Refused++
 		return
--- a/internal/lab/passes/result.go
+++ b/internal/lab/passes/result.go
@@ -16,8 +16,9 @@
 	// more than eight times Gap and more than two seconds.
 	Requests, InTime int
 	Refused, Failed  int
-	// RefusedAgain counts the prompts among Refused that were refused at a retry.
-	RefusedAgain int
+	// Deferred counts the prompts that were refused at the first try, and RefusedAgain those
+	// that were refused at a retry too.
+	Deferred, RefusedAgain int
 	// LateFirst counts answers whose first event came late, LateGap the others
 	// with a pause of more than Gap. Failed answers count in neither.
 	LateFirst, LateGap int
@@ -48,6 +49,7 @@
 		a[i].InTime += b[i].InTime
 		a[i].Refused += b[i].Refused
 		a[i].Failed += b[i].Failed
+		a[i].Deferred += b[i].Deferred
 		a[i].RefusedAgain += b[i].RefusedAgain
 		a[i].Small.Add(b[i].Small)
 		a[i].Large.Add(b[i].Large)
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -180,6 +180,7 @@
 	staleRecords   staleRecords
 	pacing         pacing
 	decisions      sizeDecisions
+	deferred       deferredPrompts
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -313,6 +314,7 @@
 		s.refreshStale()
 		s.refreshPace(now)
 		s.decisions.expire(now)
+		s.deferred.expire(now)
 		s.logEvacuations()
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
