--- a/internal/coord/place/keep.go
+++ b/internal/coord/place/keep.go
@@ -34,6 +34,6 @@
 		l.Favour = max(1, l.Favour)
 		l.MaxLossOfOthers = max(l.MaxLossOfOthers, p.maxLossByDelay(r, fraction)*l.Favour)
 	case !r.IsRetry:
-		l.MaxLossOfOthers *= 1 - r.Yield
+		l.MaxLossOfOthers *= 1 - r.Yield/max(1, l.Favour)
 	}
 }
--- a/internal/coord/vqueue/retry.go
+++ b/internal/coord/vqueue/retry.go
@@ -36,6 +36,9 @@
 	// Estimate is the time from a retry to the first event. Target is the time within which
 	// the caller expects it, and TimeLeft the time until the deadline.
 	Estimate, Target, TimeLeft time.Duration
+	// Favour is above one if prompts of this size got less than their part, see
+	// place.Request.Favour. Less work is then ahead.
+	Favour float64
 }
 
 // RetryTime returns the time after which the caller of a deferred prompt should retry, and
@@ -43,7 +46,7 @@
 // before its deadline, and the time is after that.
 func (q *Queue) RetryTime(p Prompt, l Load, now time.Time) (wait time.Duration, servable bool) {
 	q.Expire(now)
-	rate, ahead := q.rate(l.Engines, now), q.workAhead(p)
+	rate, ahead := q.rate(l.Engines, now)*max(1, l.Favour), q.workAhead(p)
 	wait = max(minRetry, timeFor(ahead, rate*promptFactor))
 	if wait*returnPercent/100+l.Estimate > l.Target {
 		wait = max(minRetry, l.TimeLeft/lateDivisor, timeFor(ahead, rate*lateFactor))
--- a/internal/trans/gate/deferred.go
+++ b/internal/trans/gate/deferred.go
@@ -122,7 +122,7 @@
 // deferFor returns the time after which the caller of a deferred prompt should retry.
 func (x *exchange) deferFor(c place.Choice, r place.Request, now time.Time) time.Duration {
 	l := vqueue.Load{
-		Engines: len(x.candidates(now)), Estimate: c.Estimate, Target: r.Target, TimeLeft: r.TimeLeft,
+		Engines: len(x.candidates(now)), Estimate: c.Estimate, Target: r.Target, TimeLeft: r.TimeLeft, Favour: r.Favour,
 	}
 	p := x.queuedPrompt()
 	var q vqueue.Queue
