--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -134,10 +134,10 @@
 	l.Favour = r.favour()
 	l.LossOfOthers, l.MaxLossOfOthers = loss.total(), p.maxLossByDelay(r, max(fraction, p.favouredFraction(r)))*l.Favour
 	l.InteractiveLoss, l.MaxInteractiveLoss = loss.interactive, max(p.maxLossByDelay(r, fraction), maxInteractiveLossPerSecond*p.prefillOnOneEngine(r).Seconds())
-	p.applyPlace(l, r)
 	if l.Favour < 1 {
 		l.MaxInteractiveLoss *= yieldingFraction
 	}
+	p.applyPlace(l, r)
 }
 
 // favouredFraction returns the least fraction of the bound that applies to a prompt whose size
--- a/internal/coord/place/keep.go
+++ b/internal/coord/place/keep.go
@@ -9,7 +9,7 @@
 
 const (
 	// keptFraction is the least fraction of the bound that applies to a prompt which keeps
-	// its place and is expected in time. Above that, more prompts of others are late.
+	// its place and is expected in time. With more, more short prompts are late.
 	keptFraction = 0.6
 	// keptLateFraction is that for one which will be late: the part of its value that its
 	// answer still has.
@@ -23,7 +23,7 @@
 }
 
 // applyPlace changes the bound on what others may lose by a prompt that keeps its place, and
-// by a first try that yields to such prompts.
+// by a first try that yields to such prompts. A size class that is behind yields less.
 func (p plan) applyPlace(l *Load, r Request) {
 	switch {
 	case r.KeepsPlace:
@@ -31,8 +31,7 @@
 		if p.prefillEnd > r.Target {
 			fraction = keptLateFraction
 		}
-		l.Favour = max(1, l.Favour)
-		l.MaxLossOfOthers = max(l.MaxLossOfOthers, p.maxLossByDelay(r, fraction)*l.Favour)
+		l.MaxLossOfOthers = max(l.MaxLossOfOthers, p.maxLossByDelay(r, fraction))
 	case !r.IsRetry:
 		l.MaxLossOfOthers *= 1 - r.Yield/max(1, l.Favour)
 	}
--- a/internal/coord/vqueue/retry.go
+++ b/internal/coord/vqueue/retry.go
@@ -1,6 +1,7 @@
 package vqueue
 
 import (
+
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/bysize"
@@ -27,6 +28,9 @@
 	// A prompt that will be late returns after the time left divided by lateDivisor, or later. If
 	// it came back sooner, it would take time from prompts that can be in time.
 	lateDivisor = 4
+	// minBehind is the Favour above which a prompt returns early although it will be late.
+	// The largest prompts take longest themselves, and would never be in time.
+	minBehind = 1.2
 )
 
 // Load describes what a deferred prompt finds at the engines.
@@ -36,8 +40,8 @@
 	// Estimate is the time from a retry to the first event. Target is the time within which
 	// the caller expects it, and TimeLeft the time until the deadline.
 	Estimate, Target, TimeLeft time.Duration
-	// Favour is above one if prompts of this size got less than their part, see
-	// place.Request.Favour. Less work is then ahead.
+	// Favour is place.Request.Favour: above one if prompts of this size got less than their
+	// part, below one if they got more while others wait. Zero means one.
 	Favour float64
 }
 
@@ -46,9 +50,9 @@
 // before its deadline, and the time is after that.
 func (q *Queue) RetryTime(p Prompt, l Load, now time.Time) (wait time.Duration, servable bool) {
 	q.Expire(now)
-	rate, ahead := q.rate(l.Engines, now)*max(1, l.Favour), q.workAhead(p)
+	rate, ahead := q.rate(l.Engines, now)*l.rateFactor(), q.workAhead(p)
 	wait = max(minRetry, timeFor(ahead, rate*promptFactor))
-	if wait*returnPercent/100+l.Estimate > l.Target {
+	if wait*returnPercent/100+l.Estimate > l.Target && l.Favour <= minBehind {
 		wait = max(minRetry, l.TimeLeft/lateDivisor, timeFor(ahead, rate*lateFactor))
 	}
 	if l.TimeLeft > 0 && wait+l.Estimate > l.TimeLeft/100*servablePercent {
@@ -57,6 +61,15 @@
 	return wait, true
 }
 
+// rateFactor returns the factor on the rate for the size class of a prompt: below one if the
+// class is ahead while another waits.
+func (l Load) rateFactor() float64 {
+	if l.Favour <= 0 {
+		return 1
+	}
+	return min(1, l.Favour)
+}
+
 // timeFor returns the time in which work is done at a rate, at most maxWait.
 func timeFor(work time.Duration, rate float64) time.Duration {
 	return time.Duration(min(float64(maxWait), float64(work)/rate))
