--- a/internal/coord/vqueue/retry.go
+++ b/internal/coord/vqueue/retry.go
@@ -1,11 +1,9 @@
 package vqueue
 
 import (
-
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/bysize"
-	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 const (
@@ -151,11 +149,3 @@
 	}
 	return min(1, due.Seconds()/(q.rate(engines, now)*dueWindow.Seconds()))
 }
-
-// Waiting returns the work that a workspace has waiting.
-func (q *Queue) Waiting(n ident.WorkspaceName) time.Duration {
-	if a := q.accounts[n]; a != nil {
-		return a.waiting
-	}
-	return 0
-}
--- a/internal/coord/vqueue/vqueue_test.go
+++ b/internal/coord/vqueue/vqueue_test.go
@@ -107,6 +107,25 @@
 	test.Eq(t, late.TimeLeft/lateDivisor, wait)
 }
 
+// Guards against the largest prompts, which take longest themselves and would always wait
+// behind smaller ones, and against a size class that is ahead and gets all early times.
+func TestSizeClassesGetTheirPart(t *testing.T) {
+	var q Queue
+	deferred(&q, 1, 2, "a")
+	behind, ahead, late := idle, idle, idle
+	behind.Estimate, behind.Favour = 2500*time.Millisecond, 2
+	late.Estimate = behind.Estimate
+	ahead.Favour = 0.1
+	p := prompt(100, "a")
+	neutral, _ := q.RetryTime(p, idle, start)
+	first, _ := q.RetryTime(p, behind, start)
+	test.Eq(t, neutral, first)
+	second, _ := q.RetryTime(p, late, start)
+	test.Greater(t, 2*first, second, test.Sprint("late, class not behind"))
+	third, _ := q.RetryTime(p, ahead, start)
+	test.Greater(t, 2*first, third, test.Sprint("class ahead"))
+}
+
 func TestPlaces(t *testing.T) {
 	cases := []struct {
 		after time.Duration
