--- a/internal/coord/vqueue/retry.go
+++ b/internal/coord/vqueue/retry.go
@@ -19,7 +19,7 @@
 	// promptFactor and lateFactor are factors on the rate at which the work ahead of a prompt
 	// is done: of one that can be in time, and of one that will be late and gets what those
 	// leave. The first is above one, since some of the callers ahead never return or return late.
-	promptFactor, lateFactor = 2, 0.3
+	promptFactor, lateFactor = 2, 0.8
 	// returnPercent is the time until a caller returns, in percent of the time that it was
 	// told: callers add up to as much again.
 	returnPercent = 150
@@ -28,7 +28,9 @@
 	lateDivisor = 4
 	// minBehind is the Favour above which a prompt returns early although it will be late.
 	// The largest prompts take longest themselves, and would never be in time.
-	minBehind = 1.2
+	minBehind = 1.5
+	// minRateFactor is the least factor on the rate for a size class that is ahead.
+	minRateFactor = 0.05
 )
 
 // Load describes what a deferred prompt finds at the engines.
@@ -65,7 +67,7 @@
 	if l.Favour <= 0 {
 		return 1
 	}
-	return min(1, l.Favour)
+	return max(minRateFactor, min(1, l.Favour))
 }
 
 // timeFor returns the time in which work is done at a rate, at most maxWait.
--- a/internal/lab/passes/decide.go
+++ b/internal/lab/passes/decide.go
@@ -64,7 +64,7 @@
 	b := bysize.Decision{Route: ident.RouteName(q.kind.Name), Request: q.key, Prompt: q.tokens, Admitted: err == nil, At: state.Now, Workspace: q.workspace}
 	after := place.RetryAfter(c, r)
 	if errors.Is(err, place.ErrDeferred) && !s.WithoutQueue {
-		l := vqueue.Load{Engines: s.EngineCount, Estimate: c.Estimate, TimeLeft: r.TimeLeft, Target: r.Target, Favour: r.Favour}
+		l := vqueue.Load{Engines: s.EngineCount, Estimate: c.Estimate, TimeLeft: r.TimeLeft, Target: r.Target, Favour: c.Load.Favour}
 		var servable bool
 		after, servable = d.queue.RetryTime(p, l, state.Now)
 		if servable {
--- a/internal/trans/gate/deferred.go
+++ b/internal/trans/gate/deferred.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// has reports whether there is a queue of a service.
+func (d *deferredPrompts) has(n ident.ServiceName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byService[n] != nil
+}
+
 // expire removes what no longer counts. It returns the number of entries of all queues.
 func (d *deferredPrompts) expire(now time.Time) (waiting int) {
 	d.mu.Lock()
@@ -106,6 +113,10 @@
 		return
 	}
 	d := &x.deferral
+	if !x.server.deferred.has(x.service.Name) {
+		d.yield = 0
+		return
+	}
 	if !d.isPlaceKnown {
 		d.isPlaceKnown = true
 		key := bysize.RequestKey(x.digest())
@@ -122,7 +133,7 @@
 // deferFor returns the time after which the caller of a deferred prompt should retry.
 func (x *exchange) deferFor(c place.Choice, r place.Request, now time.Time) time.Duration {
 	l := vqueue.Load{
-		Engines: len(x.candidates(now)), Estimate: c.Estimate, Target: r.Target, TimeLeft: r.TimeLeft, Favour: r.Favour,
+		Engines: len(x.candidates(now)), Estimate: c.Estimate, Target: r.Target, TimeLeft: r.TimeLeft, Favour: c.Load.Favour,
 	}
 	p := x.queuedPrompt()
 	var q vqueue.Queue
