--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -188,6 +188,7 @@
 	pacing         pacing
 	cutOff         atomic.Pointer[cutOff]
 	decisions      sizeDecisions
+	deferred       deferredPrompts
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -321,6 +322,7 @@
 		s.refreshStale()
 		s.refreshPace(now)
 		s.decisions.expire(now)
+		s.deferred.expire(now)
 		s.logEvacuations()
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
