--- a/internal/coord/place/keep.go
+++ b/internal/coord/place/keep.go
@@ -9,7 +9,7 @@
 
 const (
 	// keptFraction is the least fraction of the bound that applies to a prompt which keeps
-	// its place and is expected in time. With 1.0, more short prompts were late in the simulation.
+	// its place and is expected in time. With more, more short prompts are late.
 	keptFraction = 0.6
 	// keptLateFraction is that for one which will be late: the part of its value that its
 	// answer still has.
--- a/internal/coord/vqueue/retry.go
+++ b/internal/coord/vqueue/retry.go
@@ -19,7 +19,7 @@
 	// promptFactor and lateFactor are factors on the rate at which the work ahead of a prompt
 	// is done: of one that can be in time, and of one that will be late and gets what those
 	// leave. The first is above one, since some of the callers ahead never return or return late.
-	promptFactor, lateFactor = 2, 0.3
+	promptFactor, lateFactor = 2, 0.8
 	// returnPercent is the time until a caller returns, in percent of the time that it was
 	// told: callers add up to as much again.
 	returnPercent = 150
