--- a/internal/coord/bysize/bysize.go
+++ b/internal/coord/bysize/bysize.go
@@ -42,12 +42,6 @@
 	Prompt   ident.Tokens
 	Admitted bool
 	At       time.Time
-	// Service and Workspace are empty in the decisions of older builds.
-	Service   ident.ServiceName
-	Workspace ident.WorkspaceName
-	// Retry is the time from At until the caller of a deferred prompt was told to return.
-	// It is zero if the prompt has no place in the virtual queue.
-	Retry time.Duration
 }
 
 // Table holds the latest requests of all routes. It is not safe for concurrent use.
--- a/internal/coord/place/admit.go
+++ b/internal/coord/place/admit.go
@@ -137,7 +137,6 @@
 	if l.Favour < 1 {
 		l.MaxInteractiveLoss *= yieldingFraction
 	}
-	p.applyPlace(l, r)
 }
 
 // favouredFraction returns the least fraction of the bound that applies to a prompt whose size
--- a/internal/coord/place/admit_test.go
+++ b/internal/coord/place/admit_test.go
@@ -78,39 +78,3 @@
 	test.InDelta(t, neutral/2, yielding, 1e-9)
 	test.Less(t, neutralInteractive/2, yieldingInteractive)
 }
-
-// Guards against a caller who returned as told and is rejected because it is late by now, or
-// because prompts of its size got more than others: its bound is at least that of a late prompt that does not wait. What
-// interactive callers may lose stays as it is.
-func TestPromptThatKeepsItsPlace(t *testing.T) {
-	load := func(r Request) Load {
-		c, err := Choose(testState(23), r)
-		must.NoError(t, err)
-		return c.Load
-	}
-	late := longRequest
-	late.IsRetry, late.Target, late.TimeLeft = true, time.Millisecond, 2*time.Second
-	kept := late
-	kept.KeepsPlace = true
-	test.Greater(t, 1.2*load(late).MaxLossOfOthers, load(kept).MaxLossOfOthers)
-	test.Eq(t, load(late).MaxInteractiveLoss, load(kept).MaxInteractiveLoss)
-	neutral := load(kept).MaxLossOfOthers
-	kept.Favour, late.Favour = 0.1, 0.1
-	test.Eq(t, neutral, load(kept).MaxLossOfOthers)
-	test.Eq(t, load(late).MaxInteractiveLoss, load(kept).MaxInteractiveLoss)
-}
-
-// Guards against first tries that take the capacity of callers who were told to return now, and
-// against any change for first tries when nobody is due.
-func TestFirstTriesYieldToDuePrompts(t *testing.T) {
-	load := func(yield, favour float64, isRetry bool) float64 {
-		r := longRequest
-		r.Yield, r.Favour, r.IsRetry = yield, favour, isRetry
-		c, _ := Choose(testState(23), r)
-		return c.Load.MaxLossOfOthers
-	}
-	test.InDelta(t, load(0, 1, false)/2, load(0.5, 1, false), 1e-9)
-	test.InDelta(t, 0, load(1, 1, false), 1e-9)
-	test.InDelta(t, load(0, 2, false)*3/4, load(0.5, 2, false), 1e-9, test.Sprint("class behind"))
-	test.Eq(t, load(0, 1, true), load(1, 1, true), test.Sprint("retry"))
-}
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -54,12 +54,6 @@
 	// one if requests with prompts of its size got less than their part of what their kind
 	// was served, and below one if they got more while others wait. Zero means one.
 	Favour float64
-	// KeepsPlace is set if the caller was told to return at this time. The bound on what
-	// others may lose then falls neither with lateness nor by Favour.
-	KeepsPlace bool
-	// Yield is the part, from zero to one, by which the bound on what others may lose is
-	// lowered for a first try, since prompts that were told to return now come first.
-	Yield float64
 	// Full are the endpoints that had too little memory for a reservation.
 	Full ident.Set[ident.EndpointName]
 
--- a/internal/lab/passes/arrive.go
+++ b/internal/lab/passes/arrive.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"time"
 
@@ -37,8 +36,7 @@
 		s.promptCount++
 		q := &prompt{
 			kind: k, kindIndex: i, key: s.promptCount, arrivedAt: at, attemptAt: at, node: s.rnd.IntN(s.NodeCount),
-			workspace: s.drawWorkspace(),
-			tokens:    ident.Tokens(s.drawLogNormal(k.MeanTokens, k.TokenSigma, k.MaxTokens)),
+			tokens: ident.Tokens(s.drawLogNormal(k.MeanTokens, k.TokenSigma, k.MaxTokens)),
 		}
 		s.arrived[i] = append(s.arrived[i], q)
 		answerEvents := int(math.Ceil(s.drawLogNormal(k.MeanEvents, k.EventSigma, k.MaxEvents)))
@@ -52,14 +50,3 @@
 	mu := math.Log(mean) - sigma*sigma/2
 	return max(1, min(limit, math.Exp(mu+sigma*s.rnd.NormFloat64())))
 }
-
-// drawWorkspace draws the workspace of a prompt: a large one with a probability of a half.
-func (s *simulation) drawWorkspace() ident.WorkspaceName {
-	first, n := 0, s.LargeWorkspaces
-	if n == 0 || s.callers.IntN(2) == 0 {
-		first, n = s.LargeWorkspaces, max(1, s.Workspaces-s.LargeWorkspaces)
-	}
-	return workspaceName(first + s.callers.IntN(n))
-}
-
-func workspaceName(i int) ident.WorkspaceName { return ident.WorkspaceName(fmt.Sprintf("w%02d", i)) }
--- a/internal/lab/passes/config.go
+++ b/internal/lab/passes/config.go
@@ -54,14 +54,6 @@
 	Kinds       []Kind
 	Phases      []Phase
 	Seed        uint64
-	// Workspaces is the number of workspaces, of which LargeWorkspaces send half of the
-	// prompts of each kind. If it is zero, there is one.
-	Workspaces, LargeWorkspaces int
-	// MaxReturnFactor bounds the random factor, at least one, on the time that a refused
-	// caller was told, after which it returns. If it is zero, callers return at that time.
-	MaxReturnFactor float64
-	// WithoutQueue is set to simulate nodes without the virtual queue of deferred prompts.
-	WithoutQueue bool
 	// Choose is the placement policy: it chooses the engines of a prompt. If it
 	// returns an error, the prompt is refused.
 	Choose func(place.ServiceState, place.Request) (place.Choice, error)
--- a/internal/lab/passes/passes.go
+++ b/internal/lab/passes/passes.go
@@ -21,10 +21,9 @@
 	arrivedAt time.Duration
 	isRetry   bool
 	// key identifies the prompt among all of the simulation.
-	key       bysize.RequestKey
-	workspace ident.WorkspaceName
-	tokens    ident.Tokens
-	node      int
+	key    bysize.RequestKey
+	tokens ident.Tokens
+	node   int
 	// attemptAt is the time of the latest attempt.
 	attemptAt time.Duration
 	// estimate is the time to the first event that was estimated at placement.
@@ -68,9 +67,7 @@
 // simulation is the state of one run.
 type simulation struct {
 	Config
-	rnd *rand.Rand
-	// callers gives the workspaces and the times of returns, without a change of rnd.
-	callers   *rand.Rand
+	rnd       *rand.Rand
 	engines   map[ident.EndpointName]*engine
 	endpoints []*topol.Endpoint
 	events    eventHeap
@@ -90,7 +87,7 @@
 // Run runs a simulation until all prompts have ended and returns a result for
 // each kind.
 func Run(c Config) []Result {
-	s := &simulation{Config: c, rnd: rand.New(rand.NewPCG(c.Seed, 7)), callers: rand.New(rand.NewPCG(c.Seed, 8)), engines: map[ident.EndpointName]*engine{}}
+	s := &simulation{Config: c, rnd: rand.New(rand.NewPCG(c.Seed, 7)), engines: map[ident.EndpointName]*engine{}}
 	for i := range c.EngineCount {
 		e := &topol.Endpoint{Name: ident.EndpointName(fmt.Sprintf("e%02d", i)), Slots: c.Engine.Slots}
 		s.endpoints = append(s.endpoints, e)
--- a/internal/lab/passes/placement.go
+++ b/internal/lab/passes/placement.go
@@ -46,12 +46,12 @@
 		Prompt: q.tokens, Output: output, Target: max(time.Millisecond, q.kind.Target-waited), Gap: q.kind.Gap,
 		TimeLeft: q.kind.Deadline - waited, IsRetry: q.isRetry,
 	}
-	c, after, err := s.decide(place.ServiceState{
+	c, err := s.decide(place.ServiceState{
 		Now: origin.Add(s.now), Endpoints: s.endpoints, Engine: s.Engine, InFlight: s.visibleRequests(q.node),
 		Avoid: never, Suspect: never, Random: s.rnd.Float64,
 	}, q, request)
 	if err != nil {
-		s.retryOrRefuse(q, after, answerEvents)
+		s.retryOrRefuse(q, place.RetryAfter(c, request), answerEvents)
 		return
 	}
 	q.estimate, q.waits = c.Estimate, c.Waits
@@ -78,24 +78,14 @@
 }
 
 // retryOrRefuse schedules a retry of a refused prompt. If the refused attempt was
-// already the retry, or if its caller was told a time after the deadline, the
+// already the retry, or if the retry would come after half of the deadline, the
 // prompt counts as refused.
 func (s *simulation) retryOrRefuse(q *prompt, after time.Duration, answerEvents int) {
-	res := &s.results[q.kindIndex]
-	if q.isRetry {
-		res.Refused++
-		res.RefusedAgain++
-		return
-	}
-	res.Deferred++
-	if s.now+after >= q.arrivedAt+q.kind.Deadline {
-		res.Refused++
+	if q.isRetry || after >= q.kind.Deadline/2 {
+		s.results[q.kindIndex].Refused++
 		return
 	}
 	q.isRetry = true
-	if s.MaxReturnFactor > 1 {
-		after = time.Duration(float64(after) * (1 + s.callers.Float64()*(s.MaxReturnFactor-1)))
-	}
 	q.attemptAt = s.now + after
 	heap.Push(&s.events, simEvent{at: q.attemptAt, prompt: q, answerEvents: answerEvents})
 }
--- a/internal/lab/passes/result.go
+++ b/internal/lab/passes/result.go
@@ -4,21 +4,17 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/lab/sizes"
-	"laburnumstack.org/laburnum/pkg/ident"
 )
 
 // Result holds the results of the prompts of one kind.
 type Result struct {
 	Kind string
 	// Requests counts all prompts and InTime those answered in time. Refused counts
-	// prompts whose retry was refused too, or whose caller was told a time after the
+	// prompts whose retry was refused too, or would have come after half of the
 	// deadline. Failed counts answers that missed the deadline or had a pause of
 	// more than eight times Gap and more than two seconds.
 	Requests, InTime int
 	Refused, Failed  int
-	// Deferred counts the prompts that were refused at the first try, and RefusedAgain those
-	// that were refused at a retry too.
-	Deferred, RefusedAgain int
 	// LateFirst counts answers whose first event came late, LateGap the others
 	// with a pause of more than Gap. Failed answers count in neither.
 	LateFirst, LateGap int
@@ -26,8 +22,6 @@
 	MaxCredit, EarnedCredit float64
 	// Sizes holds the results by size class.
 	Sizes sizes.Results
-	// Small and Large are the results of the small and of the large workspaces.
-	Small, Large sizes.Result
 	// MeanTimeToFirstEvent is counted from the arrival. MeanEstimateError is the
 	// mean absolute error of the time to the first event that was estimated at
 	// placement, counted from the latest attempt.
@@ -49,10 +43,6 @@
 		a[i].InTime += b[i].InTime
 		a[i].Refused += b[i].Refused
 		a[i].Failed += b[i].Failed
-		a[i].Deferred += b[i].Deferred
-		a[i].RefusedAgain += b[i].RefusedAgain
-		a[i].Small.Add(b[i].Small)
-		a[i].Large.Add(b[i].Large)
 		a[i].LateFirst += b[i].LateFirst
 		a[i].LateGap += b[i].LateGap
 		a[i].Sizes.Add(b[i].Sizes)
@@ -99,9 +89,6 @@
 			rs = append(rs, sizes.Request{Prompt: q.tokens, Served: q.served()})
 		}
 		s.results[i].Sizes = sizes.CountRequests(rs)
-		for _, q := range s.arrived[i] {
-			s.results[i].addWorkspace(q, q.workspace < s.firstSmall())
-		}
 		if n := time.Duration(s.results[i].Requests - s.results[i].Refused); n > 0 {
 			s.results[i].MeanTimeToFirstEvent /= n
 			s.results[i].MeanEstimateError /= n
@@ -112,19 +99,3 @@
 // creditWeight returns the factor on the credit of a prompt. It grows with the
 // prompt's size relative to the mean of its kind.
 func (q *prompt) creditWeight() float64 { return min(4, 0.3+0.7*float64(q.tokens)/q.kind.MeanTokens) }
-
-// addWorkspace adds a prompt to the results of the small or of the large workspaces.
-func (r *Result) addWorkspace(q *prompt, isLarge bool) {
-	b := sizes.Result{Asked: 1}
-	if q.served() {
-		b.Served = 1
-	}
-	if isLarge {
-		r.Large.Add(b)
-		return
-	}
-	r.Small.Add(b)
-}
-
-// firstSmall returns the name of the first small workspace.
-func (s *simulation) firstSmall() ident.WorkspaceName { return workspaceName(s.LargeWorkspaces) }
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -69,7 +69,6 @@
 // would use all of its sends there.
 func (x *exchange) place(candidates []*topol.Endpoint, now time.Time) (place.Choice, place.Request, error) {
 	r, st := x.placeRequest(now), x.serviceState(candidates, now)
-	x.setPlace(&r, len(candidates), now)
 	if doubtful := x.doubtful(candidates); len(doubtful) > 0 {
 		certain := r
 		certain.Tried = doubtful
@@ -133,8 +132,6 @@
 		return max(retrySoon, x.server.restForAllNodes(es, time.Now()))
 	case errors.Is(err, errNoHome):
 		return retryHome
-	case errors.Is(err, place.ErrDeferred):
-		return x.deferFor(c, r, time.Now())
 	}
 	return place.RetryAfter(c, r)
 }
--- a/internal/trans/gate/decide.go
+++ b/internal/trans/gate/decide.go
@@ -33,7 +33,6 @@
 func (s *Server) AddPeerDecisions(ds []bysize.Decision) {
 	for _, b := range ds {
 		s.decisions.record(b)
-		s.deferred.record(b, s.engineOf(b.Service), time.Now())
 	}
 }
 
@@ -54,24 +53,15 @@
 
 // recordDecision records whether the prompt is admitted, unless it is of a kind that is
 // never deferred, and informs the peers. The latest decision on a request counts.
-func (x *exchange) recordDecision(admitted bool) { x.recordDecisionWith(admitted, 0) }
-
-// recordDecisionWith is recordDecision for a prompt whose caller was told to return after a
-// time and has a place in the virtual queue then; otherwise the time is zero.
-func (x *exchange) recordDecisionWith(admitted bool, retry time.Duration) {
+func (x *exchange) recordDecision(admitted bool) {
 	if !x.isDecided && !x.isDeferrable(place.Request{Prompt: x.reqHeader.Prompt, Gap: x.route.Gap}) {
 		return
 	}
 	if x.isDecided && x.isAdmitted == admitted {
 		return
 	}
-	b := bysize.Decision{
-		Route: x.route.Name, Request: bysize.RequestKey(x.digest()), Prompt: x.reqHeader.Prompt, Admitted: admitted, At: time.Now(),
-		Service: x.service.Name, Workspace: x.workspaceName(), Retry: retry,
-	}
+	b := bysize.Decision{Route: x.route.Name, Request: bysize.RequestKey(x.digest()), Prompt: x.reqHeader.Prompt, Admitted: admitted, At: time.Now()}
 	class, isNew := x.server.decisions.record(b)
-	x.server.deferred.record(b, x.service.Engine, b.At)
-	x.countReturn(admitted)
 	x.server.AnnounceDecision(b)
 	x.isDecided, x.isAdmitted, x.sizeClass = true, admitted, class
 	if isNew {
@@ -79,10 +69,9 @@
 	}
 }
 
-// recordRefused records that the prompt is refused because of load, and that its caller was told
-// to return after a time.
-func (x *exchange) recordRefused(err error, told time.Duration) {
-	x.recordDecisionWith(false, x.retryOf(err, told))
+// recordRefused records that the prompt is refused because of load.
+func (x *exchange) recordRefused() {
+	x.recordDecision(false)
 	x.countBySize("refused")
 }
 
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -78,7 +78,6 @@
 	isDecided, isAdmitted bool
 	// sizeClass is the size class of the prompt; set with isDecided.
 	sizeClass bysize.Class
-	deferral  deferral
 	// sends counts the sends of the request, including those that the endpoint
 	// refused or that could not reach it. possibleRuns counts those that may
 	// have run the request.
--- a/internal/trans/gate/lines.go
+++ b/internal/trans/gate/lines.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"laburnumstack.org/laburnum/internal/coord/vqueue"
 )
 
 const (
@@ -55,12 +53,6 @@
 func (x *exchange) addLoad(e *zerolog.Event) *zerolog.Event {
 	e = e.Float64("loss", x.load.LossOfOthers).Float64("maxLoss", x.load.MaxLossOfOthers).
 		Float64("interactiveLoss", x.load.InteractiveLoss).Float64("maxInteractiveLoss", x.load.MaxInteractiveLoss).Float64("favour", x.load.Favour)
-	if x.deferral.place != vqueue.NoPlace {
-		e = e.Str("place", placeLabel(x.deferral.place))
-	}
-	if x.deferral.yield > 0 {
-		e = e.Float64("yield", x.deferral.yield)
-	}
 	if x.isDecided {
 		e = e.Hex("digest", binary.BigEndian.AppendUint64(nil, uint64(x.digest())))
 	}
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -18,7 +18,6 @@
 	prompts      *prometheus.CounterVec
 	rejections   *prometheus.CounterVec
 	bySize       *prometheus.CounterVec
-	returns      *prometheus.CounterVec
 	sends        *prometheus.CounterVec
 	timeToFirst  *prometheus.HistogramVec
 	strikes      prometheus.Counter
@@ -65,9 +64,6 @@
 		bySize: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_size_requests_total", Help: "Prompts that may be deferred, by route, by size class among the route's prompts, and by outcome: asked, served, broken-off, or refused because of load.",
 		}, []string{"route", "size", "outcome"}),
-		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "laburnum_deferred_returns_total", Help: "Prompts that may be deferred and whose callers returned, by outcome (admitted, refused) and by place: kept if the prompt came at the time that the caller was told, early if it came before, unknown if the node knows no such time.",
-		}, []string{"outcome", "place"}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_sends_total", Help: "Sends to endpoints by result.",
 		}, []string{"result"}),
@@ -114,12 +110,11 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.returns, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, m.beyondSlots, newEvacuationMetrics(s),
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, m.beyondSlots, newEvacuationMetrics(s),
 		gauge("laburnum_evacuated_data_centres", "Data centres whose evacuation is in force.", func() float64 { return float64(len(s.Feeds.Evacuated())) }),
 		gauge("laburnum_slow_start_endpoints", "Endpoints in slow start.", func() float64 { return float64(s.pacing.slowCount.Load()) }),
 		gauge("laburnum_slow_start_bound", "Sum of the bounds on concurrent requests at the endpoints in slow start, of all nodes together.", func() float64 { return float64(s.slowBounds()) }),
 		gauge("laburnum_cold_endpoints", "Endpoints taken for cold.", func() float64 { return float64(s.pacing.coldCount.Load()) }),
-		gauge("laburnum_deferred_waiting", "Deferred prompts whose callers were told to return and have not.", func() float64 { return float64(s.deferred.expire(time.Now())) }),
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -30,7 +30,7 @@
 		x.server.getMetrics().evacuated.Inc()
 	}
 	if isCausedByLoad(err) {
-		x.recordRefused(err, retryAfter)
+		x.recordRefused()
 	}
 	if errors.Is(err, errNoHome) {
 		x.recordNoHome()
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -188,7 +188,6 @@
 	pacing         pacing
 	cutOff         atomic.Pointer[cutOff]
 	decisions      sizeDecisions
-	deferred       deferredPrompts
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
 	limitsOnce sync.Once
@@ -322,7 +321,6 @@
 		s.refreshStale()
 		s.refreshPace(now)
 		s.decisions.expire(now)
-		s.deferred.expire(now)
 		s.logEvacuations()
 		endpoints := s.Feeds.Endpoints()
 		s.pools.Expire(now, func(addr string) bool {
