gate, place: names and comments after a newcomer's reading

Renames: brokenPromise to untrueNotRun, cutOff (the state) to isolation, IsOthers to IsForOthers, recordRunning to clearLost, unknown to loadUnknown, firstUse to renewNow, doubt to avoidDataCentre. A send that is silent says so in its outcome, in place of the zero value.

--- a/internal/coord/pace/burst_test.go
+++ b/internal/coord/pace/burst_test.go
@@ -109,7 +109,7 @@
 // Load: the same burst, and one of four times the usual rate, while the engines return without
 // being cold, as after a lost link. Nothing but slow start holds back what all nodes send to the idle
 // engines at once, also while it yields since the others are overloaded.
-func TestSlowStartThatYieldsIsNoFlood(t *testing.T) {
+func TestSlowStartThatYieldsBoundsConcurrentRequests(t *testing.T) {
 	for _, c := range []struct {
 		factor float64
 		most   int
--- a/internal/coord/pace/engines_test.go
+++ b/internal/coord/pace/engines_test.go
@@ -158,16 +158,16 @@
 	suspects := r.Tried
 	st.Suspect = func(e ident.EndpointName) bool { return suspects.Has(e) || n.cold.IsCold(quota.Key{Endpoint: e}, now) }
 	n.bound(&st)
-	c, isUnbounded, err := l.choose(st, r)
+	c, ignoresBounds, err := l.choose(st, r)
 	if err != nil {
 		l.reject(p, k, place.RetryAfter(c, r))
 		return
 	}
-	if isUnbounded {
+	if ignoresBounds {
 		l.results[p.kind].unbounded++
 	}
 	key := Key(c.Primary)
-	turn, ok := n.slow.Take(key, &n.view, isUnbounded, now)
+	turn, ok := n.slow.Take(key, &n.view, ignoresBounds, now)
 	if !ok || !n.cold.Take(key, &n.view, now) || !n.cold.Sent(key, now, now) {
 		panic("a turn was not given")
 	}
@@ -198,7 +198,7 @@
 		}
 	}
 	st.MaxInFlight = func(e ident.EndpointName) int { return bounds[e] }
-	st.IsOthers = others.Has
+	st.IsForOthers = others.Has
 }
 
 func (l *engineLoad) reject(p *loadPrompt, k promptKind, after time.Duration) {
--- a/internal/coord/place/bounds.go
+++ b/internal/coord/place/bounds.go
@@ -1,17 +1,16 @@
 package place
 
-// ChooseWithinBounds is like Choose. It reports whether the choice does without the bounds of
-// MaxInFlight. They must not cause a rejection, or an answer that is late and would be in time
-// without them: if the choice within them is rejected or expected to miss the target, it is
-// compared with one without them.
-func ChooseWithinBounds(s ServiceState, r Request) (c Choice, isUnbounded bool, err error) {
+// ChooseWithinBounds chooses within the bounds of MaxInFlight. If that choice is rejected or expected
+// to miss the target, it chooses without them, and returns that choice if the first was rejected or
+// if the second meets the target. Then ignoresBounds is set.
+func ChooseWithinBounds(s ServiceState, r Request) (c Choice, ignoresBounds bool, err error) {
 	c, err = Choose(s, r)
 	if s.MaxInFlight == nil || err == nil && !s.isExpectedLate(c, r) {
 		return c, false, err
 	}
-	free := s
-	free.MaxInFlight, free.IsOthers = nil, nil
-	other, otherErr := Choose(free, r)
+	unbounded := s
+	unbounded.MaxInFlight, unbounded.IsForOthers = nil, nil
+	other, otherErr := Choose(unbounded, r)
 	if err == nil && (otherErr != nil || s.isExpectedLate(other, r)) {
 		return c, false, nil
 	}
--- a/internal/coord/place/bounds_test.go
+++ b/internal/coord/place/bounds_test.go
@@ -14,7 +14,7 @@
 // bounded returns a state in which the named engines have bounds.
 func bounded(s ServiceState, bounds map[ident.EndpointName]int) ServiceState {
 	s.MaxInFlight = func(n ident.EndpointName) int { return bounds[n] }
-	s.IsOthers = never
+	s.IsForOthers = never
 	return s
 }
 
@@ -30,12 +30,12 @@
 	full := busy
 	full.Share = 300_000
 	for _, c := range []struct {
-		name        string
-		r           Request
-		at          []works.Request
-		bound       int
-		want        ident.EndpointName
-		isUnbounded bool
+		name          string
+		r             Request
+		at            []works.Request
+		bound         int
+		want          ident.EndpointName
+		ignoresBounds bool
 	}{
 		{"within the bound", short, []works.Request{busy}, 1, "a", false},
 		{"late within the bound", short, []works.Request{busy, inFlight("a", 100, time.Second)}, 1, "a", true},
@@ -48,10 +48,10 @@
 		if c.bound > 0 {
 			s = bounded(s, map[ident.EndpointName]int{"a": c.bound})
 		}
-		got, isUnbounded, err := ChooseWithinBounds(s, c.r)
+		got, ignoresBounds, err := ChooseWithinBounds(s, c.r)
 		must.NoError(t, err, must.Sprint(c.name))
 		test.Eq(t, c.want, got.Primary.Name, test.Sprint(c.name))
-		test.Eq(t, c.isUnbounded, isUnbounded, test.Sprint(c.name))
+		test.Eq(t, c.ignoresBounds, ignoresBounds, test.Sprint(c.name))
 	}
 }
 
--- a/internal/coord/place/engine.go
+++ b/internal/coord/place/engine.go
@@ -24,8 +24,8 @@
 	// maxInFlight bounds the requests and the helped prompts at the same time, unless it is
 	// zero.
 	maxInFlight int
-	// isOthers is set if the room that maxInFlight leaves is for requests of other nodes.
-	isOthers bool
+	// isForOthers is set if the room that maxInFlight leaves is for requests of other nodes.
+	isForOthers bool
 	// isSlow is set for an engine in slow start.
 	isSlow bool
 	// interactive is set for the engines of the interactive pool, which is kept
@@ -124,7 +124,7 @@
 
 // takesRequest reports whether the engine has a slot for a request of this node.
 func (v *engineView) takesRequest() bool {
-	return v.requests < v.spec.Slots && v.hasRoom() && !v.isOthers
+	return v.requests < v.spec.Slots && v.hasRoom() && !v.isForOthers
 }
 
 // mayHelp reports whether the engine has a slot to help another engine with a prompt.
@@ -142,7 +142,7 @@
 		v := &engineView{endpoint: e, spec: s.Engine, avoid: s.Avoid(e.Name), suspect: s.Suspect(e.Name)}
 		if s.MaxInFlight != nil {
 			v.maxInFlight = s.MaxInFlight(e.Name)
-			v.isOthers = v.maxInFlight > 0 && s.IsOthers(e.Name)
+			v.isForOthers = v.maxInFlight > 0 && s.IsForOthers(e.Name)
 		}
 		v.isSlow = s.IsSlow != nil && s.IsSlow(e.Name)
 		byName[e.Name] = v
--- a/internal/coord/place/full.go
+++ b/internal/coord/place/full.go
@@ -16,11 +16,10 @@
 	// waits for a slot. Callers abandon a stream after 2 s without an event, and the
 	// expected output of the requests ahead may be too small.
 	maxWaitEstimate = time.Second
-	// No request waits while more than maxLatePercent of the slots are taken by requests
-	// that were sent after their target. It would take a slot that a first try could have
-	// got in time. In simulated bursts without the bound, 6 percent fewer answers were in
-	// time; with 2 percent, 0.3 percent fewer, which is within chance.
-	maxLatePercent = 2
+	// maxSentLatePercent is the largest share of the slots that requests sent after their target
+	// had passed may take if a further one is to wait. It would take a slot in which a new request
+	// could be in time: without the bound, 6 percent fewer answers were in time in simulated bursts.
+	maxSentLatePercent = 2
 	// pastTarget is the target that is announced for a request sent after its target.
 	pastTarget = time.Millisecond
 	// slotJitter is the upper bound on the random time that is added to the wait at an
@@ -34,7 +33,7 @@
 func chooseFull(vs []*engineView, s ServiceState, r Request) (Choice, error) {
 	waits := slotWaits(vs, s)
 	rejected := Choice{Load: Load{SlotWait: majorityWait(vs, waits)}}
-	if !r.IsRetry || IsDeferrable(s.Engine, r) || isCrowdedByLate(vs) {
+	if !r.IsRetry || IsDeferrable(s.Engine, r) || tooManySentLate(vs) {
 		return rejected, ErrFull
 	}
 	if slices.ContainsFunc(vs, func(v *engineView) bool { return v.hasFreeSlot(r) }) {
@@ -63,15 +62,15 @@
 	return best, nil
 }
 
-// isCrowdedByLate reports whether requests that were sent after their target take so many slots
+// tooManySentLate reports whether requests that were sent after their target take so many slots
 // that no further one should wait.
-func isCrowdedByLate(vs []*engineView) bool {
+func tooManySentLate(vs []*engineView) bool {
 	slots, late := 0, 0
 	for _, v := range vs {
 		slots += v.spec.Slots
 		late += v.late
 	}
-	return late*100 > slots*maxLatePercent
+	return late*100 > slots*maxSentLatePercent
 }
 
 // hasFreeSlot reports whether the engine has a slot and memory for a request, even if slow start
--- a/internal/coord/place/full_test.go
+++ b/internal/coord/place/full_test.go
@@ -103,7 +103,7 @@
 		{"many returned late", manyLate(2), shortRetry, ""},
 		{"slow start leaves a slot", change(fullState(9, 3, 6), func(s *ServiceState) {
 			s.InFlight = s.InFlight[1:]
-			s.IsSlow, s.IsOthers = is("a"), is("a")
+			s.IsSlow, s.IsForOthers = is("a"), is("a")
 			s.MaxInFlight = func(n ident.EndpointName) int { return map[ident.EndpointName]int{"a": 1}[n] }
 		}), shortRetry, ""},
 	}
--- a/internal/coord/place/place.go
+++ b/internal/coord/place/place.go
@@ -120,9 +120,9 @@
 	// MaxInFlight returns the largest number of requests that may run at an endpoint at the
 	// same time; zero means no bound but its slots. If it is nil, no endpoint has a bound.
 	MaxInFlight func(ident.EndpointName) int
-	// IsOthers reports whether the room that MaxInFlight leaves is for requests of other
+	// IsForOthers reports whether the room that MaxInFlight leaves is for requests of other
 	// nodes. It is set with MaxInFlight.
-	IsOthers func(ident.EndpointName) bool
+	IsForOthers func(ident.EndpointName) bool
 	// IsSlow reports whether an endpoint is in slow start, where no request waits for a slot.
 	// If it is nil, none is.
 	IsSlow func(ident.EndpointName) bool
@@ -137,7 +137,7 @@
 		return false
 	}
 	most := s.MaxInFlight(n)
-	return most > 0 && (requests >= most || s.IsOthers(n))
+	return most > 0 && (requests >= most || s.IsForOthers(n))
 }
 
 // Choose returns the endpoints for a request. With ErrDeferred and ErrLate it
--- a/internal/trans/gate/classify.go
+++ b/internal/trans/gate/classify.go
@@ -26,8 +26,8 @@
 	unsignedAnswer
 	// unusableAnswer does not continue the stream that the caller has begun to receive.
 	unusableAnswer
-	// brokenPromise states that the request has not run, although another send may have run it.
-	brokenPromise
+	// untrueNotRun states that the request has not run, but another send may have run it.
+	untrueNotRun
 )
 
 // classify returns what the answer to a send means. If a part of a stream had been forwarded
@@ -46,7 +46,7 @@
 	case a.isResumed:
 		return unusableAnswer
 	case a.isRepeat && promisesNotRun(res.Status):
-		return brokenPromise
+		return untrueNotRun
 	}
 	return finalAnswer
 }
@@ -70,7 +70,7 @@
 		return "endpoint failed"
 	case k == unsignedAnswer:
 		return "response is not signed"
-	case k == brokenPromise:
+	case k == untrueNotRun:
 		return fmt.Sprintf("response with status %d, but the request may have run", res.Status)
 	}
 	contentType, _ := res.Get("Content-Type")
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -79,7 +79,7 @@
 	a.cancelOthers()
 	if a.isSilent {
 		a.isSilent = false
-		a.server.recordRunning(a.choice.Primary.Name)
+		a.server.clearLost(a.choice.Primary.Name)
 		a.server.endpointHealth.recordSuccess(a.choice.Primary.Name)
 	}
 }
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -99,7 +99,7 @@
 			Name: "laburnum_cold_left_out_total", Help: "Choices of an endpoint in which cold ones were left out, since this node's part of their allowance was used up.",
 		}),
 		beyondSlots: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "laburnum_beyond_slots_total", Help: "Sends of returning prompts to engines whose slots were all taken, to wait there for the next one.",
+			Name: "laburnum_beyond_slots_total", Help: "Requests sent to engines whose slots were all taken, to wait for the next one.",
 		}),
 		floods: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_endless_answers_total", Help: "Answers that were given up since the endpoint sent more than an answer may have, or since they took too much memory.",
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -223,7 +223,7 @@
 	case o.result == notSent || o.result == unanswered:
 		x.recordFailureAt(c.Primary, o, now)
 	case o.result == failed && x.service.Engine != nil && !o.rests:
-		s.recordFailure(c.Primary.Name, now)
+		s.endpointHealth.recordFailure(c.Primary.Name, now)
 	}
 }
 
@@ -237,7 +237,7 @@
 		Dur("after", now.Sub(x.arrived)).Str("route", string(x.route.Name)).Msg("gate: endpoint is silent")
 	// A request that waits for a slot is silent at a sound endpoint too.
 	if !a.isLinkLost() && !a.choice.Waits {
-		x.recordFailureAt(a.choice.Primary, outcome{startedAt: a.startedAt}, now)
+		x.recordFailureAt(a.choice.Primary, outcome{result: unanswered, timedOut: true, startedAt: a.startedAt}, now)
 	}
 }
 
@@ -247,11 +247,12 @@
 func (x *exchange) recordFailureAt(e *topol.Endpoint, o outcome, now time.Time) {
 	s := x.server
 	s.pool(e.Address).CloseIdle()
-	record := s.recordLost
-	if o.result != notSent && !o.timedOut {
-		record = s.recordFailure
+	isNew := false
+	if o.result == notSent || o.timedOut {
+		isNew = s.recordLost(e.Name, now)
+	} else {
+		isNew = s.endpointHealth.recordFailure(e.Name, now)
 	}
-	isNew := record(e.Name, now)
 	var strike *strik.Strike
 	if o.connBroken {
 		strike = x.newStrike(e.Name, o.startedAt, now)
@@ -274,7 +275,7 @@
 			switch s.diagnose(context.Background(), e) {
 			case reachedOverPeer:
 				s.endpointHealth.recordSuccess(e.Name)
-				s.recordRunning(e.Name)
+				s.clearLost(e.Name)
 			case unreachable:
 				// A node that has heard nothing since may be cut off, with peers that
 				// were too slow to show it.
@@ -293,7 +294,7 @@
 // endpoint at addr.
 func (x *exchange) recordFaultAt(addr string, now time.Time) {
 	if e := x.server.Feeds.Endpoints().ByAddress[addr]; e != nil {
-		if x.server.recordFailure(e.Name, now) {
+		if x.server.endpointHealth.recordFailure(e.Name, now) {
 			x.server.AnnounceFailure(e.Name)
 		}
 		x.tried.Add(e.Name)
--- a/internal/trans/gate/pace.go
+++ b/internal/trans/gate/pace.go
@@ -43,12 +43,12 @@
 	cold   pace.Cold
 	slow   pace.Slow
 	lost   pace.Lost
-	// unknown are the endpoints in slow start only since this node started and knew of no
-	// requests, which was so at unknownSince.
-	unknown      map[quota.Key]struct{}
-	unknownSince time.Time
-	view         pace.View
-	viewAt       time.Time
+	// loadUnknown holds the endpoints in slow start only because this node knew of no requests
+	// when it read the first list, at loadUnknownSince.
+	loadUnknown      map[quota.Key]struct{}
+	loadUnknownSince time.Time
+	view             pace.View
+	viewAt           time.Time
 }
 
 // updateView updates the view of the members if it is old. The caller holds s.pacing.mu.
@@ -86,7 +86,7 @@
 	defer p.mu.Unlock()
 	list, catalog = s.Feeds.Endpoints(), s.Feeds.Catalog()
 	// A node that starts and is told of no requests doesn't know the load of the endpoints.
-	isLoadUnknown := p.list.Load() == nil && !s.Bootstrap && !s.InFlight.KnowsOthers()
+	knowsNoRequests := p.list.Load() == nil && !s.Bootstrap && !s.InFlight.KnowsOthers()
 	isSame := p.list.Load().ListID() == list.ListID() && p.catalog.Load() == catalog
 	// Requests that see the new list as observed must also see what it tells.
 	defer func() {
@@ -97,8 +97,8 @@
 		return
 	}
 	isUsed := false
-	if isLoadUnknown {
-		p.unknownSince = now
+	if knowsNoRequests {
+		p.loadUnknownSince = now
 	}
 	for _, service := range catalog.Services {
 		if service.ColdStart <= 0 {
@@ -107,8 +107,8 @@
 		}
 		isUsed = true
 		s.applyStarts(service, p.starts.Observe(service.Name, list.ByService[service.Name], now), now)
-		if isLoadUnknown {
-			s.beginSlowStart(service, list.ByService[service.Name], whyLoadUnknown, now)
+		if knowsNoRequests {
+			s.beginSlowStart(service, list.ByService[service.Name], whyNoRequestsKnown, now)
 		}
 	}
 	p.isUsed.Store(isUsed)
--- a/internal/trans/gate/reserve.go
+++ b/internal/trans/gate/reserve.go
@@ -52,10 +52,10 @@
 	tokens []ident.Tokens
 	// since is a time before the reservations were made.
 	since time.Time
-	// isUsed is set once the first event of the prompt has arrived. firstUse then has a value
+	// isUsed is set once the first event of the prompt has arrived. renewNow then has a value
 	// if the reservations are to be renewed at once.
 	isUsed   atomic.Bool
-	firstUse chan struct{}
+	renewNow chan struct{}
 
 	stopRenewing context.CancelFunc
 	renewing     sync.WaitGroup
@@ -64,7 +64,7 @@
 // reserve reserves memory at all helpers for which the choice requires it, or at
 // none. It returns why the reservations failed, by engine.
 func (s *Server) reserve(ctx context.Context, c place.Choice) (*reservationSet, map[ident.EndpointName]error) {
-	rs := &reservationSet{server: s, tokens: c.Reservations, since: time.Now(), firstUse: make(chan struct{}, 1)}
+	rs := &reservationSet{server: s, tokens: c.Reservations, since: time.Now(), renewNow: make(chan struct{}, 1)}
 	for i := range c.Reservations {
 		rs.engines = append(rs.engines, c.Helpers[i])
 		rs.ids = append(rs.ids, fmt.Sprintf("%s-%x-%d", s.Node, s.startMillis, s.lastID.Add(1)))
@@ -77,7 +77,7 @@
 		failed[rs.engines[i].Name] = err
 		s.Logger.Info().Err(err).Str("endpoint", string(rs.engines[i].Name)).Str("ticket", rs.ids[i]).Int64("tokens", int64(rs.tokens[i])).Msg("gate: reservation failed")
 		if !errors.Is(err, ErrNoMemory) && !errors.Is(err, ErrMisdirected) && !s.isEvacuated(rs.engines[i]) {
-			s.recordFailure(rs.engines[i].Name, time.Now())
+			s.endpointHealth.recordFailure(rs.engines[i].Name, time.Now())
 		}
 	}
 	if len(failed) > 0 {
@@ -108,9 +108,9 @@
 	return max(s.MaxUnusedMemory-margin, s.MaxUnusedMemory/2)
 }
 
-// unusedTTL returns the longest TTL of a call at the given time for memory that is not used. Calls
-// with less than reservationTTL all end at the same time, before the bound on unused memory; then
-// it is zero or less.
+// unusedTTL returns the TTL of a call at the given time for memory that is not used. It is
+// reservationTTL, or the time until the bound less expiryMargin if that is shorter. It is zero or
+// less once that time has passed.
 func (rs *reservationSet) unusedTTL(now time.Time) time.Duration {
 	limit := rs.server.maxUnused(expiryMargin)
 	if limit == 0 {
@@ -127,11 +127,11 @@
 	return rs.unusedTTL(now)
 }
 
-// markUsed records that the first event of the prompt has arrived. If the last renewal was cut, the
-// reservations are renewed at once.
+// markUsed records that the first event of the prompt has arrived. If the TTL of the next renewal
+// would be shortened, the reservations are renewed at once.
 func (rs *reservationSet) markUsed() {
 	if rs.isUsed.CompareAndSwap(false, true) && rs.unusedTTL(time.Now()) < reservationTTL {
-		rs.firstUse <- struct{}{}
+		rs.renewNow <- struct{}{}
 	}
 }
 
@@ -166,7 +166,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-rs.firstUse:
+		case <-rs.renewNow:
 			// The next regular renewal may come too late.
 			for !rs.renew(ctx) && time.Since(rs.since) < rs.server.MaxUnusedMemory && delay.For(ctx, renewRetryPause) {
 			}
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -80,7 +80,7 @@
 		a.answer.reader = a.newEventReader(res)
 		a.answer.events = &a.answer.reader
 		return a.readFirstEvents()
-	case unusableAnswer, brokenPromise:
+	case unusableAnswer, untrueNotRun:
 		a.outcome.result, a.outcome.reason = unusable, kind.describe(res)
 		return false
 	case finalAnswer:
@@ -200,7 +200,7 @@
 	}
 	res, o := a.answer.head, &a.outcome
 	if promisesNotRun(res.Status) && (a.possibleRuns > 0 || len(a.others) > 0) {
-		o.result, o.reason = unusable, brokenPromise.describe(res)
+		o.result, o.reason = unusable, untrueNotRun.describe(res)
 		return
 	}
 	a.goesOn()
--- a/internal/trans/gate/result.go
+++ b/internal/trans/gate/result.go
@@ -26,8 +26,9 @@
 	// unanswered means that the endpoint may have run the request, but there
 	// is no complete and valid response.
 	unanswered
-	// unusable means that the endpoint answered, but not with the rest of the stream
-	// that the caller has begun to receive.
+	// unusable means that the endpoint answered, but the answer can't be passed on: it does not
+	// continue the stream that the caller has begun to receive, or it promises that the request
+	// has not run although another send may have run it.
 	unusable
 	// failed means that the endpoint responded with a status of 500 or above.
 	failed
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -186,7 +186,7 @@
 	endpointLimits endpointLimits
 	staleRecords   staleRecords
 	pacing         pacing
-	cutOff         atomic.Pointer[cutOff]
+	isolation      atomic.Pointer[isolation]
 	decisions      sizeDecisions
 	evacuationLog  evacuationLog
 	// limitsOnce guards the creation of endpointLimits.
--- a/internal/trans/gate/slow.go
+++ b/internal/trans/gate/slow.go
@@ -12,11 +12,11 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// whyLoadUnknown is the reason of slow start at a node that starts and knows of no requests.
-const whyLoadUnknown = "load unknown"
+// whyNoRequestsKnown is the reason of slow start at a node that starts and knows of no requests.
+const whyNoRequestsKnown = "load unknown"
 
-// unknownTime is how long a node that starts waits for what peers tell of earlier requests.
-const unknownTime = 3 * time.Second
+// loadUnknownTime is how long a node that starts waits for what peers tell of earlier requests.
+const loadUnknownTime = 3 * time.Second
 
 // beginSlowStart begins slow start of endpoints of a service. The caller holds s.pacing.mu.
 func (s *Server) beginSlowStart(service *topol.Service, es []*topol.Endpoint, why string, now time.Time) {
@@ -32,11 +32,11 @@
 	for _, e := range es {
 		slots := slotsOf(service, e)
 		first := max(pace.FirstBound(slots), running[e.Name])
-		if why == whyLoadUnknown {
+		if why == whyNoRequestsKnown {
 			first = pace.UnknownFirst
 		}
 		isNew := !e.Leaving && p.slow.Begin(pace.Key(e), slots, first, pace.SlowTime(service.ColdStart), now)
-		p.markUnknown(pace.Key(e), isNew && why == whyLoadUnknown)
+		p.markLoadUnknown(pace.Key(e), isNew && why == whyNoRequestsKnown)
 		if !isNew {
 			continue
 		}
@@ -50,38 +50,38 @@
 	}
 }
 
-// markUnknown records whether an endpoint is in slow start only since its load was unknown.
-func (p *pacing) markUnknown(k quota.Key, isUnknown bool) {
+// markLoadUnknown records whether an endpoint is in slow start only since its load was unknown.
+func (p *pacing) markLoadUnknown(k quota.Key, isUnknown bool) {
 	if !isUnknown {
-		delete(p.unknown, k)
+		delete(p.loadUnknown, k)
 		return
 	}
-	if p.unknown == nil {
-		p.unknown = map[quota.Key]struct{}{}
+	if p.loadUnknown == nil {
+		p.loadUnknown = map[quota.Key]struct{}{}
 	}
-	p.unknown[k] = struct{}{}
+	p.loadUnknown[k] = struct{}{}
 }
 
-// endUnknown ends slow start that began since this node knew of no requests, once a peer tells of
+// endLoadUnknown ends slow start that began since this node knew of no requests, once a peer tells of
 // one from clearly before the start: then the others did not start at the same time, and tell of
 // all requests that run. The caller holds s.pacing.mu.
-func (s *Server) endUnknown(now time.Time) {
+func (s *Server) endLoadUnknown(now time.Time) {
 	p := &s.pacing
-	if len(p.unknown) == 0 {
+	if len(p.loadUnknown) == 0 {
 		return
 	}
-	if now.Sub(p.unknownSince) > unknownTime {
-		p.unknown = nil
+	if now.Sub(p.loadUnknownSince) > loadUnknownTime {
+		p.loadUnknown = nil
 		return
 	}
-	if !s.InFlight.KnowsOlder(p.unknownSince.Add(-startWait - settleTime)) {
+	if !s.InFlight.KnowsOlder(p.loadUnknownSince.Add(-startSpread)) {
 		return
 	}
-	for k := range p.unknown {
+	for k := range p.loadUnknown {
 		p.slow.End(k)
 	}
-	s.Logger.Info().Int("count", len(p.unknown)).Str("why", "load known").Msg("gate: slow start of endpoints has ended")
-	p.unknown = nil
+	s.Logger.Info().Int("count", len(p.loadUnknown)).Str("why", "load known").Msg("gate: slow start of endpoints has ended")
+	p.loadUnknown = nil
 	p.slowCount.Store(int64(p.slow.Len()))
 }
 
@@ -93,15 +93,9 @@
 	return e.Slots
 }
 
-// recordFailure records a failure of an endpoint, and reports whether it is newly avoided. It does
-// not begin slow start: an endpoint that answers with an error, or breaks one connection, has not
-// started anew.
-func (s *Server) recordFailure(n ident.EndpointName, now time.Time) bool {
-	return s.endpointHealth.recordFailure(n, now)
-}
-
 // recordLost records that an endpoint could not be reached, or was silent, and reports whether it
-// is newly avoided. Slow start begins when it is no longer avoided.
+// is newly avoided. Slow start begins when it is no longer avoided. After other failures it does not:
+// an endpoint that answers with an error, or breaks one connection, has not started anew.
 func (s *Server) recordLost(n ident.EndpointName, now time.Time) bool {
 	isNew := s.endpointHealth.recordFailure(n, now)
 	p := &s.pacing
@@ -131,8 +125,8 @@
 	}
 }
 
-// recordRunning records that an endpoint has not started since it was silent or broke a connection.
-func (s *Server) recordRunning(n ident.EndpointName) { s.updateLost(n, (*pace.Lost).Clear) }
+// clearLost records that an endpoint that counts as lost has run all the time.
+func (s *Server) clearLost(n ident.EndpointName) { s.updateLost(n, (*pace.Lost).Clear) }
 
 // beginAfterLoss begins slow start of the endpoints that were lost and are used again. Requests that
 // still run there were probably not lost, and a bound below them would keep the endpoint idle until
@@ -174,7 +168,7 @@
 	bounds, others := map[ident.EndpointName]int{}, ident.Set[ident.EndpointName]{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x.server.endUnknown(st.Now)
+	x.server.endLoadUnknown(st.Now)
 	x.beginAfterLoss(st, inFlight)
 	if p.slow.Len() == 0 {
 		return
@@ -192,7 +186,7 @@
 		}
 	}
 	st.MaxInFlight = func(n ident.EndpointName) int { return bounds[n] }
-	st.IsOthers = others.Has
+	st.IsForOthers = others.Has
 	st.IsSlow = func(n ident.EndpointName) bool { return bounds[n] > 0 }
 }
 
--- a/internal/trans/gate/slow_test.go
+++ b/internal/trans/gate/slow_test.go
@@ -221,7 +221,7 @@
 		s.InFlight.Reset("n2", 7)
 		s.InFlight.Put(works.Request{ID: 1, Node: "n2", First: "ep", Since: time.Now().Add(-c.sentAgo)})
 		s.pacing.mu.Lock()
-		s.endUnknown(time.Now())
+		s.endLoadUnknown(time.Now())
 		s.pacing.mu.Unlock()
 		bound, _ := s.pacing.slow.Bound(pace.Key(&listed), time.Now())
 		test.Eq(t, c.want, bound, test.Sprint(c.name))
@@ -310,7 +310,7 @@
 		{"a peer has told", []func(*rig){told}, 2},
 		{"reset", []func(*rig){fail(broken)}, 0},
 		{"garbled", []func(*rig){fail(garbled)}, 0},
-		{"an error", []func(*rig){func(r *rig) { r.server.recordFailure("ep", time.Now()) }}, 0},
+		{"an error", []func(*rig){func(r *rig) { r.server.endpointHealth.recordFailure("ep", time.Now()) }}, 0},
 		{"a peer has told of a reset", []func(*rig){told, strike}, 0},
 		{"a request from before was answered", []func(*rig){told, event(time.Minute)}, 0},
 		{"a later request was answered", []func(*rig){told, event(time.Second)}, 2},
--- a/internal/trans/gate/stale.go
+++ b/internal/trans/gate/stale.go
@@ -84,21 +84,21 @@
 	e := a.choice.Primary
 	isUnreached := a.outcome.result == notSent && a.link == nil
 	if isUnreached || a.outcome.isMisdirected() {
-		x.doubt(e.DataCentre, a.sentAt)
+		x.avoidDataCentre(e.DataCentre, a.sentAt)
 	}
 	if isUnreached {
 		x.server.updateStale(func(t *stale.Table) []stale.Change { return t.Fail(e, a.sentAt, x.server.staleRecords.now()) })
 	}
 	for _, h := range a.choice.Helpers {
 		if errors.Is(a.outcome.unreservedEngines[h.Name], ErrMisdirected) {
-			x.doubt(h.DataCentre, a.sentAt)
+			x.avoidDataCentre(h.DataCentre, a.sentAt)
 		}
 	}
 }
 
-// doubt makes the request go to no further endpoint of a data centre until a later list of
+// avoidDataCentre makes the request go to no further endpoint of a data centre until a later list of
 // endpoints is in force, if it can be placed elsewhere.
-func (x *exchange) doubt(n ident.DataCentre, sent clock.Instant) {
+func (x *exchange) avoidDataCentre(n ident.DataCentre, sent clock.Instant) {
 	if x.doubtedAt == nil {
 		x.doubtedAt = map[ident.DataCentre]clock.Instant{}
 	}
--- a/internal/trans/gate/start.go
+++ b/internal/trans/gate/start.go
@@ -10,6 +10,8 @@
 	// is, its configuration, endpoints and evacuations. A node usually has them sooner, and a
 	// caller who is refused would come back to it later than that.
 	startWait = 600 * time.Millisecond
+	// startSpread is the longest time between the starts of nodes that count as started together.
+	startSpread = startWait + settleTime
 	// statePollInterval is the pause between two checks whether the state has arrived.
 	statePollInterval = 5 * time.Millisecond
 )
@@ -17,10 +19,10 @@
 // isSettling reports whether the node has just started.
 func (s *Server) isSettling(now time.Time) bool { return now.Sub(s.startedAt) < settleTime }
 
-// cutOff is whether a node was cut off from most of the others at a time.
-type cutOff struct {
-	at time.Time
-	is bool
+// isolation is whether the node heard of less than half of the other nodes at a time.
+type isolation struct {
+	at       time.Time
+	isCutOff bool
 }
 
 // isLoadUnknown reports whether the node knows little of the requests of other nodes: it has just
@@ -29,12 +31,12 @@
 	if s.isSettling(now) {
 		return true
 	}
-	c := s.cutOff.Load()
-	if c == nil || now.Sub(c.at) > nodesAge {
-		c = &cutOff{now, s.Nodes(now).IsCutOff()}
-		s.cutOff.Store(c)
+	i := s.isolation.Load()
+	if i == nil || now.Sub(i.at) > nodesAge {
+		i = &isolation{now, s.Nodes(now).IsCutOff()}
+		s.isolation.Store(i)
 	}
-	return c.is
+	return i.isCutOff
 }
 
 // hasState reports whether the node knows a configuration that was confirmed, the endpoints
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -74,7 +74,7 @@
 func (s *Server) AddStrikes(ss []strik.Strike) {
 	for _, k := range ss {
 		// A connection was broken, which peers announce as a failure too.
-		s.recordRunning(k.Endpoint)
+		s.clearLost(k.Endpoint)
 	}
 	s.strikes.add(ss...)
 	s.addPartStrikes(ss...)
