--- /dev/null
+++ b/review/rig2/cases.go
@@ -0,0 +1,228 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// cases are the cases by name.
+var cases = map[string]func(*rig){"crash": crash, "reads": reads}
+
+const (
+	portalWork   = 60 * time.Millisecond
+	stableWindow = 3 * time.Second
+	// lookupDeadline is the clients' deadline of the sheet for lookups.
+	lookupDeadline = 4 * time.Second
+)
+
+// lookup returns a lookup of the map.
+func lookup(path, key string) request {
+	return request{method: http.MethodGet, host: host, path: path, key: key, timeLeft: lookupDeadline}
+}
+
+// tally counts answers by what they were.
+type tally struct {
+	mu     sync.Mutex
+	counts map[string]int
+	served int
+	all    int
+}
+
+func (t *tally) add(a answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.counts == nil {
+		t.counts = map[string]int{}
+	}
+	t.counts[a.String()]++
+	t.all++
+	if a.status == 200 && a.whole {
+		t.served++
+	}
+}
+
+func (t *tally) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("%d of %d served (%s)", t.served, t.all, sortedCounts(t.counts))
+}
+
+// sendTwice sends a request as a client of the sheet does, which retries once: on another machine of
+// its zone, after a failure.
+func (r *rig) sendTwice(zone string, q request) answer {
+	ns := r.inZone(zone)
+	i := rand.IntN(len(ns))
+	sent := time.Now()
+	a := r.send(ns[i], q)
+	if a.status == 200 && a.whole {
+		return a
+	}
+	left := q.timeLeft - time.Since(sent)
+	wait, _ := time.ParseDuration(a.retry + "s")
+	wait = min(max(wait, 20*time.Millisecond), left/3)
+	if left < 100*time.Millisecond {
+		return a
+	}
+	time.Sleep(wait)
+	q.timeLeft = left - wait
+	return r.send(ns[(i+1)%len(ns)], q)
+}
+
+// every calls a function in a goroutine of its own after each pause, until stop is closed.
+func every(stop chan struct{}, pause time.Duration, f func(i int)) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+			go f(i)
+		}
+	}
+}
+
+// crash: a request crashes each server that begins to run it, and its caller sends it again. There is
+// little other traffic, as at night.
+func crash(r *rig) {
+	const (
+		begins    = 20 * time.Millisecond
+		down      = 2 * time.Second
+		again     = 1500 * time.Millisecond
+		last      = 45 * time.Second
+		lookups   = 200 * time.Millisecond
+		questions = time.Second
+	)
+	r.configure(3, mapRoute("mapa", "/mapa/"), streamRoute("consulta", "/consulta/", 10000, 300, 250))
+	var mu sync.Mutex
+	var crashes []time.Time
+	for _, s := range r.addPortal() {
+		s.onRun = func(s *server, q *http.Request, _ string) bool {
+			if q.URL.Path != "/mapa/fatal" {
+				return false
+			}
+			mu.Lock()
+			crashes = append(crashes, time.Now())
+			mu.Unlock()
+			if !r.trouble {
+				return false
+			}
+			time.Sleep(begins)
+			s.crash(down)
+			return true
+		}
+	}
+	r.addEngines(9, func(string) (int, time.Duration) { return 20, 40 * time.Millisecond })
+	r.startNodes()
+	stop := make(chan struct{})
+	var others tally
+	go every(stop, lookups, func(i int) {
+		others.add(r.sendTwice(zones[i%3].name, lookup(fmt.Sprintf("/mapa/%d", rand.IntN(60)), "key-of-b")))
+	})
+	go every(stop, questions, func(i int) {
+		others.add(r.sendTwice(zones[i%3].name, question("/consulta/2f", "key-of-b", fmt.Sprintf("%08x", 0x77000000+rand.IntN(60)), i)))
+	})
+	time.Sleep(stableWindow)
+	var fatal tally
+	for i, end := 0, time.Now().Add(last); time.Now().Before(end); i++ {
+		began := time.Now()
+		fatal.add(r.sendTwice(zones[i%3].name, lookup("/mapa/fatal", "key-of-a")))
+		time.Sleep(max(0, again-time.Since(began)))
+	}
+	close(stop)
+	mu.Lock()
+	defer mu.Unlock()
+	if !r.trouble {
+		r.verdict(fatal.served < fatal.all, "without the trouble: %v; others: %v", &fatal, &others)
+	}
+	if len(crashes) < 3 {
+		r.verdict(false, "%d servers crashed; the request: %v", len(crashes), &fatal)
+	}
+	late := 0
+	for _, at := range crashes {
+		if at.Sub(crashes[2]) > stableWindow {
+			late++
+		}
+	}
+	r.verdict(late > 3, "the request reached servers %d times, %d of them later than %v after it had crashed the third; allowed are 3; it got: %v; others: %v",
+		len(crashes), late, stableWindow, &fatal, &others)
+}
+
+// reads: answers to lookups are lost for some seconds, and later lookups of one path are refused.
+func reads(r *rig) {
+	const (
+		lossTime  = 6900 * time.Millisecond
+		lossShare = 0.4
+		calm      = 40 * time.Second
+	)
+	r.configure(3, mapRoute("mapa", "/mapa/"))
+	portal := r.addPortal()
+	var losing atomic.Bool
+	for _, s := range portal[:2] {
+		s.onAnswer = func(s *server, q *http.Request) bool {
+			if !losing.Load() || rand.Float64() >= lossShare {
+				return false
+			}
+			r.note("server %s loses its answer to %s", s.id, q.Header.Get("Laburnumstack-Attempt-Id"))
+			return true
+		}
+	}
+	r.startNodes()
+	r.configure(8, mapRoute("mapa", "/mapa/"), mapRoute("quadro", "/quadro/"))
+	time.Sleep(2500 * time.Millisecond)
+
+	stop := make(chan struct{})
+	var steady atomic.Bool
+	var during, first, later tally
+	var clients sync.WaitGroup
+	poll := func(zone, key string, every time.Duration, path func() string, t *tally) {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(every):
+				}
+				isSteady := steady.Load()
+				a := r.sendTwice(zone, lookup(path(), key))
+				if isSteady {
+					t.add(a)
+				} else if strings.HasPrefix(path(), "/quadro/") {
+					during.add(a)
+				}
+			}
+		})
+	}
+	for _, z := range zones {
+		// A status board in each zone, and two planners who look at different segments.
+		poll(z.name, "key-of-a", 350*time.Millisecond, func() string { return "/quadro/estado" }, &later)
+		for range 2 {
+			poll(z.name, "key-of-b", 600*time.Millisecond, func() string { return fmt.Sprintf("/mapa/%d", rand.IntN(60)) }, &first)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	r.note("servers lose answers from now on")
+	losing.Store(r.trouble)
+	time.Sleep(lossTime)
+	losing.Store(false)
+	r.note("servers no longer lose answers")
+	time.Sleep(stableWindow)
+	steady.Store(true)
+	time.Sleep(calm)
+	close(stop)
+	clients.Wait()
+	share := func(t *tally) float64 { return float64(t.served) / float64(max(1, t.all)) }
+	broken := later.all >= 20 && share(&later) < share(&first)/4
+	r.verdict(broken, "in %v of steady state, the route that was added later: %v; the first route: %v; the later one before that: %v", calm, &later, &first, &during)
+}
+
+// question returns a short prompt.
+func question(path, key, shared string, n int) request {
+	return request{method: http.MethodPost, host: host, path: path, key: key, body: fmt.Sprintf("question %d", n), timeLeft: 10 * time.Second, patience: 2 * time.Second,
+		headers: map[string]string{"Laburnumstack-Model": "m", "Laburnumstack-Token-Usage": "5000,1020", "Laburnumstack-Prompt-Prefix": fmt.Sprintf("%s:40,%x:4960", shared, 0x2000000+n)}}
+}
