--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -13,7 +13,7 @@
 )
 
 // cases are the cases by name.
-var cases = map[string]func(*rig){"crash": crash, "reads": reads}
+var cases = map[string]func(*rig){"crash": crash, "reads": reads, "parts": parts, "restarts": restarts}
 
 const (
 	portalWork   = 60 * time.Millisecond
@@ -226,3 +226,144 @@
 	return request{method: http.MethodPost, host: host, path: path, key: key, body: fmt.Sprintf("question %d", n), timeLeft: 10 * time.Second, patience: 2 * time.Second,
 		headers: map[string]string{"Laburnumstack-Model": "m", "Laburnumstack-Token-Usage": "5000,1020", "Laburnumstack-Prompt-Prefix": fmt.Sprintf("%s:40,%x:4960", shared, 0x2000000+n)}}
 }
+
+// parts: two prompts of a new route crash the servers that run them, and later prompts that share
+// only their first part are refused.
+func parts(r *rig) {
+	const (
+		begins    = 50 * time.Millisecond
+		down      = 2 * time.Second
+		questions = 40 * time.Millisecond
+		pause     = time.Second
+		calm      = 50 * time.Second
+		// office is the zone of all clients of the new route.
+		office = "canoas-c"
+		shared = "5c1e07a2"
+	)
+	first, added := streamRoute("consulta", "/consulta/", 10000, 300, 250), streamRoute("contratos", "/contratos/", 10000, 300, 250)
+	r.configure(3, first)
+	var crashes atomic.Int64
+	for _, s := range r.addEngines(23, func(string) (int, time.Duration) { return 20, 40 * time.Millisecond }) {
+		s.onRun = func(s *server, q *http.Request, body string) bool {
+			if !r.trouble || !strings.HasPrefix(body, "fatal") {
+				return false
+			}
+			crashes.Add(1)
+			time.Sleep(begins)
+			s.crash(down)
+			return true
+		}
+	}
+	r.startNodes()
+	r.configure(8, first, added)
+	stop := make(chan struct{})
+	var steady atomic.Bool
+	var before, ofFirst, ofAdded, fatal tally
+	go every(stop, questions, func(i int) {
+		isSteady := steady.Load()
+		a := r.sendTwice(zones[i%3].name, question("/consulta/2f", "key-of-b", fmt.Sprintf("%08x", 0x77000000+rand.IntN(60)), i))
+		if isSteady {
+			ofFirst.add(a)
+		}
+	})
+	time.Sleep(3 * time.Second)
+	number := 0
+	ask := func(t *tally, text string) {
+		number++
+		q := question("/contratos/2f", "key-of-a", shared, number)
+		q.body = text + q.body
+		t.add(r.sendTwice(office, q))
+	}
+	for range 4 {
+		ask(&before, "")
+	}
+	ask(&fatal, "fatal")
+	ask(&fatal, "fatal")
+	time.Sleep(down + stableWindow)
+	steady.Store(true)
+	r.note("all servers are back, steady state")
+	for end := time.Now().Add(calm); time.Now().Before(end); time.Sleep(pause) {
+		ask(&ofAdded, "")
+	}
+	close(stop)
+	time.Sleep(2 * time.Second)
+	share := func(t *tally) float64 { return float64(t.served) / float64(max(1, t.all)) }
+	broken := ofAdded.all >= 20 && share(&ofAdded) < share(&ofFirst)/4
+	r.verdict(broken, "in %v of steady state, the route that was added later: %v; the first route: %v; the later one before the crashes: %v; the two prompts that crash servers: %v, %d crashes",
+		calm, &ofAdded, &ofFirst, &before, &fatal, crashes.Load())
+}
+
+// restarts: a request crashes servers and is barred. Then the machines are restarted in turn.
+func restarts(r *rig) {
+	const (
+		begins    = 50 * time.Millisecond
+		down      = 2 * time.Second
+		again     = time.Second
+		lookups   = 200 * time.Millisecond
+		questions = 25 * time.Millisecond
+		gap       = 2 * time.Second
+	)
+	r.configure(3, mapRoute("mapa", "/mapa/"), streamRoute("consulta", "/consulta/", 10000, 300, 250))
+	var mu sync.Mutex
+	var third time.Time
+	arrivals, late, excused := 0, 0, 0
+	for _, s := range r.addPortal() {
+		s.onRun = func(s *server, q *http.Request, _ string) bool {
+			if q.URL.Path != "/mapa/fatal" || !r.trouble {
+				return false
+			}
+			n := r.senderOf(q.Header.Get("Laburnumstack-Attempt-Id"))
+			mu.Lock()
+			arrivals++
+			switch {
+			case third.IsZero() || time.Since(third) <= stableWindow:
+			case r.inTouch(n):
+				late++
+			default:
+				excused++
+			}
+			if arrivals == 3 {
+				third = time.Now()
+			}
+			r.note("arrival %d of the fatal request, from %s, in touch %v", arrivals, n.name, r.inTouch(n))
+			mu.Unlock()
+			time.Sleep(begins)
+			s.crash(down)
+			return true
+		}
+	}
+	r.addEngines(23, func(string) (int, time.Duration) { return 20, 40 * time.Millisecond })
+	r.startNodes()
+	stop := make(chan struct{})
+	var others, fatal tally
+	go every(stop, lookups, func(i int) {
+		others.add(r.sendTwice(zones[i%3].name, lookup(fmt.Sprintf("/mapa/%d", rand.IntN(60)), "key-of-b")))
+	})
+	go every(stop, questions, func(i int) {
+		others.add(r.sendTwice(zones[i%3].name, question("/consulta/2f", "key-of-b", fmt.Sprintf("%08x", 0x77000000+rand.IntN(60)), i)))
+	})
+	time.Sleep(stableWindow)
+	go every(stop, again, func(i int) {
+		fatal.add(r.sendTwice(zones[i%3].name, lookup("/mapa/fatal", "key-of-a")))
+	})
+	time.Sleep(12 * time.Second)
+	mu.Lock()
+	before := arrivals
+	mu.Unlock()
+	for _, n := range r.nodes {
+		if r.trouble {
+			r.restart(n)
+		}
+		time.Sleep(gap)
+	}
+	time.Sleep(8 * time.Second)
+	close(stop)
+	time.Sleep(time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	if !r.trouble {
+		r.verdict(fatal.served < fatal.all, "without the trouble: %v; others: %v", &fatal, &others)
+	}
+	r.verdict(late > 3, "the request reached servers %d times before the restarts and %d times in all; %d of them later than %v after it had crashed the third, from machines in touch; allowed are 3; %d more are excused; it got: %v; others: %v",
+		before, arrivals, late, stableWindow, excused, &fatal, &others)
+}
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -49,6 +49,9 @@
 // send sends one attempt of a request to a machine on a new connection, and reads the answer.
 func (r *rig) send(n *node, q request) answer {
 	a := answer{id: fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, lastRequest.Add(1))}
+	r.mu.Lock()
+	r.sentTo[a.id] = n
+	r.mu.Unlock()
 	r.note("sent %s %s %s to %s", a.id, q.method, q.path, n.name)
 	c, err := net.DialTimeout("tcp", n.front, time.Second)
 	if err != nil {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -52,6 +52,11 @@
 	ended          chan struct{}
 	// exits counts the ends of the process that the rig did not cause.
 	exits int
+
+	// rig.mu guards what follows. expected is set while the rig stops the process, out while
+	// the platform sends no new connections. disturbedAt is when it was last stopped or started.
+	expected, out bool
+	disturbedAt   time.Time
 }
 
 // rig is one run of a case.
@@ -69,6 +74,8 @@
 	lines   int
 	ending  bool
 	servers []*server
+	// sentTo holds the machine to which each attempt was sent.
+	sentTo map[string]*node
 }
 
 // note writes a line to record.txt, with the seconds since the start.
@@ -97,7 +104,7 @@
 		fmt.Println("cannot run:", err)
 		os.Exit(exitNoRun)
 	}
-	r := &rig{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: f, began: time.Now(), store: &stand.Store{}}
+	r := &rig{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: f, began: time.Now(), store: &stand.Store{}, sentTo: map[string]*node{}}
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -205,11 +212,14 @@
 	if err := cmd.Start(); err != nil {
 		r.fail("start of %s: %v", program[0], err)
 	}
-	n.cmd, n.ended = cmd, make(chan struct{})
+	r.mu.Lock()
+	n.cmd, n.ended, n.expected, n.disturbedAt = cmd, make(chan struct{}), false, time.Now()
+	ended := n.ended
+	r.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		r.mu.Lock()
-		ending := r.ending
+		ending := r.ending || n.expected
 		if !ending {
 			n.exits++
 		}
@@ -217,10 +227,45 @@
 		if !ending {
 			r.note("EXIT %s ended by itself: %v", n.name, err)
 		}
-		close(n.ended)
+		close(ended)
 	}()
 }
 
+// restart stops a machine as the platform does for planned work, and starts it again.
+func (r *rig) restart(n *node) {
+	r.mu.Lock()
+	n.expected, n.disturbedAt = true, time.Now()
+	r.mu.Unlock()
+	r.note("%s gets SIGTERM", n.name)
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	// Two misses of the readiness check take the machine out of rotation.
+	out := time.AfterFunc(2*time.Second, func() { r.setOut(n, true) })
+	kill := time.AfterFunc(8*time.Second, func() { n.cmd.Process.Kill() })
+	<-n.ended
+	out.Stop()
+	kill.Stop()
+	r.setOut(n, true)
+	r.note("%s has ended", n.name)
+	time.Sleep(300 * time.Millisecond)
+	r.startNode(n)
+	r.awaitReady(n, 15*time.Second)
+	r.setOut(n, false)
+	r.note("%s is ready again", n.name)
+}
+
+func (r *rig) setOut(n *node, out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n.out = out
+}
+
+// inTouch reports whether nothing has disturbed a machine in the last stable window.
+func (r *rig) inTouch(n *node) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(n.disturbedAt) > stableWindow
+}
+
 // awaitReady waits until the platform would put the machine in rotation.
 func (r *rig) awaitReady(n *node, limit time.Duration) {
 	c := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -302,15 +347,32 @@
 	os.Exit(code)
 }
 
-// inZone returns the machines of a zone.
+// inZone returns the machines of a zone that are in rotation, or all of them if those are less than
+// half.
 func (r *rig) inZone(zone string) []*node {
-	var ns []*node
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var in, all []*node
 	for _, n := range r.nodes {
-		if n.zone == zone {
-			ns = append(ns, n)
+		if n.zone != zone {
+			continue
+		}
+		all = append(all, n)
+		if !n.out {
+			in = append(in, n)
 		}
 	}
-	return ns
+	if 2*len(in) < len(all) {
+		return all
+	}
+	return in
+}
+
+// senderOf returns the machine to which a client sent an attempt.
+func (r *rig) senderOf(id string) *node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sentTo[id]
 }
 
 // put writes a record of the operator or of a server to the store.
