--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -13,7 +13,7 @@
 )
 
 // cases are the cases by name.
-var cases = map[string]func(*rig){"crash": crash, "reads": reads, "parts": parts, "restarts": restarts}
+var cases = map[string]func(*rig){"crash": crash, "reads": reads, "parts": parts, "restarts": restarts, "unframed": unframed}
 
 const (
 	portalWork   = 60 * time.Millisecond
@@ -367,3 +367,53 @@
 	r.verdict(late > 3, "the request reached servers %d times before the restarts and %d times in all; %d of them later than %v after it had crashed the third, from machines in touch; allowed are 3; %d more are excused; it got: %v; others: %v",
 		before, arrivals, late, stableWindow, excused, &fatal, &others)
 }
+
+// unframed: servers whose streams end with their connections are killed while they answer.
+func unframed(r *rig) {
+	const (
+		questions = 50 * time.Millisecond
+		kills     = 3
+		down      = 4500 * time.Millisecond
+		between   = 8 * time.Second
+	)
+	r.configure(3, streamRoute("consulta", "/consulta/", 10000, 300, 250))
+	for i := range 9 {
+		r.addProcess(i)
+	}
+	r.startNodes()
+	stop := make(chan struct{})
+	var all tally
+	var mu sync.Mutex
+	short := map[int]int{}
+	whole := 0
+	go every(stop, questions, func(i int) {
+		a := r.sendTwice(zones[i%3].name, question("/consulta/2f", "key-of-b", fmt.Sprintf("%08x", 0x77000000+rand.IntN(60)), i))
+		all.add(a)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case a.status != http.StatusOK || !a.whole:
+		case a.events == unframedEvents:
+			whole++
+		default:
+			short[a.events]++
+			r.note("SHORT %s: looks complete after %d of %d events", a.id, a.events, unframedEvents)
+		}
+	})
+	time.Sleep(stableWindow)
+	for range kills {
+		if r.trouble {
+			r.processes[rand.IntN(len(r.processes))].kill(down)
+		}
+		time.Sleep(between)
+	}
+	close(stop)
+	time.Sleep(3 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	n := 0
+	for _, k := range short {
+		n += k
+	}
+	r.verdict(n > 0, "%d streams were whole, %d looked complete after fewer than %d events (events: streams: %v); all: %v", whole, n, unframedEvents, short, &all)
+}
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -34,6 +34,8 @@
 	whole  bool
 	retry  string
 	err    error
+	// events is the number of events of a stream.
+	events int
 }
 
 func (a answer) String() string {
@@ -75,7 +77,7 @@
 	}
 	end := time.Now().Add(q.timeLeft)
 	a.read(c, q, end)
-	r.note("answered %s: %v, Retry-After %q", a.id, a, a.retry)
+	r.note("answered %s: %v, %d events, Retry-After %q", a.id, a, a.events, a.retry)
 	return a
 }
 
@@ -96,9 +98,13 @@
 	}
 	a.status, a.retry = res.StatusCode, res.Header.Get("Retry-After")
 	buf := make([]byte, 4096)
+	var text strings.Builder
 	for {
 		wait()
-		if _, err := res.Body.Read(buf); err != nil {
+		n, err := res.Body.Read(buf)
+		text.Write(buf[:n])
+		a.events = strings.Count(text.String(), "data: piece ")
+		if err != nil {
 			a.whole = err == io.EOF
 			if !a.whole {
 				a.err = err
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -74,6 +75,8 @@
 	lines   int
 	ending  bool
 	servers []*server
+	// processes are the servers that run as processes.
+	processes []*serverProcess
 	// sentTo holds the machine to which each attempt was sent.
 	sentTo map[string]*node
 }
@@ -327,6 +330,9 @@
 			<-n.ended
 		}
 	}
+	for _, p := range r.processes {
+		p.end()
+	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(r.dir)
 	} else {
@@ -393,6 +399,10 @@
 }
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "server" {
+		slots, _ := strconv.Atoi(os.Args[4])
+		serveAlone(os.Args[2], os.Args[3], slots)
+	}
 	if len(os.Args) != 3 {
 		fmt.Println("usage: rig2 CASE FOLDER")
 		os.Exit(exitNoRun)
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -26,6 +26,8 @@
 	slots         int
 	// streams is set for a model server: it answers with events.
 	streams bool
+	// unframed is set if streams have neither a length nor chunks.
+	unframed bool
 	// stream returns the number of events of a stream with a path and the time between two.
 	stream func(path string) (events int, pause time.Duration)
 	// work is how long a plain request runs.
@@ -103,7 +105,7 @@
 func (s *server) heartbeat() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.up {
+	if !s.up || s.rig.store == nil {
 		return
 	}
 	s.sequence++
@@ -278,10 +280,15 @@
 	return err == nil
 }
 
-// writeStream writes the events after Last-Event-Id, in chunks.
+// writeStream writes the events after Last-Event-Id.
 func (s *server) writeStream(c net.Conn, q *http.Request, headers map[string]string) bool {
 	var b strings.Builder
-	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+	if s.unframed {
+		b.WriteString("Connection: close\r\n")
+	} else {
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	}
 	for k, v := range headers {
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
@@ -297,10 +304,16 @@
 			time.Sleep(pause)
 		}
 		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i, i, q.URL.Path)
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if !s.unframed {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(c, event); err != nil {
 			return false
 		}
 	}
+	if s.unframed {
+		return false
+	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
