--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -403,7 +403,7 @@
 	time.Sleep(stableWindow)
 	for range kills {
 		if r.trouble {
-			r.processes[rand.IntN(len(r.processes))].kill(down)
+			r.busyProcess().kill(down)
 		}
 		time.Sleep(between)
 	}
--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -3,8 +3,11 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strconv"
@@ -93,6 +96,35 @@
 	}
 }
 
+// running returns the number of requests that the server reports.
+func (p *serverProcess) running() int {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := c.Get("http://" + p.address + "/laburnumstack/report")
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	var report struct {
+		Running int `json:"running_count"`
+	}
+	json.NewDecoder(res.Body).Decode(&report)
+	return report.Running
+}
+
+// busyProcess returns a server that runs requests, at random.
+func (r *rig) busyProcess() *serverProcess {
+	var busy []*serverProcess
+	for _, p := range r.processes {
+		if p.running() > 0 {
+			busy = append(busy, p)
+		}
+	}
+	if len(busy) == 0 {
+		return r.processes[0]
+	}
+	return busy[rand.IntN(len(busy))]
+}
+
 // kill kills the process of the server. Its entry expires, and another process takes its place.
 func (p *serverProcess) kill(down time.Duration) {
 	p.mu.Lock()
