--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // cases are the cases by name.
@@ -168,7 +170,7 @@
 			if !losing.Load() || rand.Float64() >= lossShare {
 				return false
 			}
-			r.note("server %s loses its answer to %s", s.id, q.Header.Get("Laburnumstack-Attempt-Id"))
+			r.note("server %s loses its answer to %s", s.id, q.Header.Get(wire.FieldID))
 			return true
 		}
 	}
@@ -224,7 +226,7 @@
 // question returns a short prompt.
 func question(path, key, shared string, n int) request {
 	return request{method: http.MethodPost, host: host, path: path, key: key, body: fmt.Sprintf("question %d", n), timeLeft: 10 * time.Second, patience: 2 * time.Second,
-		headers: map[string]string{"Laburnumstack-Model": "m", "Laburnumstack-Token-Usage": "5000,1020", "Laburnumstack-Prompt-Prefix": fmt.Sprintf("%s:40,%x:4960", shared, 0x2000000+n)}}
+		headers: map[string]string{fieldModel: "m", wire.FieldUsage: "5000,1020", wire.FieldParts: fmt.Sprintf("%s:40,%x:4960", shared, 0x2000000+n)}}
 }
 
 // parts: two prompts of a new route crash the servers that run them, and later prompts that share
@@ -312,7 +314,7 @@
 			if q.URL.Path != "/mapa/fatal" || !r.trouble {
 				return false
 			}
-			n := r.senderOf(q.Header.Get("Laburnumstack-Attempt-Id"))
+			n := r.senderOf(q.Header.Get(wire.FieldID))
 			mu.Lock()
 			arrivals++
 			switch {
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 var lastRequest atomic.Int64
@@ -64,7 +66,8 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(q.timeLeft))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nLaburnumstack-Attempt-Id: %s\r\nLaburnumstack-Time-Left-Ms: %d\r\nAuthorization: Bearer %s\r\n", q.method, q.path, q.host, a.id, q.timeLeft.Milliseconds(), q.key)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s%s\r\n",
+		q.method, q.path, q.host, wire.FieldID, a.id, wire.FieldTimeLeft, q.timeLeft.Milliseconds(), wire.FieldKey, wire.KeyPrefix, q.key)
 	for k, v := range q.headers {
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
--- a/review/rig2/config.go
+++ b/review/rig2/config.go
@@ -8,37 +8,22 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/pkg/ident"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // host is the host of all routes.
 const host = "portal.example"
 
-// route is a route of the configuration, in the platform's form.
-type route struct {
-	Name      string `json:"name"`
-	Host      string `json:"host"`
-	Prefix    string `json:"path_prefix"`
-	Kind      string `json:"kind"`
-	TimeoutMS int    `json:"timeout_ms"`
-	TargetMS  int    `json:"target_latency_ms"`
-	GapMS     int    `json:"gap_target_ms,omitempty"`
-	Priority  int    `json:"priority"`
-	Service   string `json:"service"`
-	Attempts  int    `json:"attempts"`
-	Public    bool   `json:"public"`
-	Sticky    bool   `json:"sticky,omitempty"`
-	Resumable bool   `json:"resumable,omitempty"`
-}
-
 // mapRoute is a route of the idempotent lookups of the sheet.
-func mapRoute(name, prefix string) route {
-	return route{Name: name, Host: host, Prefix: prefix, Kind: "idempotent", TimeoutMS: 2000, TargetMS: 300, Priority: 2, Service: "portal-locacao", Attempts: 2}
+func mapRoute(name ident.RouteName, prefix string) wire.Route {
+	return wire.Route{Name: name, Host: host, Prefix: prefix, Kind: "idempotent", TimeoutMS: 2000, TargetMS: 300, Priority: 2, Service: "portal-locacao", Attempts: 2}
 }
 
 // streamRoute is a route of the streams of the sheet.
-func streamRoute(name, prefix string, timeoutMS, targetMS, gapMS int) route {
-	return route{Name: name, Host: host, Prefix: prefix, Kind: "streaming", TimeoutMS: timeoutMS, TargetMS: targetMS, GapMS: gapMS, Priority: 1, Service: "assistente-dutos",
-		Attempts: 2, Sticky: true, Resumable: true}
+func streamRoute(name ident.RouteName, prefix string, timeoutMS, targetMS, gapMS int64) wire.Route {
+	return wire.Route{Name: name, Host: host, Prefix: prefix, Kind: "streaming", TimeoutMS: timeoutMS, TargetMS: targetMS, GapMS: gapMS, Priority: 1, Service: "assistente-dutos",
+		Attempts: 2, Resumable: true}
 }
 
 // tenants are the tenants with their keys.
@@ -52,7 +37,7 @@
 }
 
 // configure writes a version of the configuration as the operator does.
-func (r *rig) configure(version int, routes ...route) {
+func (r *rig) configure(version int, routes ...wire.Route) {
 	doc := map[string]any{
 		"version": version,
 		"routes":  routes,
--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // The streams of a server that runs as a process of its own.
@@ -99,7 +100,7 @@
 // running returns the number of requests that the server reports.
 func (p *serverProcess) running() int {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := c.Get("http://" + p.address + "/laburnumstack/report")
+	res, err := c.Get("http://" + p.address + wire.ReportPath)
 	if err != nil {
 		return 0
 	}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 
 	"laburnumstack.org/laburnum/internal/trans/feeds"
 	"laburnumstack.org/laburnum/platform/stand"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // Exit codes of a case.
@@ -38,6 +40,9 @@
 
 const metricsPort = 9464
 
+// longestRun bounds a run.
+const longestRun = 118 * time.Second
+
 // zones are the data centres of the small deployment, with their number of machines.
 var zones = []struct {
 	name  string
@@ -114,6 +119,7 @@
 		<-c
 		r.fail("interrupted")
 	}()
+	time.AfterFunc(longestRun, func() { r.fail("it takes longer than %v", longestRun) })
 	r.note("trouble %v", r.trouble)
 	return r
 }
@@ -156,47 +162,19 @@
 	r.note("all machines are ready")
 }
 
-// bounds are those of the small deployment in SYSTEM.md.
-const bounds = `bounds:
-  seed_lag_s: 3
-  reuse_after_s: 2
-  stable_window_ms: 3000
-  ack_ms: 4000
-  catch_up_s: 4
-  drain_ms: 2000
-  grace_s: 8
-  loss_slack_ms: 200
-  config_apply_ms: 2000
-  rollback_slack_ms: 250
-  stretch_max_ms: 5000
-  strict_revocation: true
-  revoke_ms: 5000
-  budget_ratio: 0.2
-  budget_window_s: 10
-  budget_extra: 102
-  recovery_s: 12
-  pass_ms: 120
-  retry_after_s: 0
-  stall_ms: 1500
-  hold_max_ms: 20000
-  free_ms: 4000
-  idle_max_ms: 9000
-`
+// settings is the settings file of a machine, with the bounds of the small deployment in SYSTEM.md.
+//
+//go:embed settings.yaml
+var settings string
 
 func (r *rig) writeSettings(n *node, port int, seeds []string) {
-	var b strings.Builder
-	fmt.Fprintf(&b, "node_name: %q\nrole: \"node\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\nip: %q\nzone: %q\nregion: \"sul-br\"\nzones:\n", n.name, n.ip, n.zone)
-	for _, z := range zones {
-		fmt.Fprintf(&b, "  %s: \"sul-br\"\n", z.name)
-	}
-	fmt.Fprintf(&b, "listen:\n  front: %q\n  ready: %q\n  control: \"%s:%d\"\ninternal_ports:\n  - %d\n  - %d\nseeds:\n", n.front, n.ready, n.ip, port+2, port+3, port+6)
+	var lines []string
 	for _, s := range seeds {
-		fmt.Fprintf(&b, "  - %q\n", s)
+		lines = append(lines, fmt.Sprintf("  - %q", s))
 	}
-	b.WriteString("bootstrap: true\ninclude_in_tolerance: false\nlimits:\n  cpu_share: 0.4\n  cores: 1\n  memory_mb: 284\n  file_descriptors: 4200\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_directory: null\ndiscovery: \"platform\"\nentry: \"virtual_ip\"\nheartbeat_ms: 1200\n")
-	b.WriteString(bounds)
-	fmt.Fprintf(&b, "platform:\n  address: %q\n  form: \"log\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  parts: 8\n  append_ms: 4.0\n  partition_mb_s: 20.0\n  read_mb_s: 80.0\n  record_bytes: 262144\n  call_bytes: 2097152\n  keep_s: 300\n  partition_mb: 200\n  ttl_min_ms: 1000\n", r.storeAt)
-	if err := os.WriteFile(n.settings, []byte(b.String()), 0o600); err != nil {
+	text := strings.NewReplacer("NAME", n.name, "ADDRESS", n.ip, "PLACE", n.zone, "FRONT", n.front, "READY", n.ready, "CONTROL", fmt.Sprintf("%s:%d", n.ip, port+2),
+		"FIRST", strconv.Itoa(port+3), "LAST", strconv.Itoa(port+6), "SEEDS", strings.Join(lines, "\n"), "STORE", r.storeAt).Replace(settings)
+	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		r.fail("settings: %v", err)
 	}
 }
@@ -208,7 +186,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(program[0], program[1:]...)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "LABURNUMSTACK_BOOT=" + n.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", wire.SettingsVariable + "=" + n.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	// The machines end with the rig, also if it is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -234,6 +212,17 @@
 	}()
 }
 
+// endBootstrap changes the settings of a machine: the system has run before.
+func (r *rig) endBootstrap(n *node) {
+	text, err := os.ReadFile(n.settings)
+	if err == nil {
+		err = os.WriteFile(n.settings, []byte(strings.Replace(string(text), "bootstrap: true", "bootstrap: false", 1)), 0o600)
+	}
+	if err != nil {
+		r.fail("settings: %v", err)
+	}
+}
+
 // restart stops a machine as the platform does for planned work, and starts it again.
 func (r *rig) restart(n *node) {
 	r.mu.Lock()
@@ -250,6 +239,7 @@
 	r.setOut(n, true)
 	r.note("%s has ended", n.name)
 	time.Sleep(300 * time.Millisecond)
+	r.endBootstrap(n)
 	r.startNode(n)
 	r.awaitReady(n, 15*time.Second)
 	r.setOut(n, false)
@@ -273,7 +263,7 @@
 func (r *rig) awaitReady(n *node, limit time.Duration) {
 	c := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if res, err := c.Get("http://" + n.ready + "/laburnumstack/readiness"); err == nil {
+		if res, err := c.Get("http://" + n.ready + wire.ReadyPath); err == nil {
 			res.Body.Close()
 			if res.StatusCode == http.StatusOK {
 				return
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -16,6 +16,15 @@
 	"time"
 
 	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/platform/wire"
+)
+
+// Names of header fields that the nodes don't use: the model that a request asks for, and the load of
+// a server.
+var (
+	fieldPrefix = strings.TrimSuffix(wire.FieldID, "Attempt-Id")
+	fieldModel  = fieldPrefix + "Model"
+	fieldLoad   = fieldPrefix + "Server-Load"
 )
 
 // server is a stand-in for a server of a service: it registers itself, runs requests and says so.
@@ -195,12 +204,12 @@
 
 // serveRequest answers one request. It returns false if the connection has ended.
 func (s *server) serveRequest(c net.Conn, q *http.Request, body string) bool {
-	id := q.Header.Get("Laburnumstack-Attempt-Id")
-	if want := q.Header.Get("Laburnumstack-Expect-Instance"); want != "" && want != s.id {
-		return s.write(c, 421, map[string]string{"Laburnumstack-Attempt-Id": id, "Laburnumstack-Not-Executed": "1"}, "")
+	id := q.Header.Get(wire.FieldID)
+	if want := q.Header.Get(wire.FieldExpectedEndpoint); want != "" && want != s.id {
+		return s.write(c, 421, map[string]string{wire.FieldID: id, wire.FieldNotRun: "1"}, "")
 	}
 	switch q.URL.Path {
-	case "/laburnumstack/report":
+	case wire.ReportPath:
 		if !s.streams {
 			return s.write(c, 404, nil, "")
 		}
@@ -208,16 +217,16 @@
 		b, _ := json.Marshal(map[string]any{"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "sequence": 0,
 			"waiting_count": 0, "running_count": n, "kv_used": n * 5000, "kv_total": 315000, "handles": 0})
 		return s.write(c, 200, map[string]string{"Content-Type": "application/json"}, string(b))
-	case "/laburnumstack/order":
+	case wire.OrderPath:
 		return s.write(c, 200, map[string]string{"Content-Type": "application/json"}, `{"free":100000}`)
 	}
 	if id == "" {
-		return s.write(c, 400, map[string]string{"Laburnumstack-Not-Executed": "1"}, "")
+		return s.write(c, 400, map[string]string{wire.FieldNotRun: "1"}, "")
 	}
 	n := s.running.Add(1)
 	defer s.running.Add(-1)
 	if int(n) > s.slots+24 {
-		return s.write(c, 503, map[string]string{"Laburnumstack-Attempt-Id": id, "Laburnumstack-Not-Executed": "1"}, "")
+		return s.write(c, 503, map[string]string{wire.FieldID: id, wire.FieldNotRun: "1"}, "")
 	}
 	s.runs.Add(1)
 	s.rig.note("run %s %s at %s", id, q.URL.Path, s.id)
@@ -226,9 +235,9 @@
 		return false
 	}
 	headers := map[string]string{
-		"Laburnumstack-Attempt-Id":     id,
-		"Laburnumstack-Response-Stamp": fmt.Sprintf("%s.%d", s.id, s.stamp.Add(1)),
-		"Laburnumstack-Server-Load":    fmt.Sprintf("%d,0,%d", n, s.slots),
+		wire.FieldID:        id,
+		wire.FieldSignature: fmt.Sprintf("%s.%d", s.id, s.stamp.Add(1)),
+		fieldLoad:           fmt.Sprintf("%d,0,%d", n, s.slots),
 	}
 	if s.streams {
 		return s.writeStream(c, q, headers)
@@ -293,7 +302,7 @@
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
 	b.WriteString("\r\n")
-	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	last, _ := strconv.Atoi(q.Header.Get(wire.FieldLastEvent))
 	time.Sleep(60 * time.Millisecond)
 	if _, err := io.WriteString(c, b.String()); err != nil {
 		return false
