gate: ask whether own links work before a strike is dropped

Cause: if neither the node nor a peer reached the endpoint after its connection had broken, the strike counted only if the node had read bytes from any endpoint since it sent the request. A sound node with little traffic has read nothing in those milliseconds.

Change: the node probes another endpoint. If that answers, its links work and the endpoint has crashed. Connections that are accepted but not answered decide nothing. A node that is cut off gets no answer, so it still blames nobody: TestNodeThatHearsNothingBlamesNobody now has an endpoint that could be asked, and checks the cause itself. TestEndpointsInNeedAreNotProbed asks for the new result "not probed" in place of "unreachable", which said more than was known.

--- a/internal/trans/gate/direct.go
+++ b/internal/trans/gate/direct.go
@@ -41,9 +41,6 @@
 // hear records that bytes arrived over a link.
 func (d *directLinks) hear(now time.Time) { d.heardAt.Store(now) }
 
-// heardSince reports whether bytes arrived over any link since a time.
-func (d *directLinks) heardSince(t time.Time) bool { return d.heardAt.Load().After(t) }
-
 // update calls f with the state of the links.
 func (d *directLinks) update(endpoints int, f func(*reach.Links)) {
 	d.mu.Lock()
--- a/internal/trans/gate/direct_test.go
+++ b/internal/trans/gate/direct_test.go
@@ -129,12 +129,14 @@
 // slow to show that only its own links are lost.
 func TestNodeThatHearsNothingBlamesNobody(t *testing.T) {
 	e := newEndpoint(t, "e", dropsConnection)
-	c := newCutRig(t, e, e.alias("f"))
+	c := newCutRig(t, e, e.alias("f"), newEndpoint(t, "g", dropsConnection))
 	c.peer.server.direct.isolated.Store(true)
 	c.lost.Store(true)
 	for i := range 5 {
 		c.do(prompt(strconv.Itoa(i), "1 2"))
 	}
+	cause, _ := c.server.tryCause(context.Background(), c.server.Feeds.Endpoints().ByName["em"])
+	test.Eq(t, causeUnknown, cause)
 	test.Zero(t, c.announced.Load())
 }
 
@@ -168,7 +170,7 @@
 		e := newEndpoint(t, "e", first)
 		c := newCutRig(t, e)
 		c.do(request("GET", "/safe/", "r1", ""))
-		test.Eq(t, unreachable, c.server.diagnose(context.Background(), c.server.Feeds.Endpoints().ByName["ep"]))
+		test.Eq(t, notProbed, c.server.diagnose(context.Background(), c.server.Feeds.Endpoints().ByName["ep"]))
 		e.mu.Lock()
 		test.Zero(t, e.probes)
 		e.mu.Unlock()
@@ -317,8 +319,8 @@
 		var d directLinks
 		now := time.Now()
 		d.hear(jumps.Step(now, seconds))
-		test.True(t, d.heardSince(now.Add(-time.Millisecond)), step)
-		test.False(t, d.heardSince(now.Add(time.Millisecond)), step)
+		test.True(t, d.heardAt.Load().After(now.Add(-time.Millisecond)), step)
+		test.False(t, d.heardAt.Load().After(now.Add(time.Millisecond)), step)
 		waitingSince := now.Add(-reach.SilenceLimit)
 		d.update(1, func(l *reach.Links) {
 			test.False(t, l.StartSilenceCheck(waitingSince, now.Add(reach.SilenceLimit-time.Millisecond)), step)
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -21,6 +21,7 @@
 	sends        *prometheus.CounterVec
 	timeToFirst  *prometheus.HistogramVec
 	strikes      prometheus.Counter
+	breaks       *prometheus.CounterVec
 	omittedLines prometheus.Counter
 	closes       *prometheus.CounterVec
 	unanswered   *prometheus.CounterVec
@@ -74,6 +75,9 @@
 		strikes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_strikes_total", Help: "Requests whose connection an endpoint broke while it ran them.",
 		}),
+		breaks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnum_connection_breaks_total", Help: "Investigations of endpoints that broke a connection or could not be reached, by cause.",
+		}, []string{"cause"}),
 		omittedLines: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "laburnum_log_lines_left_out_total", Help: "Lines that were not logged since there were too many.",
 		}),
@@ -110,7 +114,7 @@
 // Register adds the server's metrics to a registry.
 func (s *Server) Register(r prometheus.Registerer) {
 	m := s.getMetrics()
-	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, m.beyondSlots, newEvacuationMetrics(s),
+	r.MustRegister(m.requests, m.prompts, m.rejections, m.bySize, m.sends, m.timeToFirst, m.strikes, m.breaks, m.omittedLines, m.closes, m.unanswered, m.floods, m.acceptErrors, m.evacuated, m.noHome, m.misdirected, m.coldLeftOut, m.beyondSlots, newEvacuationMetrics(s),
 		gauge("laburnum_evacuated_data_centres", "Data centres whose evacuation is in force.", func() float64 { return float64(len(s.Feeds.Evacuated())) }),
 		gauge("laburnum_slow_start_endpoints", "Endpoints in slow start.", func() float64 { return float64(s.pacing.slowCount.Load()) }),
 		gauge("laburnum_slow_start_bound", "Sum of the bounds on concurrent requests at the endpoints in slow start, of all nodes together.", func() float64 { return float64(s.slowBounds()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -258,31 +258,31 @@
 		strike = x.newStrike(e.Name, o.startedAt, now)
 	}
 	blame := func() {
-		if isNew {
-			s.AnnounceFailure(e.Name)
-		}
 		if strike != nil {
 			x.addStrike(*strike)
 		}
 	}
+	announce := func() {
+		if isNew {
+			s.AnnounceFailure(e.Name)
+		}
+	}
 	switch {
 	case len(s.Peers(now)) == 0:
+		announce()
 		blame()
 	case isNew || strike != nil:
 		trial := x.takeTrial()
 		go func() {
 			defer s.endTrial(trial)
-			switch s.diagnose(context.Background(), e) {
-			case reachedOverPeer:
+			switch s.findCause(context.Background(), e) {
+			case ownLinkLost:
 				s.endpointHealth.recordSuccess(e.Name)
 				s.clearLost(e.Name)
-			case unreachable:
-				// A node that has heard nothing since may be cut off, with peers that
-				// were too slow to show it.
-				if s.direct.heardSince(o.startedAt) {
-					blame()
-				}
-			default:
+			case endpointAlive, endpointCrashed:
+				announce()
+				blame()
+			case endpointRestarted:
 				blame()
 			}
 		}()
--- a/internal/trans/gate/probe.go
+++ b/internal/trans/gate/probe.go
@@ -20,8 +20,29 @@
 	reachedDirectly reachability = iota
 	// reachedOverPeer means that only peers reach the endpoint: the link is lost.
 	reachedOverPeer
-	// unreachable means that no probe was answered.
+	// unreachable means that no connection could be opened.
 	unreachable
+	// undecided means that a connection was accepted, but no probe was answered.
+	undecided
+	// notProbed means that the endpoint may not be probed.
+	notProbed
+)
+
+func (r reachability) String() string {
+	return [...]string{"directly", "over-peer", "unreachable", "undecided", "not-probed"}[r]
+}
+
+// probeResult is how far a probe came.
+type probeResult int
+
+const (
+	// probeFailed means that no connection could be opened.
+	probeFailed probeResult = iota
+	// probeAccepted means that a connection was accepted, but the probe was not answered: the
+	// endpoint may be about to end, or have too many connections.
+	probeAccepted
+	// probeAnswered means that the endpoint has sent something back.
+	probeAnswered
 )
 
 // diagnose probes an endpoint over the link of this node and, if that isn't answered
@@ -34,63 +55,74 @@
 
 func (s *Server) probeAll(ctx context.Context, e *topol.Endpoint) reachability {
 	if !s.mayProbe(e) {
-		return unreachable
+		return notProbed
 	}
 	ctx, cancel := context.WithTimeout(withoutRequest(ctx), probeTimeout+hedgeDelay)
 	defer cancel()
-	direct := make(chan bool, 1)
+	direct := make(chan probeResult, 1)
 	go func() { direct <- s.probeDirectly(ctx, e) }()
-	overPeer := make(chan bool, 1)
+	overPeer := make(chan probeResult, 1)
 	probePeers := func() { go func() { overPeer <- s.probeOverPeers(ctx, e) }() }
 	t := time.NewTimer(hedgeDelay)
 	defer t.Stop()
 	select {
-	case ok := <-direct:
-		if ok {
+	case r := <-direct:
+		if r == probeAnswered {
 			return reachedDirectly
 		}
 		probePeers()
-		direct <- false
+		direct <- r
 	case <-t.C:
 		probePeers()
 	}
-	reachedByPeer := <-overPeer
-	if <-direct {
+	byPeers, byNode := <-overPeer, <-direct
+	switch {
+	case byNode == probeAnswered:
 		return reachedDirectly
-	}
-	if reachedByPeer {
+	case byPeers == probeAnswered:
 		s.loseLink(e)
 		return reachedOverPeer
+	case byNode == probeAccepted || byPeers == probeAccepted:
+		return undecided
 	}
 	return unreachable
 }
 
-// probeDirectly reports whether an endpoint answers a probe over a link of this node.
-func (s *Server) probeDirectly(ctx context.Context, e *topol.Endpoint) bool {
+// probeDirectly probes an endpoint over a link of this node.
+func (s *Server) probeDirectly(ctx context.Context, e *topol.Endpoint) probeResult {
 	l, err := s.pool(e.Address).Dial(ctx, connectTimeout)
-	if err != nil || !s.probe(l.Conn, e) {
-		return false
+	if err != nil {
+		return probeFailed
 	}
-	s.restoreLink(e)
-	return true
+	r := s.probe(l.Conn, e)
+	if r == probeAnswered {
+		s.restoreLink(e)
+	}
+	return r
 }
 
-// probeOverPeers reports whether an endpoint answers a probe over one of the peers.
-func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) bool {
+// probeOverPeers probes an endpoint over all peers at once, and returns how far the first one that
+// is answered came, or else the one that came farthest.
+func (s *Server) probeOverPeers(ctx context.Context, e *topol.Endpoint) probeResult {
 	peers := s.peersTo(e, anywhere)
-	answered := make(chan bool, len(peers))
+	results := make(chan probeResult, len(peers))
 	for _, p := range peers {
 		go func() {
 			c, err := s.dialOver(ctx, p, e)
-			answered <- err == nil && s.probe(c, e)
+			if err != nil {
+				results <- probeFailed
+				return
+			}
+			results <- s.probe(c, e)
 		}()
 	}
+	farthest := probeFailed
 	for range peers {
-		if <-answered {
-			return true
+		if farthest = max(farthest, <-results); farthest == probeAnswered {
+			break
 		}
 	}
-	return false
+	return farthest
 }
 
 // mayProbe reports whether an endpoint may be probed: not if it is in need.
@@ -99,14 +131,16 @@
 	return s.availability.accepts(e, s.Node, now) && !s.endpointLimits.limits(e) && !s.isBounded(e, now)
 }
 
-// probe sends a probe and reports whether the endpoint sends anything back. It closes the
-// connection.
-func (s *Server) probe(c net.Conn, e *topol.Endpoint) bool {
+// probe sends a probe over a connection, which it closes, and returns whether the endpoint sends
+// anything back.
+func (s *Server) probe(c net.Conn, e *topol.Endpoint) probeResult {
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(probeTimeout))
 	if _, err := c.Write(s.Dialect.Probe(e)); err != nil {
-		return false
+		return probeAccepted
+	}
+	if n, _ := c.Read(make([]byte, 1)); n == 0 {
+		return probeAccepted
 	}
-	n, _ := c.Read(make([]byte, 1))
-	return n > 0
+	return probeAnswered
 }
--- a/internal/trans/gate/rig_test.go
+++ b/internal/trans/gate/rig_test.go
@@ -110,6 +110,8 @@
 	address string
 
 	mu       sync.Mutex
+	listener net.Listener
+	open     map[net.Conn]struct{}
 	scripts  []script
 	received []receivedRequest
 	conns    int
@@ -186,8 +188,17 @@
 func newEndpoint(t testing.TB, name string, scripts ...script) *scriptedEndpoint {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	e := &scriptedEndpoint{name: name, address: l.Addr().String(), scripts: scripts}
-	t.Cleanup(func() { l.Close() })
+	e := &scriptedEndpoint{name: name, address: l.Addr().String(), scripts: scripts, open: map[net.Conn]struct{}{}}
+	e.listen(l)
+	t.Cleanup(e.crash)
+	return e
+}
+
+// listen accepts connections until the endpoint crashes.
+func (e *scriptedEndpoint) listen(l net.Listener) {
+	e.mu.Lock()
+	e.listener = l
+	e.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -196,10 +207,44 @@
 			}
 			e.mu.Lock()
 			e.conns++
+			e.open[c] = struct{}{}
 			e.mu.Unlock()
 			go e.serve(c)
 		}
 	}()
+}
+
+// crash ends the endpoint as the end of its process does: nobody listens, and all connections are
+// reset.
+func (e *scriptedEndpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener.Close()
+	for c := range e.open {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// restart makes a crashed endpoint listen again.
+func (e *scriptedEndpoint) restart(t testing.TB) {
+	l, err := net.Listen("tcp", e.address)
+	must.NoError(t, err)
+	e.listen(l)
+}
+
+// crashes returns the script of an endpoint that each request crashes.
+func crashes(e **scriptedEndpoint) script {
+	return func(net.Conn, receivedRequest) bool {
+		(*e).crash()
+		return false
+	}
+}
+
+// newCrashingEndpoint returns an endpoint that each request crashes.
+func newCrashingEndpoint(t testing.TB, name string) *scriptedEndpoint {
+	var e *scriptedEndpoint
+	e = newEndpoint(t, name, crashes(&e))
 	return e
 }
 
@@ -213,7 +258,12 @@
 const rigHost = "h.example"
 
 func (e *scriptedEndpoint) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.open, c)
+		c.Close()
+	}()
 	br := bufio.NewReader(c)
 	for {
 		req, err := http1.ReadRequest(br, 64<<10)
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -182,6 +182,7 @@
 	partStrikes    partStrikes
 	direct         directLinks
 	diagnoses      singleflight.Group
+	investigations singleflight.Group
 	availability   statedAvailability
 	endpointLimits endpointLimits
 	staleRecords   staleRecords
