gate, strik: only crashes count against a request, and an answer clears it

Cause: a connection that broke at a living endpoint counted as a crash, no answer cleared a request, and its bar ended only with the ten minutes.

Change: a strike waits for the cause of the break and counts if the endpoint has crashed or started again. Whole requests are parts in the table of strik.Parts, so that strikes count in a row, an answer clears them, and a barred request gets trials 8 s, 2 min and 34 min after its last crash, which Retry-After tells. The gateway's second table is gone. Peers learn of a living endpoint that broke a connection by a message of its own, since an announced failure counts as a loss. A request that one more strike would bar waits up to 0.5 s for the cause before it is sent again.

--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -8,15 +8,16 @@
 )
 
 const (
-	// maxPartStrikes is the number of strikes in a row at which prompts with a part are
-	// no longer sent to endpoints, if they are of at least two requests: one that crashes
-	// several endpoints doesn't tell which of its parts is at fault.
+	// maxPartStrikes is the number of strikes in a row at which requests with a part are
+	// no longer sent to endpoints. The strikes against a shared part must be of at least two
+	// requests: one that crashes several endpoints doesn't tell which of its parts is at fault.
 	maxPartStrikes = 3
 	// trialPause is the time from the last strike of a barred part until a prompt with
 	// it is sent as a trial. Each trial that crashes its endpoint makes it
 	// trialPauseFactor times as long, so that a part which does crash endpoints gets
 	// four trials in 40 minutes. A prompt with several barred parts can't show which
-	// of them is at fault, and waits as if one more trial had failed.
+	// of them is at fault, and waits as if one more trial had failed. So does a whole request:
+	// strikes of the same content are stronger evidence, and it gets three trials in that time.
 	trialPause       = 500 * time.Millisecond
 	trialPauseFactor = 16
 	// maxFailedTrials bounds the exponent of trialPauseFactor.
@@ -29,9 +30,14 @@
 	maxParts = 4096
 )
 
-// PartState is what is known of a part of prompts since one with it last ended well.
+// Part returns the part that stands for the whole content of a request.
+func (d Digest) Part() ident.PartID { return ident.PartID(d) }
+
+// PartState is what is known of a part of requests since one with it last ended well.
 type PartState struct {
 	Part ident.PartID
+	// Whole is set if the part stands for the whole content of a request.
+	Whole bool
 	// Strikes counts the strikes in a row, each of a prompt that was sent after the one
 	// before it. Prompts that were in flight during the same crash, or during several
 	// at one time, count once.
@@ -42,26 +48,29 @@
 	Several bool
 	// FailedTrials counts those of the strikes that were trials of a barred part.
 	FailedTrials int
+	// firstSentAt is when the request of the first of these strikes was sent; zero if a peer
+	// counted it.
+	firstSentAt time.Time
 	// StruckAt is when the last of these strikes was recorded, EndedWellAt when a prompt
 	// with the part last ended well after a strike; each is zero if there was none.
 	StruckAt, EndedWellAt time.Time
 }
 
-// Proof records that a prompt with some parts ended well, so that they don't crash
+// Proof records that a request with some parts ended well, so that they don't crash
 // endpoints.
 type Proof struct {
 	Parts []ident.PartID
 	At    time.Time
 }
 
-// barred reports whether prompts with the part are not sent.
-func (s *PartState) barred() bool { return s.Strikes >= maxPartStrikes && s.Several }
+// barred reports whether requests with the part are not sent.
+func (s *PartState) barred() bool { return s.Strikes >= maxPartStrikes && (s.Several || s.Whole) }
 
-// trialDue returns when a prompt with the part may be sent as a trial. alone is set if
-// the prompt has no other barred part.
+// trialDue returns when a request with the part may be sent as a trial. alone is set if
+// the request has no other barred part.
 func (s *PartState) trialDue(alone bool) time.Time {
 	failed := s.FailedTrials
-	if !alone {
+	if s.Whole || !alone {
 		failed++
 	}
 	pause := trialPause
@@ -91,78 +100,112 @@
 	return s.StruckAt
 }
 
-// Parts finds the parts of prompts that crash endpoints whatever else a prompt holds.
-// Such a part is in a prompt in flight at each of the crashes, and no prompt with it ends
-// well. The other parts of these prompts, and those of prompts that only ran beside
-// them, do end well in others. It is not safe for concurrent use.
+// Parts finds the parts of requests that crash endpoints whatever else a request holds: a
+// whole request, or a part that prompts share. Such a part is in a request in flight at each of
+// the crashes, and no request with it ends well. The other parts of these requests, and those
+// of requests that only ran beside them, do end well in others. It is not safe for concurrent
+// use.
 type Parts struct {
+	// CountsRequests is set if strikes count against whole requests too. It is set before use.
+	CountsRequests bool
+
 	states map[ident.PartID]*PartState
 	// trials holds the barred parts of which this node runs a trial.
-	trials ident.Set[ident.PartID]
+	trials  ident.Set[ident.PartID]
+	pending map[*Pending]struct{}
 }
 
 // NewParts returns an empty table.
 func NewParts() *Parts {
-	return &Parts{states: map[ident.PartID]*PartState{}, trials: ident.Set[ident.PartID]{}}
+	return &Parts{states: map[ident.PartID]*PartState{}, trials: ident.Set[ident.PartID]{}, pending: map[*Pending]struct{}{}}
 }
 
 // Len returns the number of parts in the table.
 func (t *Parts) Len() int { return len(t.states) }
 
-// Add counts a strike against the parts of its prompt. It returns the parts that are
+// Add counts a strike against the parts of its request. It returns the parts that are
 // barred from now on.
 func (t *Parts) Add(s Strike) []ident.PartID {
 	var barred []ident.PartID
 	for _, p := range s.Parts {
-		st := t.state(p)
-		sentAt := s.At.Add(-s.Took)
-		if !sentAt.After(st.StruckAt) || s.At.Before(st.EndedWellAt) {
-			continue
-		}
-		was := st.barred()
-		if st.Strikes == 0 {
-			st.Request, st.Several = s.Digest, false
-		}
-		st.Strikes++
-		st.Several = st.Several || s.Digest != st.Request
-		st.StruckAt = s.At
-		if was && s.Trial {
-			st.FailedTrials++
-		}
-		if !was && st.barred() {
+		if t.count(t.state(p), s) {
 			barred = append(barred, p)
 		}
 	}
+	if !t.CountsRequests {
+		return barred
+	}
+	st := t.state(s.Digest.Part())
+	st.Whole = true
+	if t.count(st, s) {
+		barred = append(barred, st.Part)
+	}
 	return barred
 }
 
-// state returns the state of a part and creates it if needed. If the table is full, the
-// state that changed first is dropped.
+// count counts a strike against a part, and reports whether the part is barred from now on. The
+// cause of an earlier break may be found later than that of the others.
+func (t *Parts) count(st *PartState, s Strike) bool {
+	sentAt := s.At.Add(-s.Took)
+	isFirst := st.Strikes > 0 && s.At.Before(st.firstSentAt)
+	if !sentAt.After(st.StruckAt) && !isFirst || s.At.Before(st.EndedWellAt) {
+		return false
+	}
+	was := st.barred()
+	if st.Strikes == 0 {
+		st.Request, st.Several = s.Digest, false
+	}
+	if st.Strikes == 0 || isFirst {
+		st.firstSentAt = sentAt
+	}
+	st.Strikes++
+	st.Several = st.Several || s.Digest != st.Request
+	if !isFirst {
+		st.StruckAt = s.At
+	}
+	if was && s.Trial {
+		st.FailedTrials++
+	}
+	return !was && st.barred()
+}
+
+// state returns the state of a part and creates it if needed. If the table is full, another
+// one is dropped.
 func (t *Parts) state(p ident.PartID) *PartState {
 	if st := t.states[p]; st != nil {
 		return st
 	}
 	if len(t.states) >= maxParts {
-		t.dropOldest()
+		t.dropOne()
 	}
 	st := &PartState{Part: p}
 	t.states[p] = st
 	return st
 }
 
-func (t *Parts) dropOldest() {
-	var oldest *PartState
+// dropOne drops the state that changed first of those that aren't barred, or of all if they are.
+func (t *Parts) dropOne() {
+	var first *PartState
 	for _, st := range t.states {
-		if oldest == nil || st.changedAt().Before(oldest.changedAt()) {
-			oldest = st
+		if first == nil || goesBefore(st, first) {
+			first = st
 		}
 	}
-	delete(t.states, oldest.Part)
+	delete(t.states, first.Part)
 }
 
-// EndWell records that a prompt ended well. It returns its parts that were under
+// goesBefore reports whether a is dropped rather than b.
+func goesBefore(a, b *PartState) bool {
+	if a.barred() != b.barred() {
+		return b.barred()
+	}
+	return a.changedAt().Before(b.changedAt())
+}
+
+// EndWell records that a request ended well. It returns its parts that were under
 // suspicion before.
 func (t *Parts) EndWell(p Proof) []ident.PartID {
+	t.voidPending(p)
 	var cleared []ident.PartID
 	for _, id := range p.Parts {
 		st := t.states[id]
@@ -175,7 +218,15 @@
 	return cleared
 }
 
-// Check returns the barred ones of some parts, and when a prompt with them may be sent
+// IsSuspected reports whether the next strike bars one of some parts.
+func (t *Parts) IsSuspected(ps []ident.PartID) bool {
+	return slices.ContainsFunc(ps, func(p ident.PartID) bool {
+		st := t.states[p]
+		return st != nil && st.Strikes >= maxPartStrikes-1
+	})
+}
+
+// Check returns the barred ones of some parts, and when a request with them may be sent
 // as a trial.
 func (t *Parts) Check(ps []ident.PartID) (barred []ident.PartID, trialDue time.Time) {
 	for _, p := range ps {
@@ -235,6 +286,7 @@
 // Merge adds what a peer knows of a part.
 func (t *Parts) Merge(s PartState) {
 	st := t.state(s.Part)
+	st.Whole = st.Whole || s.Whole
 	if s.EndedWellAt.After(st.EndedWellAt) {
 		st.EndedWellAt = s.EndedWellAt
 		if !st.StruckAt.After(s.EndedWellAt) {
--- a/internal/coord/strik/parts_test.go
+++ b/internal/coord/strik/parts_test.go
@@ -152,3 +152,115 @@
 		}
 	})
 }
+
+// newRequests returns a table that counts strikes against whole requests.
+func newRequests() *strik.Parts {
+	p := strik.NewParts()
+	p.CountsRequests = true
+	return p
+}
+
+// crashOf returns the strike of a request without shared parts.
+func crashOf(d strik.Digest, sentMS, brokenMS int) strik.Strike {
+	s := crash(sentMS, brokenMS)
+	s.Digest = d
+	return s
+}
+
+// Guards against CONFIG: a request that ended well in between was barred for strikes that were not
+// in a row.
+func TestRequestIsBarredIfItNeverEndsWell(t *testing.T) {
+	const d strik.Digest = 1 << 40
+	cases := []struct {
+		name string
+		// endsWellMS are when the request ended well; the strikes are of 200, 500 and 800 ms.
+		endsWellMS []int
+		barred     bool
+	}{
+		{"never", nil, true},
+		{"before the first", []int{100}, true},
+		{"in between", []int{600}, false},
+		{"after the last", []int{900}, false},
+	}
+	for _, c := range cases {
+		p := newRequests()
+		for i := range 3 {
+			for _, ms := range c.endsWellMS {
+				if ms > i*300-100 && ms <= i*300+200 {
+					p.EndWell(strik.Proof{Parts: []ident.PartID{d.Part()}, At: at(ms)})
+				}
+			}
+			p.Add(crashOf(d, i*300, i*300+200))
+		}
+		for _, ms := range c.endsWellMS {
+			p.EndWell(strik.Proof{Parts: []ident.PartID{d.Part()}, At: at(ms)})
+		}
+		test.Eq(t, c.barred, len(barred(p, d.Part())) > 0, test.Sprint(c.name))
+	}
+}
+
+// Guards against a crash that does not count since the cause of its break was found after that of the
+// next one.
+func TestEarlierStrikeThatIsFoundLaterCounts(t *testing.T) {
+	const d strik.Digest = 1 << 40
+	for _, order := range [][]int{{0, 1, 2}, {1, 0, 2}, {2, 1, 0}} {
+		p := newRequests()
+		for _, i := range order {
+			p.Add(crashOf(d, i*300, i*300+200))
+		}
+		test.SliceLen(t, 1, barred(p, d.Part()), test.Sprint(order))
+	}
+}
+
+// Guards against a strike for a request that ended well elsewhere before the cause of the break was
+// known.
+func TestPendingStrikeIsVoidIfTheRequestEndsWell(t *testing.T) {
+	const d strik.Digest = 1 << 40
+	s := crash(0, 200, commonPart, badPart)
+	s.Digest = d
+	p := newRequests()
+	pending := p.Await(s)
+	test.Eq(t, 1, p.PendingLen())
+	p.EndWell(strik.Proof{Parts: []ident.PartID{commonPart}, At: at(300)})
+	p.EndWell(strik.Proof{Parts: []ident.PartID{badPart}, At: at(100)})
+	got, stands := p.Resolve(pending)
+	test.True(t, stands)
+	test.Eq(t, []ident.PartID{badPart}, got.Parts, test.Sprint("the other part has ended well since"))
+	test.Zero(t, p.PendingLen())
+
+	pending = p.Await(s)
+	p.EndWell(strik.Proof{Parts: []ident.PartID{d.Part()}, At: at(300)})
+	_, stands = p.Resolve(pending)
+	test.False(t, stands)
+}
+
+// Guards against a bar that is dropped for states of less weight once the table is full.
+func TestFullTableKeepsWhatIsBarred(t *testing.T) {
+	p := newRequests()
+	const d strik.Digest = 1 << 40
+	for i := range 3 {
+		p.Add(crashOf(d, i*300, i*300+200))
+	}
+	for i := range 10_000 {
+		p.Add(crashOf(d+1+strik.Digest(i), 1000, 1200))
+	}
+	test.Eq(t, 4096, p.Len())
+	test.SliceLen(t, 1, barred(p, d.Part()))
+}
+
+// Guards against BUDGET: trials of a request that does crash endpoints reached them too often.
+func TestTrialsOfARequest(t *testing.T) {
+	const d strik.Digest = 1 << 40
+	p := newRequests()
+	for i := range 3 {
+		p.Add(crashOf(d, i*300, i*300+200))
+	}
+	var trials []time.Duration
+	for now := at(800); now.Before(at(800).Add(time.Hour)); now = now.Add(100 * time.Millisecond) {
+		if _, due := p.Check([]ident.PartID{d.Part()}); !now.Before(due) {
+			trials = append(trials, now.Sub(at(800)).Round(time.Second))
+			p.Add(strik.Strike{Digest: d, At: now, Took: 50 * time.Millisecond, Trial: true})
+		}
+	}
+	test.Eq(t, []time.Duration{8 * time.Second, 136 * time.Second, 2184 * time.Second}, trials)
+}
--- /dev/null
+++ b/internal/coord/strik/pending.go
@@ -0,0 +1,44 @@
+package strik
+
+import (
+	"slices"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+// Pending is a strike that is not counted yet, since it isn't known whether the endpoint has
+// crashed.
+type Pending struct {
+	strike Strike
+	// isVoid is set if the request has ended well since.
+	isVoid bool
+}
+
+// Await keeps a strike until Resolve is called with it. Proofs that arrive meanwhile void it.
+func (t *Parts) Await(s Strike) *Pending {
+	p := &Pending{strike: s}
+	p.strike.Parts = slices.Clone(s.Parts)
+	t.pending[p] = struct{}{}
+	return p
+}
+
+// Resolve ends the wait for the cause of a strike. It returns the strike against the parts that
+// have not ended well since, and false if the request itself has.
+func (t *Parts) Resolve(p *Pending) (s Strike, stands bool) {
+	delete(t.pending, p)
+	return p.strike, !p.isVoid
+}
+
+// PendingLen returns the number of strikes whose cause is not known yet.
+func (t *Parts) PendingLen() int { return len(t.pending) }
+
+// voidPending removes the parts of a proof from the strikes that are older.
+func (t *Parts) voidPending(proof Proof) {
+	for p := range t.pending {
+		if proof.At.Before(p.strike.At) {
+			continue
+		}
+		p.isVoid = p.isVoid || slices.Contains(proof.Parts, p.strike.Digest.Part())
+		p.strike.Parts = slices.DeleteFunc(p.strike.Parts, func(id ident.PartID) bool { return slices.Contains(proof.Parts, id) })
+	}
+}
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -132,10 +132,11 @@
 	Began []AgedRequest
 	Wrote []works.ID
 	Done  []works.ID
-	// Failed lists the endpoints that the node could not reach.
-	Failed []ident.EndpointName
-	// Struck lists the strikes that the node recorded: in each, an endpoint broke
-	// the connection of a request in flight.
+	// Failed lists the endpoints that the node could not reach, Broke those that live, but broke
+	// the connection of a request. Nodes of older builds don't know the latter.
+	Failed, Broke []ident.EndpointName
+	// Struck lists the strikes that the node recorded: in each, an endpoint crashed with a
+	// request in flight.
 	Struck []AgedStrike
 	// Proofs lists the parts of prompts that the node has cleared of strikes, and Parts
 	// those under suspicion; the latter is set only in the first update to a peer.
@@ -179,7 +180,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded and Heard.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided)+len(u.Orphans) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Broke)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided)+len(u.Orphans) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/gate/choose.go
+++ b/internal/trans/gate/choose.go
@@ -19,9 +19,6 @@
 	now := time.Now()
 	s.observeStarts(now)
 	x.limited = limitedEndpoints{}
-	if x.crashesEndpoints(now) {
-		return place.Choice{}, place.Request{}, errCrashesEndpoints
-	}
 	if x.mayOutliveNode(now, 0) {
 		return place.Choice{}, place.Request{}, errStopping
 	}
@@ -123,8 +120,6 @@
 	switch {
 	case errors.Is(err, errStopping):
 		return retryElsewhere
-	case errors.Is(err, errCrashesEndpoints):
-		return x.server.strikes.barredFor(x.digest(), time.Now())
 	case errors.Is(err, errEvacuated):
 		return retryEvacuated
 	case errors.Is(err, errResting):
--- a/internal/trans/gate/crash.go
+++ b/internal/trans/gate/crash.go
@@ -65,7 +65,8 @@
 }
 
 // tryCause returns what probes show at one time. An endpoint that nobody reaches has crashed only
-// if the links of this node work, which another endpoint shows by its answer.
+// if the links of this node work, which another endpoint shows by its answer. A node without
+// peers asks only the endpoint itself.
 func (s *Server) tryCause(ctx context.Context, e *topol.Endpoint) (breakCause, reachability) {
 	r := s.diagnose(ctx, e)
 	switch {
@@ -75,7 +76,7 @@
 		return endpointAlive, r
 	case r == reachedOverPeer:
 		return ownLinkLost, r
-	case r == unreachable && s.reachesOther(ctx, e):
+	case r == unreachable && (s.isAlone() || s.reachesOther(ctx, e)):
 		return endpointCrashed, r
 	}
 	return causeUnknown, r
@@ -99,6 +100,12 @@
 	return listed != nil && listed.Born != e.Born && e.Born != 0
 }
 
+// isAlone reports whether this node knows no others.
+func (s *Server) isAlone() bool {
+	now := time.Now()
+	return len(s.Peers(now)) == 0 && s.Nodes(now).Known <= 1
+}
+
 // reachesOther reports whether an endpoint other than e answers a probe over a link of this node.
 func (s *Server) reachesOther(ctx context.Context, e *topol.Endpoint) bool {
 	probed := 0
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -11,6 +11,7 @@
 	"laburnumstack.org/laburnum/internal/coord/homes"
 	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/coord/place"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/topol"
@@ -68,8 +69,14 @@
 	load     place.Load
 	// isPromptCounted is set once the prompt's parts count among the last ones.
 	isPromptCounted bool
-	// onTrial holds the barred parts of which the prompt is sent as a trial.
+	// onTrial holds the barred parts of which the request is sent as a trial.
 	onTrial []ident.PartID
+	// causeKnown is closed once the cause of the last broken connection is known; nil if no
+	// connection broke.
+	causeKnown chan struct{}
+	// digestValue is the digest of the request if hasDigest is set.
+	digestValue strik.Digest
+	hasDigest   bool
 	// failedReservations counts the placements for which memory could not be
 	// reserved.
 	failedReservations int
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -73,7 +73,7 @@
 			Buckets: []float64{.05, .1, .2, .3, .5, 1, 1.5, 3, 6, 12},
 		}, []string{"kind", "length"}),
 		strikes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "laburnum_strikes_total", Help: "Requests whose connection an endpoint broke while it ran them.",
+			Name: "laburnum_strikes_total", Help: "Requests that were in flight at an endpoint that crashed.",
 		}),
 		breaks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnum_connection_breaks_total", Help: "Investigations of endpoints that broke a connection or could not be reached, by cause.",
@@ -122,7 +122,7 @@
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
-		gauge("laburnum_parts_with_strikes", "Parts of prompts that have or recently had strikes.", func() float64 { return float64(s.partStrikes.count.Load()) }),
+		gauge("laburnum_parts_with_strikes", "Requests, and parts of prompts, that have or recently had strikes.", func() float64 { return float64(s.strikes.count.Load()) }),
 		gauge("laburnum_unavailable_endpoints", "Statements of endpoints that are leaving, or that want no requests of a node.", func() float64 { return float64(s.availability.count.Load()) }),
 		gauge("laburnum_stale_groups", "Data centres of a service whose endpoints are avoided since their records may be out of date.", func() float64 { return float64(s.staleRecords.groups.Load()) }),
 		gauge("laburnum_request_bytes", "Memory taken by callers' requests, but for small ones.", func() float64 { return float64(s.requestBytes.Used()) }),
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -116,6 +116,7 @@
 		}
 	default:
 		if canRetry && x.mayRunElsewhere(now) && !x.allTried() && s.takeRetry(x.service.Name) {
+			x.awaitCause()
 			return false
 		}
 	}
@@ -206,14 +207,14 @@
 		x.countRequestEnd(strconv.Itoa(o.status))
 		x.observeLatency(now.Sub(x.arrived) - now.Sub(o.startedAt) + o.timeToFirst)
 	}
+	if o.isWholeAnswer {
+		x.recordEndedWell(o, c.Primary.Name)
+	}
 	switch {
 	case o.faultAddress != "":
 		x.recordFaultAt(o.faultAddress, now)
 	case o.result == complete:
 		s.endpointHealth.recordSuccess(c.Primary.Name)
-		if o.whole {
-			x.recordEndedWell(o, c.Primary.Name)
-		}
 	case o.flooded:
 		s.recordFlood(c.Primary, now)
 	case o.linkLost, o.result == superseded:
@@ -241,9 +242,9 @@
 	}
 }
 
-// recordFailureAt records that an endpoint could not be reached or did not answer. The
-// peers are informed, and the parts of the prompt get strikes, only if the endpoint is the
-// cause and not the link of this node.
+// recordFailureAt records that an endpoint could not be reached or did not answer, and looks for
+// the cause. The peers are informed if it isn't the link of this node, and the request gets a
+// strike if the endpoint has crashed.
 func (x *exchange) recordFailureAt(e *topol.Endpoint, o outcome, now time.Time) {
 	s := x.server
 	s.pool(e.Address).CloseIdle()
@@ -257,36 +258,28 @@
 	if o.connBroken {
 		strike = x.newStrike(e.Name, o.startedAt, now)
 	}
-	blame := func() {
-		if strike != nil {
-			x.addStrike(*strike)
-		}
+	if strike == nil && (!isNew || len(s.Peers(now)) == 0) {
+		return
 	}
-	announce := func() {
-		if isNew {
+	trial, pending, known := x.takeTrial(), s.await(strike), make(chan struct{})
+	x.causeKnown = known
+	go func() {
+		defer s.endTrial(trial)
+		defer close(known)
+		cause := s.findCause(context.Background(), e)
+		switch {
+		case cause == ownLinkLost:
+			s.endpointHealth.recordSuccess(e.Name)
+			s.clearLost(e.Name)
+		case !isNew:
+		case cause == endpointCrashed, cause == endpointAlive && strike == nil:
 			s.AnnounceFailure(e.Name)
+		case cause == endpointAlive:
+			s.AnnounceBreak(e.Name)
 		}
-	}
-	switch {
-	case len(s.Peers(now)) == 0:
-		announce()
-		blame()
-	case isNew || strike != nil:
-		trial := x.takeTrial()
-		go func() {
-			defer s.endTrial(trial)
-			switch s.findCause(context.Background(), e) {
-			case ownLinkLost:
-				s.endpointHealth.recordSuccess(e.Name)
-				s.clearLost(e.Name)
-			case endpointAlive, endpointCrashed:
-				announce()
-				blame()
-			case endpointRestarted:
-				blame()
-			}
-		}()
-	}
+		// Peers take an announced failure for a loss unless a strike follows.
+		x.resolve(pending, cause == endpointCrashed || cause == endpointRestarted)
+	}()
 }
 
 // recordFaultAt records a failure of the endpoint at addr, which another
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -16,14 +16,18 @@
 	// answer that ended with its connection, so that the answer counts as ended well:
 	// a crash can look the same.
 	unframedProofDelay = 300 * time.Millisecond
-	// maxPartRetryAfter bounds the Retry-After of prompts with barred parts.
+	// maxPartRetryAfter bounds the Retry-After of requests with barred parts.
 	maxPartRetryAfter = time.Minute
+	// maxCauseWait bounds the time for which a request under suspicion waits for the cause of a
+	// broken connection before it is sent again.
+	maxCauseWait = 500 * time.Millisecond
 )
 
-// partStrikes finds the parts of prompts that crash endpoints. It is safe for
+// strikes finds the requests, and the parts of prompts, that crash endpoints. It is safe for
 // concurrent use.
-type partStrikes struct {
-	// count is the number of parts that have or had strikes.
+type strikes struct {
+	// count is the number of requests and parts that have or had strikes, and of strikes whose
+	// cause is not known yet.
 	count atomic.Int64
 
 	mu    sync.Mutex
@@ -33,7 +37,7 @@
 }
 
 // countPrompt adds the parts of a prompt to the last ones for its service.
-func (p *partStrikes) countPrompt(n ident.ServiceName, parts []ident.PartID) {
+func (p *strikes) countPrompt(n ident.ServiceName, parts []ident.PartID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.recent[n]
@@ -49,41 +53,29 @@
 
 // withoutCommon returns those of some parts that don't occur in nearly all prompts for a service.
 // The caller holds p.mu.
-func (p *partStrikes) withoutCommon(n ident.ServiceName, parts []ident.PartID) []ident.PartID {
+func (p *strikes) withoutCommon(n ident.ServiceName, parts []ident.PartID) []ident.PartID {
 	r := p.recent[n]
 	if r == nil {
-		return parts
+		return slices.Clone(parts)
 	}
 	return slices.DeleteFunc(slices.Clone(parts), r.IsCommon)
 }
 
 // update calls f with the table.
-func (p *partStrikes) update(f func(*strik.Parts)) {
+func (p *strikes) update(f func(*strik.Parts)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table == nil {
 		p.table = strik.NewParts()
+		p.table.CountsRequests = true
 	}
 	f(p.table)
-	p.count.Store(int64(p.table.Len()))
-}
-
-// addPartStrikes counts strikes against the parts of their prompts.
-func (s *Server) addPartStrikes(ss ...strik.Strike) {
-	var barred []ident.PartID
-	s.partStrikes.update(func(t *strik.Parts) {
-		for _, x := range ss {
-			barred = append(barred, t.Add(x)...)
-		}
-	})
-	for _, p := range barred {
-		s.Logger.Warn().Stringer("part", p).Msg("gate: prompts with a part that crashes endpoints are no longer sent")
-	}
+	p.count.Store(int64(p.table.Len() + p.table.PendingLen()))
 }
 
 // AddPeerPartStates adds what a peer knows of parts under suspicion.
 func (s *Server) AddPeerPartStates(ps []strik.PartState) {
-	s.partStrikes.update(func(t *strik.Parts) {
+	s.strikes.update(func(t *strik.Parts) {
 		for _, p := range ps {
 			t.Merge(p)
 		}
@@ -99,28 +91,28 @@
 
 // PartStates returns the parts under suspicion, for a new peer.
 func (s *Server) PartStates() (ps []strik.PartState) {
-	s.partStrikes.update(func(t *strik.Parts) { ps = t.Suspects() })
+	s.strikes.update(func(t *strik.Parts) { ps = t.Suspects() })
 	return ps
 }
 
 // clearParts records that a prompt ended well. It returns the parts that were under
 // suspicion.
 func (s *Server) clearParts(p strik.Proof) (cleared []ident.PartID) {
-	if s.partStrikes.count.Load() == 0 {
+	if s.strikes.count.Load() == 0 {
 		return nil
 	}
-	s.partStrikes.update(func(t *strik.Parts) { cleared = t.EndWell(p) })
+	s.strikes.update(func(t *strik.Parts) { cleared = t.EndWell(p) })
 	return cleared
 }
 
-// recordEndedWell records that the prompt was answered to its end by an endpoint, and
-// informs the peers if that clears one of its parts.
+// recordEndedWell records that an endpoint answered the request to the end, and informs the peers
+// if that clears the request or one of its parts.
 func (x *exchange) recordEndedWell(o outcome, e ident.EndpointName) {
 	s := x.server
-	if len(x.reqHeader.SharedParts) == 0 || s.partStrikes.count.Load() == 0 {
+	if s.strikes.count.Load() == 0 {
 		return
 	}
-	p := strik.Proof{Parts: x.reqHeader.SharedParts, At: time.Now()}
+	p := strik.Proof{Parts: x.allParts(), At: time.Now()}
 	record := func() {
 		if p.Parts = s.clearParts(p); len(p.Parts) > 0 {
 			s.AnnounceProof(p)
@@ -137,25 +129,32 @@
 	})
 }
 
-// checkParts reports whether the prompt has no barred part or may be sent as a trial of
-// them. Otherwise it returns the time until the next trial. A part that nearly all prompts have
-// bars none: strikes are no evidence against it.
+// allParts returns the shared parts of the request, and the one that stands for its whole content.
+func (x *exchange) allParts() []ident.PartID {
+	return append(slices.Clone(x.reqHeader.SharedParts), x.digest().Part())
+}
+
+// suspectParts returns the parts of the request that strikes may bar. A part that nearly all
+// prompts have bars none: strikes are no evidence against it. The caller holds p.mu.
+func (p *strikes) suspectParts(x *exchange) []ident.PartID {
+	return append(p.withoutCommon(x.service.Name, x.reqHeader.SharedParts), x.digest().Part())
+}
+
+// checkParts reports whether the request has no barred part or may be sent as a trial of
+// them. Otherwise it returns the time until the next trial.
 func (x *exchange) checkParts(now time.Time) (ok bool, wait time.Duration) {
 	s := x.server
-	if len(x.reqHeader.SharedParts) == 0 {
-		return true, 0
-	}
-	if !x.isPromptCounted {
-		s.partStrikes.countPrompt(x.service.Name, x.reqHeader.SharedParts)
+	if len(x.reqHeader.SharedParts) > 0 && !x.isPromptCounted {
+		s.strikes.countPrompt(x.service.Name, x.reqHeader.SharedParts)
 		x.isPromptCounted = true
 	}
-	if s.partStrikes.count.Load() == 0 || len(x.onTrial) > 0 {
+	if s.strikes.count.Load() == 0 || len(x.onTrial) > 0 {
 		return true, 0
 	}
 	var barred []ident.PartID
 	var due time.Time
-	s.partStrikes.update(func(t *strik.Parts) {
-		barred, due = t.Check(s.partStrikes.withoutCommon(x.service.Name, x.reqHeader.SharedParts))
+	s.strikes.update(func(t *strik.Parts) {
+		barred, due = t.Check(s.strikes.suspectParts(x))
 		if len(barred) > 0 && !now.Before(due) && s.Nodes(now).Leads(barred[0].String()) && t.StartTrial(barred) {
 			x.onTrial = barred
 		}
@@ -164,13 +163,32 @@
 		return true, 0
 	}
 	if len(x.onTrial) > 0 {
-		s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Msg("gate: prompt is sent as a trial of barred parts")
+		s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Msg("gate: request is sent as a trial of barred parts")
 		return true, 0
 	}
 	return false, min(maxPartRetryAfter, max(time.Second, due.Sub(now)))
 }
 
-// takeTrial returns the barred parts of which the prompt was sent as a trial, and resets
+// awaitCause waits for the cause of the last broken connection if one more strike bars the request:
+// it must not crash a further endpoint meanwhile.
+func (x *exchange) awaitCause() {
+	if x.causeKnown == nil {
+		return
+	}
+	isSuspected := false
+	x.server.strikes.update(func(t *strik.Parts) { isSuspected = t.IsSuspected(x.server.strikes.suspectParts(x)) })
+	if !isSuspected {
+		return
+	}
+	t := time.NewTimer(maxCauseWait)
+	defer t.Stop()
+	select {
+	case <-x.causeKnown:
+	case <-t.C:
+	}
+}
+
+// takeTrial returns the barred parts of which the request was sent as a trial, and resets
 // them.
 func (x *exchange) takeTrial() []ident.PartID {
 	barred := x.onTrial
@@ -181,7 +199,7 @@
 // endTrial ends the trial of some parts, after its outcome was recorded.
 func (s *Server) endTrial(barred []ident.PartID) {
 	if len(barred) > 0 {
-		s.partStrikes.update(func(t *strik.Parts) { t.EndTrial(barred) })
+		s.strikes.update(func(t *strik.Parts) { t.EndTrial(barred) })
 	}
 }
 
--- a/internal/trans/gate/reject.go
+++ b/internal/trans/gate/reject.go
@@ -20,9 +20,9 @@
 	retryLater = 700 * time.Millisecond
 )
 
-// errCrashesEndpoints means that the connections to several endpoints broke
-// while they ran the request.
-const errCrashesEndpoints = errors.ConstError("request has broken the connections to several endpoints")
+// errCrashesEndpoints means that several endpoints crashed while they ran the request, or others
+// with a part of it.
+const errCrashesEndpoints = errors.ConstError("request has crashed several endpoints")
 
 // errResting means that all endpoints which could serve the request want none of this node
 // for a time.
--- a/internal/trans/gate/response.go
+++ b/internal/trans/gate/response.go
@@ -178,6 +178,7 @@
 		return false
 	}
 	a.answer.isIntact = !res.Close && kind != unsignedAnswer
+	o.isWholeAnswer, o.framed = kind == finalAnswer || kind == errorAnswer, res.Framing != http1.UntilClose
 	switch kind {
 	case refusalAnswer:
 		o.result, o.reason, o.response = refused, kind.describe(res), &a.answer.wholeResponse
@@ -207,7 +208,7 @@
 	a.releaseTurn()
 	a.writeResponse(&a.answer.wholeResponse)
 	o.result = complete
-	o.whole, o.framed = res.Status/100 == 2, res.Framing != http1.UntilClose
+	o.whole = res.Status/100 == 2
 }
 
 // writeResponse writes a response to the caller.
--- a/internal/trans/gate/result.go
+++ b/internal/trans/gate/result.go
@@ -60,9 +60,10 @@
 	response *wholeResponse
 	// unreservedEngines are those at which memory could not be reserved, with the reasons.
 	unreservedEngines map[ident.EndpointName]error
-	// whole is set if the endpoint answered with success and to the end, framed if the
-	// answer's end was marked by more than the end of the connection.
-	whole, framed bool
+	// isWholeAnswer is set if the endpoint ran the request and answered to the end, whole if
+	// that answer was a success and was passed on, framed if its end was marked by more than
+	// the end of the connection.
+	isWholeAnswer, whole, framed bool
 	// connBroken is set if the endpoint broke the connection.
 	connBroken bool
 	// timedOut is set if the rest of the answer did not arrive in time.
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -134,6 +134,9 @@
 	AnnounceStrike  func(strik.Strike)
 	AnnounceProof   func(strik.Proof)
 	AnnounceFailure func(ident.EndpointName)
+	// AnnounceBreak informs the peers of an endpoint that lives, but broke the connection of a
+	// request.
+	AnnounceBreak func(ident.EndpointName)
 	// AnnounceLimits informs the peers of limits that endpoints named or that have
 	// ended.
 	AnnounceLimits func(...quota.Limit)
@@ -179,7 +182,6 @@
 	pools          links.Pools
 	endpointHealth endpointHealth
 	strikes        strikes
-	partStrikes    partStrikes
 	direct         directLinks
 	diagnoses      singleflight.Group
 	investigations singleflight.Group
@@ -315,8 +317,7 @@
 // endpoints that have expired or whose endpoint is gone.
 func (s *Server) sweep(ctx context.Context) {
 	delay.Every(ctx, sweepInterval, func(now time.Time) {
-		s.strikes.expire(now)
-		s.partStrikes.update(func(t *strik.Parts) { t.Expire(now) })
+		s.strikes.update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
 		s.expireAvailability(now)
 		s.refreshStale()
--- a/internal/trans/gate/silence_test.go
+++ b/internal/trans/gate/silence_test.go
@@ -44,7 +44,7 @@
 }
 
 // inOrder returns a function that opens a connection only after a request has arrived over each
-// one before, so that the scripts of endpoints are used in the order of the sends.
+// one before, so that the scripts of endpoints are used in the order of the sends. Probes don't wait.
 func inOrder(es []*scriptedEndpoint) links.DialFunc {
 	var dialed atomic.Int64
 	received := func() (n int64) {
@@ -54,6 +54,9 @@
 		return n
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
+		if carriesNoRequest(ctx) {
+			return links.Dial(ctx, address)
+		}
 		for received() < dialed.Load() && ctx.Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
--- a/internal/trans/gate/stream.go
+++ b/internal/trans/gate/stream.go
@@ -193,7 +193,7 @@
 		}
 		switch err := a.answer.err; {
 		case err == io.EOF:
-			o.result, o.whole, o.framed = complete, true, r.isFramed
+			o.result, o.isWholeAnswer, o.whole, o.framed = complete, true, true, r.isFramed
 			a.answer.isIntact = !a.answer.head.Close
 			return
 		case err != nil:
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -3,7 +3,7 @@
 import (
 	"io"
 	"net"
-	"sync"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,70 +14,34 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// maxStrikes is the number of strikes at which a request is no longer sent to
-// endpoints.
-const maxStrikes = 3
-
-// strikes counts the endpoints that each request may have crashed. It is safe
-// for concurrent use.
-type strikes struct {
-	mu    sync.Mutex
-	table *strik.Table
-}
-
-func (s *strikes) add(ss ...strik.Strike) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table == nil {
-		s.table = strik.New()
-	}
-	for _, x := range ss {
-		s.table.Add(x)
-	}
-}
-
-func (s *strikes) count(d strik.Digest, now time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table == nil {
-		return 0
+// AddStrikes adds strikes that peers, or this node, recorded.
+func (s *Server) AddStrikes(ss []strik.Strike) {
+	for _, k := range ss {
+		// A connection was broken, which peers announce as a failure too.
+		s.clearLost(k.Endpoint)
 	}
-	return s.table.Count(d, now).All
-}
-
-// barredFor returns how long a request with at least maxStrikes strikes is not sent.
-func (s *strikes) barredFor(d strik.Digest, now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table == nil {
-		return 0
+	var barred []ident.PartID
+	s.strikes.update(func(t *strik.Parts) {
+		for _, k := range ss {
+			barred = append(barred, t.Add(k)...)
+		}
+	})
+	for _, p := range barred {
+		s.Logger.Warn().Stringer("part", p).Bool("request", isRequest(ss, p)).Msg("gate: requests with a part that crashes endpoints are no longer sent")
 	}
-	return s.table.FallsBelow(d, maxStrikes, now).Sub(now)
-}
-
-// hasAny reports whether any request has strikes.
-func (s *strikes) hasAny() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table != nil && s.table.Len() > 0
 }
 
-func (s *strikes) expire(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table != nil {
-		s.table.Expire(now)
-	}
+// isRequest reports whether a part stands for the whole request of one of some strikes.
+func isRequest(ss []strik.Strike, p ident.PartID) bool {
+	return slices.ContainsFunc(ss, func(k strik.Strike) bool { return k.Digest.Part() == p })
 }
 
-// AddStrikes adds strikes that peers, or this node, recorded.
-func (s *Server) AddStrikes(ss []strik.Strike) {
-	for _, k := range ss {
-		// A connection was broken, which peers announce as a failure too.
-		s.clearLost(k.Endpoint)
+// AddPeerBreaks records endpoints that live, but broke the connection of a peer's request.
+func (s *Server) AddPeerBreaks(ns []ident.EndpointName) {
+	now := time.Now()
+	for _, n := range ns {
+		s.endpointHealth.recordFailure(n, now)
 	}
-	s.strikes.add(ss...)
-	s.addPartStrikes(ss...)
 }
 
 // AddPeerFailures records failures of endpoints that a peer announced.
@@ -90,6 +54,9 @@
 
 // digest returns a hash of the request's workspace, target and body.
 func (x *exchange) digest() strik.Digest {
+	if x.hasDigest {
+		return x.digestValue
+	}
 	h := xxhash.New()
 	if x.workspace != nil {
 		h.WriteString(string(x.workspace.Name))
@@ -98,7 +65,8 @@
 	h.Write(x.request.Target)
 	h.Write([]byte{0})
 	h.Write(x.body)
-	return strik.Digest(h.Sum64())
+	x.digestValue, x.hasDigest = strik.Digest(h.Sum64()), true
+	return x.digestValue
 }
 
 // newStrike returns a strike of the request: the endpoint's connection broke while it ran
@@ -107,20 +75,32 @@
 	return &strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: len(x.onTrial) > 0}
 }
 
-// addStrike records a strike of the request and informs the peers.
-func (x *exchange) addStrike(k strik.Strike) {
+// await keeps a strike until the cause of the break is known.
+func (s *Server) await(k *strik.Strike) (p *strik.Pending) {
+	if k != nil {
+		s.strikes.update(func(t *strik.Parts) { p = t.Await(*k) })
+	}
+	return p
+}
+
+// resolve ends the wait for the cause of a break. If the endpoint has crashed, and the request has
+// not ended well since, it records the strike and informs the peers.
+func (x *exchange) resolve(p *strik.Pending, crashed bool) {
 	s := x.server
+	if p == nil {
+		return
+	}
+	var k strik.Strike
+	var stands bool
+	s.strikes.update(func(t *strik.Parts) { k, stands = t.Resolve(p) })
+	if !crashed || !stands {
+		return
+	}
 	s.AddStrikes([]strik.Strike{k})
 	s.AnnounceStrike(k)
 	s.getMetrics().strikes.Inc()
 	s.requestLog(false).Str("request", x.reqHeader.ID).Str("endpoint", string(k.Endpoint)).Stringers("parts", partNames(k.Parts)).
-		Int("strikes", s.strikes.count(k.Digest, k.At)).Msg("gate: endpoint broke the connection of a request in flight")
-}
-
-// crashesEndpoints reports whether the request has so many strikes that it is
-// no longer sent to endpoints.
-func (x *exchange) crashesEndpoints(now time.Time) bool {
-	return x.server.strikes.hasAny() && x.server.strikes.count(x.digest(), now) >= maxStrikes
+		Stringer("digest", k.Digest.Part()).Msg("gate: endpoint crashed with a request in flight")
 }
 
 // isConnBroken reports whether an error means that the other end broke the
--- a/internal/trans/share/announce.go
+++ b/internal/trans/share/announce.go
@@ -31,6 +31,11 @@
 	m.announce(true, func(u *relay.Update) { u.Failed = append(u.Failed, n) })
 }
 
+// AnnounceBreak informs the peers of an endpoint that lives, but broke the connection of a request.
+func (m *Mesh) AnnounceBreak(n ident.EndpointName) {
+	m.announce(true, func(u *relay.Update) { u.Broke = append(u.Broke, n) })
+}
+
 // AnnounceStrike informs the peers of a strike.
 func (m *Mesh) AnnounceStrike(s strik.Strike) {
 	m.announce(true, func(u *relay.Update) { u.Struck = append(u.Struck, relay.AgedStrike{Strike: s}) })
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -197,7 +197,7 @@
 		}
 		return
 	}
-	urgent := len(u.Began)+len(u.Failed)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Orphans) > 0
+	urgent := len(u.Began)+len(u.Failed)+len(u.Broke)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Orphans) > 0
 	m.queueFor(urgent, func(p *peer) func(*relay.Update) {
 		scope := relay.ScopePeer
 		if p != nil {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -105,11 +105,13 @@
 	// OnOrphans, if it is set, is called with the engines at which a peer looked for
 	// orphaned requests.
 	OnOrphans func([]relay.Orphans)
-	// OnFailed is called with the endpoints that a peer could not reach, OnStruck
+	// OnFailed is called with the endpoints that a peer could not reach, OnBroke with those
+	// that live, but broke the connection of a peer's request, OnStruck
 	// with the strikes that a peer recorded, OnProofs and OnPartStates with the parts of
 	// prompts that a peer cleared or suspects, and OnLimits with the limits of endpoints
 	// that a peer knows.
 	OnFailed     func([]ident.EndpointName)
+	OnBroke      func([]ident.EndpointName)
 	OnStruck     func([]strik.Strike)
 	OnLimits     func([]quota.Limit)
 	OnProofs     func([]strik.Proof)
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -127,6 +127,9 @@
 	if len(u.Failed) > 0 {
 		m.OnFailed(u.Failed)
 	}
+	if len(u.Broke) > 0 {
+		m.OnBroke(u.Broke)
+	}
 	if len(u.Orphans) > 0 && m.OnOrphans != nil {
 		m.OnOrphans(u.Orphans)
 	}
