share, edge: tell a node that starts which requests crash endpoints

Cause: strikes against whole requests were announced as they occurred, and never told to a node that connected. After the last restart none knew them.

Evidence: TestStartingNodeKnowsRequestsThatCrashEndpoints on: the starting node knew of no part.

States carry the age of the success that cleared them, so that no node learns of strikes without it.

--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -263,18 +263,8 @@
 	}
 }
 
-// Suspects returns the states of the parts under suspicion, for a new peer.
-func (t *Parts) Suspects() []PartState {
-	var ss []PartState
-	for _, st := range t.states {
-		if st.Strikes > 0 {
-			ss = append(ss, *st)
-		}
-	}
-	return ss
-}
-
-// States returns the states of all parts, also of those that were cleared.
+// States returns the states of all parts, also of those that were cleared: a peer must not learn
+// of strikes without what cleared them.
 func (t *Parts) States() []PartState {
 	ss := make([]PartState, 0, len(t.states))
 	for _, st := range t.states {
--- a/internal/coord/strik/parts_test.go
+++ b/internal/coord/strik/parts_test.go
@@ -114,12 +114,12 @@
 	for i := range 4 {
 		p.Add(crash(i*300, i*300+200, badPart))
 	}
-	for _, s := range p.Suspects() {
+	for _, s := range p.States() {
 		q.Merge(s)
 	}
 	test.Eq(t, []ident.PartID{badPart}, barred(q, badPart))
 	q.EndWell(strik.Proof{Parts: []ident.PartID{badPart}, At: at(5000)})
-	for _, s := range p.Suspects() {
+	for _, s := range p.States() {
 		q.Merge(s)
 	}
 	test.SliceEmpty(t, barred(q, badPart), test.Sprint("what the peer knows is older than the success"))
--- a/internal/node/edge/start_test.go
+++ b/internal/node/edge/start_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
@@ -92,6 +93,13 @@
 
 // runNode runs a node and returns the lines that it logs, once a configuration is in force.
 func runNode(t *testing.T, s Settings, source versionSource) *lineBuffer {
+	_, lines := startNode(t, s, source)
+	return lines
+}
+
+// startNode runs a node and returns it with the lines that it logs, once a configuration is in
+// force.
+func startNode(t *testing.T, s Settings, source versionSource) (*Node, *lineBuffer) {
 	lines := &lineBuffer{}
 	s.CallerAddress, s.ReadyAddress = "127.0.0.1:0", "127.0.0.1:0"
 	n := &Node{Settings: s, Source: source, Decoder: versionDecoder{}, DecodeCatalog: decodeVersion, Logger: zerolog.New(lines)}
@@ -105,7 +113,7 @@
 	for len(lines.versions(t)) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	return lines
+	return n, lines
 }
 
 // Guards against keys that were taken away and that a starting node serves, since the store
@@ -132,3 +140,20 @@
 		})
 	}
 }
+
+// Guards against BUDGET: nodes that start send a request that the others have barred, since they
+// aren't told that it crashes endpoints, or only after they serve.
+func TestStartingNodeKnowsRequestsThatCrashEndpoints(t *testing.T) {
+	const digest strik.Digest = 1 << 40
+	const took = 50 * time.Millisecond
+	peer := freeAddress(t)
+	n, _ := startNode(t, Settings{Name: "n1", PeerAddress: peer, Bootstrap: true}, versionSource{version: 1, era: 1})
+	for _, age := range []time.Duration{6 * took, 4 * took, 2 * took} {
+		n.gate.AddStrikes([]strik.Strike{{Digest: digest, Endpoint: "e", At: time.Now().Add(-age), Took: took}})
+	}
+	starter, _ := startNode(t, Settings{Name: "n2", PeerAddress: freeAddress(t), Seeds: []string{peer}}, versionSource{version: 1, era: 1})
+	states := starter.gate.PartStates()
+	must.SliceLen(t, 1, states)
+	test.Eq(t, ident.PartID(digest), states[0].Part)
+	test.Eq(t, 3, states[0].Strikes)
+}
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -67,6 +67,8 @@
 	// turnAt is, for the same streams, when this node is to read the store itself
 	// because no node that it pulls from has a fresh copy; zero while one has.
 	turnAt [feeds.Members]clock.Atomic
+	// isStarting is set while askPeers asks the peers for their state.
+	isStarting atomic.Bool
 	// isReader is set while this node reads the store for others.
 	isReader atomic.Bool
 	// changes holds encoded changes of the configuration for peers.
@@ -340,7 +342,7 @@
 
 // fetchState fetches the state of a peer, and reports whether it got it.
 func (s *stateSync) fetchState(address string, sentAt clock.Instant) (relay.State, bool) {
-	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat}
+	args := relay.StateArgs{Version: s.feeds.Catalog().ID().Version, Base: s.base(), Format: topol.ChangeFormat, Starts: s.isStarting.Load()}
 	if !s.needsWholeList.Load() {
 		args.List = s.feeds.Endpoints().ListID()
 	}
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -57,11 +57,15 @@
 	Age   time.Duration
 }
 
-// AgedPart is what a node knows of a part of prompts. Age replaces the time of its last
+// AgedPart is what a node knows of a part of requests. Age replaces the time of its last
 // strike.
 type AgedPart struct {
 	State strik.PartState
 	Age   time.Duration
+	// EndedWell is set if a request with the part ended well after a strike; EndedWellAge
+	// replaces the time of that. Nodes of older builds don't set them.
+	EndedWell    bool
+	EndedWellAge time.Duration
 }
 
 // AgedLimit is the limit of an endpoint with its age instead of its time.
@@ -138,8 +142,9 @@
 	// Struck lists the strikes that the node recorded: in each, an endpoint crashed with a
 	// request in flight.
 	Struck []AgedStrike
-	// Proofs lists the parts of prompts that the node has cleared of strikes, and Parts
-	// those under suspicion; the latter is set only in the first update to a peer.
+	// Proofs lists the parts of requests that the node has cleared of strikes, and Parts
+	// those that have or recently had strikes; the latter is set only in the first update to
+	// a peer.
 	Proofs []AgedProof
 	Parts  []AgedPart
 	// Limits lists the limits that endpoints named, or that have ended.
@@ -205,6 +210,9 @@
 	Format int
 	// List is the ID of the endpoint list that the requesting node has.
 	List uint64
+	// Starts is set if the requesting node is starting and needs to know what the peer's
+	// answer holds in Parts.
+	Starts bool
 }
 
 // State is a peer's copy of the configuration and of the endpoint list. Ages
@@ -256,4 +264,7 @@
 	// topol.ChangeFormat get changes.
 	ListBase uint64
 	Removed  []ident.EndpointName
+	// Parts lists the parts of requests that have or recently had strikes. It is set only if
+	// StateArgs.Starts is. Peers of older builds don't set it.
+	Parts []AgedPart
 }
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// PartStates returns the parts under suspicion, for a new peer.
+// PartStates returns the parts that have or recently had strikes, for a new peer.
 func (s *Server) PartStates() (ps []strik.PartState) {
-	s.strikes.update(func(t *strik.Parts) { ps = t.Suspects() })
+	s.strikes.update(func(t *strik.Parts) { ps = t.States() })
 	return ps
 }
 
--- a/internal/trans/share/ages.go
+++ b/internal/trans/share/ages.go
@@ -19,10 +19,7 @@
 	toAges(u.Began, now, requestTime)
 	toAges(u.Struck, now, strikeTime)
 	toAges(u.Proofs, now, proofTime)
-	toAges(u.Parts, now, partTime)
-	for i := range u.Parts {
-		u.Parts[i].State.EndedWellAt = time.Time{}
-	}
+	setPartAges(u.Parts, now)
 	toAges(u.Decided, now, decisionTime)
 	toAges(u.Limits, now, limitTime)
 	for i := range u.Rests {
@@ -36,7 +33,7 @@
 	toTimes(u.Began, now, requestTime)
 	toTimes(u.Struck, now, strikeTime)
 	toTimes(u.Proofs, now, proofTime)
-	toTimes(u.Parts, now, partTime)
+	setPartTimes(u.Parts, now)
 	toTimes(u.Decided, now, decisionTime)
 	toTimes(u.Limits, now, limitTime)
 	for i := range u.Rests {
@@ -44,6 +41,29 @@
 	}
 }
 
+// setPartAges replaces the times in the states of parts by ages.
+func setPartAges(ps []relay.AgedPart, now time.Time) {
+	toAges(ps, now, partTime)
+	for i := range ps {
+		p := &ps[i]
+		if p.EndedWell = !p.State.EndedWellAt.IsZero(); p.EndedWell {
+			p.EndedWellAge = now.Sub(p.State.EndedWellAt)
+		}
+		p.State.EndedWellAt = time.Time{}
+	}
+}
+
+// setPartTimes sets the times in the states of parts from the ages.
+func setPartTimes(ps []relay.AgedPart, now time.Time) {
+	toTimes(ps, now, partTime)
+	for i := range ps {
+		p := &ps[i]
+		if p.EndedWell {
+			p.State.EndedWellAt = now.Add(-p.EndedWellAge)
+		}
+	}
+}
+
 // toAges sets the age of each entry from its time, and clears the time.
 func toAges[E any](entries []E, now time.Time, fields func(*E) (*time.Time, *time.Duration)) {
 	for i := range entries {
--- a/internal/trans/share/fetch.go
+++ b/internal/trans/share/fetch.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"laburnumstack.org/laburnum/internal/coord/quota"
+	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/trans/conns"
 	"laburnumstack.org/laburnum/pkg/ident"
@@ -24,10 +25,16 @@
 )
 
 // FetchState requests a peer's copy of the configuration and of the endpoint
-// list. It returns rpc.ErrShutdown if this node can't connect to the peer.
+// list. It returns rpc.ErrShutdown if this node can't connect to the peer. What the answer tells
+// of parts of requests is known before FetchState returns.
 func (m *Mesh) FetchState(address string, a relay.StateArgs) (relay.State, error) {
 	a.From = m.self()
-	return fetch[relay.State](m, address, stateTimeout, "Node.State", a)
+	st, err := fetch[relay.State](m, address, stateTimeout, "Node.State", a)
+	if err == nil {
+		setPartTimes(st.Parts, time.Now())
+		deliver(st.Parts, m.OnPartStates, func(a relay.AgedPart) strik.PartState { return a.State })
+	}
+	return st, err
 }
 
 // FetchChange requests a part of an encoded change from a peer. It returns
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
@@ -79,6 +80,39 @@
 	test.Eq(t, 7, <-newcomer.parts)
 }
 
+// Guards against a node that starts and learns of strikes only after it serves, or without the success
+// that cleared them.
+func TestStateForAStartingNodeTellsPartsWithStrikes(t *testing.T) {
+	struckAt := time.Now().Add(-time.Minute)
+	n := startNode(t, "a1")
+	n.suspected.Store(&[]strik.PartState{
+		{Part: 7, Strikes: 3, Whole: true, StruckAt: struckAt},
+		{Part: 8, StruckAt: struckAt, EndedWellAt: struckAt.Add(time.Second)},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// The peer can't connect to this node, so that it can only answer.
+	m := &Mesh{Self: relay.Member{Name: "a2", Address: "127.0.0.1:1", DataCentre: "a"}, InFlight: &works.Table{}, Logger: zerolog.Nop()}
+	knowNothing(m)
+	var told []strik.PartState
+	m.OnPartStates = func(ps []strik.PartState) { told = ps }
+	m.Init(ctx)
+	m.AddPeer(n.Self.Address)
+	for {
+		if _, err := m.FetchState(n.Self.Address, relay.StateArgs{Starts: true}); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	must.SliceLen(t, 2, told)
+	for i, want := range *n.suspected.Load() {
+		test.Less(t, time.Second, told[i].StruckAt.Sub(want.StruckAt).Abs())
+		test.Less(t, time.Second, told[i].EndedWellAt.Sub(want.EndedWellAt).Abs())
+		told[i].StruckAt, told[i].EndedWellAt = want.StruckAt, want.EndedWellAt
+		test.Eq(t, want, told[i], test.Sprint(i))
+	}
+}
+
 // directDataCentres returns the data centres, one letter each, of the peers to
 // which the node sends its updates directly.
 func (n *node) directDataCentres() string {
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -90,8 +90,8 @@
 	Status func() (isolated, leaving bool)
 	// ServeTunnel serves a tunnel of a peer; if it is nil, there are none.
 	ServeTunnel func(context.Context, net.Conn, *bufio.Reader)
-	// PartStates returns the parts of prompts under suspicion that this node knows, for
-	// a new peer.
+	// PartStates returns the parts of requests that have or recently had strikes, as this node
+	// knows them, for a new peer.
 	PartStates func() []strik.PartState
 	// Availability returns what endpoints stated to all nodes about whether they accept
 	// requests, and Rests what they stated to one, for a new peer. OnAvailability and
--- a/internal/trans/share/rig_test.go
+++ b/internal/trans/share/rig_test.go
@@ -83,6 +83,7 @@
 	done := make(chan struct{})
 	n := &node{Mesh: m, t: t, stop: func() { cancel(); <-done }, parts: make(chan ident.PartID, 100), proofs: make(chan ident.PartID, 100), stated: make(chan avail.State, 100), rests: make(chan avail.Rest, 100), decided: make(chan bysize.Decision, 100)}
 	m.Status = func() (bool, bool) { return false, n.leaving.Load() }
+	m.State = func(relay.StateArgs) relay.State { return relay.State{} }
 	m.Permit = func(quota.Key) relay.Permit { return relay.Permit{Granted: true} }
 	m.Availability = func() []avail.State { return nil }
 	m.OnAvailability = func(ss []avail.State) { n.stated <- ss[0] }
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -153,6 +153,10 @@
 func (s *service) State(a relay.StateArgs, r *relay.State) error {
 	s.mesh.markSeen(a.From)
 	*r = s.mesh.State(a)
+	if a.Starts {
+		r.Parts = mapAll(s.mesh.PartStates(), agedPart)
+		setPartAges(r.Parts, time.Now())
+	}
 	return nil
 }
 
