gate, strik, share: any node with a barred request sends a trial in its turn

Cause: only the node with the highest hash of the barred part sent trials, and no prompt with the part reached it.

Change: each node that has such a request gets a turn, by its rank for the part, 100 ms apart and within 3 s. A node announces that it begins a trial and that it has ended; the others send none meanwhile, unless it dies or 20 s pass.

--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -109,15 +109,14 @@
 	// CountsRequests is set if strikes count against whole requests too. It is set before use.
 	CountsRequests bool
 
-	states map[ident.PartID]*PartState
-	// trials holds the barred parts of which this node runs a trial.
-	trials  ident.Set[ident.PartID]
+	states  map[ident.PartID]*PartState
+	trials  map[ident.PartID]Trial
 	pending map[*Pending]struct{}
 }
 
 // NewParts returns an empty table.
 func NewParts() *Parts {
-	return &Parts{states: map[ident.PartID]*PartState{}, trials: ident.Set[ident.PartID]{}, pending: map[*Pending]struct{}{}}
+	return &Parts{states: map[ident.PartID]*PartState{}, trials: map[ident.PartID]Trial{}, pending: map[*Pending]struct{}{}}
 }
 
 // Len returns the number of parts in the table.
@@ -242,27 +241,6 @@
 	return barred, trialDue
 }
 
-// StartTrial reports whether this node may send a prompt with the given barred parts as a
-// trial, that is whether it runs no other one of them.
-func (t *Parts) StartTrial(barred []ident.PartID) bool {
-	for _, p := range barred {
-		if t.trials.Has(p) {
-			return false
-		}
-	}
-	for _, p := range barred {
-		t.trials.Add(p)
-	}
-	return true
-}
-
-// EndTrial ends a trial. Its outcome is recorded by Add or EndWell.
-func (t *Parts) EndTrial(barred []ident.PartID) {
-	for _, p := range barred {
-		delete(t.trials, p)
-	}
-}
-
 // States returns the states of all parts, also of those that were cleared: a peer must not learn
 // of strikes without what cleared them.
 func (t *Parts) States() []PartState {
@@ -300,4 +278,5 @@
 			delete(t.states, p)
 		}
 	}
+	t.expireTrials(now)
 }
--- /dev/null
+++ b/internal/coord/strik/trial.go
@@ -0,0 +1,83 @@
+package strik
+
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+)
+
+const (
+	// trialTurn is the time from the turn of one node to send a trial to that of the next one. It
+	// is longer than an announcement of a trial takes.
+	trialTurn = 100 * time.Millisecond
+	// maxTurns bounds the number of turns before that of a node.
+	maxTurns = 30
+	// trialLease is how long other nodes leave a trial to the node that announced it, if they
+	// don't learn of its end.
+	trialLease = 20 * time.Second
+)
+
+// Trial is the sending of a request with barred parts by one node, while the others send none with
+// them.
+type Trial struct {
+	Node  ident.NodeName
+	Parts []ident.PartID
+	// StartedAt is when the request was sent, Ended is set once its outcome is known, or if it
+	// has none.
+	StartedAt time.Time
+	Ended     bool
+}
+
+// TurnDelay returns how long after a trial is due a node may send it that has the given rank among
+// the nodes alive. Any node that has a request with the part gets its turn, since the first ones
+// may get none.
+func TurnDelay(rank int) time.Duration { return time.Duration(min(rank, maxTurns)) * trialTurn }
+
+// StartTrial records a trial of this node, and reports whether it may be sent: there must be no
+// other one of the same parts by this node, or by one that is alive.
+func (t *Parts) StartTrial(tr Trial, alive func(ident.NodeName) bool) bool {
+	for _, p := range tr.Parts {
+		if o, ok := t.trials[p]; ok && (o.Node == tr.Node || !o.isOver(tr.StartedAt) && alive(o.Node)) {
+			return false
+		}
+	}
+	t.setTrial(tr)
+	return true
+}
+
+// EndTrial ends a trial of this node. Its outcome is recorded by Add or EndWell.
+func (t *Parts) EndTrial(tr Trial) {
+	for _, p := range tr.Parts {
+		if t.trials[p].Node == tr.Node {
+			delete(t.trials, p)
+		}
+	}
+}
+
+// RecordTrial records a trial, or its end, of another node. If two nodes run trials of a part at
+// once, the last one that was heard of counts.
+func (t *Parts) RecordTrial(tr Trial) {
+	if tr.Ended {
+		t.EndTrial(tr)
+		return
+	}
+	t.setTrial(tr)
+}
+
+func (t *Parts) setTrial(tr Trial) {
+	for _, p := range tr.Parts {
+		t.trials[p] = tr
+	}
+}
+
+// isOver reports whether the lease of a trial has ended.
+func (tr Trial) isOver(now time.Time) bool { return now.Sub(tr.StartedAt) >= trialLease }
+
+// expireTrials drops the trials whose nodes did not tell their end.
+func (t *Parts) expireTrials(now time.Time) {
+	for p, tr := range t.trials {
+		if tr.isOver(now) {
+			delete(t.trials, p)
+		}
+	}
+}
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -160,12 +160,13 @@
 		RequestEndpoints: n.stateSync.requestEndpoints,
 		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferDivisor, MaxRequestBytes: int64(s.MemoryMB) << 20 / requestDivisor,
 		AnnounceStart: n.mesh.AnnounceStart, AnnounceDecoding: n.mesh.AnnounceDecoding, AnnounceEnd: n.mesh.AnnounceEnd, NodeCount: n.mesh.NodeCount,
-		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceBreak: n.mesh.AnnounceBreak, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
+		AnnounceStrike: n.mesh.AnnounceStrike, AnnounceProof: n.mesh.AnnounceProof, AnnounceTrial: n.mesh.AnnounceTrial, AnnounceFailure: n.mesh.AnnounceFailure, AnnounceBreak: n.mesh.AnnounceBreak, AnnounceLimits: n.mesh.AnnounceLimits, Nodes: n.mesh.Nodes, FetchPermit: n.mesh.FetchPermit,
 		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Members: n.members, Bootstrap: s.Bootstrap,
 	}
 	n.feeds.OnReturned = func(dc ident.DataCentre) { n.gate.DataCentreReturned(dc, time.Now()) }
 	n.mesh.OnFailed, n.mesh.OnBroke, n.mesh.OnStruck = n.gate.AddPeerFailures, n.gate.AddPeerBreaks, n.gate.AddStrikes
 	n.mesh.PartStates, n.mesh.OnPartStates, n.mesh.OnProofs = n.gate.PartStates, n.gate.AddPeerPartStates, n.gate.AddPeerProofs
+	n.mesh.OnTrials = n.gate.AddPeerTrials
 	n.mesh.Availability, n.mesh.OnAvailability = n.gate.Availability, n.gate.AddPeerAvailability
 	n.mesh.Rests, n.mesh.OnRests = n.gate.Rests, n.gate.AddPeerRests
 	n.mesh.OnDecisions = n.gate.AddPeerDecisions
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -68,6 +68,12 @@
 	EndedWellAge time.Duration
 }
 
+// AgedTrial is a trial with its age instead of its start.
+type AgedTrial struct {
+	Trial strik.Trial
+	Age   time.Duration
+}
+
 // AgedLimit is the limit of an endpoint with its age instead of its time.
 type AgedLimit struct {
 	Limit quota.Limit
@@ -147,6 +153,9 @@
 	// a peer.
 	Proofs []AgedProof
 	Parts  []AgedPart
+	// Trials lists the trials of barred parts that the node has begun or ended. Nodes of older
+	// builds don't know them.
+	Trials []AgedTrial
 	// Limits lists the limits that endpoints named, or that have ended.
 	Limits []AgedLimit
 	// Stated lists what endpoints stated to all nodes about whether they accept
@@ -185,7 +194,7 @@
 // Empty reports whether the update contains no changes at the node From. It
 // ignores Forwarded and Heard.
 func (u *Update) Empty() bool {
-	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Broke)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided)+len(u.Orphans) == 0
+	return !u.Reset && len(u.Began)+len(u.Wrote)+len(u.Done)+len(u.Failed)+len(u.Broke)+len(u.Struck)+len(u.Proofs)+len(u.Parts)+len(u.Trials)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Decided)+len(u.Orphans) == 0
 }
 
 // UpdateReply is the answer to an update.
--- a/internal/trans/gate/exchange.go
+++ b/internal/trans/gate/exchange.go
@@ -69,8 +69,8 @@
 	load     place.Load
 	// isPromptCounted is set once the prompt's parts count among the last ones.
 	isPromptCounted bool
-	// onTrial holds the barred parts of which the request is sent as a trial.
-	onTrial []ident.PartID
+	// trial is the trial that the request is sent as, or nil.
+	trial *strik.Trial
 	// causeKnown is closed once the cause of the last broken connection is known; nil if no
 	// connection broke.
 	causeKnown chan struct{}
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -90,7 +90,7 @@
 	if !x.mayRunElsewhere(now) {
 		return errNoFurtherRun
 	}
-	if ok, _ := x.checkParts(now); !ok || len(x.onTrial) > 0 {
+	if ok, _ := x.checkParts(now); !ok || x.trial != nil {
 		// The prompt is suspected to crash endpoints.
 		x.server.endTrial(x.takeTrial())
 		return errCrashesEndpoints
@@ -121,7 +121,7 @@
 		running++
 	}
 	return x.route.Repeatable() && x.position.isResumable() && x.possibleRuns+running < x.route.Attempts &&
-		x.sends < maxSends && len(x.onTrial) == 0 && now.Before(x.deadline) && !x.isCallerDisconnected()
+		x.sends < maxSends && x.trial == nil && now.Before(x.deadline) && !x.isCallerDisconnected()
 }
 
 func (x *exchange) addOther(b *attempt) {
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -148,27 +149,42 @@
 		s.strikes.countPrompt(x.service.Name, x.reqHeader.SharedParts)
 		x.isPromptCounted = true
 	}
-	if s.strikes.count.Load() == 0 || len(x.onTrial) > 0 {
+	if s.strikes.count.Load() == 0 || x.trial != nil {
 		return true, 0
 	}
 	var barred []ident.PartID
 	var due time.Time
-	s.strikes.update(func(t *strik.Parts) {
-		barred, due = t.Check(s.strikes.suspectParts(x))
-		if len(barred) > 0 && !now.Before(due) && s.Nodes(now).Leads(barred[0].String()) && t.StartTrial(barred) {
-			x.onTrial = barred
-		}
-	})
+	s.strikes.update(func(t *strik.Parts) { barred, due = t.Check(s.strikes.suspectParts(x)) })
 	if len(barred) == 0 {
 		return true, 0
 	}
-	if len(x.onTrial) > 0 {
-		s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Msg("gate: request is sent as a trial of barred parts")
+	if !now.Before(due) && x.startTrial(barred, due, now) {
 		return true, 0
 	}
 	return false, min(maxPartRetryAfter, max(time.Second, due.Sub(now)))
 }
 
+// startTrial makes the request a trial of its barred parts, which is due since a time. It returns
+// false if it isn't yet the turn of this node, or if another trial of them is under way.
+func (x *exchange) startTrial(barred []ident.PartID, due, now time.Time) (started bool) {
+	s := x.server
+	nodes := s.Nodes(now)
+	rank := nodes.Rank(quota.Key{Endpoint: ident.EndpointName(barred[0].String())})
+	if nodes.IsCutOff() || now.Before(due.Add(strik.TurnDelay(rank))) {
+		return false
+	}
+	tr := strik.Trial{Node: s.Node, Parts: barred, StartedAt: now}
+	alive := func(n ident.NodeName) bool { return slices.Contains(nodes.Alive, n) }
+	s.strikes.update(func(t *strik.Parts) { started = t.StartTrial(tr, alive) })
+	if !started {
+		return false
+	}
+	x.trial = &tr
+	s.AnnounceTrial(tr)
+	s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Int("rank", rank).Msg("gate: request is sent as a trial of barred parts")
+	return true
+}
+
 // awaitCause waits for the cause of the last broken connection if one more strike bars the request:
 // it must not crash a further endpoint meanwhile.
 func (x *exchange) awaitCause() {
@@ -188,19 +204,31 @@
 	}
 }
 
-// takeTrial returns the barred parts of which the request was sent as a trial, and resets
-// them.
-func (x *exchange) takeTrial() []ident.PartID {
-	barred := x.onTrial
-	x.onTrial = nil
-	return barred
+// takeTrial returns the trial that the request was sent as, or nil, and resets it.
+func (x *exchange) takeTrial() *strik.Trial {
+	tr := x.trial
+	x.trial = nil
+	return tr
 }
 
-// endTrial ends the trial of some parts, after its outcome was recorded.
-func (s *Server) endTrial(barred []ident.PartID) {
-	if len(barred) > 0 {
-		s.strikes.update(func(t *strik.Parts) { t.EndTrial(barred) })
+// endTrial ends a trial, which may be nil, after its outcome was recorded, and informs the peers.
+func (s *Server) endTrial(tr *strik.Trial) {
+	if tr == nil {
+		return
 	}
+	s.strikes.update(func(t *strik.Parts) { t.EndTrial(*tr) })
+	ended := *tr
+	ended.Ended = true
+	s.AnnounceTrial(ended)
+}
+
+// AddPeerTrials records trials that peers have begun or ended.
+func (s *Server) AddPeerTrials(trs []strik.Trial) {
+	s.strikes.update(func(t *strik.Parts) {
+		for _, tr := range trs {
+			t.RecordTrial(tr)
+		}
+	})
 }
 
 // partNames returns parts for a log line.
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -131,8 +131,10 @@
 	AnnounceEnd      func(works.ID)
 	// AnnounceStrike informs the peers of a strike, AnnounceProof of parts that are
 	// cleared of strikes, and AnnounceFailure of an endpoint that failed.
-	AnnounceStrike  func(strik.Strike)
-	AnnounceProof   func(strik.Proof)
+	AnnounceStrike func(strik.Strike)
+	AnnounceProof  func(strik.Proof)
+	// AnnounceTrial informs the peers that this node has begun or ended a trial of barred parts.
+	AnnounceTrial   func(strik.Trial)
 	AnnounceFailure func(ident.EndpointName)
 	// AnnounceBreak informs the peers of an endpoint that lives, but broke the connection of a
 	// request.
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -72,7 +72,7 @@
 // newStrike returns a strike of the request: the endpoint's connection broke while it ran
 // the request.
 func (x *exchange) newStrike(n ident.EndpointName, sentAt, now time.Time) *strik.Strike {
-	return &strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: len(x.onTrial) > 0}
+	return &strik.Strike{Digest: x.digest(), Endpoint: n, At: now, Parts: x.reqHeader.SharedParts, Took: now.Sub(sentAt), Trial: x.trial != nil}
 }
 
 // await keeps a strike until the cause of the break is known.
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -102,14 +102,15 @@
 func (s *Strikes) StartTrial(barred []ident.PartID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.parts.StartTrial(barred)
+	anyNode := func(ident.NodeName) bool { return true }
+	return s.parts.StartTrial(strik.Trial{Parts: barred, StartedAt: time.Now()}, anyNode)
 }
 
 // EndTrial ends a trial.
 func (s *Strikes) EndTrial(barred []ident.PartID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.parts.EndTrial(barred)
+	s.parts.EndTrial(strik.Trial{Parts: barred})
 }
 
 // PartStates returns what is known of parts of prompts, for the other nodes.
--- a/internal/trans/share/ages.go
+++ b/internal/trans/share/ages.go
@@ -20,6 +20,7 @@
 	toAges(u.Struck, now, strikeTime)
 	toAges(u.Proofs, now, proofTime)
 	setPartAges(u.Parts, now)
+	toAges(u.Trials, now, trialTime)
 	toAges(u.Decided, now, decisionTime)
 	toAges(u.Limits, now, limitTime)
 	for i := range u.Rests {
@@ -34,6 +35,7 @@
 	toTimes(u.Struck, now, strikeTime)
 	toTimes(u.Proofs, now, proofTime)
 	setPartTimes(u.Parts, now)
+	toTimes(u.Trials, now, trialTime)
 	toTimes(u.Decided, now, decisionTime)
 	toTimes(u.Limits, now, limitTime)
 	for i := range u.Rests {
@@ -92,6 +94,8 @@
 
 func partTime(a *relay.AgedPart) (*time.Time, *time.Duration) { return &a.State.StruckAt, &a.Age }
 
+func trialTime(a *relay.AgedTrial) (*time.Time, *time.Duration) { return &a.Trial.StartedAt, &a.Age }
+
 func decisionTime(a *relay.AgedDecision) (*time.Time, *time.Duration) { return &a.Decision.At, &a.Age }
 
 func limitTime(a *relay.AgedLimit) (*time.Time, *time.Duration) { return &a.Limit.ObservedAt, &a.Age }
--- a/internal/trans/share/announce.go
+++ b/internal/trans/share/announce.go
@@ -46,6 +46,11 @@
 	m.announce(true, func(u *relay.Update) { u.Proofs = append(u.Proofs, relay.AgedProof{Proof: p}) })
 }
 
+// AnnounceTrial informs the peers that this node has begun or ended a trial of barred parts.
+func (m *Mesh) AnnounceTrial(t strik.Trial) {
+	m.announce(true, func(u *relay.Update) { u.Trials = append(u.Trials, relay.AgedTrial{Trial: t}) })
+}
+
 // AnnounceAvailability informs the peers of what an endpoint stated to all nodes.
 func (m *Mesh) AnnounceAvailability(s avail.State) {
 	m.announce(true, func(u *relay.Update) { u.Stated = append(u.Stated, statedAvailability(s)) })
--- a/internal/trans/share/hub.go
+++ b/internal/trans/share/hub.go
@@ -197,7 +197,7 @@
 		}
 		return
 	}
-	urgent := len(u.Began)+len(u.Failed)+len(u.Broke)+len(u.Struck)+len(u.Proofs)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Orphans) > 0
+	urgent := len(u.Began)+len(u.Failed)+len(u.Broke)+len(u.Struck)+len(u.Proofs)+len(u.Trials)+len(u.Limits)+len(u.Stated)+len(u.Rests)+len(u.Orphans) > 0
 	m.queueFor(urgent, func(p *peer) func(*relay.Update) {
 		scope := relay.ScopePeer
 		if p != nil {
@@ -261,6 +261,7 @@
 	u.Struck = slices.Clone(u.Struck)
 	u.Proofs = slices.Clone(u.Proofs)
 	u.Parts = slices.Clone(u.Parts)
+	u.Trials = slices.Clone(u.Trials)
 	u.Limits = slices.Clone(u.Limits)
 	u.Rests = slices.Clone(u.Rests)
 	u.Decided = slices.Clone(u.Decided)
--- a/internal/trans/share/mesh.go
+++ b/internal/trans/share/mesh.go
@@ -116,6 +116,8 @@
 	OnLimits     func([]quota.Limit)
 	OnProofs     func([]strik.Proof)
 	OnPartStates func([]strik.PartState)
+	// OnTrials is called with the trials of barred parts that a peer has begun or ended.
+	OnTrials func([]strik.Trial)
 
 	// isHub is set if this node is a hub, delaysNonUrgent if hubs are in use.
 	isHub, delaysNonUrgent atomic.Bool
--- a/internal/trans/share/serve.go
+++ b/internal/trans/share/serve.go
@@ -136,6 +136,7 @@
 	deliver(u.Struck, m.OnStruck, func(a relay.AgedStrike) strik.Strike { return a.Strike })
 	deliver(u.Proofs, m.OnProofs, func(a relay.AgedProof) strik.Proof { return a.Proof })
 	deliver(u.Parts, m.OnPartStates, func(a relay.AgedPart) strik.PartState { return a.State })
+	deliver(u.Trials, m.OnTrials, func(a relay.AgedTrial) strik.Trial { return a.Trial })
 	deliver(u.Stated, m.OnAvailability, func(a relay.StatedAvailability) avail.State { return a.State })
 	deliver(u.Rests, m.OnRests, func(l relay.RestLeft) avail.Rest { return l.Rest })
 	deliver(u.Decided, m.OnDecisions, func(a relay.AgedDecision) bysize.Decision { return a.Decision })
