strik: strikes of a request that is sent again at once count at peers too

Cause: a strike counts if its request was sent after the last crash. A retry follows that crash by less than a millisecond, and the times of two strikes are off at a peer by the difference of the delays of two messages.

Evidence: TestStrikesOfRetriesCountAtPeers fails on the code before: with delays that differ by 20 ms, two of three strikes count.

Change: strikes at different endpoints may be out of order by 50 ms. At one endpoint the order stays strict, so that one crash counts once; TestCrashesAtOneTimeCountOnce checks that for requests sent just before.

--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -28,6 +28,10 @@
 	refutedLifetime = time.Minute
 	// maxParts bounds the number of parts in a table.
 	maxParts = 4096
+	// orderTolerance is by how much the times of two strikes of other nodes may be out of order:
+	// a request that is sent again at once follows the crash by less than messages differ in
+	// their delays.
+	orderTolerance = 50 * time.Millisecond
 )
 
 // Part returns the part that stands for the whole content of a request.
@@ -38,8 +42,8 @@
 	Part ident.PartID
 	// Whole is set if the part stands for the whole content of a request.
 	Whole bool
-	// Strikes counts the strikes in a row, each of a prompt that was sent after the one
-	// before it. Prompts that were in flight during the same crash, or during several
+	// Strikes counts the strikes in a row, each of a request that was sent after the one
+	// before it. Requests that were in flight during the same crash, or during several
 	// at one time, count once.
 	Strikes int
 	// Request is the request of the first of these strikes, Several is set if another
@@ -51,6 +55,9 @@
 	// firstSentAt is when the request of the first of these strikes was sent; zero if a peer
 	// counted it.
 	firstSentAt time.Time
+	// Endpoint is the one that crashed at the last of these strikes. Nodes of older builds don't
+	// set it.
+	Endpoint ident.EndpointName
 	// StruckAt is when the last of these strikes was recorded, EndedWellAt when a prompt
 	// with the part last ended well after a strike; each is zero if there was none.
 	StruckAt, EndedWellAt time.Time
@@ -93,12 +100,7 @@
 }
 
 // changedAt returns the time of the last event.
-func (s *PartState) changedAt() time.Time {
-	if s.EndedWellAt.After(s.StruckAt) {
-		return s.EndedWellAt
-	}
-	return s.StruckAt
-}
+func (s *PartState) changedAt() time.Time { return later(s.EndedWellAt, s.StruckAt) }
 
 // Parts finds the parts of requests that crash endpoints whatever else a request holds: a
 // whole request, or a part that prompts share. Such a part is in a request in flight at each of
@@ -147,7 +149,7 @@
 func (t *Parts) count(st *PartState, s Strike) bool {
 	sentAt := s.At.Add(-s.Took)
 	isFirst := st.Strikes > 0 && s.At.Before(st.firstSentAt)
-	if !sentAt.After(st.StruckAt) && !isFirst || s.At.Before(st.EndedWellAt) {
+	if !st.precedes(s, sentAt) && !isFirst || s.At.Before(st.EndedWellAt) {
 		return false
 	}
 	was := st.barred()
@@ -160,7 +162,7 @@
 	st.Strikes++
 	st.Several = st.Several || s.Digest != st.Request
 	if !isFirst {
-		st.StruckAt = s.At
+		st.StruckAt, st.Endpoint = later(st.StruckAt, s.At), s.Endpoint
 	}
 	if was && s.Trial {
 		st.FailedTrials++
@@ -168,6 +170,23 @@
 	return !was && st.barred()
 }
 
+// precedes reports whether the last strike is of a crash before a request was sent that has got
+// another one.
+func (s *PartState) precedes(k Strike, sentAt time.Time) bool {
+	if s.Endpoint != "" && s.Endpoint != k.Endpoint {
+		sentAt = sentAt.Add(orderTolerance)
+	}
+	return sentAt.After(s.StruckAt)
+}
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // state returns the state of a part and creates it if needed. If the table is full, another
 // one is dropped.
 func (t *Parts) state(p ident.PartID) *PartState {
@@ -267,7 +286,7 @@
 	st.Several = s.Several || st.Several || st.Strikes > 0 && st.Request != s.Request
 	st.Strikes, st.FailedTrials, st.Request = s.Strikes, max(st.FailedTrials, s.FailedTrials), s.Request
 	if s.StruckAt.After(st.StruckAt) {
-		st.StruckAt = s.StruckAt
+		st.StruckAt, st.Endpoint = s.StruckAt, s.Endpoint
 	}
 }
 
--- a/internal/coord/strik/parts_test.go
+++ b/internal/coord/strik/parts_test.go
@@ -49,11 +49,40 @@
 // Guards against barring parts of prompts that were in flight when several endpoints
 // crashed at one time.
 func TestCrashesAtOneTimeCountOnce(t *testing.T) {
-	p := strik.NewParts()
-	for i := range 6 {
-		p.Add(crash(0, 500+i, commonPart, rarePart))
+	cases := []struct {
+		name string
+		// endpoints and sentMS are of each of the strikes, which are recorded at 500 ms and 1 ms
+		// apart.
+		endpoints []ident.EndpointName
+		sentMS    int
+	}{
+		{"several endpoints", []ident.EndpointName{"a", "b", "c", "d", "e", "f"}, 0},
+		{"one endpoint, sent just before", []ident.EndpointName{"a", "a", "a", "a", "a", "a"}, 490},
+	}
+	for _, c := range cases {
+		p := strik.NewParts()
+		for i, e := range c.endpoints {
+			s := crash(c.sentMS+i, 500+i, commonPart, rarePart)
+			s.Endpoint = e
+			p.Add(s)
+		}
+		test.SliceEmpty(t, barred(p, commonPart, rarePart), test.Sprint(c.name))
+	}
+}
+
+// Guards against BUDGET: nodes that counted fewer strikes than the one that recorded them, and sent the
+// request again. It follows a crash by less than the delays of two messages differ.
+func TestStrikesOfRetriesCountAtPeers(t *testing.T) {
+	const d strik.Digest = 1 << 40
+	for _, delaysMS := range [][]int{{0, 0, 0}, {30, 0, 20}, {20, 30, 0}, {40, 20, 0}} {
+		p := newRequests()
+		for i, e := range []ident.EndpointName{"a", "b", "c"} {
+			s := crashOf(d, i*51+delaysMS[i], i*51+50+delaysMS[i])
+			s.Endpoint = e
+			p.Add(s)
+		}
+		test.SliceLen(t, 1, barred(p, d.Part()), test.Sprint(delaysMS))
 	}
-	test.SliceEmpty(t, barred(p, commonPart, rarePart))
 }
 
 // Guards against barring all parts of one request that crashes endpoints by itself.
