gate, strik: one of two trials that are announced at once is sent

Cause: a caller's retry and its next request reached two nodes past their turns at once, before either had heard of the other's trial.

Change: a node waits for 50 ms after it has announced a trial. If another node has announced one meanwhile, the one with the lower name sends it. A request that is silent at an endpoint no longer takes the right to a trial, only to give it back.

--- a/internal/coord/strik/trial.go
+++ b/internal/coord/strik/trial.go
@@ -6,9 +6,12 @@
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
+// AnnounceTime is the time from the announcement of a trial until it is sent, in which nodes learn of
+// each other's announcements.
+const AnnounceTime = 50 * time.Millisecond
+
 const (
-	// trialTurn is the time from the turn of one node to send a trial to that of the next one. It
-	// is longer than an announcement of a trial takes.
+	// trialTurn is the time from the turn of one node to announce a trial to that of the next one.
 	trialTurn = 100 * time.Millisecond
 	// maxTurns bounds the number of turns before that of a node.
 	maxTurns = 30
@@ -41,7 +44,9 @@
 			return false
 		}
 	}
-	t.setTrial(tr)
+	for _, p := range tr.Parts {
+		t.trials[p] = tr
+	}
 	return true
 }
 
@@ -54,20 +59,29 @@
 	}
 }
 
-// RecordTrial records a trial, or its end, of another node. If two nodes run trials of a part at
-// once, the last one that was heard of counts.
+// RecordTrial records a trial, or its end, of another node. If two nodes have announced trials of a
+// part at once, all nodes let the one with the lower name send it.
 func (t *Parts) RecordTrial(tr Trial) {
 	if tr.Ended {
 		t.EndTrial(tr)
 		return
 	}
-	t.setTrial(tr)
+	for _, p := range tr.Parts {
+		if o, ok := t.trials[p]; !ok || o.isOver(tr.StartedAt) || tr.Node < o.Node {
+			t.trials[p] = tr
+		}
+	}
 }
 
-func (t *Parts) setTrial(tr Trial) {
+// HoldsTrial reports whether a trial that this node has announced may still be sent: no other node
+// with a lower name has announced one.
+func (t *Parts) HoldsTrial(tr Trial) bool {
 	for _, p := range tr.Parts {
-		t.trials[p] = tr
+		if t.trials[p].Node != tr.Node {
+			return false
+		}
 	}
+	return true
 }
 
 // isOver reports whether the lease of a trial has ended.
--- a/internal/coord/strik/trial_test.go
+++ b/internal/coord/strik/trial_test.go
@@ -66,3 +66,19 @@
 		test.True(t, strik.TurnDelay(rank+1) > strik.TurnDelay(rank) || rank >= 30)
 	}
 }
+
+// Guards against BUDGET: two nodes whose requests arrive at the same moment send a trial each.
+func TestOneOfTwoTrialsIsSent(t *testing.T) {
+	alive := func(ident.NodeName) bool { return true }
+	trials := []strik.Trial{trialOf("n1", 0, badPart, rarePart), trialOf("n2", 3, badPart)}
+	sent := 0
+	for i, own := range trials {
+		p := strik.NewParts()
+		test.True(t, p.StartTrial(own, alive))
+		p.RecordTrial(trials[1-i])
+		if p.HoldsTrial(own) {
+			sent++
+		}
+	}
+	test.Eq(t, 1, sent)
+}
--- a/internal/trans/gate/hedge.go
+++ b/internal/trans/gate/hedge.go
@@ -90,9 +90,7 @@
 	if !x.mayRunElsewhere(now) {
 		return errNoFurtherRun
 	}
-	if ok, _ := x.checkParts(now); !ok || x.trial != nil {
-		// The prompt is suspected to crash endpoints.
-		x.server.endTrial(x.takeTrial())
+	if barred, _ := x.barredParts(); len(barred) > 0 {
 		return errCrashesEndpoints
 	}
 	c, _, err := x.choose()
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -149,21 +149,26 @@
 		s.strikes.countPrompt(x.service.Name, x.reqHeader.SharedParts)
 		x.isPromptCounted = true
 	}
-	if s.strikes.count.Load() == 0 || x.trial != nil {
+	if x.trial != nil {
 		return true, 0
 	}
-	var barred []ident.PartID
-	var due time.Time
-	s.strikes.update(func(t *strik.Parts) { barred, due = t.Check(s.strikes.suspectParts(x)) })
-	if len(barred) == 0 {
-		return true, 0
-	}
-	if !now.Before(due) && x.startTrial(barred, due, now) {
+	barred, due := x.barredParts()
+	if len(barred) == 0 || !now.Before(due) && x.startTrial(barred, due, now) {
 		return true, 0
 	}
 	return false, min(maxPartRetryAfter, max(time.Second, due.Sub(now)))
 }
 
+// barredParts returns the barred parts of the request, and when it may be sent as a trial of them.
+func (x *exchange) barredParts() (barred []ident.PartID, due time.Time) {
+	s := x.server
+	if s.strikes.count.Load() == 0 {
+		return nil, time.Time{}
+	}
+	s.strikes.update(func(t *strik.Parts) { barred, due = t.Check(s.strikes.suspectParts(x)) })
+	return barred, due
+}
+
 // startTrial makes the request a trial of its barred parts, which is due since a time. It returns
 // false if it isn't yet the turn of this node, or if another trial of them is under way.
 func (x *exchange) startTrial(barred []ident.PartID, due, now time.Time) (started bool) {
@@ -179,8 +184,12 @@
 	if !started {
 		return false
 	}
-	x.trial = &tr
 	s.AnnounceTrial(tr)
+	if len(nodes.Alive) > 1 && !s.awaitAnnouncements(tr) {
+		s.endTrial(&tr)
+		return false
+	}
+	x.trial = &tr
 	s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Int("rank", rank).Msg("gate: request is sent as a trial of barred parts")
 	return true
 }
@@ -204,6 +213,14 @@
 	}
 }
 
+// awaitAnnouncements waits for the trials that other nodes have announced at the same time, and
+// reports whether this node still holds its own.
+func (s *Server) awaitAnnouncements(tr strik.Trial) (holds bool) {
+	time.Sleep(strik.AnnounceTime)
+	s.strikes.update(func(t *strik.Parts) { holds = t.HoldsTrial(tr) })
+	return holds
+}
+
 // takeTrial returns the trial that the request was sent as, or nil, and resets it.
 func (x *exchange) takeTrial() *strik.Trial {
 	tr := x.trial
--- a/internal/trans/gate/parts_test.go
+++ b/internal/trans/gate/parts_test.go
@@ -105,12 +105,16 @@
 		// age is how long ago the last strike was recorded.
 		age    time.Duration
 		trials []strik.Trial
+		// rival is a node that announces a trial at the same moment.
+		rival  ident.NodeName
 		status int
 	}{
-		{"before its turn", 600 * time.Millisecond, nil, 503},
-		{"in its turn", 4 * time.Second, nil, 200},
-		{"a peer's trial", 4 * time.Second, []strik.Trial{trialOfOther}, 503},
-		{"a peer's trial has ended", 4 * time.Second, []strik.Trial{trialOfOther, endOfOther}, 200},
+		{"before its turn", 600 * time.Millisecond, nil, "", 503},
+		{"in its turn", 4 * time.Second, nil, "", 200},
+		{"a peer's trial", 4 * time.Second, []strik.Trial{trialOfOther}, "", 503},
+		{"a peer's trial has ended", 4 * time.Second, []strik.Trial{trialOfOther, endOfOther}, "", 200},
+		{"two at once, of a lower name", 4 * time.Second, nil, "n2", 200},
+		{"two at once, of a higher name", 4 * time.Second, nil, "n0", 503},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -118,7 +122,12 @@
 			trials := make(chan strik.Trial, 10)
 			r := newConfiguredRig(t, 0, func(s *Server) {
 				s.Nodes = func(time.Time) quota.Nodes { return others }
-				s.AnnounceTrial = func(tr strik.Trial) { trials <- tr }
+				s.AnnounceTrial = func(tr strik.Trial) {
+					trials <- tr
+					if c.rival != "" {
+						s.AddPeerTrials([]strik.Trial{{Node: c.rival, Parts: tr.Parts, StartedAt: tr.StartedAt}})
+					}
+				}
 			}, e)
 			r.server.AddStrikes(strikesOf(2, 3, c.age))
 			r.server.AddPeerTrials(c.trials)
