serve, peer: any node of the own interface sends a trial in its turn

Callers would see: prompts with a barred message are rejected for an hour if none of them reaches the first node in the order of names.

Cause: checkParts asked for the rank zero, as the gateway asked for the first node by hash.

Change: the turns and the announcements of trials that the gateway has. The announcement returns once the peers have answered, so there is no wait after it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 	n.claims = &claims.Claimer{Log: n.log, Holder: holder, Interval: claimInterval, Logger: n.Logger}
 	n.claims.Init()
 	n.health = &serve.Health{Engine: n.engineClient, Ring: n.ring}
-	n.strikes = serve.NewStrikes(n.mesh.AnnounceStrikes, n.mesh.AnnounceProof)
+	n.strikes = serve.NewStrikes(s.Name, n.mesh.AnnounceStrikes, n.mesh.AnnounceProof, n.mesh.AnnounceTrial)
 	n.reservations = &serve.Reservations{Log: n.log, Engine: n.engineClient, Holder: holder, Ring: n.ring, Logger: n.Logger, Alive: n.mesh.Alive}
 	n.reservations.Init()
 	n.elector = &leases.Elector{Log: n.log, Holder: holder, Length: leaseLength, Ring: n.ring, Logger: n.Logger}
@@ -205,6 +205,7 @@
 		ApplyConfig:  func(r messg.ConfigReply) { n.config.Restore(r.Snapshot) },
 		MergeStrikes: func(ss []strik.Strike) { n.strikes.Merge(ss) },
 		MergeProofs:  func(ps []strik.Proof) { n.strikes.MergeProofs(ps) },
+		MergeTrials:  func(ts []strik.Trial) { n.strikes.MergeTrials(ts) },
 	}
 	n.mesh.Init()
 }
--- a/internal/proto/messg/peer.go
+++ b/internal/proto/messg/peer.go
@@ -40,12 +40,13 @@
 	Snapshot fold.Snapshot
 }
 
-// StrikeArgs announces new strikes, and proofs that clear parts of prompts, to peers
-// without waiting for the next heartbeat.
+// StrikeArgs announces new strikes, proofs that clear parts of prompts, and trials of barred parts
+// to peers without waiting for the next heartbeat.
 type StrikeArgs struct {
 	Stamp   trace.Stamp
 	Strikes []strik.Strike
 	Proofs  []strik.Proof
+	Trials  []strik.Trial
 }
 
 // Empty is an answer without fields.
--- a/internal/trans/peer/announce.go
+++ b/internal/trans/peer/announce.go
@@ -28,6 +28,11 @@
 	m.announce(messg.StrikeArgs{Stamp: m.Clock.Now(), Proofs: []strik.Proof{p}})
 }
 
+// AnnounceTrial sends a trial that begins or has ended to the peers, as AnnounceStrikes does.
+func (m *Mesh) AnnounceTrial(t strik.Trial) {
+	m.announce(messg.StrikeArgs{Stamp: m.Clock.Now(), Trials: []strik.Trial{t}})
+}
+
 func (m *Mesh) announce(args messg.StrikeArgs) {
 	var wg sync.WaitGroup
 	for _, e := range m.Members() {
--- a/internal/trans/peer/mesh.go
+++ b/internal/trans/peer/mesh.go
@@ -46,6 +46,8 @@
 	MergeStrikes func([]strik.Strike)
 	// MergeProofs records proofs announced by a peer.
 	MergeProofs func([]strik.Proof)
+	// MergeTrials records trials that a peer has begun or ended.
+	MergeTrials func([]strik.Trial)
 
 	mu        sync.Mutex
 	startedAt time.Time
--- a/internal/trans/peer/serve.go
+++ b/internal/trans/peer/serve.go
@@ -36,6 +36,9 @@
 	if len(a.Proofs) > 0 {
 		s.mesh.MergeProofs(a.Proofs)
 	}
+	if len(a.Trials) > 0 {
+		s.mesh.MergeTrials(a.Trials)
+	}
 	return nil
 }
 
--- a/internal/trans/serve/answer.go
+++ b/internal/trans/serve/answer.go
@@ -41,8 +41,8 @@
 	// split is set if the prompt fits into no single engine and is prefilled
 	// on several.
 	split bool
-	// onTrial holds the barred parts of which the prompt is sent as a trial.
-	onTrial []ident.PartID
+	// trial is the trial that the prompt is sent as, or nil.
+	trial *strik.Trial
 	// mayHaveRun is set once an endpoint may have run the prompt.
 	mayHaveRun bool
 	// nextIndex is the index of the next token to read.
@@ -88,25 +88,24 @@
 }
 
 // checkParts returns a failure if the prompt has a part that crashes endpoints, unless it
-// may be sent as a trial: one node sends these.
+// may be sent as a trial.
 func (a *Answer) checkParts(outcome ident.Outcome) *Failure {
 	barred, due := a.core.Strikes.CheckParts(a.prompt.SharedParts)
-	if len(barred) == 0 || len(a.onTrial) > 0 {
+	if len(barred) == 0 || a.trial != nil {
 		return nil
 	}
-	wait := time.Until(due)
-	if i, _ := a.core.Rank(); i == 0 && wait <= 0 && a.core.Strikes.StartTrial(barred) {
-		a.onTrial = barred
+	rank, _ := a.core.Rank()
+	if a.trial = a.core.Strikes.StartTrial(barred, due, rank); a.trial != nil {
 		return nil
 	}
-	return barredPartFailure(barred[0], max(busyRetryAfter, wait), outcome)
+	return barredPartFailure(barred[0], max(busyRetryAfter, time.Until(due)), outcome)
 }
 
 // endTrial ends the trial that the prompt was sent as, if it was.
 func (a *Answer) endTrial() {
-	if len(a.onTrial) > 0 {
-		a.core.Strikes.EndTrial(a.onTrial)
-		a.onTrial = nil
+	if a.trial != nil {
+		a.core.Strikes.EndTrial(a.trial)
+		a.trial = nil
 	}
 }
 
--- a/internal/trans/serve/recover.go
+++ b/internal/trans/serve/recover.go
@@ -90,7 +90,7 @@
 	now := time.Now()
 	n := a.core.Strikes.Add(strik.Strike{
 		Digest: a.digest, Endpoint: e.Name, At: now, Apart: onlySuspect,
-		Parts: a.prompt.SharedParts, Took: now.Sub(t.started), Trial: len(a.onTrial) > 0,
+		Parts: a.prompt.SharedParts, Took: now.Sub(t.started), Trial: a.trial != nil,
 	})
 	a.endTrial()
 	a.core.recordEvent(trace.Struck, a.req, "%s died with it in flight, strike %d, %d of them apart", e.Name, n.All, n.Apart)
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -12,10 +12,14 @@
 // Strikes holds the strikes recorded by this node and received from the others.
 // It is safe for concurrent use.
 type Strikes struct {
+	// Node is this node.
+	Node ident.NodeName
 	// Share sends new strikes to the other nodes, ShareProof a proof that cleared parts
-	// of prompts.
+	// of prompts, and ShareTrial a trial that begins or has ended. They return once the other
+	// nodes know of it.
 	Share      func([]strik.Strike)
 	ShareProof func(strik.Proof)
+	ShareTrial func(strik.Trial)
 
 	mu    sync.Mutex
 	table *strik.Table
@@ -29,9 +33,10 @@
 	suspects map[ident.NodeName]map[ident.EndpointName]int64
 }
 
-// NewStrikes returns an empty Strikes that passes new strikes and proofs to functions.
-func NewStrikes(share func([]strik.Strike), shareProof func(strik.Proof)) *Strikes {
-	return &Strikes{Share: share, ShareProof: shareProof, table: strik.New(), parts: strik.NewParts(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
+// NewStrikes returns an empty Strikes of a node that passes new strikes, proofs and trials to
+// functions.
+func NewStrikes(n ident.NodeName, share func([]strik.Strike), shareProof func(strik.Proof), shareTrial func(strik.Trial)) *Strikes {
+	return &Strikes{Node: n, Share: share, ShareProof: shareProof, ShareTrial: shareTrial, table: strik.New(), parts: strik.NewParts(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
 }
 
 // Add counts a strike against a request that was in flight at an endpoint that
@@ -97,20 +102,54 @@
 	return s.parts.Check(ps)
 }
 
-// StartTrial reports whether a prompt with the given barred parts may be sent as a trial.
-// If so, EndTrial must be called after it.
-func (s *Strikes) StartTrial(barred []ident.PartID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// StartTrial returns a trial as which a prompt with the given barred parts may be sent, and which
+// EndTrial must end; nil if there is none. Trials are due since a time; rank is the index of
+// this node among the live nodes, which sets its turn.
+func (s *Strikes) StartTrial(barred []ident.PartID, due time.Time, rank int) *strik.Trial {
+	now := time.Now()
+	if now.Before(due.Add(strik.TurnDelay(rank))) {
+		return nil
+	}
+	tr := strik.Trial{Node: s.Node, Parts: barred, StartedAt: now}
+	// The lease of a trial bounds how long a dead node holds it.
 	anyNode := func(ident.NodeName) bool { return true }
-	return s.parts.StartTrial(strik.Trial{Parts: barred, StartedAt: time.Now()}, anyNode)
+	s.mu.Lock()
+	started := s.parts.StartTrial(tr, anyNode)
+	s.mu.Unlock()
+	if !started {
+		return nil
+	}
+	s.ShareTrial(tr)
+	s.mu.Lock()
+	holds := s.parts.HoldsTrial(tr)
+	s.mu.Unlock()
+	if !holds {
+		s.EndTrial(&tr)
+		return nil
+	}
+	return &tr
 }
 
 // EndTrial ends a trial.
-func (s *Strikes) EndTrial(barred []ident.PartID) {
+func (s *Strikes) EndTrial(tr *strik.Trial) {
+	s.mu.Lock()
+	s.parts.EndTrial(*tr)
+	s.mu.Unlock()
+	ended := *tr
+	ended.Ended = true
+	s.ShareTrial(ended)
+}
+
+// MergeTrials records the trials that another node has begun or ended. They are announced as
+// they begin, and the clocks of nodes differ.
+func (s *Strikes) MergeTrials(ts []strik.Trial) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.parts.EndTrial(strik.Trial{Parts: barred})
+	for _, tr := range ts {
+		tr.StartedAt = now
+		s.parts.RecordTrial(tr)
+	}
 }
 
 // PartStates returns what is known of parts of prompts, for the other nodes.
