strik: strikes count whenever their spans are apart, a trial's end waits for its outcome

Callers would see: a request that crashes endpoints is sent once or twice more than it should be.

Causes, each with a test of its own: - A strike whose cause was found after that of a later one was dropped unless it was the first (TestEarlierStrikeThatIsFoundLaterCounts, which failed for the orders 0-2-1 and 2-0-1). - Copies of a request that crashed several endpoints at one time counted as one (TestCopiesOfARequestCountForEachEndpoint failed). - The end of a trial may arrive before its outcome, and the next trial began at once (a case of TestOneTrialAtATime).

Change: the state of a part keeps the spans of its last strikes, from the send to the crash. A strike counts if its span is apart from all of them; one of a whole request also if it is of another endpoint. An announced end of a trial counts 50 ms later.

--- a/internal/coord/strik/parts.go
+++ b/internal/coord/strik/parts.go
@@ -28,10 +28,6 @@
 	refutedLifetime = time.Minute
 	// maxParts bounds the number of parts in a table.
 	maxParts = 4096
-	// orderTolerance is by how much the times of two strikes of other nodes may be out of order:
-	// a request that is sent again at once follows the crash by less than messages differ in
-	// their delays.
-	orderTolerance = 50 * time.Millisecond
 )
 
 // Part returns the part that stands for the whole content of a request.
@@ -44,7 +40,7 @@
 	Whole bool
 	// Strikes counts the strikes in a row, each of a request that was sent after the one
 	// before it. Requests that were in flight during the same crash, or during several
-	// at one time, count once.
+	// at one time, count once; copies of a whole request that crash several, for each.
 	Strikes int
 	// Request is the request of the first of these strikes, Several is set if another
 	// one is of another request.
@@ -52,9 +48,8 @@
 	Several bool
 	// FailedTrials counts those of the strikes that were trials of a barred part.
 	FailedTrials int
-	// firstSentAt is when the request of the first of these strikes was sent; zero if a peer
-	// counted it.
-	firstSentAt time.Time
+	// spans are those of the last of these strikes. What a peer counted is one of them.
+	spans []span
 	// Endpoint is the one that crashed at the last of these strikes. Nodes of older builds don't
 	// set it.
 	Endpoint ident.EndpointName
@@ -147,22 +142,23 @@
 // count counts a strike against a part, and reports whether the part is barred from now on. The
 // cause of an earlier break may be found later than that of the others.
 func (t *Parts) count(st *PartState, s Strike) bool {
-	sentAt := s.At.Add(-s.Took)
-	isFirst := st.Strikes > 0 && s.At.Before(st.firstSentAt)
-	if !st.precedes(s, sentAt) && !isFirst || s.At.Before(st.EndedWellAt) {
+	n := span{s.At.Add(-s.Took), s.At, s.Endpoint}
+	isCounted := n.overlaps
+	if st.Whole {
+		isCounted = n.repeats
+	}
+	if slices.ContainsFunc(st.spans, isCounted) || s.At.Before(st.EndedWellAt) {
 		return false
 	}
 	was := st.barred()
 	if st.Strikes == 0 {
 		st.Request, st.Several = s.Digest, false
 	}
-	if st.Strikes == 0 || isFirst {
-		st.firstSentAt = sentAt
-	}
 	st.Strikes++
 	st.Several = st.Several || s.Digest != st.Request
-	if !isFirst {
-		st.StruckAt, st.Endpoint = later(st.StruckAt, s.At), s.Endpoint
+	st.spans = append(st.spans[max(0, len(st.spans)-maxPartStrikes):], n)
+	if s.At.After(st.StruckAt) {
+		st.StruckAt, st.Endpoint = s.At, s.Endpoint
 	}
 	if was && s.Trial {
 		st.FailedTrials++
@@ -170,15 +166,6 @@
 	return !was && st.barred()
 }
 
-// precedes reports whether the last strike is of a crash before a request was sent that has got
-// another one.
-func (s *PartState) precedes(k Strike, sentAt time.Time) bool {
-	if s.Endpoint != "" && s.Endpoint != k.Endpoint {
-		sentAt = sentAt.Add(orderTolerance)
-	}
-	return sentAt.After(s.StruckAt)
-}
-
 // later returns the later one of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -230,7 +217,7 @@
 		if st == nil || st.Strikes == 0 || p.At.Before(st.StruckAt) {
 			continue
 		}
-		st.Strikes, st.FailedTrials, st.EndedWellAt = 0, 0, p.At
+		st.Strikes, st.FailedTrials, st.EndedWellAt, st.spans = 0, 0, p.At, nil
 		cleared = append(cleared, id)
 	}
 	return cleared
@@ -269,17 +256,21 @@
 	if s.EndedWellAt.After(st.EndedWellAt) {
 		st.EndedWellAt = s.EndedWellAt
 		if !st.StruckAt.After(s.EndedWellAt) {
-			st.Strikes, st.FailedTrials = 0, 0
+			st.Strikes, st.FailedTrials, st.spans = 0, 0, nil
 		}
 	}
 	if s.StruckAt.Before(st.EndedWellAt) || s.Strikes < st.Strikes {
 		return
 	}
+	isKnown := s.Strikes == st.Strikes
 	st.Several = s.Several || st.Several || st.Strikes > 0 && st.Request != s.Request
 	st.Strikes, st.FailedTrials, st.Request = s.Strikes, max(st.FailedTrials, s.FailedTrials), s.Request
 	if s.StruckAt.After(st.StruckAt) {
 		st.StruckAt, st.Endpoint = s.StruckAt, s.Endpoint
 	}
+	if !isKnown {
+		st.spans = []span{{to: st.StruckAt, endpoint: st.Endpoint}}
+	}
 }
 
 // Expire drops what is known for too long.
--- a/internal/coord/strik/parts_test.go
+++ b/internal/coord/strik/parts_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against BUDGET: copies of a request that were sent at one time, and crashed an endpoint each,
+// counted as one.
+func TestCopiesOfARequestCountForEachEndpoint(t *testing.T) {
+	cases := []struct {
+		name      string
+		endpoints []ident.EndpointName
+		barred    bool
+	}{
+		{"three endpoints", []ident.EndpointName{"a", "b", "c"}, true},
+		{"one endpoint", []ident.EndpointName{"a", "a", "a"}, false},
+	}
+	for _, c := range cases {
+		p := newRequests()
+		for i, e := range c.endpoints {
+			s := crashOf(1<<40, i, 500+i)
+			s.Endpoint = e
+			p.Add(s)
+		}
+		test.Eq(t, c.barred, len(barred(p, 1<<40)) > 0, test.Sprint(c.name))
+	}
+}
+
 // Guards against BUDGET: nodes that counted fewer strikes than the one that recorded them, and sent the
 // request again. It follows a crash by less than the delays of two messages differ.
 func TestStrikesOfRetriesCountAtPeers(t *testing.T) {
@@ -229,7 +251,7 @@
 // next one.
 func TestEarlierStrikeThatIsFoundLaterCounts(t *testing.T) {
 	const d strik.Digest = 1 << 40
-	for _, order := range [][]int{{0, 1, 2}, {1, 0, 2}, {2, 1, 0}} {
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
 		p := newRequests()
 		for _, i := range order {
 			p.Add(crashOf(d, i*300, i*300+200))
--- a/internal/coord/strik/trial.go
+++ b/internal/coord/strik/trial.go
@@ -25,10 +25,10 @@
 type Trial struct {
 	Node  ident.NodeName
 	Parts []ident.PartID
-	// StartedAt is when the request was sent, Ended is set once its outcome is known, or if it
-	// has none.
-	StartedAt time.Time
-	Ended     bool
+	// Ended is set once the outcome is known, or if there is none. At is when the trial began, or
+	// when it ended.
+	Ended bool
+	At    time.Time
 }
 
 // TurnDelay returns how long after a trial is due a node may send it that has the given rank among
@@ -40,7 +40,7 @@
 // other one of the same parts by this node, or by one that is alive.
 func (t *Parts) StartTrial(tr Trial, alive func(ident.NodeName) bool) bool {
 	for _, p := range tr.Parts {
-		if o, ok := t.trials[p]; ok && (o.Node == tr.Node || !o.isOver(tr.StartedAt) && alive(o.Node)) {
+		if o, ok := t.trials[p]; ok && (o.Node == tr.Node || !o.isOver(tr.At) && (o.Ended || alive(o.Node))) {
 			return false
 		}
 	}
@@ -62,12 +62,9 @@
 // RecordTrial records a trial, or its end, of another node. If two nodes have announced trials of a
 // part at once, all nodes let the one with the lower name send it.
 func (t *Parts) RecordTrial(tr Trial) {
-	if tr.Ended {
-		t.EndTrial(tr)
-		return
-	}
 	for _, p := range tr.Parts {
-		if o, ok := t.trials[p]; !ok || o.isOver(tr.StartedAt) || tr.Node < o.Node {
+		o, ok := t.trials[p]
+		if tr.Ended && o.Node == tr.Node || !tr.Ended && (!ok || o.isOver(tr.At) || tr.Node < o.Node) {
 			t.trials[p] = tr
 		}
 	}
@@ -84,8 +81,20 @@
 	return true
 }
 
-// isOver reports whether the lease of a trial has ended.
-func (tr Trial) isOver(now time.Time) bool { return now.Sub(tr.StartedAt) >= trialLease }
+// End returns the end of a trial, for the other nodes.
+func (tr Trial) End(now time.Time) Trial {
+	tr.Ended, tr.At = true, now
+	return tr
+}
+
+// isOver reports whether another trial may begin: the lease of this one has ended, or its outcome,
+// which is announced apart from its end, has had the time to arrive.
+func (tr Trial) isOver(now time.Time) bool {
+	if tr.Ended {
+		return now.Sub(tr.At) >= AnnounceTime
+	}
+	return now.Sub(tr.At) >= trialLease
+}
 
 // expireTrials drops the trials whose nodes did not tell their end.
 func (t *Parts) expireTrials(now time.Time) {
--- a/internal/coord/strik/trial_test.go
+++ b/internal/coord/strik/trial_test.go
@@ -11,14 +11,14 @@
 )
 
 func trialOf(n ident.NodeName, startedMS int, ps ...ident.PartID) strik.Trial {
-	return strik.Trial{Node: n, Parts: ps, StartedAt: at(startedMS)}
+	return strik.Trial{Node: n, Parts: ps, At: at(startedMS)}
 }
 
 // Guards against trials of several nodes at one time, and against a part whose trial is left to a
 // node that has died or doesn't tell its end.
 func TestOneTrialAtATime(t *testing.T) {
-	ended := trialOf("n2", 0, badPart)
-	ended.Ended = true
+	ended, justEnded := trialOf("n2", -50, badPart), trialOf("n2", -49, badPart)
+	ended.Ended, justEnded.Ended = true, true
 	cases := []struct {
 		name  string
 		known []strik.Trial
@@ -31,7 +31,8 @@
 		{"of another part", []strik.Trial{trialOf("n2", 0, commonPart)}, "", true},
 		{"of two parts", []strik.Trial{trialOf("n2", 0, rarePart, badPart)}, "", false},
 		{"of a dead peer", []strik.Trial{trialOf("n2", 0, badPart)}, "n2", true},
-		{"ended", []strik.Trial{trialOf("n2", 0, badPart), ended}, "", true},
+		{"ended", []strik.Trial{trialOf("n2", -100, badPart), ended}, "", true},
+		{"ended, its outcome may be under way", []strik.Trial{trialOf("n2", -100, badPart), justEnded}, "", false},
 		{"end of another one", []strik.Trial{trialOf("n3", 0, badPart), ended}, "", false},
 		{"end not told", []strik.Trial{trialOf("n2", -20_000, badPart)}, "", true},
 	}
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -179,7 +179,7 @@
 	if nodes.IsCutOff() || now.Before(due.Add(strik.TurnDelay(rank))) {
 		return false
 	}
-	tr := strik.Trial{Node: s.Node, Parts: barred, StartedAt: now}
+	tr := strik.Trial{Node: s.Node, Parts: barred, At: now}
 	alive := func(n ident.NodeName) bool { return slices.Contains(nodes.Alive, n) }
 	s.strikes.update(func(t *strik.Parts) { started = t.StartTrial(tr, alive) })
 	if !started {
@@ -228,9 +228,7 @@
 		return
 	}
 	s.strikes.update(func(t *strik.Parts) { t.EndTrial(*tr) })
-	ended := *tr
-	ended.Ended = true
-	s.AnnounceTrial(ended)
+	s.AnnounceTrial(tr.End(time.Now()))
 }
 
 // AddPeerTrials records trials that peers have begun or ended.
--- a/internal/trans/gate/parts_test.go
+++ b/internal/trans/gate/parts_test.go
@@ -97,9 +97,8 @@
 		others.Alive = append(others.Alive, ident.NodeName("other"+strconv.Itoa(i)))
 	}
 	must.GreaterEq(t, 30, others.Rank(quota.Key{Endpoint: ident.EndpointName(ident.PartID(2).String())}), must.Sprint("the last turn"))
-	trialOfOther := strik.Trial{Node: "other1", Parts: []ident.PartID{2}, StartedAt: time.Now()}
-	endOfOther := trialOfOther
-	endOfOther.Ended = true
+	trialOfOther := strik.Trial{Node: "other1", Parts: []ident.PartID{2}, At: time.Now()}
+	endOfOther := trialOfOther.End(time.Now().Add(-strik.AnnounceTime))
 	cases := []struct {
 		name string
 		// age is how long ago the last strike was recorded.
@@ -125,7 +124,7 @@
 				s.AnnounceTrial = func(tr strik.Trial) {
 					trials <- tr
 					if c.rival != "" {
-						s.AddPeerTrials([]strik.Trial{{Node: c.rival, Parts: tr.Parts, StartedAt: tr.StartedAt}})
+						s.AddPeerTrials([]strik.Trial{{Node: c.rival, Parts: tr.Parts, At: tr.At}})
 					}
 				}
 			}, e)
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -110,7 +110,7 @@
 	if now.Before(due.Add(strik.TurnDelay(rank))) {
 		return nil
 	}
-	tr := strik.Trial{Node: s.Node, Parts: barred, StartedAt: now}
+	tr := strik.Trial{Node: s.Node, Parts: barred, At: now}
 	// The lease of a trial bounds how long a dead node holds it.
 	anyNode := func(ident.NodeName) bool { return true }
 	s.mu.Lock()
@@ -135,9 +135,7 @@
 	s.mu.Lock()
 	s.parts.EndTrial(*tr)
 	s.mu.Unlock()
-	ended := *tr
-	ended.Ended = true
-	s.ShareTrial(ended)
+	s.ShareTrial(tr.End(time.Now()))
 }
 
 // MergeTrials records the trials that another node has begun or ended. They are announced as
@@ -147,7 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, tr := range ts {
-		tr.StartedAt = now
+		tr.At = now
 		s.parts.RecordTrial(tr)
 	}
 }
--- a/internal/trans/serve/strikes_test.go
+++ b/internal/trans/serve/strikes_test.go
@@ -40,6 +40,7 @@
 		test.NotNil(t, trial)
 		test.Nil(t, ss[1].StartTrial(barred, due, 1), test.Sprint("another node's trial is under way"))
 		ss[2].EndTrial(trial)
+		time.Sleep(strik.AnnounceTime)
 		test.NotNil(t, ss[1].StartTrial(barred, due, 1))
 	})
 }
--- a/internal/trans/share/ages.go
+++ b/internal/trans/share/ages.go
@@ -94,7 +94,7 @@
 
 func partTime(a *relay.AgedPart) (*time.Time, *time.Duration) { return &a.State.StruckAt, &a.Age }
 
-func trialTime(a *relay.AgedTrial) (*time.Time, *time.Duration) { return &a.Trial.StartedAt, &a.Age }
+func trialTime(a *relay.AgedTrial) (*time.Time, *time.Duration) { return &a.Trial.At, &a.Age }
 
 func decisionTime(a *relay.AgedDecision) (*time.Time, *time.Duration) { return &a.Decision.At, &a.Age }
 
--- a/internal/trans/share/hub_test.go
+++ b/internal/trans/share/hub_test.go
@@ -55,12 +55,12 @@
 // Guards against BUDGET: nodes that don't know of each other's trials send several at once.
 func TestTrialsReachAllNodes(t *testing.T) {
 	ns := start(t, "a1", "a2", "a3", "b1", "b2")
-	sent := strik.Trial{Node: "a1", Parts: []ident.PartID{7}, StartedAt: time.Now().Add(-time.Minute), Ended: true}
+	sent := strik.Trial{Node: "a1", Parts: []ident.PartID{7}, At: time.Now().Add(-time.Minute), Ended: true}
 	ns[0].AnnounceTrial(sent)
 	for _, n := range ns[1:] {
 		tr := <-n.trials
-		test.Less(t, time.Second, tr.StartedAt.Sub(sent.StartedAt).Abs())
-		tr.StartedAt = sent.StartedAt
+		test.Less(t, time.Second, tr.At.Sub(sent.At).Abs())
+		tr.At = sent.At
 		test.Eq(t, sent, tr)
 	}
 }
