gate: a trial goes on while its endpoint is silent

The right to a trial was given back once the endpoint was silent for the first time, although the attempt went on. Found by reading; another node could have begun a trial beside it. It is taken only with the strike now, whose cause is being looked for; settle ends it otherwise.

--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -261,7 +261,12 @@
 	if strike == nil && (!isNew || len(s.Peers(now)) == 0) {
 		return
 	}
-	trial, pending := x.takeTrial(), s.await(strike)
+	var trial *strik.Trial
+	if strike != nil {
+		// The trial goes on until its outcome is known.
+		trial = x.takeTrial()
+	}
+	pending := s.await(strike)
 	go func() {
 		defer s.endTrial(trial)
 		cause := s.findCause(context.Background(), e)
