gate: announce endpoints that answer no probe, and look at them less often

Change: the first look decides what peers are told, at once; an endpoint that answers no probe while another one does is "unresponsive" and announced. Only a strike is looked into further, with pauses that double up to 1.2 s.

--- a/internal/trans/gate/crash.go
+++ b/internal/trans/gate/crash.go
@@ -10,9 +10,11 @@
 
 const (
 	// maxInvestigation is how long a node tries to find out whether an endpoint that has broken a
-	// connection has crashed, and investigationPause the pause between two tries.
-	maxInvestigation   = 8 * time.Second
-	investigationPause = 150 * time.Millisecond
+	// connection has crashed. The pause between two looks doubles from minLookPause to
+	// maxLookPause.
+	maxInvestigation = 8 * time.Second
+	minLookPause     = 150 * time.Millisecond
+	maxLookPause     = 1200 * time.Millisecond
 	// restartListing is the time after which an endpoint that has started again is listed with
 	// its new start.
 	restartListing = 2500 * time.Millisecond
@@ -31,6 +33,9 @@
 	endpointAlive
 	// ownLinkLost means that only peers reach the endpoint.
 	ownLinkLost
+	// endpointUnresponsive means that the endpoint, or a proxy before it, accepts connections but
+	// answers no probe, while another endpoint does.
+	endpointUnresponsive
 	// endpointCrashed means that the endpoint has ended and can't be reached.
 	endpointCrashed
 	// endpointRestarted means that the endpoint has ended and started again.
@@ -38,56 +43,80 @@
 )
 
 func (c breakCause) String() string {
-	return [...]string{"unknown", "alive", "link-lost", "crashed", "restarted"}[c]
+	return [...]string{"unknown", "alive", "link-lost", "unresponsive", "crashed", "restarted"}[c]
 }
 
-// findCause returns why an endpoint has broken a connection. Calls for the same endpoint at one
-// time share the result.
-func (s *Server) findCause(ctx context.Context, e *topol.Endpoint) breakCause {
-	c, _, _ := s.investigations.Do(string(e.Name), func() (any, error) { return s.investigate(ctx, e), nil })
-	return c.(breakCause)
+// isFinal reports whether a further look may not show another cause.
+func (c breakCause) isFinal() bool { return c != causeUnknown && c != endpointUnresponsive }
+
+// hasEnded reports whether the endpoint has ended.
+func (c breakCause) hasEnded() bool { return c == endpointCrashed || c == endpointRestarted }
+
+// finding is what a look at an endpoint shows: the cause, and how the endpoint was reached.
+type finding struct {
+	cause   breakCause
+	reached reachability
+}
+
+// look returns what probes of an endpoint show. Calls for the same endpoint at one time share the
+// result.
+func (s *Server) look(ctx context.Context, e *topol.Endpoint) finding {
+	f, _, _ := s.looks.Do(string(e.Name), func() (any, error) { return s.lookAfter(ctx, e, unreachable), nil })
+	return f.(finding)
 }
 
-func (s *Server) investigate(ctx context.Context, e *topol.Endpoint) breakCause {
-	began := time.Now()
-	cause, reached := s.tryCause(ctx, e, unreachable)
-	for cause == causeUnknown && time.Since(began) < maxInvestigation && delay.For(ctx, investigationPause) {
-		cause, reached = s.tryCause(ctx, e, reached)
-		if cause == endpointAlive || cause == ownLinkLost {
-			// It was unreachable before: it may have started again.
-			cause = s.awaitRestart(ctx, e, cause)
+// investigate looks at an endpoint until the cause of a broken connection is known, for
+// maxInvestigation at most; first is what the first look has shown. Calls for the same endpoint at
+// one time share the result.
+func (s *Server) investigate(ctx context.Context, e *topol.Endpoint, first finding) breakCause {
+	c, _, _ := s.investigations.Do(string(e.Name), func() (any, error) {
+		began, f, pause := time.Now(), first, minLookPause
+		for !f.cause.isFinal() && time.Since(began) < maxInvestigation && delay.For(ctx, pause) {
+			f = s.lookAfter(ctx, e, f.reached)
+			if f.cause == endpointAlive || f.cause == ownLinkLost {
+				// It was unreachable before: it may have started again.
+				f.cause = s.awaitRestart(ctx, e, f.cause)
+			}
+			pause = min(2*pause, maxLookPause)
 		}
-	}
-	s.getMetrics().breaks.WithLabelValues(cause.String()).Inc()
-	s.requestLog(false).Str("endpoint", string(e.Name)).Stringer("cause", cause).Stringer("reached", reached).Dur("after", time.Since(began)).
+		s.recordCause(e, f, time.Since(began))
+		return f.cause, nil
+	})
+	return c.(breakCause)
+}
+
+// recordCause records the cause of a broken connection in the metrics and the log.
+func (s *Server) recordCause(e *topol.Endpoint, f finding, after time.Duration) {
+	s.getMetrics().breaks.WithLabelValues(f.cause.String()).Inc()
+	s.requestLog(false).Str("endpoint", string(e.Name)).Stringer("cause", f.cause).Stringer("reached", f.reached).Dur("after", after).
 		Msg("gate: looked for the cause of a broken connection")
-	return cause
 }
 
-// tryCause returns what probes show at one time, and how the endpoint was reached; before is how the
-// last probes reached it. An endpoint that nobody reaches has crashed only if the links of this
-// node work, which another endpoint shows by its answer. A node without peers asks only the
-// endpoint itself.
-func (s *Server) tryCause(ctx context.Context, e *topol.Endpoint, before reachability) (breakCause, reachability) {
+// lookAfter returns what probes show at one time; before is how the last ones reached the endpoint.
+// An endpoint that nobody reaches has crashed only if the links of this node work, which another
+// endpoint shows by its answer. A node without peers asks only the endpoint itself.
+func (s *Server) lookAfter(ctx context.Context, e *topol.Endpoint, before reachability) finding {
 	r := s.diagnose(ctx, e)
 	isGone := r == unreachable || r == breaksConnections && before == r && s.endpointHealth.isFailing(e.Name)
 	switch {
 	case s.hasRestarted(e):
-		return endpointRestarted, r
+		return finding{endpointRestarted, r}
 	case r == reachedDirectly:
-		return endpointAlive, r
+		return finding{endpointAlive, r}
 	case r == reachedOverPeer:
-		return ownLinkLost, r
-	case isGone && (s.isAlone() || s.reachesOther(ctx, e)):
-		return endpointCrashed, r
+		return finding{ownLinkLost, r}
+	case r == notProbed || !s.isAlone() && !s.reachesOther(ctx, e):
+		return finding{causeUnknown, r}
+	case isGone:
+		return finding{endpointCrashed, r}
 	}
-	return causeUnknown, r
+	return finding{endpointUnresponsive, r}
 }
 
 // awaitRestart returns endpointRestarted if an endpoint that is reached again is listed with another
 // start soon, and otherwise the given cause.
 func (s *Server) awaitRestart(ctx context.Context, e *topol.Endpoint, cause breakCause) breakCause {
-	for end := time.Now().Add(restartListing); time.Now().Before(end) && delay.For(ctx, investigationPause); {
+	for end := time.Now().Add(restartListing); time.Now().Before(end) && delay.For(ctx, minLookPause); {
 		if s.hasRestarted(e) {
 			return endpointRestarted
 		}
--- a/internal/trans/gate/outcome.go
+++ b/internal/trans/gate/outcome.go
@@ -269,22 +269,38 @@
 	pending := s.await(strike)
 	go func() {
 		defer s.endTrial(trial)
-		cause := s.findCause(context.Background(), e)
-		switch {
-		case cause == ownLinkLost:
+		found := s.look(context.Background(), e)
+		if isNew {
+			s.announceFailure(e, found.cause, o.connBroken)
+		}
+		cause := found.cause
+		if pending != nil {
+			cause = s.investigate(context.Background(), e, found)
+		}
+		if cause == ownLinkLost {
 			s.endpointHealth.recordSuccess(e.Name)
 			s.clearLost(e.Name)
-		case !isNew:
-		case cause == endpointCrashed, cause == endpointAlive && strike == nil:
-			s.AnnounceFailure(e.Name)
-		case cause == endpointAlive:
-			s.AnnounceBreak(e.Name)
 		}
 		// Peers take an announced failure for a loss unless a strike follows.
-		x.resolve(pending, cause == endpointCrashed || cause == endpointRestarted)
+		x.resolve(pending, cause.hasEnded())
 	}()
 }
 
+// announceFailure informs the peers of an endpoint that failed, if the cause isn't the link of this
+// node. connBroken is set if it broke a connection.
+func (s *Server) announceFailure(e *topol.Endpoint, cause breakCause, connBroken bool) {
+	switch cause {
+	case endpointAlive:
+		if connBroken {
+			s.AnnounceBreak(e.Name)
+			return
+		}
+		s.AnnounceFailure(e.Name)
+	case endpointUnresponsive, endpointCrashed:
+		s.AnnounceFailure(e.Name)
+	}
+}
+
 // recordFaultAt records a failure of the endpoint at addr, which another
 // endpoint named as the cause of a failure. The request is no longer sent to the
 // endpoint at addr.
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -186,6 +186,7 @@
 	strikes        strikes
 	direct         directLinks
 	diagnoses      singleflight.Group
+	looks          singleflight.Group
 	investigations singleflight.Group
 	availability   statedAvailability
 	endpointLimits endpointLimits
