strik: retries wait for breaks at several endpoints only, a trial follows one that ended

Each retry of a prompt waited for the cause of a break as soon as three requests with a part of it had been in flight at one endpoint; these are of one crash. And a trial that began within 50 ms of the end of another one was not recorded at other nodes if its node has the higher name. Found by reading.

--- a/internal/coord/strik/parts_test.go
+++ b/internal/coord/strik/parts_test.go
@@ -314,19 +314,26 @@
 }
 
 // Guards against a fourth endpoint that a request crashes while the causes of the first three breaks are
-// looked for.
+// looked for, and against retries that wait for the cause of one crash.
 func TestStrikesWithoutACauseMayBar(t *testing.T) {
 	const d strik.Digest = 1 << 40
 	parts := []ident.PartID{d.Part()}
+	strikeAt := func(e ident.EndpointName, sentMS int) strik.Strike {
+		s := crashOf(d, sentMS, sentMS+200)
+		s.Endpoint = e
+		return s
+	}
 	p := newRequests()
-	p.Add(crashOf(d, 0, 200))
-	first := p.Await(crashOf(d, 300, 500))
+	p.Add(strikeAt("a", 0))
+	first := p.Await(strikeAt("b", 300))
 	test.False(t, p.MayBar(parts))
-	second := p.Await(crashOf(d, 600, 800))
+	p.Await(strikeAt("b", 310))
+	test.False(t, p.MayBar(parts), test.Sprint("one endpoint"))
+	second := p.Await(strikeAt("c", 600))
 	test.True(t, p.MayBar(parts))
 	test.False(t, p.MayBar([]ident.PartID{rarePart}))
-	p.Resolve(first)
-	test.False(t, p.MayBar(parts))
 	p.Resolve(second)
 	test.False(t, p.MayBar(parts))
+	p.Resolve(first)
+	test.False(t, p.MayBar(parts))
 }
--- a/internal/coord/strik/pending.go
+++ b/internal/coord/strik/pending.go
@@ -32,17 +32,11 @@
 // PendingLen returns the number of strikes whose cause is not known yet.
 func (t *Parts) PendingLen() int { return len(t.pending) }
 
-// MayBar reports whether strikes whose cause is not known yet may bar one of some parts.
+// MayBar reports whether strikes whose cause is not known yet may bar one of some parts. Those at one
+// endpoint are probably of one crash.
 func (t *Parts) MayBar(ps []ident.PartID) bool {
-	counts := map[ident.PartID]int{}
-	for p := range t.pending {
-		for _, id := range p.strike.Parts {
-			counts[id]++
-		}
-		counts[p.strike.Digest.Part()]++
-	}
 	return slices.ContainsFunc(ps, func(p ident.PartID) bool {
-		n := counts[p]
+		n := t.pendingEndpoints(p)
 		if st := t.states[p]; st != nil && n > 0 {
 			n += st.Strikes
 		}
@@ -50,6 +44,18 @@
 	})
 }
 
+// pendingEndpoints returns the number of endpoints at which a part has strikes whose cause is not
+// known yet.
+func (t *Parts) pendingEndpoints(p ident.PartID) int {
+	es := ident.Set[ident.EndpointName]{}
+	for o := range t.pending {
+		if o.strike.Digest.Part() == p || slices.Contains(o.strike.Parts, p) {
+			es.Add(o.strike.Endpoint)
+		}
+	}
+	return len(es)
+}
+
 // voidPending removes the parts of a proof from the strikes that are older.
 func (t *Parts) voidPending(proof Proof) {
 	for p := range t.pending {
--- a/internal/coord/strik/trial.go
+++ b/internal/coord/strik/trial.go
@@ -64,7 +64,8 @@
 func (t *Parts) RecordTrial(tr Trial) {
 	for _, p := range tr.Parts {
 		o, ok := t.trials[p]
-		if tr.Ended && o.Node == tr.Node || !tr.Ended && (!ok || o.isOver(tr.At) || tr.Node < o.Node) {
+		isFree := !ok || o.Ended || o.isOver(tr.At)
+		if tr.Ended && o.Node == tr.Node || !tr.Ended && (isFree || tr.Node < o.Node) {
 			t.trials[p] = tr
 		}
 	}
--- a/internal/coord/strik/trial_test.go
+++ b/internal/coord/strik/trial_test.go
@@ -33,6 +33,7 @@
 		{"of a dead peer", []strik.Trial{trialOf("n2", 0, badPart)}, "n2", true},
 		{"ended", []strik.Trial{trialOf("n2", -100, badPart), ended}, "", true},
 		{"ended, its outcome may be under way", []strik.Trial{trialOf("n2", -100, badPart), justEnded}, "", false},
+		{"next one of a higher name", []strik.Trial{trialOf("n2", -100, badPart), ended, trialOf("n3", 0, badPart)}, "", false},
 		{"end of another one", []strik.Trial{trialOf("n3", 0, badPart), ended}, "", false},
 		{"end not told", []strik.Trial{trialOf("n2", -20_000, badPart)}, "", true},
 	}
