--- a/internal/trans/gate/gate_test.go
+++ b/internal/trans/gate/gate_test.go
@@ -298,69 +298,6 @@
 	}
 }
 
-func TestRequestThatCrashesEndpointsIsNoLongerSent(t *testing.T) {
-	good := ok("yes")
-	var es []*scriptedEndpoint
-	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		var e *scriptedEndpoint
-		e = newEndpoint(t, name, func(c net.Conn, g receivedRequest) bool {
-			if string(g.head.Target) == "/safe/bad" {
-				e.crash()
-				return false
-			}
-			return good(c, g)
-		})
-		es = append(es, e)
-	}
-	r := newConfiguredRig(t, 0, sendsNoTrials, es...)
-	arrivals := func() (n int) {
-		for _, e := range es {
-			n += len(e.requests())
-		}
-		return n
-	}
-	for range 6 {
-		r.do(request("GET", "/safe/bad", "r1", ""))
-	}
-	test.Eq(t, 3, arrivals())
-	test.Eq(t, 503, r.do(request("GET", "/safe/bad", "r1", "")).status)
-	test.Eq(t, 200, r.do(request("GET", "/safe/good", "r2", "")).status)
-	test.Eq(t, 4, arrivals())
-}
-
-// Guards against callers of a request that is known to crash endpoints who are asked to
-// come back before it can be sent again.
-func TestRequestThatCrashesEndpointsIsToldToStayAway(t *testing.T) {
-	cases := []struct {
-		name    string
-		strikes int
-		// seconds is the Retry-After.
-		seconds float64
-	}{
-		{"barred", 3, 8},
-		{"after a failed trial", 4, maxPartRetryAfter.Seconds()},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			e := newEndpoint(t, "e", ok("yes"))
-			r := newConfiguredRig(t, 0, sendsNoTrials, e)
-			r.server.AddStrikes(strikesOfRequest("/safe/bad", c.strikes))
-			res := r.do(request("GET", "/safe/bad", "r1", ""))
-			test.Eq(t, 503, res.status)
-			test.InDelta(t, c.seconds, res.retryAfter(t), 1)
-			test.SliceEmpty(t, e.requests())
-		})
-	}
-}
-
-func TestStrikesOfPeersCount(t *testing.T) {
-	e := newEndpoint(t, "e", ok("yes"))
-	r := newConfiguredRig(t, 0, sendsNoTrials, e)
-	r.server.AddStrikes(strikesOfRequest("/once/bad", 3))
-	test.Eq(t, 503, r.do(request("POST", "/once/bad", "r2", "")).status)
-	test.SliceEmpty(t, e.requests())
-}
-
 func TestDrainingNodeRejectsWhatItCannotFinish(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"laburnumstack.org/laburnum/internal/coord/quota"
 	"laburnumstack.org/laburnum/internal/coord/strik"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
@@ -170,31 +169,6 @@
 	return barred, due
 }
 
-// startTrial makes the request a trial of its barred parts, which is due since a time. It returns
-// false if it isn't yet the turn of this node, or if another trial of them is under way.
-func (x *exchange) startTrial(barred []ident.PartID, due, now time.Time) (started bool) {
-	s := x.server
-	nodes := s.Nodes(now)
-	rank := nodes.Rank(quota.Key{Endpoint: ident.EndpointName(barred[0].String())})
-	if nodes.IsCutOff() || now.Before(due.Add(strik.TurnDelay(rank))) {
-		return false
-	}
-	tr := strik.Trial{Node: s.Node, Parts: barred, At: now}
-	alive := func(n ident.NodeName) bool { return slices.Contains(nodes.Alive, n) }
-	s.strikes.update(func(t *strik.Parts) { started = t.StartTrial(tr, alive) })
-	if !started {
-		return false
-	}
-	s.AnnounceTrial(tr)
-	if len(nodes.Alive) > 1 && !s.awaitAnnouncements(tr) {
-		s.endTrial(&tr)
-		return false
-	}
-	x.trial = &tr
-	s.Logger.Info().Str("request", x.reqHeader.ID).Stringers("parts", partNames(barred)).Int("rank", rank).Msg("gate: request is sent as a trial of barred parts")
-	return true
-}
-
 // awaitCauses waits while broken connections whose cause is not known yet may bar the request: it
 // must not crash a further endpoint meanwhile.
 func (x *exchange) awaitCauses() {
@@ -207,39 +181,6 @@
 	}
 }
 
-// awaitAnnouncements waits for the trials that other nodes have announced at the same time, and
-// reports whether this node still holds its own.
-func (s *Server) awaitAnnouncements(tr strik.Trial) (holds bool) {
-	time.Sleep(strik.AnnounceTime)
-	s.strikes.update(func(t *strik.Parts) { holds = t.HoldsTrial(tr) })
-	return holds
-}
-
-// takeTrial returns the trial that the request was sent as, or nil, and resets it.
-func (x *exchange) takeTrial() *strik.Trial {
-	tr := x.trial
-	x.trial = nil
-	return tr
-}
-
-// endTrial ends a trial, which may be nil, after its outcome was recorded, and informs the peers.
-func (s *Server) endTrial(tr *strik.Trial) {
-	if tr == nil {
-		return
-	}
-	s.strikes.update(func(t *strik.Parts) { t.EndTrial(*tr) })
-	s.AnnounceTrial(tr.End(time.Now()))
-}
-
-// AddPeerTrials records trials that peers have begun or ended.
-func (s *Server) AddPeerTrials(trs []strik.Trial) {
-	s.strikes.update(func(t *strik.Parts) {
-		for _, tr := range trs {
-			t.RecordTrial(tr)
-		}
-	})
-}
-
 // partNames returns parts for a log line.
 func partNames(ps []ident.PartID) []fmt.Stringer {
 	ns := make([]fmt.Stringer, len(ps))
