strik, quota: remove what nothing calls any more

Two lines of TestTable checked FallsBelow and go with it: what tells a caller when to come back is checked by TestRequestThatCrashesEndpointsIsToldToStayAway.

--- a/internal/coord/quota/share.go
+++ b/internal/coord/quota/share.go
@@ -55,12 +55,6 @@
 	return names
 }
 
-// Leads reports whether this node is the one that acts on a subject for all nodes. It
-// isn't if it can't reach most of the others.
-func (n Nodes) Leads(subject string) bool {
-	return !n.IsCutOff() && n.IsFirst(subject)
-}
-
 // IsFirst reports whether this node is the one for a subject among those that it knows to be
 // alive.
 func (n Nodes) IsFirst(subject string) bool {
--- a/internal/coord/strik/strik.go
+++ b/internal/coord/strik/strik.go
@@ -96,22 +96,6 @@
 	return c
 }
 
-// FallsBelow returns when a request with at least n strikes that have not expired will have
-// fewer.
-func (t *Table) FallsBelow(d Digest, n int, now time.Time) time.Time {
-	var at []time.Time
-	for _, s := range t.strikes[d] {
-		if now.Sub(s.At) < strikeLifetime {
-			at = append(at, s.At)
-		}
-	}
-	if len(at) < n {
-		return now
-	}
-	slices.SortFunc(at, time.Time.Compare)
-	return at[len(at)-n].Add(strikeLifetime)
-}
-
 // Recent returns the strikes after a time in chronological order, for peers that
 // missed them.
 func (t *Table) Recent(since time.Time) []Strike {
--- a/internal/coord/strik/strik_test.go
+++ b/internal/coord/strik/strik_test.go
@@ -18,8 +18,6 @@
 	test.True(t, tab.Add(strik.Strike{Digest: 1, Endpoint: "a", At: now.Add(5 * time.Second)}))
 	test.Eq(t, strik.Count{All: 3}, tab.Count(1, now.Add(6*time.Second)))
 	test.Eq(t, strik.Count{}, tab.Count(2, now))
-	test.Eq(t, now.Add(10*time.Minute), tab.FallsBelow(1, 2, now.Add(6*time.Second)))
-	test.Eq(t, now.Add(6*time.Second), tab.FallsBelow(1, 4, now.Add(6*time.Second)))
 	test.Len(t, 1, tab.Recent(now.Add(time.Second)))
 	tab.Expire(now.Add(time.Hour))
 	test.Eq(t, strik.Count{}, tab.Count(1, now))
--- a/internal/node/edge/start.go
+++ b/internal/node/edge/start.go
@@ -27,7 +27,8 @@
 
 // askPeers gets the state of peers that run already. The store may have come back as an older
 // copy, in which a key is valid that was taken away: a node that starts must not know less than
-// its peers. They also tell which requests crash endpoints. If they are all away, the node starts with what the store shows.
+// its peers. They also tell which requests crash endpoints. If they are all away, the node starts
+// with what the store shows.
 func (s *stateSync) askPeers(ctx context.Context) {
 	s.isStarting.Store(true)
 	defer s.isStarting.Store(false)
