--- /dev/null
+++ b/review/rig3/server.go
@@ -0,0 +1,98 @@
+//go:build review3
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// server is a stand-in of a plain server. It runs each request that names it and answers with its
+// stamp.
+type server struct {
+	rig      *rig
+	id, zone string
+	addr     string
+	// work is how long a request runs, body returns the body of its answer.
+	work time.Duration
+	body func(r *http.Request) []byte
+	// onRun is called when a request begins to run; it may be nil.
+	onRun func(id string, r *http.Request)
+	srv   *http.Server
+	mu    sync.Mutex
+	runs  map[string]int
+	born  int64
+}
+
+// newServer starts a server and writes its record.
+func (r *rig) newServer(id, zone string, work time.Duration, body func(*http.Request) []byte) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	s := &server{rig: r, id: id, zone: zone, addr: l.Addr().String(), work: work, body: body, runs: map[string]int{}, born: time.Now().UnixMilli()}
+	s.srv = &http.Server{Handler: s}
+	go s.srv.Serve(l)
+	r.servers = append(r.servers, s)
+	s.publish("ready")
+	return s
+}
+
+// publish writes the record of the server.
+func (s *server) publish(state string) {
+	b, err := json.Marshal(map[string]any{
+		"service": "app", "address": s.addr, "zone": s.zone, "version": "v1", "slots": 16, "state": state,
+		"cold_remaining_ms": 0, "stage": "both", "sequence": 1, "born": s.born,
+	})
+	must(err)
+	s.rig.store.put(topicServers, s.id, b)
+}
+
+// ServeHTTP runs a request.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Laburnumstack-Attempt-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if id != "" {
+		w.Header().Set("Laburnumstack-Attempt-Id", id)
+	}
+	switch {
+	case r.URL.Path == "/health":
+		w.Header().Set("Laburnumstack-Instance-Id", s.id)
+		return
+	case r.Header.Get("Laburnumstack-Expect-Instance") != s.id:
+		w.Header().Set("Laburnumstack-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case id == "":
+		w.Header().Set("Laburnumstack-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+	if s.onRun != nil {
+		s.onRun(id, r)
+	}
+	time.Sleep(s.work)
+	b := s.body(r)
+	w.Header().Set("Laburnumstack-Response-Stamp", fmt.Sprintf("%s.%s", s.id, id))
+	w.Header().Set("Content-Length", fmt.Sprint(len(b)))
+	w.Write(b)
+}
+
+// ran returns how often a request ran at all servers.
+func (r *rig) ran(id string) int {
+	sum := 0
+	for _, s := range r.servers {
+		s.mu.Lock()
+		sum += s.runs[id]
+		s.mu.Unlock()
+	}
+	return sum
+}
