--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 var lastID atomic.Uint64
@@ -47,12 +49,22 @@
 	}
 }
 
-// send writes a request without a body. The deadline of the client is left later.
-func (c *client) send(method, path, id, key string, left time.Duration, extra ...string) error {
-	b := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nLaburnumstack-Attempt-Id: %s\r\nLaburnumstack-Time-Left-Ms: %d\r\nAuthorization: Bearer %s\r\n%s", method, path, host, id, left.Milliseconds(), key, strings.Join(extra, ""))
-	if method == "POST" {
-		b += "Content-Length: 0\r\n"
+// head returns the head of a request without its empty line.
+func head(method, path, id, key string, left time.Duration) string {
+	fields := [][2]string{
+		{"Host", host}, {wire.FieldID, id}, {wire.FieldTimeLeft, fmt.Sprint(left.Milliseconds())}, {wire.FieldKey, wire.KeyPrefix + key},
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n", method, path)
+	for _, f := range fields {
+		fmt.Fprintf(&b, "%s: %s\r\n", f[0], f[1])
 	}
+	return b.String()
+}
+
+// send writes a request without a body. The deadline of the client is left later.
+func (c *client) send(method, path, id, key string, left time.Duration) error {
+	b := head(method, path, id, key, left)
 	c.conn.SetDeadline(time.Now().Add(left + 2*time.Second))
 	_, err := c.conn.Write([]byte(b + "\r\n"))
 	return err
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -18,6 +19,10 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/pkg/ident"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // Exit codes of a case.
@@ -29,10 +34,10 @@
 
 const (
 	host = "rig.example"
+	// serviceName is the service of all routes and servers.
+	serviceName = "app"
 	// Bounds of the small deployments.
 	revokeTime   = 5 * time.Second
-	graceTime    = 8 * time.Second
-	applyTime    = 2 * time.Second
 	stableWindow = 3 * time.Second
 )
 
@@ -55,28 +60,18 @@
 	trouble bool
 	dir     string
 	store   *store
-	version int
+	version uint64
 	nodes   []*node
 	servers []*server
 }
 
-// config is the configuration that the operator writes.
-type config struct {
-	Version  int              `json:"version"`
-	Routes   []map[string]any `json:"routes"`
-	Services []map[string]any `json:"services"`
-	Limits   map[string]any   `json:"limits"`
-	Tenants  []map[string]any `json:"tenants"`
-}
-
 // newConfig returns the next version of a configuration with the given keys of one tenant.
-func (r *rig) newConfig(routes []map[string]any, keys ...string) []byte {
+func (r *rig) newConfig(routes []wire.Route, keys ...string) []byte {
 	r.version += 3
-	c := config{
-		Version: r.version, Routes: routes,
-		Services: []map[string]any{{"name": "app", "health_path": "/health", "connection_limit": 264, "protocol": "h1", "tls": false}},
-		Limits:   map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		Tenants:  []map[string]any{{"name": "tenant", "api_keys": keys, "priority": 1}},
+	c := wire.Config{
+		Version: r.version, Routes: routes, Services: []wire.Service{{Name: serviceName}},
+		Limits:  wire.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
+		Tenants: []wire.Tenant{{Name: "tenant", Keys: keys}},
 	}
 	b, err := json.Marshal(c)
 	must(err)
@@ -84,10 +79,10 @@
 }
 
 // route returns a route to the service of the rig.
-func route(name, kind string, timeout time.Duration) map[string]any {
-	return map[string]any{
-		"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout.Milliseconds(),
-		"target_latency_ms": 300, "priority": 1, "service": "app", "attempts": 2, "public": false,
+func route(name ident.RouteName, kind topol.Kind, timeout time.Duration) wire.Route {
+	return wire.Route{
+		Name: name, Host: host, Prefix: "/" + string(name) + "/", Kind: wire.RouteKinds[kind], TimeoutMS: timeout.Milliseconds(),
+		TargetMS: 300, Priority: 1, Service: serviceName, Attempts: 2,
 	}
 }
 
@@ -120,7 +115,7 @@
 	must(err)
 	defer log.Close()
 	cmd := exec.Command("target/laburnumgw", "--metrics-port", fmt.Sprint(n.port+9))
-	cmd.Env = append(os.Environ(), "LABURNUMSTACK_BOOT="+path)
+	cmd.Env = append(os.Environ(), wire.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = log, log
 	must(cmd.Start())
 	ended := make(chan struct{})
@@ -148,56 +143,24 @@
 	<-n.ended
 }
 
+//go:embed settings.yaml
+var settingsTemplate string
+
 func (n *node) settings() string {
-	seeds := ""
-	for _, s := range n.seeds {
-		seeds += fmt.Sprintf("  - \"%s:%d\"\n", s, n.port+2)
+	seeds := make([]string, len(n.seeds))
+	for i, s := range n.seeds {
+		seeds[i] = fmt.Sprintf("\"%s:%d\"", s, n.port+2)
 	}
-	return fmt.Sprintf(`node_name: "%s"
-role: "node"
-machine_class: "front"
-serves:
-  - "front"
-  - "control"
-ip: "%s"
-zone: "%s"
-region: "sul-br"
-zones:
-  poa-a: "sul-br"
-  poa-b: "sul-br"
-  canoas-c: "sul-br"
-listen:
-  front: "%s:%d"
-  ready: "%s:%d"
-  control: "%s:%d"
-internal_ports:
-  - %d
-  - %d
-seeds:
-%sbootstrap: %v
-include_in_tolerance: false
-limits:
-  cpu_share: 0.4
-  cores: 1
-  memory_mb: 284
-  file_descriptors: 4200
-  link_mbps: 1000.0
-  disk_mb: 0
-data_directory: null
-discovery: "platform"
-entry: "virtual_ip"
-heartbeat_ms: 1200
-contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "spans"]
-tolerance: {machines: 2, zones: 0, regions: 0}
-bounds: {seed_lag_s: 3, reuse_after_s: 2, stable_window_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, stretch_max_ms: 5000, strict_revocation: true, revoke_ms: 5000, budget_ratio: 0.2, budget_window_s: 10, budget_extra: 102, recovery_s: 12, pass_ms: 120, retry_after_s: 0, stall_ms: 1500, hold_max_ms: 20000, free_ms: 4000, idle_max_ms: 9000}
-platform: {address: "%s", form: "log", writes_per_s: 400, reads_per_s: 2000, parts: 8, append_ms: 4.0, partition_mb_s: 20.0, read_mb_s: 80.0, record_bytes: 262144, call_bytes: 2097152, keep_s: 20, partition_mb: 200, ttl_min_ms: 1000}
-`, n.name, n.ip, n.zone, n.ip, n.port, n.ip, n.port+1, n.ip, n.port+2, n.port+3, n.port+6, seeds, !n.started, n.rig.store.addr)
+	return strings.NewReplacer(
+		"@NAME@", n.name, "@IP@", n.ip, "@ZONE@", n.zone, "@STORE@", n.rig.store.addr, "@SEEDS@", strings.Join(seeds, ", "), "@BOOTSTRAP@", fmt.Sprint(!n.started),
+		"@FRONT@", fmt.Sprint(n.port), "@READY@", fmt.Sprint(n.port+1), "@CONTROL@", fmt.Sprint(n.port+2), "@FIRST@", fmt.Sprint(n.port+3), "@LAST@", fmt.Sprint(n.port+6),
+	).Replace(settingsTemplate)
 }
 
 // isReady reports whether the readiness check of the platform succeeds.
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := c.Get(fmt.Sprintf("http://%s:%d/laburnumstack/readiness", n.ip, n.port+1))
+	res, err := c.Get(fmt.Sprintf("http://%s:%d%s", n.ip, n.port+1, wire.ReadyPath))
 	if err != nil {
 		return false
 	}
@@ -312,5 +275,3 @@
 	fmt.Println("held")
 	return exitHeld
 }
-
-func indent(lines []string) string { return "    " + strings.Join(lines, "\n    ") }
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -10,6 +10,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"laburnumstack.org/laburnum/pkg/ident"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // server is a stand-in of a plain server. It runs each request that names it and answers with its
@@ -37,39 +40,33 @@
 	s.srv = &http.Server{Handler: s}
 	go s.srv.Serve(l)
 	r.servers = append(r.servers, s)
-	s.publish("ready")
+	s.publish(wire.StateReady)
 	return s
 }
 
 // publish writes the record of the server.
 func (s *server) publish(state string) {
-	b, err := json.Marshal(map[string]any{
-		"service": "app", "address": s.addr, "zone": s.zone, "version": "v1", "slots": 16, "state": state,
-		"cold_remaining_ms": 0, "stage": "both", "sequence": 1, "born": s.born,
-	})
+	cold := 0.0
+	b, err := json.Marshal(wire.Endpoint{Service: serviceName, Address: s.addr, Zone: ident.DataCentre(s.zone), Slots: 16, State: state, Born: s.born, Sequence: 1, ColdMS: &cold})
 	must(err)
 	s.rig.store.put(topicServers, s.id, b)
 }
 
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Laburnumstack-Attempt-Id")
+	id := r.Header.Get(wire.FieldID)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	if id != "" {
-		w.Header().Set("Laburnumstack-Attempt-Id", id)
+		w.Header().Set(wire.FieldID, id)
 	}
 	switch {
-	case r.URL.Path == "/health":
-		w.Header().Set("Laburnumstack-Instance-Id", s.id)
-		return
-	case r.Header.Get("Laburnumstack-Expect-Instance") != s.id:
-		w.Header().Set("Laburnumstack-Instance-Id", s.id)
+	case r.Header.Get(wire.FieldExpectedEndpoint) != s.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case id == "":
-		w.Header().Set("Laburnumstack-Not-Executed", "1")
+		w.Header().Set(wire.FieldNotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -81,7 +78,7 @@
 	}
 	time.Sleep(s.work)
 	b := s.body(r)
-	w.Header().Set("Laburnumstack-Response-Stamp", fmt.Sprintf("%s.%s", s.id, id))
+	w.Header().Set(wire.FieldSignature, fmt.Sprintf("%s.%s", s.id, id))
 	w.Header().Set("Content-Length", fmt.Sprint(len(b)))
 	w.Write(b)
 }
--- a/review/rig3/slow_clients.go
+++ b/review/rig3/slow_clients.go
@@ -9,6 +9,9 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 func init() { cases["slow-clients"] = slowClients }
@@ -32,7 +35,7 @@
 			return []byte("ok")
 		})
 	}
-	r.store.put(topicOperator, "config", r.newConfig([]map[string]any{route("read", "idempotent", clientDeadline)}, "key-1"))
+	r.store.put(topicOperator, wire.ConfigKey, r.newConfig([]wire.Route{route("read", topol.Idempotent, clientDeadline)}, "key-1"))
 	if err := r.startNodes(3); err != nil {
 		return false, err
 	}
--- a/review/rig3/slow_servers.go
+++ b/review/rig3/slow_servers.go
@@ -12,6 +12,9 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"laburnumstack.org/laburnum/internal/state/topol"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 func init() { cases["slow-servers"] = slowServers }
@@ -27,6 +30,8 @@
 	readPause  = 8 * time.Second
 	eventPause = 300 * time.Millisecond
 	eventCount = 30
+	// promptDeadline is that of the largest prompts on the sheet.
+	promptDeadline = 15 * time.Second
 )
 
 // slowServers checks LOST with servers that answer long prompts before they have read them, and
@@ -35,9 +40,9 @@
 	for _, z := range []string{"poa-a", "poa-b", "canoas-c"} {
 		r.newStreamServer("i-"+z, z)
 	}
-	rt := route("prompt", "streaming", 15*time.Second)
-	rt["gap_target_ms"], rt["resumable"], rt["sticky"] = 1000, true, true
-	r.store.put(topicOperator, "config", r.newConfig([]map[string]any{rt}, "key-1"))
+	rt := route("prompt", topol.Stream, promptDeadline)
+	rt.GapMS, rt.Resumable = 1000, true
+	r.store.put(topicOperator, wire.ConfigKey, r.newConfig([]wire.Route{rt}, "key-1"))
 	if err := r.startNodes(3); err != nil {
 		return false, err
 	}
@@ -74,8 +79,8 @@
 // prompt sends a prompt and reads its answer. It returns what is wrong with it.
 func (r *rig) prompt(c *client, size int) string {
 	id, began := newID(), time.Now()
-	c.conn.SetDeadline(began.Add(20 * time.Second))
-	fmt.Fprintf(c.conn, "POST /prompt/x HTTP/1.1\r\nHost: %s\r\nLaburnumstack-Attempt-Id: %s\r\nLaburnumstack-Time-Left-Ms: 15000\r\nAuthorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n", host, id, size)
+	c.conn.SetDeadline(began.Add(promptDeadline + 5*time.Second))
+	fmt.Fprintf(c.conn, "%sContent-Length: %d\r\n\r\n", head("POST", "/prompt/x", id, "key-1", promptDeadline), size)
 	if _, err := io.WriteString(c.conn, strings.Repeat("x", size)); err != nil {
 		return "not sent: " + err.Error()
 	}
@@ -112,7 +117,7 @@
 			go s.serveStreams(c)
 		}
 	}()
-	s.publish("ready")
+	s.publish(wire.StateReady)
 }
 
 func (s *server) serveStreams(c net.Conn) {
@@ -123,13 +128,13 @@
 		if err != nil {
 			return
 		}
-		id := req.Header.Get("Laburnumstack-Attempt-Id")
-		if id == "" || req.Header.Get("Laburnumstack-Expect-Instance") != s.id {
+		id := req.Header.Get(wire.FieldID)
+		if id == "" || req.Header.Get(wire.FieldExpectedEndpoint) != s.id {
 			io.Copy(io.Discard, req.Body)
-			io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nLaburnumstack-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.FieldID, id)
 			continue
 		}
-		s.rig.printf("%s: runs %s, Last-Event-Id: %q", s.id, id, req.Header.Get("Last-Event-Id"))
+		s.rig.printf("%s: runs %s, Last-Event-Id: %q", s.id, id, req.Header.Get(wire.FieldLastEvent))
 		long := req.ContentLength > readFirst
 		io.CopyN(io.Discard, req.Body, min(req.ContentLength, readFirst))
 		if long && !s.rig.trouble {
@@ -143,8 +148,8 @@
 			_, err := io.Copy(io.Discard, req.Body)
 			read <- err
 		}()
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nLaburnumstack-Attempt-Id: %s\r\nLaburnumstack-Response-Stamp: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, s.id, id)
-		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", wire.FieldID, id, wire.FieldSignature, s.id, id)
+		last, _ := strconv.Atoi(req.Header.Get(wire.FieldLastEvent))
 		for i := last + 1; i <= eventCount; i++ {
 			if long {
 				time.Sleep(eventPause)
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -14,12 +14,15 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/platform/wire"
 )
 
 // Topics of the store.
-const (
-	topicOperator = "keyed.op"
-	topicServers  = "keyed.servers"
+var (
+	topicOperator = wire.Topics[feeds.Configuration]
+	topicServers  = wire.Topics[feeds.Endpoints]
 )
 
 // record is a keyed record. Without a value, its key is deleted.
@@ -35,9 +38,11 @@
 	topics map[string][]record
 	era    int
 	isDown bool
-	grown  chan struct{}
-	srv    *http.Server
-	addr   string
+	// delay is how long each answer takes.
+	delay time.Duration
+	grown chan struct{}
+	srv   *http.Server
+	addr  string
 }
 
 // newStore starts a store on a loopback address.
@@ -96,23 +101,31 @@
 	s.isDown = down
 }
 
+// setDelay makes each answer take a time.
+func (s *store) setDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
 // ServeHTTP serves one call of a node.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down := s.isDown
+	down, delay := s.isDown, s.delay
 	s.mu.Unlock()
-	w.Header().Set("Store-Era", strconv.Itoa(s.currentEra()))
+	time.Sleep(delay)
+	w.Header().Set(wire.FieldEra, strconv.Itoa(s.currentEra()))
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	topic := r.URL.Query().Get("topic")
 	switch r.URL.Path {
-	case "/laburnumstack/log-newest":
+	case wire.NewestPath:
 		s.serveNewest(w, topic)
-	case "/laburnumstack/log-read":
+	case wire.ReadPath:
 		s.serveRead(w, r, topic)
-	case "/laburnumstack/log-append":
+	case wire.AppendPath:
 		s.serveAppend(w, r, topic)
 	default:
 		http.NotFound(w, r)
@@ -144,26 +157,30 @@
 	for _, k := range slices.Sorted(maps.Keys(newest)) {
 		items = append(items, newest[k])
 	}
-	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	w.Header().Set(wire.FieldEra, strconv.Itoa(s.era))
 	json.NewEncoder(w).Encode(map[string]any{"items": items, "has_more": false, "end": len(s.topics[topic])})
 }
 
 func (s *store) serveRead(w http.ResponseWriter, r *http.Request, topic string) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from_revision"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	limit, err := strconv.Atoi(r.URL.Query().Get("max_kilobytes"))
+	if err != nil {
+		limit = 1024
+	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
 		rs, grown, era := s.topics[topic], s.grown, s.era
 		s.mu.Unlock()
-		w.Header().Set("Store-Era", strconv.Itoa(era))
+		w.Header().Set(wire.FieldEra, strconv.Itoa(era))
 		if from < 0 || from > len(rs) {
 			w.WriteHeader(http.StatusGone)
 			io.WriteString(w, `{"first":0}`)
 			return
 		}
 		if from < len(rs) || wait == 0 {
-			w.Write(page(rs, from))
+			w.Write(page(rs, from, limit<<10))
 			return
 		}
 		select {
@@ -176,12 +193,16 @@
 	}
 }
 
-// page encodes the records from an offset on.
-func page(rs []record, from int) []byte {
+// page encodes the records from an offset on, as many as fit into a number of bytes and at least one.
+func page(rs []record, from, limit int) []byte {
 	b := binary.BigEndian.AppendUint64(nil, uint64(len(rs)))
 	b = binary.BigEndian.AppendUint64(b, 0)
-	for _, r := range rs[from:] {
-		b = binary.BigEndian.AppendUint32(b, uint32(1+len(r.key)+len(r.value)))
+	for i, r := range rs[from:] {
+		n := 1 + len(r.key) + len(r.value)
+		if i > 0 && len(b)+4+n > limit {
+			break
+		}
+		b = binary.BigEndian.AppendUint32(b, uint32(n))
 		b = append(b, byte(len(r.key)))
 		b = append(append(b, r.key...), r.value...)
 	}
