--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/laburnumgw ] && [ -x target/rig3 ] || exit 2
-exec target/rig3 slow-clients "$folder/record.txt"
+exec target/rig3 drill-kill "$folder/record.txt"
