--- a/review/rig3/key_use.go
+++ b/review/rig3/key_use.go
@@ -44,7 +44,7 @@
 		return
 	}
 	u.late++
-	u.rig.printf("%s runs %s, sent %.2f s after its key was taken away", server, id, at.Sub(u.revokedAt).Seconds())
+	u.rig.printf("%s: %s ran too late, sent %.2f s after its key was taken away", server, id, at.Sub(u.revokedAt).Seconds())
 }
 
 // start starts a client at each node.
@@ -74,15 +74,18 @@
 	u.mu.Lock()
 	u.sentAt[id] = time.Now()
 	u.mu.Unlock()
+	u.rig.printf("client: %s sent to %s with %s", id, c.address, key)
 	if c.send("GET", "/read/x", id, key, 2*time.Second) != nil {
 		c.close()
 		return
 	}
 	res, err := c.response("GET")
 	if err != nil {
+		u.rig.printf("client: %s has no answer: %v", id, err)
 		c.close()
 		return
 	}
+	u.rig.printf("client: %s has status %d", id, res.StatusCode)
 	_, err = io.Copy(io.Discard, res.Body)
 	if err != nil || res.Close {
 		c.close()
--- a/review/rig3/missed_versions.go
+++ b/review/rig3/missed_versions.go
@@ -16,14 +16,14 @@
 const (
 	// addedRoutes is the largest number of routes by which the small deployments' configuration grows.
 	addedRoutes = 390
-	// stormTime and stormPause are those of the longest and quickest series of configurations.
-	stormTime  = 4 * time.Second
-	stormPause = 66 * time.Millisecond
+	// stormTime and stormPause are those of one series of configurations of a small deployment.
+	stormTime  = 3100 * time.Millisecond
+	stormPause = 180 * time.Millisecond
 	// awayTime is the longest time for which the store turns machines away.
 	awayTime = 9 * time.Second
-	// slowAnswer is the largest dose of a slow store: 97 times 4 ms.
-	slowAnswer = 388 * time.Millisecond
-	slowTime   = 5 * time.Second
+	// slowAnswer and slowTime are the largest dose of a slow store on the small deployments: 60 times 4 ms.
+	slowAnswer = 240 * time.Millisecond
+	slowTime   = 4500 * time.Millisecond
 )
 
 // missedVersions checks the revocation of a key at the last node that is left, which the store has
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -73,6 +73,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
+	s.rig.printf("%s: runs %s", s.id, id)
 	if s.onRun != nil {
 		s.onRun(id, r)
 	}
@@ -82,14 +83,3 @@
 	w.Header().Set("Content-Length", fmt.Sprint(len(b)))
 	w.Write(b)
 }
-
-// ran returns how often a request ran at all servers.
-func (r *rig) ran(id string) int {
-	sum := 0
-	for _, s := range r.servers {
-		s.mu.Lock()
-		sum += s.runs[id]
-		s.mu.Unlock()
-	}
-	return sum
-}
