feeds: only the end of the stream confirms a configuration

Cause: each page of the stream counted as the newest state, though the store's answer tells where the stream ends. With 1.6 MB to read, the first page of 1 MB vouched for an old version.

Change: a page carries the end of the stream. Its records come into force at once, but it confirms the configuration and the evacuations only if it reaches the end, or the end that an earlier page showed, and then as of that page. So a stream that grows faster than it is read is confirmed as well. Peers pass on the time of the last confirmation and can't pass on more.

--- a/internal/trans/feeds/cursor.go
+++ b/internal/trans/feeds/cursor.go
@@ -1,6 +1,9 @@
 package feeds
 
-import "laburnumstack.org/laburnum/pkg/ident"
+import (
+	"laburnumstack.org/laburnum/internal/state/clock"
+	"laburnumstack.org/laburnum/pkg/ident"
+)
 
 // unknownOffset is the offset of a cursor that starts with the newest record of each
 // key.
@@ -21,6 +24,10 @@
 	// resumed is set until the first page after a position that this node did not
 	// read itself.
 	resumed bool
+	// goal is an end of the stream that an earlier page showed and that hasn't been reached
+	// yet. The read of that page began at goalAt, which is zero if there is no such page.
+	goal   ident.Offset
+	goalAt clock.Instant
 }
 
 // pageKind says what to do with a page of records.
@@ -63,3 +70,22 @@
 		return further
 	}
 }
+
+// confirm returns the time as of which the records up to the cursor are the whole stream; zero if
+// that isn't known, since more records follow. at is when the read of the last page began, behind
+// which the cursor has been moved. A stream that grows faster than it is read is confirmed as of
+// an earlier page, once its end at that time is reached.
+func (c *cursor) confirm(p Page, at clock.Instant) clock.Instant {
+	if p.Next >= p.End {
+		c.goalAt = 0
+		return at
+	}
+	asOf := clock.Instant(0)
+	if c.goalAt > 0 && p.Next >= c.goal {
+		asOf, c.goalAt = c.goalAt, 0
+	}
+	if c.goalAt == 0 {
+		c.goal, c.goalAt = p.End, at
+	}
+	return asOf
+}
--- a/internal/trans/feeds/endpoints.go
+++ b/internal/trans/feeds/endpoints.go
@@ -31,7 +31,7 @@
 	return l.ID
 }
 
-func (f *Feeds) applyEndpoints(rs []Record, complete bool, at clock.Instant) {
+func (f *Feeds) applyEndpoints(rs []Record, complete bool, at, _ clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := ident.Set[ident.EndpointName]{}
--- a/internal/trans/feeds/evacset.go
+++ b/internal/trans/feeds/evacset.go
@@ -52,16 +52,16 @@
 	e.graceEra = max(e.graceEra, era)
 }
 
-// read applies records that were read up to a position, in a read that began at the
-// given time. complete is set if they are the newest records of all keys.
-func (e *evacuations) read(rs []evacuationRecord, complete bool, p Position, at, now clock.Instant) {
+// read applies records that were read up to a position. With them, the set is the newest as
+// of asOf; zero if more records follow. complete is set if they are the newest records of all keys.
+func (e *evacuations) read(rs []evacuationRecord, complete bool, p Position, asOf, now clock.Instant) {
 	switch {
 	case complete:
 		if p.isBefore(e.position) || e.crossesLoss(p) {
 			// The source shows an older state, in which records may be missing.
 			e.beginGrace(p.Era, now)
 		}
-		e.replace(inForceOf(rs), at)
+		e.replace(inForceOf(rs), asOf)
 	case !e.known || p.isBefore(e.position):
 		// The set of a peer is later.
 		return
@@ -69,7 +69,7 @@
 		e.change(rs)
 	}
 	e.known, e.position = true, p
-	e.confirm(at)
+	e.confirm(asOf)
 }
 
 // crossesLoss reports whether the source has lost records between the position of the set and a
--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -53,9 +53,9 @@
 }
 
 // applyEvacuations applies those of the records of a page of the Configuration stream that
-// are of evacuations. The stream goes on at p. The records of the configuration itself
+// are of evacuations. The stream goes on at p, and is confirmed as of asOf; zero if it isn't. The records of the configuration itself
 // have been applied before.
-func (f *Feeds) applyEvacuations(rs []Record, complete bool, p Position, at clock.Instant) {
+func (f *Feeds) applyEvacuations(rs []Record, complete bool, p Position, asOf clock.Instant) {
 	var es []evacuationRecord
 	for _, r := range rs {
 		if n, ok := f.Decoder.Evacuation(r); ok {
@@ -64,11 +64,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.evacuations.read(es, complete, p, at, clock.Now())
+	f.evacuations.read(es, complete, p, asOf, clock.Now())
 	if p.Era > 0 && f.evacuations.known {
 		f.configAt = p
 	}
-	f.publishEvacuations(at)
+	f.publishEvacuations(f.evacuations.confirmedAt)
 }
 
 // publishEvacuations publishes the set if it has changed, and logs each change. at is when
--- a/internal/trans/feeds/evacuate_test.go
+++ b/internal/trans/feeds/evacuate_test.go
@@ -148,7 +148,7 @@
 	f := &Feeds{Decoder: plainDecoder{}, Logger: zerolog.New(lines)}
 	test.False(t, f.EvacuationsKnown())
 	page := func(complete bool, next ident.Offset, rs ...Record) {
-		f.applyConfig(rs, complete, at(0))
+		f.applyConfig(rs, complete, at(0), at(0))
 		f.applyEvacuations(rs, complete, Position{1, next}, at(0))
 	}
 	page(true, 3, record("config", "1"), record("evacuate/a", "junk"), record("evacuate/b", ""))
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -222,7 +222,7 @@
 	f.recoveredAt = at
 }
 
-func (f *Feeds) applyConfig(rs []Record, _ bool, at clock.Instant) {
+func (f *Feeds) applyConfig(rs []Record, _ bool, _, asOf clock.Instant) {
 	for _, r := range rs {
 		if _, ok := f.Decoder.Evacuation(r); ok {
 			continue
@@ -237,7 +237,7 @@
 		}
 	}
 	if f.catalog.Load() != nil {
-		f.ConfirmCatalog(at)
+		f.ConfirmCatalog(asOf)
 	}
 }
 
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -74,11 +74,11 @@
 // been carried out late. Its next start is used at once.
 func TestLateRecordDoesNotEndLeaving(t *testing.T) {
 	f := newFeeds()
-	f.applyEndpoints([]Record{record("a", "s up 1"), record("b", "s up")}, true, at(0))
-	f.applyEndpoints([]Record{record("a", "s leaving 1"), record("b", "s leaving")}, false, at(time.Second))
-	f.applyEndpoints([]Record{record("a", "s up 1"), record("b", "s up")}, false, at(2*time.Second))
+	f.applyEndpoints([]Record{record("a", "s up 1"), record("b", "s up")}, true, at(0), at(0))
+	f.applyEndpoints([]Record{record("a", "s leaving 1"), record("b", "s leaving")}, false, at(time.Second), at(time.Second))
+	f.applyEndpoints([]Record{record("a", "s up 1"), record("b", "s up")}, false, at(2*time.Second), at(2*time.Second))
 	test.Eq(t, "a- b", f.names("s"), test.Sprint("a start of b can't be told from another"))
-	f.applyEndpoints([]Record{record("a", "s up 2")}, false, at(3*time.Second))
+	f.applyEndpoints([]Record{record("a", "s up 2")}, false, at(3*time.Second), at(3*time.Second))
 	test.Eq(t, "a b", f.names("s"))
 }
 
@@ -98,7 +98,7 @@
 
 func TestHighestVersionWins(t *testing.T) {
 	f := newFeeds()
-	f.applyConfig([]Record{record("config", "5"), record("config", "3"), record("config", "x")}, true, at(0))
+	f.applyConfig([]Record{record("config", "5"), record("config", "3"), record("config", "x")}, true, at(0), at(0))
 	test.Eq(t, 5, f.Catalog().Version)
 	f.UpdateCatalog(&topol.Catalog{Version: 4})
 	test.Eq(t, 5, f.Catalog().Version)
@@ -126,9 +126,9 @@
 
 func TestConfirmationTimeNeverGoesBack(t *testing.T) {
 	f := newFeeds()
-	f.applyConfig(nil, false, at(0))
+	f.applyConfig(nil, false, at(0), at(0))
 	test.Eq(t, 0, f.CatalogConfirmedAt(), test.Sprint("without a configuration there is nothing to confirm"))
-	f.applyConfig([]Record{record("config", "5")}, true, at(2*time.Second))
+	f.applyConfig([]Record{record("config", "5")}, true, at(2*time.Second), at(2*time.Second))
 	f.ConfirmCatalog(at(time.Second))
 	test.Eq(t, at(2*time.Second), f.CatalogConfirmedAt())
 }
@@ -152,8 +152,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFeeds()
-			f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0))
-			f.applyEndpoints(c.rs, c.complete, at(time.Second))
+			f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0), at(0))
+			f.applyEndpoints(c.rs, c.complete, at(time.Second), at(time.Second))
 			test.Eq(t, c.want, f.names("s"))
 		})
 	}
@@ -161,25 +161,25 @@
 
 func TestDeletedEndpointsStayForTheGracePeriodAfterAnOutage(t *testing.T) {
 	f := newFeeds()
-	f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0))
+	f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0), at(0))
 	// The source was down for 8 s, and both records expired meanwhile.
 	f.recordRecovery(Endpoints, at(8*time.Second), 8*time.Second)
-	f.applyEndpoints([]Record{{Key: "a"}, {Key: "b"}}, false, at(8*time.Second))
+	f.applyEndpoints([]Record{{Key: "a"}, {Key: "b"}}, false, at(8*time.Second), at(8*time.Second))
 	test.Eq(t, "a b", f.names("s"))
 	test.False(t, f.OutsideGracePeriod(at(9*time.Second)), test.Sprint("such a list must not be given to peers"))
 	test.True(t, f.OutsideGracePeriod(at(11*time.Second)))
-	f.applyEndpoints([]Record{record("b", "s up")}, false, at(9*time.Second))
+	f.applyEndpoints([]Record{record("b", "s up")}, false, at(9*time.Second), at(9*time.Second))
 	test.Eq(t, "a b", f.names("s"))
-	f.applyEndpoints(nil, false, at(11*time.Second))
+	f.applyEndpoints(nil, false, at(11*time.Second), at(11*time.Second))
 	test.Eq(t, "b", f.names("s"))
 }
 
 func TestNewerListOfAPeerEndsTheGracePeriod(t *testing.T) {
 	afterOutage := func() *Feeds {
 		f := newFeeds()
-		f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0))
+		f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0), at(0))
 		f.recordRecovery(Endpoints, at(8*time.Second), 8*time.Second)
-		f.applyEndpoints([]Record{{Key: "a"}}, false, at(8100*time.Millisecond))
+		f.applyEndpoints([]Record{{Key: "a"}}, false, at(8100*time.Millisecond), at(8100*time.Millisecond))
 		must.Eq(t, "a b", f.names("s"))
 		return f
 	}
@@ -199,9 +199,9 @@
 func TestOlderListOfAPeerDoesNotRestoreDeletedEndpoints(t *testing.T) {
 	afterOutage := func() *Feeds {
 		f := newFeeds()
-		f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0))
+		f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0), at(0))
 		f.recordRecovery(Endpoints, at(8*time.Second), 8*time.Second)
-		f.applyEndpoints([]Record{{Key: "a"}}, false, at(8300*time.Millisecond))
+		f.applyEndpoints([]Record{{Key: "a"}}, false, at(8300*time.Millisecond), at(8300*time.Millisecond))
 		must.Eq(t, "a b", f.names("s"))
 		return f
 	}
@@ -218,7 +218,7 @@
 
 func TestSnapshotsAreConsistent(t *testing.T) {
 	f := newFeeds()
-	f.applyEndpoints([]Record{record("a", "s up")}, true, at(0))
+	f.applyEndpoints([]Record{record("a", "s up")}, true, at(0), at(0))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -227,7 +227,7 @@
 			if i%2 == 0 {
 				state = "s leaving"
 			}
-			f.applyEndpoints([]Record{record("a", state)}, false, at(time.Duration(i+1)))
+			f.applyEndpoints([]Record{record("a", state)}, false, at(time.Duration(i+1)), at(time.Duration(i+1)))
 		}
 	}()
 	for {
@@ -254,9 +254,9 @@
 		}
 		peer, f := newFeeds(), newFeeds()
 		base := draw("base")
-		peer.applyEndpoints(base, true, at(0))
-		f.applyEndpoints(base, true, at(0))
-		peer.applyEndpoints(draw("next"), true, at(time.Second))
+		peer.applyEndpoints(base, true, at(0), at(0))
+		f.applyEndpoints(base, true, at(0), at(0))
+		peer.applyEndpoints(draw("next"), true, at(time.Second), at(time.Second))
 		c, confirmedAt := peer.ChangeFrom(f.Endpoints().ListID())
 		must.NoError(t, f.ChangeEndpoints(c, confirmedAt))
 		must.Eq(t, peer.Endpoints(), f.Endpoints())
@@ -266,12 +266,12 @@
 
 func TestChangeOfAnotherListIsRejected(t *testing.T) {
 	peer, f := newFeeds(), newFeeds()
-	peer.applyEndpoints([]Record{record("a", "s up")}, true, at(0))
+	peer.applyEndpoints([]Record{record("a", "s up")}, true, at(0), at(0))
 	base := peer.Endpoints().ListID()
-	peer.applyEndpoints([]Record{record("b", "s up")}, false, at(time.Second))
+	peer.applyEndpoints([]Record{record("b", "s up")}, false, at(time.Second), at(time.Second))
 	c, confirmedAt := peer.ChangeFrom(base)
 	test.Eq(t, base, c.Base)
-	f.applyEndpoints([]Record{record("c", "s up")}, true, at(0))
+	f.applyEndpoints([]Record{record("c", "s up")}, true, at(0), at(0))
 	test.ErrorIs(t, f.ChangeEndpoints(c, confirmedAt), ErrOtherList)
 	test.Eq(t, "c", f.names("s"))
 	c, confirmedAt = peer.ChangeFrom(f.Endpoints().ListID())
@@ -285,18 +285,18 @@
 	// have read the source for this node.
 	for _, outage := range []time.Duration{0, 300 * time.Millisecond} {
 		f := newFeeds()
-		f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0))
+		f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0), at(0))
 		if outage > 0 {
 			f.recordRecovery(Endpoints, at(8*time.Second), outage)
 		}
-		f.applyEndpoints([]Record{record("b", "s up")}, true, at(8*time.Second))
+		f.applyEndpoints([]Record{record("b", "s up")}, true, at(8*time.Second), at(8*time.Second))
 		test.Eq(t, "b", f.names("s"))
 	}
 }
 
 func TestPeersListIsAdoptedOnlyIfNewer(t *testing.T) {
 	f := newFeeds()
-	f.applyEndpoints([]Record{record("a", "s up")}, true, at(time.Second))
+	f.applyEndpoints([]Record{record("a", "s up")}, true, at(time.Second), at(time.Second))
 	f.UpdateEndpoints([]topol.Endpoint{{Name: "z", Service: "s"}}, at(0))
 	test.Eq(t, "a", f.names("s"))
 	f.UpdateEndpoints([]topol.Endpoint{{Name: "z", Service: "s"}}, at(2*time.Second))
@@ -307,12 +307,12 @@
 // before they began to leave, until they write their records again.
 func TestEndpointsStayAsTheyWereAfterALoss(t *testing.T) {
 	f := newFeeds()
-	f.applyEndpoints([]Record{record("a", "s up"), record("b", "s leaving"), record("c", "s up")}, true, at(0))
+	f.applyEndpoints([]Record{record("a", "s up"), record("b", "s leaving"), record("c", "s up")}, true, at(0), at(0))
 	f.recordLoss(Endpoints, 2, at(time.Second))
-	f.applyEndpoints([]Record{record("b", "s up"), record("c", "s up")}, true, at(time.Second))
+	f.applyEndpoints([]Record{record("b", "s up"), record("c", "s up")}, true, at(time.Second), at(time.Second))
 	test.Eq(t, "a b- c", f.names("s"))
-	f.applyEndpoints([]Record{record("a", "s up"), record("c", "s leaving")}, false, at(2*time.Second))
+	f.applyEndpoints([]Record{record("a", "s up"), record("c", "s leaving")}, false, at(2*time.Second), at(2*time.Second))
 	test.Eq(t, "a b- c-", f.names("s"))
-	f.applyEndpoints([]Record{record("b", "s up")}, false, at(4*time.Second))
+	f.applyEndpoints([]Record{record("b", "s up")}, false, at(4*time.Second), at(4*time.Second))
 	test.Eq(t, "a b c-", f.names("s"), test.Sprint("the endpoint says so after the grace period"))
 }
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -11,9 +11,10 @@
 	"laburnumstack.org/laburnum/internal/state/delay"
 )
 
-// applyFunc applies records that were the newest at the given time. It is called
-// with complete set if they are the newest records of all keys.
-type applyFunc func(rs []Record, complete bool, at clock.Instant)
+// applyFunc applies records whose read began at the given time. It is called with complete set
+// if they are the newest records of all keys. With them, the state is the newest as of asOf; zero
+// if that isn't known, see cursor.confirm.
+type applyFunc func(rs []Record, complete bool, at, asOf clock.Instant)
 
 // follower reads one stream. The fields up to apply are set before run.
 type follower struct {
@@ -140,13 +141,27 @@
 	case outdated:
 		return minRetryPause
 	}
-	w.apply(p.Records, kind == newest, at)
+	asOf := w.cursor.confirm(p, at)
+	w.logProgress(p, asOf)
+	w.apply(p.Records, kind == newest, at, asOf)
 	if w.stream == Configuration {
-		f.applyEvacuations(p.Records, kind == newest, Position{Era: w.cursor.era, Next: w.cursor.next}, at)
+		f.applyEvacuations(p.Records, kind == newest, Position{Era: w.cursor.era, Next: w.cursor.next}, asOf)
 	}
 	return f.pause(w.stream, w.interval)
 }
 
+// logProgress logs a page that doesn't reach the end of the stream.
+func (w *follower) logProgress(p Page, asOf clock.Instant) {
+	if p.Next >= p.End {
+		return
+	}
+	e := w.feeds.Logger.Info().Str("stream", w.stream.String()).Uint64("era", p.Era).Int64("next", int64(p.Next)).Int64("end", int64(p.End))
+	if asOf > 0 {
+		e = e.Dur("confirmedAge", clock.Now().Sub(asOf))
+	}
+	e.Msg("feeds: more records follow")
+}
+
 // signal wakes one waiting goroutine. The zero value is ready for use.
 type signal struct {
 	once sync.Once
--- a/internal/trans/feeds/reject_test.go
+++ b/internal/trans/feeds/reject_test.go
@@ -19,15 +19,15 @@
 	lines := func() int { return bytes.Count(log.Bytes(), []byte("cannot decode endpoint record")) }
 	const beats = 50
 	for i := range beats {
-		f.applyEndpoints([]Record{record("x", fmt.Sprint("junk", i)), record("a", "s up")}, false, at(time.Duration(i)*time.Second))
+		f.applyEndpoints([]Record{record("x", fmt.Sprint("junk", i)), record("a", "s up")}, false, at(time.Duration(i)*time.Second), at(time.Duration(i)*time.Second))
 	}
 	test.Eq(t, 1, lines())
 	test.Eq(t, beats, f.RejectedRecords())
 	test.Eq(t, "a", f.names("s"))
-	f.applyEndpoints([]Record{record("x", "junk")}, false, at(rejectionLogInterval))
+	f.applyEndpoints([]Record{record("x", "junk")}, false, at(rejectionLogInterval), at(rejectionLogInterval))
 	test.Eq(t, 2, lines(), test.Sprint("in the next interval"))
 	for i := range 2 * maxLoggedRejections {
-		f.applyEndpoints([]Record{record(fmt.Sprint("other", i), "junk")}, false, at(rejectionLogInterval+time.Second))
+		f.applyEndpoints([]Record{record(fmt.Sprint("other", i), "junk")}, false, at(rejectionLogInterval+time.Second), at(rejectionLogInterval+time.Second))
 	}
 	test.Eq(t, 1+maxLoggedRejections, lines(), test.Sprint("names that change each time"))
 	test.Eq(t, beats+1+2*maxLoggedRejections, f.RejectedRecords())
@@ -51,8 +51,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFeeds()
-			f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0))
-			f.applyEndpoints(c.rs, c.complete, at(time.Second))
+			f.applyEndpoints([]Record{record("a", "s up"), record("b", "s up")}, true, at(0), at(0))
+			f.applyEndpoints(c.rs, c.complete, at(time.Second), at(time.Second))
 			test.Eq(t, c.want, f.names("s"))
 			test.Eq(t, at(time.Second), f.EndpointsConfirmedAt())
 		})
--- a/internal/trans/feeds/source.go
+++ b/internal/trans/feeds/source.go
@@ -47,6 +47,9 @@
 	// Next is the offset to read from next: that after the newest record of the
 	// stream, or after the last one of the page if more follow.
 	Next ident.Offset
+	// End is the end of the stream when the page was read, which is after Next if more
+	// records follow. Zero means that the source doesn't tell, and that none follow.
+	End ident.Offset
 	// Era counts how often the source lost records that it had acknowledged. Each
 	// time, offsets go back and are given out again. Zero means that the source
 	// doesn't tell.
