feeds: only the end of the stream confirms the list of endpoints

Further pages were read only after the pause between two reads, so that a node that was behind stayed behind.

Evidence: TestOnlyTheEndOfTheStreamConfirmsTheEndpoints failed before, both for the time of the confirmation and for the reads (two in place of three).

Change: the list is confirmed at the end of the stream, as the configuration is, and pages follow each other at once until then.

--- a/internal/trans/feeds/cursor_test.go
+++ b/internal/trans/feeds/cursor_test.go
@@ -47,6 +47,37 @@
 	})
 }
 
+// Guards against DRAIN: a list of endpoints counts as the newest, here and at peers, while records
+// of leaving endpoints are still to be read, and pages follow each other as slowly as reads do.
+func TestOnlyTheEndOfTheStreamConfirmsTheEndpoints(t *testing.T) {
+	page := func(next, end ident.Offset, rs ...Record) func() (Page, error) {
+		return func() (Page, error) { return Page{Records: rs, Next: next, End: end, Era: 1}, nil }
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSource{responses: []func() (Page, error){
+			page(2, 2, record("a", "s up"), record("b", "s up")),
+			page(3, 5, record("a", "s leaving")), page(3, 5), page(5, 5, record("b", "s leaving")),
+		}}
+		f := newFeeds()
+		f.Source = s
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go (&follower{feeds: f, stream: Endpoints, interval: endpointsInterval, apply: f.applyEndpoints}).run(ctx)
+		synctest.Wait()
+		first := f.EndpointsConfirmedAt()
+		must.Positive(t, first)
+		time.Sleep(endpointsInterval)
+		synctest.Wait()
+		test.SliceLen(t, 3, s.calls, test.Sprint("the next page is read at once, an empty one doesn't repeat at once"))
+		test.Eq(t, "a- b", f.names("s"))
+		test.Eq(t, first, f.EndpointsConfirmedAt())
+		time.Sleep(minRetryPause)
+		synctest.Wait()
+		test.Eq(t, "a- b-", f.names("s"))
+		test.Less(t, f.EndpointsConfirmedAt(), first)
+	})
+}
+
 // Guards against a node that never trusts its configuration, since records are appended faster
 // than it reaches the end of the stream.
 func TestStreamThatGrowsWhileItIsReadIsConfirmed(t *testing.T) {
--- a/internal/trans/feeds/endpoints.go
+++ b/internal/trans/feeds/endpoints.go
@@ -31,7 +31,7 @@
 	return l.ID
 }
 
-func (f *Feeds) applyEndpoints(rs []Record, complete bool, at, _ clock.Instant) {
+func (f *Feeds) applyEndpoints(rs []Record, complete bool, at, asOf clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := ident.Set[ident.EndpointName]{}
@@ -48,7 +48,7 @@
 		}
 	}
 	changed = f.removeDue(at) || changed
-	f.endpointsConfirmedAt.Advance(at)
+	f.endpointsConfirmedAt.Advance(asOf)
 	if changed {
 		f.publish()
 	}
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -129,7 +129,7 @@
 // handle handles a page, whose read began at the given time, and returns the pause
 // before the next read.
 func (w *follower) handle(p Page, at clock.Instant) time.Duration {
-	f := w.feeds
+	f, from := w.feeds, w.cursor.next
 	if w.cursor.isNewEra(p) {
 		f.recordLoss(w.stream, p.Era, at)
 	}
@@ -147,7 +147,15 @@
 	if w.stream == Configuration {
 		f.applyEvacuations(p.Records, kind == newest, Position{Era: w.cursor.era, Next: w.cursor.next}, asOf)
 	}
-	return f.pause(w.stream, w.interval)
+	switch {
+	case p.Next >= p.End:
+		return f.pause(w.stream, w.interval)
+	case p.Next == from:
+		// The source has more records, but returned none.
+		return minRetryPause
+	default:
+		return 0
+	}
 }
 
 // logProgress logs a page that doesn't reach the end of the stream.
