feeds, edge, gate: trust no configuration until lost records are back

Cause: a node that knows nothing newer takes an older copy for the newest state. The same holds for a node that ran all the time, was cut off while the key was taken away, and hears the store before a peer that knows.

Change: feeds.completeness knows whether the store holds again what it had lost at the beginning of its era. Until then reads put configurations in force and confirm none. Peers that know, and a record beside the members, end the wait, so that callers don't pay for a loss of long ago. Refusals name the era and the time that is left; public routes don't wait. A configuration that was never confirmed counts as old, and isn't proven to peers.

--- a/internal/node/edge/apply.go
+++ b/internal/node/edge/apply.go
@@ -16,10 +16,11 @@
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
 	st.ListedAge, st.ProvenAge, st.EvacuationsAge = max(0, st.ListedAge), max(0, st.ProvenAge), max(0, st.EvacuationsAge)
 	s.feeds.ObserveEra(st.Era)
+	s.feeds.LearnComplete(st.CompleteEra)
 	if st.Listed {
 		s.applyList(st, sentAt.Add(-st.ListedAge))
 	}
-	if c := s.feeds.Catalog(); c != nil && st.Proven && st.Version == c.Version {
+	if c := s.feeds.Catalog(); c != nil && s.isProof(st) && st.Version == c.Version {
 		s.transferFailed.Store(false)
 		s.feeds.ConfirmCatalog(sentAt.Add(-st.ProvenAge))
 	}
@@ -29,6 +30,12 @@
 	return fresh
 }
 
+// isProof reports whether a peer's state proves that its configuration was the newest. After the
+// source has lost records, peers of an older build may have read an older one.
+func (s *stateSync) isProof(st relay.State) bool {
+	return st.Proven && (st.CompleteEra > 0 || s.feeds.CompleteEra() >= s.feeds.Era())
+}
+
 // applyEvacuations merges the evacuated data centres that a peer knows into those that this
 // node knows. Only with them, and if both have the same version of the configuration, it
 // takes the position at which the stream goes on: records before it are not read again.
--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
-	"net/netip"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -14,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"laburnumstack.org/laburnum/internal/coord/pace"
 	"laburnumstack.org/laburnum/internal/proto/relay"
 	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/delay"
@@ -29,9 +26,6 @@
 )
 
 const (
-	// registerRetryPause is the pause between two attempts to register as a
-	// member.
-	registerRetryPause = time.Second
 	// stopMargin is subtracted from Settings.GracePeriod: a draining node stops
 	// this long before the grace period ends, even if requests are in flight.
 	stopMargin = 400 * time.Millisecond
@@ -82,6 +76,9 @@
 	orphans   orphanTable
 	// hasMembers is set once the list of members has been read.
 	hasMembers atomic.Bool
+	// recordedEra is the highest era that is recorded as complete in the store, as far as
+	// keepRegistered knows.
+	recordedEra uint64
 }
 
 // Run serves requests until stop is cancelled, then drains: it waits for the
@@ -145,7 +142,7 @@
 func (n *Node) build(ctx context.Context) {
 	s := n.Settings
 	n.inFlight = &works.Table{}
-	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger}
+	n.feeds = &feeds.Feeds{Source: n.Source, Decoder: n.Decoder, Logger: n.Logger, Bootstrap: s.Bootstrap}
 	n.mesh = &share.Mesh{
 		Self: relay.Member{Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Cores: s.Cores}, InFlight: n.inFlight, Logger: n.Logger,
 		HubThreshold: share.DefaultHubThreshold,
@@ -190,9 +187,15 @@
 }
 
 // stale reports whether the configuration is too old for checking keys: a key
-// may have been revoked since.
+// may have been revoked since. While keys wait until records that the store has lost are written
+// again, they do at all nodes, and this one serves what needs no key.
 func (n *Node) stale() bool {
-	return n.Settings.StrictRevocation && clock.Now().Sub(n.feeds.CatalogConfirmedAt()) > n.Settings.MaxConfigAge
+	if !n.Settings.StrictRevocation || n.feeds.Catalog().Keys == nil {
+		return false
+	}
+	now, confirmedAt := clock.Now(), n.feeds.CatalogConfirmedAt()
+	isOld := confirmedAt == 0 || now.Sub(confirmedAt) > n.Settings.MaxConfigAge
+	return isOld && n.feeds.ConfirmWait(now) == 0
 }
 
 // serveReady answers the readiness checks of the load balancer until the context
@@ -222,72 +225,6 @@
 	return err
 }
 
-// keepRegistered registers this node as a member, and again each time the store has
-// lost records, until the context ends.
-func (n *Node) keepRegistered(ctx context.Context) {
-	for ctx.Err() == nil {
-		era := n.register(ctx)
-		for ctx.Err() == nil && n.feeds.Era() <= era {
-			delay.For(ctx, registerRetryPause)
-		}
-	}
-}
-
-// register adds this node to the list of members in the store and adds the other
-// members as peers. It retries until both succeed, and returns the era in which the
-// record was written.
-func (n *Node) register(ctx context.Context) uint64 {
-	r := feeds.Record{Key: string(n.Settings.Name), Value: []byte(n.Settings.PeerAddress)}
-	for ctx.Err() == nil {
-		era, err := n.Source.Put(ctx, feeds.Members, r)
-		if err == nil {
-			err = n.addPeers(ctx)
-		}
-		if err == nil {
-			return era
-		}
-		n.Logger.Warn().Err(err).Msg("node: registration as a member failed, will retry")
-		delay.For(ctx, registerRetryPause)
-	}
-	return 0
-}
-
-// addPeers adds the members listed in the store as peers. It leaves out records that
-// aren't the address of a node.
-func (n *Node) addPeers(ctx context.Context) error {
-	page, err := n.Source.Newest(ctx, feeds.Members)
-	if err != nil {
-		return err
-	}
-	addrs := make([]string, 0, len(page.Records))
-	for _, r := range page.Records {
-		if a := string(r.Value); isNodeAddress(a) {
-			addrs = append(addrs, a)
-		}
-	}
-	// A node connects to the first ones at once: these should be others at each node.
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	for _, a := range addrs {
-		n.mesh.AddPeer(a)
-	}
-	n.hasMembers.Store(true)
-	return nil
-}
-
-// members returns the nodes that share the requests to cold endpoints.
-func (n *Node) members(now time.Time) pace.Members {
-	ms := n.mesh.PaceMembers(now)
-	ms.IsInformed = ms.IsInformed || n.hasMembers.Load()
-	return ms
-}
-
-// isNodeAddress reports whether a is an IP address of one host with a port, in the form in
-// which both are usually written.
-func isNodeAddress(a string) bool {
-	ap, err := netip.ParseAddrPort(a)
-	return err == nil && ap.String() == a && ap.Port() > 0 && !ap.Addr().IsUnspecified() && !ap.Addr().IsMulticast()
-}
-
 // drain waits until stop is cancelled, and then until no request is in flight
 // and no caller would reuse an idle connection. Then it closes the connections of
 // callers. It ends at the latest stopMargin before the end of the grace period.
--- a/internal/node/edge/start_test.go
+++ b/internal/node/edge/start_test.go
@@ -14,16 +14,21 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
+	"laburnumstack.org/laburnum/internal/proto/relay"
+	"laburnumstack.org/laburnum/internal/state/clock"
 	"laburnumstack.org/laburnum/internal/state/delay"
 	"laburnumstack.org/laburnum/internal/state/topol"
 	"laburnumstack.org/laburnum/internal/trans/feeds"
+	"laburnumstack.org/laburnum/internal/trans/share"
 	"laburnumstack.org/laburnum/pkg/ident"
 )
 
-// versionSource is a store that holds one version of the configuration.
+// versionSource is a store that holds one version of the configuration, and the record of an era that
+// is complete unless that is empty.
 type versionSource struct {
-	version byte
-	era     uint64
+	version     byte
+	era         uint64
+	completeEra string
 }
 
 func (s versionSource) Newest(_ context.Context, st feeds.Stream) (feeds.Page, error) {
@@ -31,6 +36,9 @@
 	if st == feeds.Configuration {
 		p.Records = []feeds.Record{{Key: "config", Value: []byte{s.version}}}
 	}
+	if st == feeds.Members && s.completeEra != "" {
+		p.Records = []feeds.Record{{Key: completeEraKey, Value: []byte(s.completeEra)}}
+	}
 	return p, nil
 }
 
@@ -141,6 +149,75 @@
 	}
 }
 
+// Guards against CONFIG: all nodes are killed while the store comes back as a copy, and accept keys
+// in it that were taken away; and against keys that wait at each start of all nodes for good, since
+// the store has lost records once.
+func TestStartingNodeWaitsForRecordsThatTheStoreHasLost(t *testing.T) {
+	cases := []struct {
+		name      string
+		bootstrap bool
+		source    versionSource
+		waits     bool
+	}{
+		{"store has lost nothing", false, versionSource{version: 1, era: 1}, false},
+		{"store has lost records", false, versionSource{version: 1, era: 3}, true},
+		{"record of this era", false, versionSource{version: 1, era: 3, completeEra: "3"}, false},
+		{"record in a copy of an earlier era", false, versionSource{version: 1, era: 3, completeEra: "2"}, true},
+		{"record of a later era", false, versionSource{version: 1, era: 3, completeEra: "4"}, true},
+		{"record that is no number", false, versionSource{version: 1, era: 3, completeEra: "all"}, true},
+		{"the whole deployment starts", true, versionSource{version: 1, era: 3}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := Settings{Name: "n1", PeerAddress: freeAddress(t), Bootstrap: c.bootstrap, StrictRevocation: true, MaxConfigAge: time.Minute}
+			n, _ := startNode(t, s, c.source)
+			for n.feeds.CatalogConfirmedAt() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			// Only a node that has waited has seen by itself that lost records are back.
+			test.Eq(t, c.waits, n.feeds.WitnessedEra() > 0 && !c.bootstrap)
+			test.Eq(t, c.source.era, n.feeds.CompleteEra())
+			test.True(t, n.ready())
+		})
+	}
+}
+
+// Guards against a wait at nodes that start while a peer knows the newest configuration, and against
+// proofs of peers that have believed a copy of the store.
+func TestPeersProveTheConfigurationAfterALoss(t *testing.T) {
+	cases := []struct {
+		name               string
+		peer               relay.State
+		confirmed, waiting bool
+	}{
+		{"peer has seen lost records again", relay.State{Era: 2, CompleteEra: 2, Version: 1, Proven: true}, true, false},
+		{"peer has not heard of the loss", relay.State{Era: 1, CompleteEra: 1, Version: 1, Proven: true}, true, true},
+		{"peer waits and was confirmed before", relay.State{Era: 2, CompleteEra: 1, Version: 1, Proven: true}, true, true},
+		{"peer waits since its start", relay.State{Era: 2, Version: 1}, false, true},
+		{"peer of an older build", relay.State{Era: 2, Version: 1, Proven: true}, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newStateSync(&feeds.Feeds{Logger: zerolog.Nop()}, &share.Mesh{}, decodeVersion, zerolog.Nop())
+			p.feeds.ObserveEra(2)
+			must.NoError(t, p.applyDocument([]byte{1}))
+			p.applyState(c.peer, clock.Now())
+			test.Eq(t, c.confirmed, p.feeds.CatalogConfirmedAt() > 0)
+			test.Eq(t, c.waiting, p.feeds.CompleteEra() < p.feeds.Era())
+		})
+	}
+}
+
+// Guards against a peer's proof by a node that has never confirmed its configuration.
+func TestUnconfirmedConfigurationIsNotProven(t *testing.T) {
+	p := newStateSync(&feeds.Feeds{Logger: zerolog.Nop()}, &share.Mesh{}, decodeVersion, zerolog.Nop())
+	must.NoError(t, p.applyDocument([]byte{1}))
+	test.False(t, p.state(relay.StateArgs{}).Proven)
+	p.feeds.ConfirmCatalog(clock.Now())
+	test.True(t, p.state(relay.StateArgs{}).Proven)
+}
+
 // Guards against BUDGET: nodes that start send a request that the others have barred, since they
 // aren't told that it crashes endpoints, or only after they serve.
 func TestStartingNodeKnowsRequestsThatCrashEndpoints(t *testing.T) {
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -121,7 +121,7 @@
 // already has. It leaves out an endpoint list that may hold endpoints which
 // disappeared during an outage of the store.
 func (s *stateSync) state(args relay.StateArgs) relay.State {
-	st := relay.State{Era: s.feeds.Era()}
+	st := relay.State{Era: s.feeds.Era(), CompleteEra: s.feeds.CompleteEra()}
 	now := clock.Now()
 	// Position and time are read before the configuration, so that they aren't those
 	// of a newer one.
@@ -137,7 +137,7 @@
 	if c := s.feeds.Catalog(); c != nil {
 		st.ConfigEra, st.ConfigNext = position.Era, position.Next
 		st.Version = c.Version
-		st.Proven, st.ProvenAge = true, now.Sub(provenAt)
+		st.Proven, st.ProvenAge = provenAt > 0, now.Sub(provenAt)
 		switch {
 		case c.Version <= args.Version:
 		case args.Format == topol.ChangeFormat:
--- a/internal/proto/relay/peers.go
+++ b/internal/proto/relay/peers.go
@@ -228,8 +228,11 @@
 // are measured at the time of the peer's answer.
 type State struct {
 	// Era is the highest era of the platform's store that the peer knows.
-	Era     uint64
-	Version ident.Version
+	Era uint64
+	// CompleteEra is the highest era in which the platform's store is known to hold again
+	// what it had lost; zero if none is known, as at peers of older builds.
+	CompleteEra uint64
+	Version     ident.Version
 	// Raw is the configuration document. It is set only if it is newer than
 	// StateArgs.Version and the requesting node does not take changes.
 	Raw []byte
--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -117,10 +117,14 @@
 }
 
 // configWaitNow returns the longest wait for a record of the Configuration stream: while
-// evacuations lapse, a read must begin soon after the end of the grace period.
+// evacuations lapse, a read must begin soon after the end of the grace period, and while the
+// configuration isn't confirmed since records were lost, it must be confirmed soon after that.
 func (f *Feeds) configWaitNow(limit time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.Catalog() != nil && f.CatalogConfirmedAt() < f.completeness.since {
+		limit = min(limit, graceReadInterval)
+	}
 	if len(f.evacuations.lapsing) == 0 {
 		return limit
 	}
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -61,6 +61,9 @@
 	// Evacuated shows it; nil if nobody needs to know. It must not call methods of the Feeds
 	// other than Catalog and Endpoints.
 	OnReturned func(ident.DataCentre)
+	// Bootstrap is set if the whole deployment starts for the first time: what the source has
+	// lost before doesn't matter.
+	Bootstrap bool
 
 	era     atomic.Uint64
 	catalog atomic.Pointer[topol.Catalog]
@@ -82,7 +85,8 @@
 	// endpointsWanted ends the pause before the next read of the endpoints.
 	endpointsWanted signal
 
-	mu sync.Mutex
+	mu           sync.Mutex
+	completeness completeness
 	// evacuations holds the evacuated data centres. configAt is where the Configuration
 	// stream goes on after them and the configuration in force; its era is zero if that
 	// isn't known.
@@ -112,7 +116,7 @@
 func (f *Feeds) Endpoints() *EndpointList { return f.list.Load() }
 
 // CatalogConfirmedAt returns when the catalog was last confirmed to be the newest;
-// zero if there is no catalog.
+// zero if it never was.
 func (f *Feeds) CatalogConfirmedAt() clock.Instant { return f.catalogConfirmedAt.Load() }
 
 // OutsideGracePeriod reports whether no grace period after an outage is in
@@ -178,8 +182,9 @@
 	f.beginEndpointGrace(s, at)
 }
 
-// ObserveEra records an era of the source, which this node or a peer read. A new one begins
-// the grace period of the evacuations: the operator writes lost ones again.
+// ObserveEra records an era of the source, which this node or a peer read. In a new one, the
+// operator writes lost records again: the grace period of the evacuations begins, and the
+// configuration is not confirmed until then, see completeness.
 func (f *Feeds) ObserveEra(era uint64) {
 	for {
 		old := f.era.Load()
@@ -187,6 +192,7 @@
 			return
 		}
 		if f.era.CompareAndSwap(old, era) {
+			f.beginEra(old, era)
 			if old != 0 {
 				f.beginEvacuationGrace(era)
 			}
--- a/internal/trans/feeds/follow.go
+++ b/internal/trans/feeds/follow.go
@@ -143,9 +143,11 @@
 	}
 	asOf := w.cursor.confirm(p, at)
 	w.logProgress(p, asOf)
-	w.apply(p.Records, kind == newest, at, asOf)
 	if w.stream == Configuration {
+		w.apply(p.Records, kind == newest, at, f.confirmable(w.cursor.era, asOf))
 		f.applyEvacuations(p.Records, kind == newest, Position{Era: w.cursor.era, Next: w.cursor.next}, asOf)
+	} else {
+		w.apply(p.Records, kind == newest, at, asOf)
 	}
 	switch {
 	case p.Next >= p.End:
--- a/internal/trans/gate/admit.go
+++ b/internal/trans/gate/admit.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/state/clock"
@@ -37,7 +39,7 @@
 		x.reject(400, 0, err.Error())
 		return false
 	}
-	age := clock.Now().Sub(s.Feeds.CatalogConfirmedAt())
+	age := ageOf(s.Feeds.CatalogConfirmedAt())
 	x.route = x.catalog.Match(x.request.Host, x.request.Path())
 	if x.route == nil {
 		x.rejectUnknown(404, age, "no matching route")
@@ -83,7 +85,7 @@
 		return true
 	}
 	if x.server.StrictRevocation && age > x.server.MaxConfigAge-revokeMargin {
-		x.reject(503, retrySoon, "configuration is too old to trust keys, age "+age.String())
+		x.rejectUnconfirmed(age, "configuration is too old to trust keys")
 		return false
 	}
 	w, ok := x.catalog.Keys[x.reqHeader.Key]
@@ -100,8 +102,26 @@
 // one may contain it.
 func (x *exchange) rejectUnknown(status int, age time.Duration, reason string) {
 	if age > staleAfter {
-		x.reject(503, retrySoon, reason+" in a configuration of age "+age.String())
+		x.rejectUnconfirmed(age, reason)
 		return
 	}
 	x.reject(status, 0, reason)
 }
+
+// rejectUnconfirmed rejects a request because the configuration was last confirmed too long ago.
+func (x *exchange) rejectUnconfirmed(age time.Duration, reason string) {
+	if wait := x.server.Feeds.ConfirmWait(clock.Now()); wait > 0 {
+		x.reject(503, wait, fmt.Sprintf("%s, the store lost records at the beginning of era %d", reason, x.server.Feeds.Era()))
+		return
+	}
+	x.reject(503, retrySoon, reason+", configuration of age "+age.String())
+}
+
+// ageOf returns the time since a configuration was confirmed at the given time, zero if it never
+// was.
+func ageOf(confirmedAt clock.Instant) time.Duration {
+	if confirmedAt == 0 {
+		return math.MaxInt64
+	}
+	return clock.Now().Sub(confirmedAt)
+}
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -138,6 +138,9 @@
 		gauge("laburnum_configuration_age_seconds", "Time since the configuration was known to be the newest.", func() float64 {
 			return clock.Now().Sub(s.Feeds.CatalogConfirmedAt()).Seconds()
 		}),
+		gauge("laburnum_configuration_wait_seconds", "Time until the configuration can be confirmed, since the store has lost records.", func() float64 {
+			return s.Feeds.ConfirmWait(clock.Now()).Seconds()
+		}),
 		gauge("laburnum_endpoints_age_seconds", "Time since the endpoints were listed.", func() float64 {
 			return clock.Now().Sub(s.Feeds.EndpointsConfirmedAt()).Seconds()
 		}),
--- a/internal/trans/gate/start.go
+++ b/internal/trans/gate/start.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"laburnumstack.org/laburnum/internal/state/clock"
+)
 
 const (
 	// settleTime is how long after its start a node counts as knowing little of the requests
@@ -39,10 +43,13 @@
 	return i.isCutOff
 }
 
-// hasState reports whether the node knows a configuration that was confirmed, the endpoints
-// and which data centres are evacuated.
+// hasState reports whether the node knows a configuration that was confirmed, or isn't confirmed
+// for a while since the store has lost records, the endpoints and which data centres are evacuated.
 func (s *Server) hasState() bool {
-	return s.Feeds.Catalog() != nil && s.Feeds.Endpoints() != nil && s.Feeds.EvacuationsKnown() && s.Feeds.CatalogConfirmedAt() > 0
+	if s.Feeds.Catalog() == nil || s.Feeds.Endpoints() == nil || !s.Feeds.EvacuationsKnown() {
+		return false
+	}
+	return s.Feeds.CatalogConfirmedAt() > 0 || s.Feeds.ConfirmWait(clock.Now()) > 0
 }
 
 // awaitState waits until the node has its first state, at most until startWait after its
