feeds, gate, edge: read a configuration with the time that vouches for it

A node that was cut off and gets a newer version in between checks a request against the older one, with the age of the newer one: a key that was taken away is accepted once more. Callers were not seen to meet it.

Change: ConfirmedCatalog reads the time first, so that the configuration is the one that was confirmed then or a newer one. Admission, readiness and the answers to peers use it.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -190,10 +190,11 @@
 // may have been revoked since. While keys wait until records that the store has lost are written
 // again, they do at all nodes, and this one serves what needs no key.
 func (n *Node) stale() bool {
-	if !n.Settings.StrictRevocation || n.feeds.Catalog().Keys == nil {
+	catalog, confirmedAt := n.feeds.ConfirmedCatalog()
+	if !n.Settings.StrictRevocation || catalog.Keys == nil {
 		return false
 	}
-	now, confirmedAt := clock.Now(), n.feeds.CatalogConfirmedAt()
+	now := clock.Now()
 	isOld := confirmedAt == 0 || now.Sub(confirmedAt) > n.Settings.MaxConfigAge
 	return isOld && n.feeds.ConfirmWait(now) == 0
 }
--- a/internal/node/edge/sync.go
+++ b/internal/node/edge/sync.go
@@ -123,10 +123,9 @@
 func (s *stateSync) state(args relay.StateArgs) relay.State {
 	st := relay.State{Era: s.feeds.Era(), CompleteEra: s.feeds.CompleteEra()}
 	now := clock.Now()
-	// Position and time are read before the configuration, so that they aren't those
-	// of a newer one.
+	// The position is read before the configuration, so that it isn't that of a newer one.
 	evacuations, position, known := s.feeds.EvacuationState()
-	provenAt := s.feeds.CatalogConfirmedAt()
+	catalog, provenAt := s.feeds.ConfirmedCatalog()
 	if known {
 		st.EvacuationsKnown, st.Evacuated, st.EvacuationsAge = true, evacuations.InForce, now.Sub(evacuations.ConfirmedAt)
 		st.EvacuationsEra, st.EvacuationsNext = evacuations.At.Era, evacuations.At.Next
@@ -134,16 +133,16 @@
 			st.LapseIn = evacuations.LapseAt.Sub(now)
 		}
 	}
-	if c := s.feeds.Catalog(); c != nil {
+	if catalog != nil {
 		st.ConfigEra, st.ConfigNext = position.Era, position.Next
-		st.Version = c.Version
+		st.Version = catalog.Version
 		st.Proven, st.ProvenAge = provenAt > 0, now.Sub(provenAt)
 		switch {
-		case c.Version <= args.Version:
+		case catalog.Version <= args.Version:
 		case args.Format == topol.ChangeFormat:
-			st.Change = s.changes.small(args.Base, c)
+			st.Change = s.changes.small(args.Base, catalog)
 		default:
-			st.Raw = c.Raw
+			st.Raw = catalog.Raw
 		}
 	}
 	base := args.List
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -119,6 +119,13 @@
 // zero if it never was.
 func (f *Feeds) CatalogConfirmedAt() clock.Instant { return f.catalogConfirmedAt.Load() }
 
+// ConfirmedCatalog returns the configuration in force, and a time as of which that one is known to be
+// the newest; zero if there is none. CatalogConfirmedAt, read after Catalog, may be that of a newer one.
+func (f *Feeds) ConfirmedCatalog() (*topol.Catalog, clock.Instant) {
+	confirmedAt := f.catalogConfirmedAt.Load()
+	return f.catalog.Load(), confirmedAt
+}
+
 // OutsideGracePeriod reports whether no grace period after an outage is in
 // progress. During one, the list of endpoints may contain endpoints whose records
 // are deleted.
--- a/internal/trans/feeds/feeds_test.go
+++ b/internal/trans/feeds/feeds_test.go
@@ -133,6 +133,31 @@
 	test.Eq(t, at(2*time.Second), f.CatalogConfirmedAt())
 }
 
+// Guards against CONFIG: a request is checked against a configuration in which its key is valid, while
+// the time of confirmation is that of the next one, in which it isn't.
+func TestTimeOfConfirmationIsNotThatOfANewerConfiguration(t *testing.T) {
+	const versions = 20000
+	f := newFeeds()
+	f.UpdateCatalog(&topol.Catalog{Version: 1})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for v := range ident.Version(versions) {
+			f.UpdateCatalog(&topol.Catalog{Version: v})
+			f.ConfirmCatalog(clock.Instant(v))
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		c, at := f.ConfirmedCatalog()
+		must.GreaterEq(t, uint64(at), uint64(c.Version))
+	}
+}
+
 func TestApplyEndpoints(t *testing.T) {
 	cases := []struct {
 		name     string
--- a/internal/trans/gate/admit.go
+++ b/internal/trans/gate/admit.go
@@ -27,7 +27,8 @@
 func (x *exchange) admit() bool {
 	s := x.server
 	s.awaitState()
-	x.catalog = s.Feeds.Catalog()
+	var confirmedAt clock.Instant
+	x.catalog, confirmedAt = s.Feeds.ConfirmedCatalog()
 	endpoints := s.Feeds.Endpoints()
 	if x.catalog == nil || endpoints == nil || !s.Feeds.EvacuationsKnown() {
 		x.reject(503, retrySoon, "no configuration yet")
@@ -39,7 +40,7 @@
 		x.reject(400, 0, err.Error())
 		return false
 	}
-	age := ageOf(s.Feeds.CatalogConfirmedAt())
+	age := ageOf(confirmedAt)
 	x.route = x.catalog.Match(x.request.Host, x.request.Path())
 	if x.route == nil {
 		x.rejectUnknown(404, age, "no matching route")
