strik, gate, serve: one keeper of parts under suspicion for both interfaces

trans/gate and trans/serve each had a lock around the parts, the merge of states and proofs, and the protocol of a trial (start, announce, check that it is still held, else end). strik.Keeper has them now; the adapters keep what differs: who may send a trial, and how it is announced.

--- a/internal/trans/gate/crash_test.go
+++ b/internal/trans/gate/crash_test.go
@@ -107,7 +107,7 @@
 
 // hasPending reports whether the cause of a broken connection isn't known yet.
 func (s *Server) hasPending() (has bool) {
-	s.strikes.update(func(t *strik.Parts) { has = t.PendingLen() > 0 })
+	s.strikes.Update(func(t *strik.Parts) { has = t.PendingLen() > 0 })
 	return has
 }
 
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -122,7 +122,7 @@
 		gauge("laburnum_in_flight", "Requests under way.", func() float64 { return float64(s.inFlightCount.Load()) }),
 		gauge("laburnum_limited_endpoints", "Endpoints that named a limit of their requests.", func() float64 { return float64(s.endpointLimits.count.Load()) }),
 		gauge("laburnum_lost_links", "Endpoints that only peers reach.", func() float64 { return float64(s.direct.lostCount.Load()) }),
-		gauge("laburnum_parts_with_strikes", "Requests, and parts of prompts, that have or recently had strikes.", func() float64 { return float64(s.strikes.count.Load()) }),
+		gauge("laburnum_parts_with_strikes", "Requests, and parts of prompts, that have or recently had strikes.", func() float64 { return float64(s.strikes.Count()) }),
 		gauge("laburnum_unavailable_endpoints", "Statements of endpoints that are leaving, or that want no requests of a node.", func() float64 { return float64(s.availability.count.Load()) }),
 		gauge("laburnum_stale_groups", "Data centres of a service whose endpoints are avoided since their records may be out of date.", func() float64 { return float64(s.staleRecords.groups.Load()) }),
 		gauge("laburnum_request_bytes", "Memory taken by callers' requests, but for small ones.", func() float64 { return float64(s.requestBytes.Used()) }),
--- a/internal/trans/gate/parts.go
+++ b/internal/trans/gate/parts.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"laburnumstack.org/laburnum/internal/coord/strik"
@@ -27,12 +26,9 @@
 // strikes finds the requests, and the parts of prompts, that crash endpoints. It is safe for
 // concurrent use.
 type strikes struct {
-	// count is the number of requests and parts that have or had strikes, and of strikes whose
-	// cause is not known yet.
-	count atomic.Int64
+	strik.Keeper
 
-	mu    sync.Mutex
-	table *strik.Parts
+	mu sync.Mutex
 	// recent holds the parts of the last prompts for each service.
 	recent map[ident.ServiceName]*strik.Recent
 }
@@ -53,8 +49,9 @@
 }
 
 // withoutCommon returns those of some parts that don't occur in nearly all prompts for a service.
-// The caller holds p.mu.
 func (p *strikes) withoutCommon(n ident.ServiceName, parts []ident.PartID) []ident.PartID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	r := p.recent[n]
 	if r == nil {
 		return slices.Clone(parts)
@@ -62,60 +59,29 @@
 	return slices.DeleteFunc(slices.Clone(parts), r.IsCommon)
 }
 
-// update calls f with the table.
-func (p *strikes) update(f func(*strik.Parts)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.table == nil {
-		p.table = strik.NewParts()
-		p.table.CountsRequests = true
-	}
-	f(p.table)
-	p.count.Store(int64(p.table.Len() + p.table.PendingLen()))
-}
-
 // AddPeerPartStates adds what a peer knows of parts under suspicion.
-func (s *Server) AddPeerPartStates(ps []strik.PartState) {
-	s.strikes.update(func(t *strik.Parts) {
-		for _, p := range ps {
-			t.Merge(p)
-		}
-	})
-}
+func (s *Server) AddPeerPartStates(ps []strik.PartState) { s.strikes.MergeStates(ps) }
 
 // AddPeerProofs records parts of prompts that ended well at a peer.
 func (s *Server) AddPeerProofs(ps []strik.Proof) {
 	for _, p := range ps {
-		s.clearParts(p)
+		s.strikes.EndWell(p)
 	}
 }
 
 // PartStates returns the parts that have or recently had strikes, for a new peer.
-func (s *Server) PartStates() (ps []strik.PartState) {
-	s.strikes.update(func(t *strik.Parts) { ps = t.States() })
-	return ps
-}
-
-// clearParts records that a prompt ended well. It returns the parts that were under
-// suspicion.
-func (s *Server) clearParts(p strik.Proof) (cleared []ident.PartID) {
-	if s.strikes.count.Load() == 0 {
-		return nil
-	}
-	s.strikes.update(func(t *strik.Parts) { cleared = t.EndWell(p) })
-	return cleared
-}
+func (s *Server) PartStates() []strik.PartState { return s.strikes.States() }
 
 // recordEndedWell records that an endpoint answered the request to the end, and informs the peers
 // if that clears the request or one of its parts.
 func (x *exchange) recordEndedWell(o outcome, e ident.EndpointName) {
 	s := x.server
-	if s.strikes.count.Load() == 0 {
+	if s.strikes.IsEmpty() {
 		return
 	}
 	p := strik.Proof{Parts: x.allParts(), At: time.Now()}
 	record := func() {
-		if p.Parts = s.clearParts(p); len(p.Parts) > 0 {
+		if p.Parts = s.strikes.EndWell(p); len(p.Parts) > 0 {
 			s.AnnounceProof(p)
 		}
 	}
@@ -136,7 +102,7 @@
 }
 
 // suspectParts returns the parts of the request that strikes may bar. A part that nearly all
-// prompts have bars none: strikes are no evidence against it. The caller holds p.mu.
+// prompts have bars none: strikes are no evidence against it.
 func (p *strikes) suspectParts(x *exchange) []ident.PartID {
 	return append(p.withoutCommon(x.service.Name, x.reqHeader.SharedParts), x.digest().Part())
 }
@@ -162,10 +128,10 @@
 // barredParts returns the barred parts of the request, and when it may be sent as a trial of them.
 func (x *exchange) barredParts() (barred []ident.PartID, due time.Time) {
 	s := x.server
-	if s.strikes.count.Load() == 0 {
+	if s.strikes.IsEmpty() {
 		return nil, time.Time{}
 	}
-	s.strikes.update(func(t *strik.Parts) { barred, due = t.Check(s.strikes.suspectParts(x)) })
+	s.strikes.Update(func(t *strik.Parts) { barred, due = t.Check(s.strikes.suspectParts(x)) })
 	return barred, due
 }
 
@@ -173,7 +139,7 @@
 // must not crash a further endpoint meanwhile.
 func (x *exchange) awaitCauses() {
 	mayBar := func() (may bool) {
-		x.server.strikes.update(func(t *strik.Parts) { may = t.MayBar(x.server.strikes.suspectParts(x)) })
+		x.server.strikes.Update(func(t *strik.Parts) { may = t.MayBar(x.server.strikes.suspectParts(x)) })
 		return may
 	}
 	for end := time.Now().Add(maxCauseWait); time.Now().Before(end) && mayBar(); {
--- a/internal/trans/gate/server.go
+++ b/internal/trans/gate/server.go
@@ -320,7 +320,7 @@
 // endpoints that have expired or whose endpoint is gone.
 func (s *Server) sweep(ctx context.Context) {
 	delay.Every(ctx, sweepInterval, func(now time.Time) {
-		s.strikes.update(func(t *strik.Parts) { t.Expire(now) })
+		s.strikes.Update(func(t *strik.Parts) { t.Expire(now) })
 		s.refreshLimits(now)
 		s.expireAvailability(now)
 		s.refreshStale()
--- a/internal/trans/gate/strike.go
+++ b/internal/trans/gate/strike.go
@@ -21,7 +21,7 @@
 		s.clearLost(k.Endpoint)
 	}
 	var barred []ident.PartID
-	s.strikes.update(func(t *strik.Parts) {
+	s.strikes.Update(func(t *strik.Parts) {
 		for _, k := range ss {
 			barred = append(barred, t.Add(k)...)
 		}
@@ -78,7 +78,7 @@
 // await keeps a strike until the cause of the break is known.
 func (s *Server) await(k *strik.Strike) (p *strik.Pending) {
 	if k != nil {
-		s.strikes.update(func(t *strik.Parts) { p = t.Await(*k) })
+		s.strikes.Update(func(t *strik.Parts) { p = t.Await(*k) })
 	}
 	return p
 }
@@ -92,7 +92,7 @@
 	}
 	var k strik.Strike
 	var stands bool
-	s.strikes.update(func(t *strik.Parts) { k, stands = t.Resolve(p) })
+	s.strikes.Update(func(t *strik.Parts) { k, stands = t.Resolve(p) })
 	if !crashed || !stands {
 		return
 	}
--- a/internal/trans/gate/trial.go
+++ b/internal/trans/gate/trial.go
@@ -20,13 +20,13 @@
 	}
 	tr := strik.Trial{Node: s.Node, Parts: barred, At: now}
 	alive := func(n ident.NodeName) bool { return slices.Contains(nodes.Alive, n) }
-	s.strikes.update(func(t *strik.Parts) { started = t.StartTrial(tr, alive) })
-	if !started {
-		return false
+	announce := func(tr strik.Trial) {
+		s.AnnounceTrial(tr)
+		if !tr.Ended && len(nodes.Alive) > 1 {
+			time.Sleep(strik.AnnounceTime)
+		}
 	}
-	s.AnnounceTrial(tr)
-	if len(nodes.Alive) > 1 && !s.awaitAnnouncements(tr) {
-		s.endTrial(&tr)
+	if !s.strikes.StartTrial(tr, alive, announce) {
 		return false
 	}
 	x.trial = &tr
@@ -34,14 +34,6 @@
 	return true
 }
 
-// awaitAnnouncements waits for the trials that other nodes have announced at the same time, and
-// reports whether this node still holds its own.
-func (s *Server) awaitAnnouncements(tr strik.Trial) (holds bool) {
-	time.Sleep(strik.AnnounceTime)
-	s.strikes.update(func(t *strik.Parts) { holds = t.HoldsTrial(tr) })
-	return holds
-}
-
 // takeTrial returns the trial that the request was sent as, or nil, and resets it.
 func (x *exchange) takeTrial() *strik.Trial {
 	tr := x.trial
@@ -54,15 +46,8 @@
 	if tr == nil {
 		return
 	}
-	s.strikes.update(func(t *strik.Parts) { t.EndTrial(*tr) })
-	s.AnnounceTrial(tr.End(time.Now()))
+	s.AnnounceTrial(s.strikes.EndTrial(*tr))
 }
 
 // AddPeerTrials records trials that peers have begun or ended.
-func (s *Server) AddPeerTrials(trs []strik.Trial) {
-	s.strikes.update(func(t *strik.Parts) {
-		for _, tr := range trs {
-			t.RecordTrial(tr)
-		}
-	})
-}
+func (s *Server) AddPeerTrials(trs []strik.Trial) { s.strikes.RecordTrials(trs) }
--- a/internal/trans/serve/strikes.go
+++ b/internal/trans/serve/strikes.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,13 +22,13 @@
 	ShareProof func(strik.Proof)
 	ShareTrial func(strik.Trial)
 
+	// parts counts the strikes against the shared parts of prompts.
+	parts strik.Keeper
+
 	mu    sync.Mutex
 	table *strik.Table
-	// parts counts the strikes against the shared parts of prompts.
-	parts *strik.Parts
-	// size is the number of requests with strikes, partCount that of parts; both are
-	// read without the lock.
-	size, partCount atomic.Int64
+	// size is the number of requests with strikes. It is read without the lock.
+	size atomic.Int64
 	// suspects holds, for each other node, its number of suspect requests at
 	// each endpoint.
 	suspects map[ident.NodeName]map[ident.EndpointName]int64
@@ -36,7 +37,7 @@
 // NewStrikes returns an empty Strikes of a node that passes new strikes, proofs and trials to
 // functions.
 func NewStrikes(n ident.NodeName, share func([]strik.Strike), shareProof func(strik.Proof), shareTrial func(strik.Trial)) *Strikes {
-	return &Strikes{Node: n, Share: share, ShareProof: shareProof, ShareTrial: shareTrial, table: strik.New(), parts: strik.NewParts(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
+	return &Strikes{Node: n, Share: share, ShareProof: shareProof, ShareTrial: shareTrial, parts: strik.Keeper{PromptsOnly: true}, table: strik.New(), suspects: map[ident.NodeName]map[ident.EndpointName]int64{}}
 }
 
 // Add counts a strike against a request that was in flight at an endpoint that
@@ -46,9 +47,8 @@
 	isNew := s.table.Add(k)
 	n := s.table.Count(k.Digest, k.At)
 	s.size.Store(int64(s.table.Len()))
-	s.parts.Add(k)
-	s.partCount.Store(int64(s.parts.Len()))
 	s.mu.Unlock()
+	s.parts.Update(func(t *strik.Parts) { t.Add(k) })
 	if isNew {
 		s.Share([]strik.Strike{k})
 	}
@@ -61,31 +61,26 @@
 	defer s.mu.Unlock()
 	for _, k := range ks {
 		s.table.Add(k)
-		s.parts.Add(k)
 	}
 	s.size.Store(int64(s.table.Len()))
-	s.partCount.Store(int64(s.parts.Len()))
+	s.parts.Update(func(t *strik.Parts) {
+		for _, k := range ks {
+			t.Add(k)
+		}
+	})
 }
 
 // EndWell records that a prompt with the given shared parts was answered completely, and
 // shares that if it clears one of them.
 func (s *Strikes) EndWell(ps []ident.PartID) {
-	if len(ps) == 0 || s.partCount.Load() == 0 {
-		return
-	}
 	p := strik.Proof{Parts: ps, At: time.Now()}
-	s.mu.Lock()
-	p.Parts = s.parts.EndWell(p)
-	s.mu.Unlock()
-	if len(p.Parts) > 0 {
+	if p.Parts = s.parts.EndWell(p); len(p.Parts) > 0 {
 		s.ShareProof(p)
 	}
 }
 
 // MergeProofs records the proofs received from another node.
 func (s *Strikes) MergeProofs(ps []strik.Proof) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, p := range ps {
 		s.parts.EndWell(p)
 	}
@@ -94,12 +89,11 @@
 // CheckParts returns the barred ones of some parts, and when a prompt with them may be
 // sent as a trial.
 func (s *Strikes) CheckParts(ps []ident.PartID) (barred []ident.PartID, trialDue time.Time) {
-	if len(ps) == 0 || s.partCount.Load() == 0 {
+	if len(ps) == 0 || s.parts.IsEmpty() {
 		return nil, time.Time{}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.parts.Check(ps)
+	s.parts.Update(func(t *strik.Parts) { barred, trialDue = t.Check(ps) })
+	return barred, trialDue
 }
 
 // StartTrial returns a trial as which a prompt with the given barred parts may be sent, and which
@@ -113,67 +107,31 @@
 	tr := strik.Trial{Node: s.Node, Parts: barred, At: now}
 	// The lease of a trial bounds how long a dead node holds it.
 	anyNode := func(ident.NodeName) bool { return true }
-	s.mu.Lock()
-	started := s.parts.StartTrial(tr, anyNode)
-	s.mu.Unlock()
-	if !started {
-		return nil
-	}
-	s.ShareTrial(tr)
-	s.mu.Lock()
-	holds := s.parts.HoldsTrial(tr)
-	s.mu.Unlock()
-	if !holds {
-		s.EndTrial(&tr)
+	if !s.parts.StartTrial(tr, anyNode, s.ShareTrial) {
 		return nil
 	}
 	return &tr
 }
 
 // EndTrial ends a trial.
-func (s *Strikes) EndTrial(tr *strik.Trial) {
-	s.mu.Lock()
-	s.parts.EndTrial(*tr)
-	s.mu.Unlock()
-	s.ShareTrial(tr.End(time.Now()))
-}
+func (s *Strikes) EndTrial(tr *strik.Trial) { s.ShareTrial(s.parts.EndTrial(*tr)) }
 
 // MergeTrials records the trials that another node has begun or ended. They are announced as
 // they begin, and the clocks of nodes differ.
 func (s *Strikes) MergeTrials(ts []strik.Trial) {
 	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, tr := range ts {
-		tr.At = now
-		s.parts.RecordTrial(tr)
+	ts = slices.Clone(ts)
+	for i := range ts {
+		ts[i].At = now
 	}
+	s.parts.RecordTrials(ts)
 }
 
 // PartStates returns what is known of parts of prompts, for the other nodes.
-func (s *Strikes) PartStates() []strik.PartState {
-	if s.partCount.Load() == 0 {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.parts.Expire(time.Now())
-	s.partCount.Store(int64(s.parts.Len()))
-	return s.parts.States()
-}
+func (s *Strikes) PartStates() []strik.PartState { return s.parts.States() }
 
 // MergeParts adds what another node knows of parts of prompts.
-func (s *Strikes) MergeParts(ps []strik.PartState) {
-	if len(ps) == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range ps {
-		s.parts.Merge(p)
-	}
-	s.partCount.Store(int64(s.parts.Len()))
-}
+func (s *Strikes) MergeParts(ps []strik.PartState) { s.parts.MergeStates(ps) }
 
 // Clear removes the strikes of a request that succeeded.
 func (s *Strikes) Clear(d strik.Digest) {
