gate, front: the deadline of a response doesn't bind the next interim answer

Cause: the deadline of writes set for the last response was still in force, and the interim answer was written without another one.

Change: each write to a caller sets its deadline. In the own interface, it is renewed with the first byte of the next request.

--- a/internal/trans/front/conn.go
+++ b/internal/trans/front/conn.go
@@ -103,6 +103,17 @@
 	c.isIdle = idle
 }
 
+// beginRequest ends the wait for a request, of which bytes have arrived. The deadline of writes is
+// still that of the response before, which may be over.
+func (c *callerConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isIdle {
+		c.SetWriteDeadline(time.Now().Add(readTimeout))
+	}
+	c.isIdle = false
+}
+
 // end ends the wait for a request, now or the next time that one is awaited.
 func (c *callerConn) end() {
 	c.mu.Lock()
@@ -129,7 +140,7 @@
 	for {
 		n, err := c.LingeringConn.Read(b)
 		if n > 0 {
-			c.setIdle(false)
+			c.beginRequest()
 			return n, err
 		}
 		if !conns.IsTimeout(err) || !c.hasArrived() {
--- a/internal/trans/gate/conn.go
+++ b/internal/trans/gate/conn.go
@@ -69,7 +69,7 @@
 	c.served++
 	x := &exchange{server: s, caller: c, request: req, arrived: arrived}
 	if req.ExpectContinue && req.Framing != http1.None {
-		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	c.waitUntil(arrived.Add(bodyTimeout))
 	var held int64
@@ -148,7 +148,6 @@
 	}
 	s.getMetrics().requests.WithLabelValues("unknown", strconv.Itoa(status)).Inc()
 	s.requestLog(false).Err(err).Int("status", status).Msg("gate: rejected an unreadable request")
-	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	c.Write(emptyResponse(status, retryAfter, true))
+	c.write(emptyResponse(status, retryAfter, true))
 	linger(c.Conn)
 }
--- a/internal/trans/gate/reject.go
+++ b/internal/trans/gate/reject.go
@@ -72,12 +72,20 @@
 		x.closing = closeEnd
 		return false
 	}
-	x.caller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := x.caller.write(pieces...); err != nil {
+		x.closing = closeWrite
+		return false
+	}
+	return true
+}
+
+// write writes to the caller within writeTimeout. The deadline of the write before may be over.
+func (c *callerConn) write(pieces ...[]byte) error {
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for _, b := range pieces {
-		if _, err := x.caller.Write(b); err != nil {
-			x.closing = closeWrite
-			return false
+		if _, err := c.Write(b); err != nil {
+			return err
 		}
 	}
-	return true
+	return nil
 }
