feeds, edge: no record of the first era, no warning beside a peer that knows

A node that starts for the first time with a store that has lost nothing took its era for one of which it has to write a record; a node that starts beside a peer that knows logged that keys wait, and at once that they don't. TestFirstEraIsNotRecorded and TestNoWaitIsAnnouncedBesideAPeerThatKnows need the new functions.

The subtests that start nodes ran in parallel and could get each other's free port: one node ended, and the test waited for it for good (once, 600 s). They run in turn, and a node that ends fails its test.

--- a/internal/node/edge/apply.go
+++ b/internal/node/edge/apply.go
@@ -15,8 +15,7 @@
 // isn't confirmed. A negative age counts as zero.
 func (s *stateSync) applyState(st relay.State, sentAt clock.Instant) (fresh freshStreams) {
 	st.ListedAge, st.ProvenAge, st.EvacuationsAge = max(0, st.ListedAge), max(0, st.ProvenAge), max(0, st.EvacuationsAge)
-	s.feeds.ObserveEra(st.Era)
-	s.feeds.LearnComplete(st.CompleteEra)
+	s.feeds.ObserveComplete(st.Era, st.CompleteEra)
 	if st.Listed {
 		s.applyList(st, sentAt.Add(-st.ListedAge))
 	}
--- a/internal/node/edge/register.go
+++ b/internal/node/edge/register.go
@@ -101,8 +101,7 @@
 		return
 	}
 	n.recordedEra = max(n.recordedEra, era)
-	n.feeds.ObserveEra(era)
-	n.feeds.LearnComplete(era)
+	n.feeds.ObserveComplete(era, era)
 }
 
 // members returns the nodes that share the requests to cold endpoints.
--- a/internal/node/edge/start_test.go
+++ b/internal/node/edge/start_test.go
@@ -113,13 +113,18 @@
 	n := &Node{Settings: s, Source: source, Decoder: versionDecoder{}, DecodeCatalog: decodeVersion, Logger: zerolog.New(lines)}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
+	var err error
 	go func() {
-		n.Run(ctx)
+		err = n.Run(ctx)
 		close(ended)
 	}()
 	t.Cleanup(func() { cancel(); <-ended })
 	for len(lines.versions(t)) == 0 {
-		time.Sleep(time.Millisecond)
+		select {
+		case <-ended:
+			t.Fatal("the node has ended: ", err)
+		case <-time.After(time.Millisecond):
+		}
 	}
 	return n, lines
 }
@@ -169,7 +174,6 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
 			s := Settings{Name: "n1", PeerAddress: freeAddress(t), Bootstrap: c.bootstrap, StrictRevocation: true, MaxConfigAge: time.Minute}
 			n, _ := startNode(t, s, c.source)
 			for n.feeds.CatalogConfirmedAt() == 0 {
--- a/internal/trans/feeds/complete.go
+++ b/internal/trans/feeds/complete.go
@@ -38,8 +38,13 @@
 	return true
 }
 
-// assume records that the source has lost nothing when its era began that matters to this node.
-func (c *completeness) assume() { c.since, c.completeEra, c.witnessedEra = 0, c.era, c.era }
+// assume records that nothing that the source had lost when its era began matters to this node.
+func (c *completeness) assume() {
+	c.since, c.completeEra = 0, c.era
+	if c.era != FirstEra {
+		c.witnessedEra = c.era
+	}
+}
 
 // learn records that the source was complete in an era, which a peer or a record says, and returns
 // whether that is new. Reads that have begun before may still lack records.
@@ -82,12 +87,14 @@
 	return f.completeness.witnessedEra
 }
 
-// LearnComplete records that the source holds again what it had lost when an era began.
-func (f *Feeds) LearnComplete(era uint64) {
+// ObserveComplete records an era as ObserveEra does, and the highest one in which the source is known
+// to hold again what it had lost; zero if none is known.
+func (f *Feeds) ObserveComplete(era, complete uint64) {
+	f.observe(era, complete)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.completeness.learn(era, clock.Now()) {
-		f.Logger.Info().Uint64("era", era).Msg("feeds: lost records are known to be written again")
+	if f.completeness.learn(complete, clock.Now()) {
+		f.Logger.Info().Uint64("era", complete).Msg("feeds: lost records are known to be written again")
 	}
 }
 
@@ -102,13 +109,16 @@
 	return max(0, f.completeness.since.Add(graceReadInterval).Sub(now))
 }
 
-// beginEra records a new era of the source; old is the one before, zero if this node knew none.
-func (f *Feeds) beginEra(old, era uint64) {
+// beginEra records a new era of the source; old is the one before, zero if this node knew none,
+// complete that of ObserveComplete.
+func (f *Feeds) beginEra(old, era, complete uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.completeness.hear(era, clock.Now()) {
+	now := clock.Now()
+	if !f.completeness.hear(era, now) {
 		return
 	}
+	f.completeness.learn(complete, now)
 	if f.Bootstrap && old == 0 {
 		f.completeness.assume()
 	}
--- a/internal/trans/feeds/complete_test.go
+++ b/internal/trans/feeds/complete_test.go
@@ -1,11 +1,14 @@
 package feeds
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -88,6 +91,32 @@
 	test.Eq(t, 2, c.witnessedEra, test.Sprint("another node has seen it"))
 }
 
+// Guards against a record in the store by each node that starts with a store that has lost nothing.
+func TestFirstEraIsNotRecorded(t *testing.T) {
+	for era, want := range map[uint64]uint64{FirstEra: 0, 4: 4} {
+		f := newFeeds()
+		f.Bootstrap = true
+		f.ObserveEra(era)
+		test.Eq(t, era, f.CompleteEra())
+		test.Eq(t, want, f.WitnessedEra())
+	}
+}
+
+// Guards against a line that says that keys wait, at each start of a node beside a peer that knows.
+func TestNoWaitIsAnnouncedBesideAPeerThatKnows(t *testing.T) {
+	for _, complete := range []uint64{0, 2} {
+		var log bytes.Buffer
+		f := newFeeds()
+		f.Logger = zerolog.New(&log)
+		f.ObserveComplete(2, complete)
+		test.Eq(t, complete == 0, strings.Contains(log.String(), "wait until"), test.Sprint(complete))
+		test.Eq(t, complete, f.CompleteEra())
+		f.ObserveComplete(2, 2)
+		test.Eq(t, 2, f.CompleteEra())
+		test.Eq(t, 0, f.WitnessedEra())
+	}
+}
+
 // configModel is a store, an operator and nodes that read the store and each other.
 type configModel struct {
 	now clock.Instant
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -192,14 +192,17 @@
 // ObserveEra records an era of the source, which this node or a peer read. In a new one, the
 // operator writes lost records again: the grace period of the evacuations begins, and the
 // configuration is not confirmed until then, see completeness.
-func (f *Feeds) ObserveEra(era uint64) {
+func (f *Feeds) ObserveEra(era uint64) { f.observe(era, 0) }
+
+// observe records an era, in which the source is known to be complete if that is complete.
+func (f *Feeds) observe(era, complete uint64) {
 	for {
 		old := f.era.Load()
 		if era <= old {
 			return
 		}
 		if f.era.CompareAndSwap(old, era) {
-			f.beginEra(old, era)
+			f.beginEra(old, era, complete)
 			if old != 0 {
 				f.beginEvacuationGrace(era)
 			}
