feeds: the read that confirms after a loss begins in time

While the configuration waits for lost records, a read could begin 0.2 s after the end of the wait, and wait 0.2 s more for records. TestReadThatConfirmsIsNotLate.

--- a/internal/trans/feeds/complete.go
+++ b/internal/trans/feeds/complete.go
@@ -9,6 +9,9 @@
 // FirstEra is the era of a source that has never lost records.
 const FirstEra = 1
 
+// minReadWait is the shortest wait of a read for records while the configuration is to be confirmed.
+const minReadWait = 10 * time.Millisecond
+
 // completeness tells whether the source holds again what it had lost when its era began: the
 // operator writes lost records again within the grace period. Until then a configuration that is
 // read may be older than the newest one, and a key valid in it that was taken away. It is not safe
@@ -68,6 +71,17 @@
 	return true
 }
 
+// readWait returns the longest wait of a read for records while the configuration isn't confirmed
+// since the source lost some: a read must begin, and be answered, soon after it can confirm.
+func (c *completeness) readWait(now clock.Instant) time.Duration {
+	left := c.since.Sub(now)
+	if left < -graceReadInterval {
+		// Nothing confirms, for another reason.
+		return graceReadInterval
+	}
+	return min(graceReadInterval, max(left, minReadWait))
+}
+
 // isComplete reports whether the source is known to be complete in its present era.
 func (c *completeness) isComplete() bool { return c.completeEra >= c.era }
 
--- a/internal/trans/feeds/complete_test.go
+++ b/internal/trans/feeds/complete_test.go
@@ -91,6 +91,22 @@
 	test.Eq(t, 2, c.witnessedEra, test.Sprint("another node has seen it"))
 }
 
+// Guards against callers who are refused for longer than lost records can be missing: the read that
+// confirms the configuration begins late, or waits for records.
+func TestReadThatConfirmsIsNotLate(t *testing.T) {
+	c := &completeness{}
+	c.hear(2, at(0))
+	for _, step := range []struct{ left, want time.Duration }{
+		{outageGrace, graceReadInterval},
+		{30 * time.Millisecond, 30 * time.Millisecond},
+		{time.Millisecond, minReadWait},
+		{-time.Millisecond, minReadWait},
+		{-graceReadInterval - 1, graceReadInterval},
+	} {
+		test.Eq(t, step.want, c.readWait(at(outageGrace-step.left)), test.Sprint(step.left, " left"))
+	}
+}
+
 // Guards against a record in the store by each node that starts with a store that has lost nothing.
 func TestFirstEraIsNotRecorded(t *testing.T) {
 	for era, want := range map[uint64]uint64{FirstEra: 0, 4: 4} {
--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -123,7 +123,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.Catalog() != nil && f.CatalogConfirmedAt() < f.completeness.since {
-		limit = min(limit, graceReadInterval)
+		limit = min(limit, f.completeness.readWait(clock.Now()))
 	}
 	if len(f.evacuations.lapsing) == 0 {
 		return limit
