feeds, gate: reading the change again

- Refusals for an old configuration have the texts of before again, which OPERATIONS.md names; a loss of the store is added to them.
One of them said "configuration" twice.
- A configuration that was never confirmed has no age: the log line of a refusal and the gauge showed the time since the VM had booted.
- Comments that were not quite true (eras that are known by the first start, readiness), a line that was too long, firstEra isn't exported any more.
- Two tests of the follower share what runs it.

No check, bound or literal changes.

--- a/internal/node/edge/node.go
+++ b/internal/node/edge/node.go
@@ -187,8 +187,8 @@
 }
 
 // stale reports whether the configuration is too old for checking keys: a key
-// may have been revoked since. While keys wait until records that the store has lost are written
-// again, they do at all nodes, and this one serves what needs no key.
+// may have been revoked since. A node whose keys wait until records that the store has lost are
+// written again isn't stale: as a rule all nodes wait then, and it serves what needs no key.
 func (n *Node) stale() bool {
 	catalog, confirmedAt := n.feeds.ConfirmedCatalog()
 	if !n.Settings.StrictRevocation || catalog.Keys == nil {
--- a/internal/trans/feeds/complete.go
+++ b/internal/trans/feeds/complete.go
@@ -6,8 +6,8 @@
 	"laburnumstack.org/laburnum/internal/state/clock"
 )
 
-// FirstEra is the era of a source that has never lost records.
-const FirstEra = 1
+// firstEra is the era of a source that has never lost records.
+const firstEra = 1
 
 // minReadWait is the shortest wait of a read for records while the configuration is to be confirmed.
 const minReadWait = 10 * time.Millisecond
@@ -22,7 +22,8 @@
 	// since is the time as of which the source is complete in that era.
 	since clock.Instant
 	// completeEra is the highest era in which the source is known to be complete. witnessedEra
-	// is the highest one of which this node's own reads have shown it.
+	// is the highest one, but for the first, of which this node knows it by itself: its reads
+	// have shown it, or the whole deployment started in that era.
 	completeEra, witnessedEra uint64
 }
 
@@ -33,7 +34,7 @@
 		return false
 	}
 	c.era = era
-	if era == FirstEra {
+	if era == firstEra {
 		c.since, c.completeEra = 0, era
 	} else {
 		c.since = now.Add(outageGrace)
@@ -44,7 +45,7 @@
 // assume records that nothing that the source had lost when its era began matters to this node.
 func (c *completeness) assume() {
 	c.since, c.completeEra = 0, c.era
-	if c.era != FirstEra {
+	if c.era != firstEra {
 		c.witnessedEra = c.era
 	}
 }
@@ -93,8 +94,8 @@
 	return f.completeness.completeEra
 }
 
-// WitnessedEra returns the highest era of the source, but for the first one, of which this node's
-// own reads have shown that the source holds again what it had lost; zero if there is none.
+// WitnessedEra returns the highest era of the source, but for the first one, of which this node
+// knows by itself that the source is complete; zero if there is none.
 func (f *Feeds) WitnessedEra() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/trans/feeds/complete_test.go
+++ b/internal/trans/feeds/complete_test.go
@@ -68,15 +68,15 @@
 func TestCompleteness(t *testing.T) {
 	c := &completeness{}
 	test.True(t, c.confirms(0, at(0)), test.Sprint("the source tells no era"))
-	test.True(t, c.hear(FirstEra, at(0)))
-	test.False(t, c.hear(FirstEra, at(0)))
-	test.True(t, c.confirms(FirstEra, at(-time.Second)))
+	test.True(t, c.hear(firstEra, at(0)))
+	test.False(t, c.hear(firstEra, at(0)))
+	test.True(t, c.confirms(firstEra, at(-time.Second)))
 	test.Eq(t, 0, c.witnessedEra, test.Sprint("the first era needs no record"))
 
 	must.True(t, c.hear(2, at(time.Second)))
 	test.False(t, c.confirms(2, at(time.Second+outageGrace-1)))
-	test.False(t, c.confirms(FirstEra, at(time.Second+outageGrace)), test.Sprint("a late answer"))
-	test.Eq(t, FirstEra, c.completeEra)
+	test.False(t, c.confirms(firstEra, at(time.Second+outageGrace)), test.Sprint("a late answer"))
+	test.Eq(t, firstEra, c.completeEra)
 	test.True(t, c.confirms(2, at(time.Second+outageGrace)))
 	test.Eq(t, 2, c.witnessedEra)
 	test.False(t, c.confirms(2, at(time.Second)), test.Sprint("a read that began earlier"))
@@ -109,7 +109,7 @@
 
 // Guards against a record in the store by each node that starts with a store that has lost nothing.
 func TestFirstEraIsNotRecorded(t *testing.T) {
-	for era, want := range map[uint64]uint64{FirstEra: 0, 4: 4} {
+	for era, want := range map[uint64]uint64{firstEra: 0, 4: 4} {
 		f := newFeeds()
 		f.Bootstrap = true
 		f.ObserveEra(era)
@@ -289,7 +289,7 @@
 // confirms a configuration that isn't the newest, or never confirms the newest one again.
 func TestNoOrderOfMessagesConfirmsAnOlderConfiguration(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &configModel{now: at(0), era: FirstEra}
+		m := &configModel{now: at(0), era: firstEra}
 		newNode := func() *configNode { return &configNode{cursor: cursor{next: unknownOffset}} }
 		nodes := rapid.IntRange(1, 4).Draw(t, "nodes")
 		for range nodes {
--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -53,8 +53,8 @@
 }
 
 // applyEvacuations applies those of the records of a page of the Configuration stream that
-// are of evacuations. The stream goes on at p, and is confirmed as of asOf; zero if it isn't. The records of the configuration itself
-// have been applied before.
+// are of evacuations. The stream goes on at p. With the page, the set is the newest as of asOf;
+// zero if that isn't known. The records of the configuration itself have been applied before.
 func (f *Feeds) applyEvacuations(rs []Record, complete bool, p Position, asOf clock.Instant) {
 	var es []evacuationRecord
 	for _, r := range rs {
--- a/internal/trans/feeds/follow_test.go
+++ b/internal/trans/feeds/follow_test.go
@@ -54,6 +54,20 @@
 
 func (s *scriptedSource) Put(context.Context, Stream, Record) (uint64, error) { return 0, nil }
 
+// followScript follows the configuration in a source until its responses are used up. It is called in
+// a synctest bubble.
+func followScript(t *testing.T, s *scriptedSource) *Feeds {
+	f := newFeeds()
+	f.Source = s
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx)
+	// The retries in between take less.
+	time.Sleep(time.Second)
+	synctest.Wait()
+	return f
+}
+
 func TestRetriesBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scriptedSource{}
@@ -114,13 +128,7 @@
 			// The records 4 to 6 are lost, and 4 to 7 are given out again.
 			page(2, 7, record("config", "3")), page(2, 7, record("config", "4")),
 		}}
-		f := newFeeds()
-		f.Source = s
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx)
-		time.Sleep(time.Second)
-		synctest.Wait()
+		f := followScript(t, s)
 		must.Eq(t, 4, f.Catalog().Version)
 		must.SliceLen(t, 5, s.made())
 		test.Eq(t, []string{"newest", "read", "read", "newest", "read"}, s.made())
@@ -192,13 +200,7 @@
 			func() (Page, error) { return Page{}, ErrTrimmed },
 			page(9, record("config", "4")),
 		}}
-		f := newFeeds()
-		f.Source = s
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go (&follower{feeds: f, stream: Configuration, apply: f.applyConfig}).run(ctx)
-		time.Sleep(time.Second)
-		synctest.Wait()
+		f := followScript(t, s)
 		must.Eq(t, 4, f.Catalog().Version)
 		must.SliceLen(t, 6, s.made())
 		test.Eq(t, []string{"newest", "read", "read", "read", "newest", "read"}, s.made())
--- a/internal/trans/gate/admit.go
+++ b/internal/trans/gate/admit.go
@@ -86,7 +86,7 @@
 		return true
 	}
 	if x.server.StrictRevocation && age > x.server.MaxConfigAge-revokeMargin {
-		x.rejectUnconfirmed(age, "configuration is too old to trust keys")
+		x.rejectUnconfirmed("configuration is too old to trust keys, age " + age.String())
 		return false
 	}
 	w, ok := x.catalog.Keys[x.reqHeader.Key]
@@ -103,23 +103,23 @@
 // one may contain it.
 func (x *exchange) rejectUnknown(status int, age time.Duration, reason string) {
 	if age > staleAfter {
-		x.rejectUnconfirmed(age, reason)
+		x.rejectUnconfirmed(reason + " in a configuration of age " + age.String())
 		return
 	}
 	x.reject(status, 0, reason)
 }
 
 // rejectUnconfirmed rejects a request because the configuration was last confirmed too long ago.
-func (x *exchange) rejectUnconfirmed(age time.Duration, reason string) {
+func (x *exchange) rejectUnconfirmed(reason string) {
 	if wait := x.server.Feeds.ConfirmWait(clock.Now()); wait > 0 {
 		x.reject(503, wait, fmt.Sprintf("%s, the store lost records at the beginning of era %d", reason, x.server.Feeds.Era()))
 		return
 	}
-	x.reject(503, retrySoon, reason+", configuration of age "+age.String())
+	x.reject(503, retrySoon, reason)
 }
 
-// ageOf returns the time since a configuration was confirmed at the given time, zero if it never
-// was.
+// ageOf returns the time since a configuration was last confirmed. If it never was, the instant is
+// zero and the age the longest one.
 func ageOf(confirmedAt clock.Instant) time.Duration {
 	if confirmedAt == 0 {
 		return math.MaxInt64
--- a/internal/trans/gate/metrics.go
+++ b/internal/trans/gate/metrics.go
@@ -136,7 +136,7 @@
 			return 0
 		}),
 		gauge("laburnum_configuration_age_seconds", "Time since the configuration was known to be the newest.", func() float64 {
-			return clock.Now().Sub(s.Feeds.CatalogConfirmedAt()).Seconds()
+			return ageOf(s.Feeds.CatalogConfirmedAt()).Seconds()
 		}),
 		gauge("laburnum_configuration_wait_seconds", "Time until the configuration can be confirmed, since the store has lost records.", func() float64 {
 			return s.Feeds.ConfirmWait(clock.Now()).Seconds()
--- a/internal/trans/gate/reject.go
+++ b/internal/trans/gate/reject.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"laburnumstack.org/laburnum/internal/state/clock"
 )
 
 const (
@@ -41,7 +40,7 @@
 		e = x.addLoad(e.Dur("backlog", x.load.Backlog))
 	}
 	if x.route != nil {
-		e = e.Dur("waited", x.waitedBefore()).Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", clock.Now().Sub(x.server.Feeds.CatalogConfirmedAt()))
+		e = e.Dur("waited", x.waitedBefore()).Str("route", string(x.route.Name)).Uint64("version", uint64(x.catalog.Version)).Dur("age", ageOf(x.server.Feeds.CatalogConfirmedAt()))
 	}
 	if x.homes.Binds() {
 		e = e.Strs("homes", x.homeNames())
