--- a/internal/trans/gate/reject.go
+++ b/internal/trans/gate/reject.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/juju/errors"
-
 )
 
 const (
