edge tests: a node that starts is ready once all its state is there

A test of internal/node/edge failed once on, after 11.7 s, and its output was not kept. Traced by reading: TestStartingNodeWaitsForRecordsThat- TheStoreHasLost asked whether the node is ready as soon as its configuration was confirmed; the endpoints are read apart from it. That the lost output said the same can't be shown.

--- a/internal/node/edge/start_test.go
+++ b/internal/node/edge/start_test.go
@@ -176,7 +176,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := Settings{Name: "n1", PeerAddress: freeAddress(t), Bootstrap: c.bootstrap, StrictRevocation: true, MaxConfigAge: time.Minute}
 			n, _ := startNode(t, s, c.source)
-			for n.feeds.CatalogConfirmedAt() == 0 {
+			// The endpoints and the evacuations are read apart from the configuration.
+			for n.feeds.CatalogConfirmedAt() == 0 || n.feeds.Endpoints() == nil || !n.feeds.EvacuationsKnown() {
 				time.Sleep(time.Millisecond)
 			}
 			// Only a node that has waited has seen by itself that lost records are back.
