feeds: one owner of the era

Feeds kept the era of the source twice, as an atomic and in completeness, which could differ for a moment. completeness has it alone now, under the lock of the rest; it isn't read on the path of a request that is served.

--- a/internal/trans/feeds/complete.go
+++ b/internal/trans/feeds/complete.go
@@ -124,16 +124,11 @@
 	return max(0, f.completeness.since.Add(graceReadInterval).Sub(now))
 }
 
-// beginEra records a new era of the source; old is the one before, zero if this node knew none,
-// complete that of ObserveComplete.
-func (f *Feeds) beginEra(old, era, complete uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := clock.Now()
-	if !f.completeness.hear(era, now) {
-		return
-	}
-	f.completeness.learn(complete, now)
+// beginEra decides whether the configuration waits in a new era of the source; old is the one before,
+// zero if this node knew none, complete that of ObserveComplete. The caller holds f.mu.
+func (f *Feeds) beginEra(old, complete uint64) {
+	era := f.completeness.era
+	f.completeness.learn(complete, clock.Now())
 	if f.Bootstrap && old == 0 {
 		f.completeness.assume()
 	}
--- a/internal/trans/feeds/evacuate.go
+++ b/internal/trans/feeds/evacuate.go
@@ -106,10 +106,9 @@
 	}
 }
 
-// beginEvacuationGrace begins a grace period of the evacuations, see evacuations.beginGrace.
+// beginEvacuationGrace begins a grace period of the evacuations, see evacuations.beginGrace. The
+// caller holds f.mu.
 func (f *Feeds) beginEvacuationGrace(era uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.evacuations.beginGrace(era, clock.Now())
 	if n := len(f.evacuations.inForce); n > 0 {
 		f.Logger.Info().Int("evacuations", n).Uint64("era", era).Dur("for", outageGrace).Msg("feeds: evacuations whose records are missing stay in force for a while")
--- a/internal/trans/feeds/feeds.go
+++ b/internal/trans/feeds/feeds.go
@@ -65,7 +65,6 @@
 	// lost before doesn't matter.
 	Bootstrap bool
 
-	era     atomic.Uint64
 	catalog atomic.Pointer[topol.Catalog]
 	list    atomic.Pointer[EndpointList]
 	// catalogConfirmedAt is when the catalog was last confirmed to be the newest.
@@ -85,7 +84,8 @@
 	// endpointsWanted ends the pause before the next read of the endpoints.
 	endpointsWanted signal
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// completeness holds the era of the source, too.
 	completeness completeness
 	// evacuations holds the evacuated data centres. configAt is where the Configuration
 	// stream goes on after them and the configuration in force; its era is zero if that
@@ -196,23 +196,24 @@
 
 // observe records an era, in which the source is known to be complete if that is complete.
 func (f *Feeds) observe(era, complete uint64) {
-	for {
-		old := f.era.Load()
-		if era <= old {
-			return
-		}
-		if f.era.CompareAndSwap(old, era) {
-			f.beginEra(old, era, complete)
-			if old != 0 {
-				f.beginEvacuationGrace(era)
-			}
-			return
-		}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.completeness.era
+	if !f.completeness.hear(era, clock.Now()) {
+		return
+	}
+	f.beginEra(old, complete)
+	if old != 0 {
+		f.beginEvacuationGrace(era)
 	}
 }
 
 // Era returns the highest era of the source that this node knows, see Page.Era.
-func (f *Feeds) Era() uint64 { return f.era.Load() }
+func (f *Feeds) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.completeness.era
+}
 
 // recordRecovery records that reads of a stream succeed again. If they failed for at
 // least minOutage, a grace period begins.
@@ -223,7 +224,9 @@
 		return
 	}
 	if s == Configuration {
+		f.mu.Lock()
 		f.beginEvacuationGrace(0)
+		f.mu.Unlock()
 	}
 	f.beginEndpointGrace(s, at)
 }
